--- /dev/null
+++ b/include/medlar/detail/gateway/body_reader.hpp
@@ -0,0 +1,67 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_BODY_READER_HPP
+#define MEDLAR_DETAIL_GATEWAY_BODY_READER_HPP
+
+#include <cstddef>
+#include <istream>
+#include <optional>
+#include <string>
+
+namespace medlar
+{
+
+// Both read from the stream's buffer, so that exceptions of POCO's sockets reach the
+// caller.
+
+/// @brief Reads a body to its end.
+/// @return unset if it has more than @p max_bytes
+inline std::optional<std::string> read_body(std::istream& body, std::size_t max_bytes)
+{
+    constexpr std::streamsize chunk_bytes = 16 * 1024;
+    std::string text;
+    std::streambuf& buffer = *body.rdbuf();
+    while (buffer.sgetc() != std::char_traits<char>::eof())
+    {
+        const std::size_t before = text.size();
+        const std::streamsize there = std::min(buffer.in_avail(), chunk_bytes);
+        text.resize(before + static_cast<std::size_t>(there));
+        buffer.sgetn(&text[before], there);
+        if (text.size() > max_bytes)
+        {
+            return std::nullopt;
+        }
+    }
+    return text;
+}
+
+/// @brief how reading a line ended
+enum class line_end
+{
+    newline,
+    end_of_body,
+    too_long,
+};
+
+/// @brief Reads one line, its end left out.
+inline line_end read_line(std::istream& body, std::size_t max_bytes, std::string& line)
+{
+    line.clear();
+    std::streambuf& buffer = *body.rdbuf();
+    while (line.size() <= max_bytes)
+    {
+        const int next = buffer.sbumpc();
+        if (next == std::char_traits<char>::eof())
+        {
+            return line_end::end_of_body;
+        }
+        if (next == '\n')
+        {
+            return line_end::newline;
+        }
+        line += static_cast<char>(next);
+    }
+    return line_end::too_long;
+}
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_BODY_READER_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/session_pool.hpp
@@ -0,0 +1,72 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_SESSION_POOL_HPP
+#define MEDLAR_DETAIL_GATEWAY_SESSION_POOL_HPP
+
+#include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/base/endpoint.hpp>
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief one HTTP connection to a target
+using target_session = std::unique_ptr<Poco::Net::HTTPClientSession>;
+
+/// @brief Open connections to targets, kept for further calls.
+///
+/// A session is made of a connected socket and knows no host name, so that POCO cannot
+/// open a connection anew and send a call twice.
+/// @note Safe to call from every thread.
+class session_pool
+{
+  public:
+    /// @param connect_timeout bound on opening a connection
+    /// @param max_idle time after which an unused connection is closed
+    static std::unique_ptr<session_pool>
+    create(const clock& time, millis connect_timeout, millis max_idle);
+
+    /// @brief A connection: a kept one that is still open, or a new one.
+    /// @param fresh never a kept one
+    /// @return nullptr if none can be opened
+    target_session take(const endpoint& where, bool fresh);
+
+    /// @brief Keeps a connection whose last answer was read to its end.
+    void give_back(const endpoint& where, target_session session);
+
+  private:
+    struct kept_session
+    {
+        target_session session;
+        steady_time since;
+    };
+
+    struct shard
+    {
+        std::mutex mutex;
+        std::map<endpoint, std::vector<kept_session>> kept;
+    };
+
+    static constexpr std::size_t shard_count = 8;
+    static constexpr std::size_t max_kept_each = 256;
+
+    session_pool(const clock& time, millis connect_timeout, millis max_idle);
+
+    target_session take_kept(const endpoint& where);
+    target_session open(const endpoint& where) const;
+    shard& shard_of(const endpoint& where);
+
+    const clock& time_;
+    millis connect_timeout_;
+    millis max_idle_;
+    std::array<shard, shard_count> shards_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_SESSION_POOL_HPP
--- /dev/null
+++ b/include/medlar/detail/request/answer_text.hpp
@@ -0,0 +1,61 @@
+#ifndef MEDLAR_DETAIL_REQUEST_ANSWER_TEXT_HPP
+#define MEDLAR_DETAIL_REQUEST_ANSWER_TEXT_HPP
+
+#include <medlar/detail/base/ids.hpp>
+#include <medlar/detail/base/outcome.hpp>
+#include <medlar/detail/ownership/claim_table.hpp>
+
+#include <absl/strings/string_view.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief one stage call in the trace of a request
+struct trace_entry
+{
+    std::string stage;
+    target_id at;
+    int attempt = 1;
+    /// such as "succeeded"
+    std::string result;
+    millis started_after{0};
+    millis elapsed{0};
+};
+
+/// @brief JSON text of a trace: where the request ran and its calls
+std::string write_trace(const host_id& ran_on, const std::vector<trace_entry>& calls);
+
+/// @brief the answer to a request as JSON text in one line
+std::string write_answer(const request_id& id, const final_answer& answer);
+
+/// @brief Reads the form that write_answer() writes.
+/// @return unset if it is not of that form
+std::optional<final_answer> read_answer(absl::string_view text);
+
+/// @brief one token of a stream as JSON text in one line
+std::string
+write_token(absl::string_view stage, std::int64_t index, absl::string_view text);
+
+/// @brief one token of a relayed stream
+struct relayed_token
+{
+    std::string stage;
+    std::int64_t index = 0;
+    std::string text;
+};
+
+/// @brief Reads the form that write_token() writes.
+/// @return unset if the line is not a token
+std::optional<relayed_token> read_token(absl::string_view line);
+
+/// @brief the HTTP status of an answer
+int http_status_of(const outcome& result);
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_REQUEST_ANSWER_TEXT_HPP
--- /dev/null
+++ b/src/gateway/session_pool.cpp
@@ -0,0 +1,116 @@
+#include <medlar/detail/gateway/session_pool.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+
+#include <functional>
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr std::int64_t us_per_ms = 1000;
+
+/// @brief whether an unused connection is still open and silent
+bool is_usable(Poco::Net::HTTPClientSession& session)
+{
+    try
+    {
+        return !session.socket().poll(Poco::Timespan(0),
+                                      Poco::Net::Socket::SELECT_READ |
+                                          Poco::Net::Socket::SELECT_ERROR);
+    }
+    catch (const Poco::Exception&)
+    {
+        return false;
+    }
+}
+
+} // namespace
+
+std::unique_ptr<session_pool>
+session_pool::create(const clock& time, millis connect_timeout, millis max_idle)
+{
+    return std::unique_ptr<session_pool>(
+        new session_pool(time, connect_timeout, max_idle));
+}
+
+session_pool::session_pool(const clock& time, millis connect_timeout, millis max_idle)
+    : time_(time), connect_timeout_(connect_timeout), max_idle_(max_idle)
+{
+}
+
+target_session session_pool::take(const endpoint& where, bool fresh)
+{
+    if (!fresh)
+    {
+        target_session kept = take_kept(where);
+        if (kept)
+        {
+            return kept;
+        }
+    }
+    return open(where);
+}
+
+void session_pool::give_back(const endpoint& where, target_session session)
+{
+    shard& home = shard_of(where);
+    const std::lock_guard<std::mutex> lock(home.mutex);
+    std::vector<kept_session>& kept = home.kept[where];
+    if (kept.size() < max_kept_each)
+    {
+        kept.push_back({std::move(session), time_.steady_now()});
+    }
+}
+
+target_session session_pool::take_kept(const endpoint& where)
+{
+    std::vector<kept_session> stale;
+    shard& home = shard_of(where);
+    const std::lock_guard<std::mutex> lock(home.mutex);
+    std::vector<kept_session>& kept = home.kept[where];
+    while (!kept.empty())
+    {
+        kept_session newest = std::move(kept.back());
+        kept.pop_back();
+        const bool young = time_.steady_now() - newest.since < max_idle_;
+        if (young && is_usable(*newest.session))
+        {
+            return std::move(newest.session);
+        }
+        stale.push_back(std::move(newest));
+    }
+    return nullptr;
+}
+
+target_session session_pool::open(const endpoint& where) const
+{
+    try
+    {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(where.address, where.port),
+                       Poco::Timespan(connect_timeout_.count() * us_per_ms));
+        socket.setNoDelay(true);
+        target_session session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+        session->setKeepAlive(true);
+        return session;
+    }
+    catch (const Poco::Exception&)
+    {
+        return nullptr;
+    }
+}
+
+session_pool::shard& session_pool::shard_of(const endpoint& where)
+{
+    const std::size_t hash = std::hash<std::string>{}(to_string(where));
+    return shards_[hash % shards_.size()];
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/gateway/stage_client.cpp
@@ -0,0 +1,344 @@
+#include <medlar/detail/gateway/body_reader.hpp>
+#include <medlar/detail/gateway/stage_client.hpp>
+#include <medlar/detail/request/json_text.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Timespan.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::int64_t us_per_ms = 1000;
+constexpr millis least_timeout{1};
+
+Poco::Timespan timespan_of(millis span)
+{
+    return Poco::Timespan(std::max(span, least_timeout).count() * us_per_ms);
+}
+
+void set_timeout(HTTPClientSession& session, millis span)
+{
+    session.socket().setReceiveTimeout(timespan_of(span));
+    session.socket().setSendTimeout(timespan_of(span));
+}
+
+void send(HTTPClientSession& session,
+          const endpoint& where,
+          const std::string& method,
+          const std::string& path,
+          const std::string& body)
+{
+    HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost(to_string(where));
+    request.setKeepAlive(true);
+    if (method == HTTPRequest::HTTP_POST)
+    {
+        request.setContentType("application/json");
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+    }
+    std::ostream& out = session.sendRequest(request);
+    out.write(body.data(), static_cast<std::streamsize>(body.size()));
+    out.flush();
+    if (const Poco::Exception* error = session.networkException())
+    {
+        error->rethrow();
+    }
+}
+
+/// @brief whether a body is as long as its header says
+bool has_full_length(const HTTPResponse& response, std::size_t received)
+{
+    const std::streamsize stated = response.getContentLength();
+    return stated == Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH ||
+           stated == static_cast<std::streamsize>(received);
+}
+
+void set_bad(stage_reply& reply, const bad_reply& why)
+{
+    reply.result = call_result::failed;
+    reply.why = why.why;
+    reply.message = why.message;
+}
+
+void set_broken(stage_reply& reply)
+{
+    reply.result = call_result::broken;
+    reply.why = reason::reply_lost;
+    reply.message = "the connection to the target broke";
+}
+
+void set_refused_or_failed(stage_reply& reply, int status, const std::string& body)
+{
+    constexpr int unavailable = 503;
+    const target_refusal refusal =
+        status == unavailable ? read_target_refusal(body) : target_refusal{};
+    reply.settled = true;
+    if (refusal.not_run)
+    {
+        reply.result = call_result::refused;
+        reply.handed = false;
+        reply.leaving = refusal.leaving;
+        reply.retry_after = refusal.retry_after;
+        reply.why = reason::target_refused;
+        reply.message = "the target did not take the call";
+        return;
+    }
+    reply.result = call_result::failed;
+    reply.why = reason::target_failed;
+    reply.message = absl::StrCat("the target answered with status ", status);
+}
+
+void set_whole_answer(const stage_try& what, const std::string& body, stage_reply& reply)
+{
+    auto checked = check_reply(body, what.message.request_id);
+    if (const auto* bad = std::get_if<bad_reply>(&checked))
+    {
+        set_bad(reply, *bad);
+        return;
+    }
+    reply.output = std::get<stage_output>(std::move(checked)).text;
+    reply.result = call_result::succeeded;
+    reply.settled = true;
+}
+
+/// @brief a cancelled call ends as its cause says, whatever the socket reported
+void apply_cause(cancel_cause why, stage_reply& reply)
+{
+    if (why == cancel_cause::none || reply.settled)
+    {
+        return;
+    }
+    const bool late = why == cancel_cause::deadline;
+    reply.result = late ? call_result::timed_out : call_result::cancelled;
+    reply.why = late ? reason::deadline_passed : reason::cancelled;
+    reply.message = late ? "the deadline passed while a target worked"
+                         : "nobody waits for the answer";
+}
+
+} // namespace
+
+std::unique_ptr<stage_client>
+stage_client::create(const clock& time, session_pool& sessions, byte_count max_answer)
+{
+    return std::unique_ptr<stage_client>(new stage_client(time, sessions, max_answer));
+}
+
+stage_client::stage_client(const clock& time,
+                           session_pool& sessions,
+                           byte_count max_answer)
+    : time_(time), sessions_(sessions), max_answer_(max_answer)
+{
+}
+
+stage_reply stage_client::call(const stage_try& what) const
+{
+    const steady_time started = time_.steady_now();
+    stage_reply reply;
+    reply.next_token = what.message.resume_from;
+    reply.why = reason::target_failed;
+    reply.message = "no connection to the target";
+    target_session session = sessions_.take(what.at, !what.repeatable);
+    if (session)
+    {
+        exchange_messages(what, std::move(session), reply);
+    }
+    apply_cause(what.token->cause(), reply);
+    reply.elapsed = time_.steady_now() - started;
+    return reply;
+}
+
+void stage_client::exchange_messages(const stage_try& what,
+                                     target_session session,
+                                     stage_reply& reply) const
+{
+    const cancel_action close_on_cancel(what.token,
+                                        [socket = session->socket()]() mutable
+                                        {
+                                            try
+                                            {
+                                                socket.shutdown();
+                                            }
+                                            catch (const Poco::Exception&)
+                                            {
+                                                return;
+                                            }
+                                        });
+    if (what.token->cause() != cancel_cause::none)
+    {
+        return;
+    }
+    bool whole = false;
+    try
+    {
+        set_timeout(*session, what.until - time_.steady_now());
+        reply.handed = true;
+        send(*session,
+             what.at,
+             HTTPRequest::HTTP_POST,
+             "/v1/stage",
+             write_stage_message(what.message));
+        read_reply(what, *session, reply, whole);
+    }
+    catch (const Poco::TimeoutException&)
+    {
+        reply.result = call_result::timed_out;
+        reply.why = reason::deadline_passed;
+        reply.message = "the target gave no answer in time";
+    }
+    catch (const Poco::Exception&)
+    {
+        set_broken(reply);
+    }
+    if (whole)
+    {
+        sessions_.give_back(what.at, std::move(session));
+    }
+}
+
+void stage_client::read_reply(const stage_try& what,
+                              HTTPClientSession& session,
+                              stage_reply& reply,
+                              bool& whole) const
+{
+    HTTPResponse response;
+    std::istream& stream = session.receiveResponse(response);
+    const bool ran = response.getStatus() == HTTPResponse::HTTP_OK;
+    if (ran && what.message.kind == stage_kind::generate)
+    {
+        read_stream(what, stream, reply, whole);
+        whole = whole && response.getKeepAlive();
+        return;
+    }
+    const std::optional<std::string> body =
+        read_body(stream, static_cast<std::size_t>(max_answer_.get()));
+    if (!body)
+    {
+        set_bad(reply, {reason::target_answer_too_large, "the answer is too large"});
+        return;
+    }
+    if (!has_full_length(response, body->size()))
+    {
+        set_broken(reply);
+        return;
+    }
+    whole = response.getKeepAlive();
+    if (ran)
+    {
+        set_whole_answer(what, *body, reply);
+        return;
+    }
+    set_refused_or_failed(reply, response.getStatus(), *body);
+}
+
+void stage_client::read_stream(const stage_try& what,
+                               std::istream& body,
+                               stage_reply& reply,
+                               bool& whole) const
+{
+    const steady_time started = time_.steady_now();
+    const auto limit = static_cast<std::size_t>(max_answer_.get());
+    std::string line;
+    while (true)
+    {
+        const line_end end = read_line(body, limit, line);
+        if (end == line_end::too_long || reply.tokens_text.size() > limit)
+        {
+            set_bad(reply, {reason::target_answer_too_large, "the answer is too large"});
+            return;
+        }
+        if (end == line_end::end_of_body)
+        {
+            set_broken(reply);
+            return;
+        }
+        auto checked = check_stream_line(line, what.message.request_id, reply.next_token);
+        if (const auto* bad = std::get_if<bad_reply>(&checked))
+        {
+            set_bad(reply, *bad);
+            return;
+        }
+        if (const auto* last = std::get_if<stream_end>(&checked))
+        {
+            reply.cached_tokens = last->cached_tokens;
+            reply.result = call_result::succeeded;
+            reply.settled = true;
+            whole = read_line(body, 0, line) == line_end::end_of_body;
+            return;
+        }
+        const auto& token = std::get<stream_token>(checked);
+        if (!reply.first_token)
+        {
+            reply.first_token = time_.steady_now() - started;
+        }
+        reply.tokens_text += token.text;
+        ++reply.next_token;
+        if (what.on_token)
+        {
+            what.on_token(token.index, token.text);
+        }
+    }
+}
+
+std::optional<target_answer>
+stage_client::get(const endpoint& where, const std::string& path, millis timeout) const
+{
+    return plain_call(where, HTTPRequest::HTTP_GET, path, "", timeout);
+}
+
+void stage_client::cancel(const endpoint& where,
+                          const std::string& call_id,
+                          millis timeout) const
+{
+    const std::string body = absl::StrCat("{\"call_id\":", quoted_json(call_id), "}");
+    plain_call(where, HTTPRequest::HTTP_POST, "/v1/cancel", body, timeout);
+}
+
+std::optional<target_answer> stage_client::plain_call(const endpoint& where,
+                                                      const std::string& method,
+                                                      const std::string& path,
+                                                      const std::string& body,
+                                                      millis timeout) const
+{
+    target_session session = sessions_.take(where, false);
+    if (!session)
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        set_timeout(*session, timeout);
+        send(*session, where, method, path, body);
+        HTTPResponse response;
+        std::istream& stream = session->receiveResponse(response);
+        std::optional<std::string> text =
+            read_body(stream, static_cast<std::size_t>(max_answer_.get()));
+        if (!text || !has_full_length(response, text->size()))
+        {
+            return std::nullopt;
+        }
+        if (response.getKeepAlive())
+        {
+            sessions_.give_back(where, std::move(session));
+        }
+        return target_answer{response.getStatus(), std::move(*text)};
+    }
+    catch (const Poco::Exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/request/answer_text.cpp
@@ -0,0 +1,177 @@
+#include <medlar/detail/request/answer_text.hpp>
+#include <medlar/detail/request/json_fields.hpp>
+#include <medlar/detail/request/json_text.hpp>
+
+#include <absl/strings/str_cat.h>
+
+namespace medlar
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// @brief the reasons of the groups 1xx and 2xx that have a status of their own
+int status_of(reason why)
+{
+    switch (why)
+    {
+        case reason::unauthenticated:
+            return 401;
+        case reason::unknown_organisation:
+            return 403;
+        case reason::unknown_pipeline:
+        case reason::not_found:
+            return 404;
+        case reason::id_reused:
+            return 409;
+        case reason::too_large:
+            return 413;
+        case reason::organisation_over_share:
+            return 429;
+        case reason::deadline_passed:
+            return 504;
+        default:
+            break;
+    }
+    constexpr int first_of_load = 200;
+    constexpr int first_of_targets = 400;
+    const int number = static_cast<int>(why);
+    if (number < first_of_load)
+    {
+        return 400;
+    }
+    return number < first_of_targets ? 503 : 502;
+}
+
+reason reason_of(std::int64_t number)
+{
+    return static_cast<reason>(static_cast<int>(number));
+}
+
+} // namespace
+
+std::string write_trace(const host_id& ran_on, const std::vector<trace_entry>& calls)
+{
+    std::string list;
+    for (const trace_entry& each : calls)
+    {
+        absl::StrAppend(&list,
+                        list.empty() ? "" : ",",
+                        "{\"stage\":",
+                        quoted_json(each.stage),
+                        ",\"target\":",
+                        quoted_json(each.at.get()),
+                        ",\"attempt\":",
+                        each.attempt,
+                        ",\"result\":",
+                        quoted_json(each.result),
+                        ",\"started_ms\":",
+                        each.started_after.count(),
+                        ",\"elapsed_ms\":",
+                        each.elapsed.count(),
+                        "}");
+    }
+    return absl::StrCat(
+        "{\"ran_on\":", quoted_json(ran_on.get()), ",\"trace\":[", list, "]}");
+}
+
+std::string write_answer(const request_id& id, const final_answer& answer)
+{
+    const outcome& result = answer.result;
+    std::string text = absl::StrCat("{\"id\":",
+                                    quoted_json(id.get()),
+                                    ",\"outcome\":\"",
+                                    to_string(result.kind),
+                                    "\"");
+    if (result.kind == outcome_kind::answered)
+    {
+        absl::StrAppend(&text, ",\"output\":", answer.output);
+    }
+    else
+    {
+        absl::StrAppend(&text,
+                        ",\"reason\":\"",
+                        to_string(result.why),
+                        "\",\"reason_number\":",
+                        static_cast<int>(result.why),
+                        ",\"message\":",
+                        quoted_json(result.message));
+    }
+    if (result.retry_after)
+    {
+        absl::StrAppend(&text, ",\"retry_after_ms\":", result.retry_after->count());
+    }
+    if (!answer.trace.empty())
+    {
+        // the members of the trace follow those of the answer
+        absl::StrAppend(&text, ",", answer.trace.substr(1));
+        return text;
+    }
+    return text + "}";
+}
+
+std::optional<final_answer> read_answer(absl::string_view text)
+{
+    const json parsed = parse_json(text);
+    if (!parsed.is_object())
+    {
+        return std::nullopt;
+    }
+    const std::optional<outcome_kind> kind = outcome_kind_of(text_in(parsed, "outcome"));
+    if (!kind || (*kind == outcome_kind::answered && !parsed.contains("output")))
+    {
+        return std::nullopt;
+    }
+    final_answer answer;
+    answer.result.kind = *kind;
+    answer.result.why = reason_of(number_in(parsed, "reason_number", 0));
+    answer.result.message = text_in(parsed, "message");
+    if (parsed.contains("retry_after_ms"))
+    {
+        answer.result.retry_after = millis(number_in(parsed, "retry_after_ms", 0));
+    }
+    answer.output = parsed.contains("output") ? parsed["output"].dump() : std::string();
+    if (parsed.contains("ran_on") && parsed.contains("trace"))
+    {
+        answer.trace =
+            json({{"ran_on", parsed["ran_on"]}, {"trace", parsed["trace"]}}).dump();
+    }
+    return answer;
+}
+
+std::string
+write_token(absl::string_view stage, std::int64_t index, absl::string_view text)
+{
+    return absl::StrCat("{\"token\":",
+                        quoted_json(text),
+                        ",\"index\":",
+                        index,
+                        ",\"stage\":",
+                        quoted_json(stage),
+                        "}");
+}
+
+std::optional<relayed_token> read_token(absl::string_view line)
+{
+    const json parsed = parse_json(line);
+    if (!parsed.is_object() || !parsed.contains("token"))
+    {
+        return std::nullopt;
+    }
+    return relayed_token{text_in(parsed, "stage"),
+                         number_in(parsed, "index", 0),
+                         text_in(parsed, "token")};
+}
+
+int http_status_of(const outcome& result)
+{
+    if (result.kind == outcome_kind::answered)
+    {
+        return 200;
+    }
+    return status_of(result.why);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/request/json_text.cpp
@@ -0,0 +1,113 @@
+#include <medlar/detail/request/json_text.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+/// @brief form of one UTF-8 sequence, told by its first byte
+struct sequence_form
+{
+    std::size_t length = 0;
+    std::uint32_t first_bits = 0;
+    std::uint32_t least = 0;
+};
+
+sequence_form form_of(unsigned char first)
+{
+    if (first < 0x80U)
+    {
+        return {1, first, 0};
+    }
+    if ((first & 0xe0U) == 0xc0U)
+    {
+        return {2, first & 0x1fU, 0x80};
+    }
+    if ((first & 0xf0U) == 0xe0U)
+    {
+        return {3, first & 0x0fU, 0x800};
+    }
+    if ((first & 0xf8U) == 0xf0U)
+    {
+        return {4, first & 0x07U, 0x10000};
+    }
+    return {};
+}
+
+bool is_code_point(std::uint32_t value)
+{
+    constexpr std::uint32_t greatest = 0x10ffff;
+    const bool surrogate = value >= 0xd800 && value <= 0xdfff;
+    return value <= greatest && !surrogate;
+}
+
+} // namespace
+
+bool is_utf8(absl::string_view text)
+{
+    std::size_t at = 0;
+    while (at < text.size())
+    {
+        const sequence_form form = form_of(static_cast<unsigned char>(text[at]));
+        if (form.length == 0 || at + form.length > text.size())
+        {
+            return false;
+        }
+        std::uint32_t value = form.first_bits;
+        for (std::size_t i = 1; i < form.length; ++i)
+        {
+            const auto next = static_cast<unsigned char>(text[at + i]);
+            if ((next & 0xc0U) != 0x80U)
+            {
+                return false;
+            }
+            value = (value << 6U) | (next & 0x3fU);
+        }
+        if (value < form.least || !is_code_point(value))
+        {
+            return false;
+        }
+        at += form.length;
+    }
+    return true;
+}
+
+int nesting_of(absl::string_view text)
+{
+    int depth = 0;
+    int deepest = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        const char letter = text[i];
+        if (in_string)
+        {
+            i += letter == '\\' ? 1 : 0;
+            in_string = letter != '"';
+            continue;
+        }
+        in_string = letter == '"';
+        if (letter == '{' || letter == '[')
+        {
+            deepest = std::max(deepest, ++depth);
+        }
+        else if (letter == '}' || letter == ']')
+        {
+            --depth;
+        }
+    }
+    return deepest;
+}
+
+std::string quoted_json(absl::string_view text)
+{
+    const nlohmann::json value = std::string(text);
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/request/stage_plan.cpp
@@ -0,0 +1,95 @@
+#include <medlar/detail/request/json_text.hpp>
+#include <medlar/detail/request/stage_plan.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+bool is_done(const pipeline& of,
+             const std::vector<stage_progress>& progress,
+             const std::string& name)
+{
+    for (std::size_t i = 0; i < of.stages.size(); ++i)
+    {
+        if (of.stages[i].name == name)
+        {
+            return progress[i] == stage_progress::done;
+        }
+    }
+    return false;
+}
+
+void append_member(std::string& object, const std::string& name, const std::string& value)
+{
+    absl::StrAppend(&object, object.size() > 1 ? "," : "", quoted_json(name), ":", value);
+}
+
+} // namespace
+
+std::vector<std::size_t> ready_stages(const pipeline& of,
+                                      const std::vector<stage_progress>& progress)
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t i = 0; i < of.stages.size(); ++i)
+    {
+        const std::vector<std::string>& after = of.stages[i].after;
+        const bool met = std::all_of(after.begin(),
+                                     after.end(),
+                                     [&](const std::string& name)
+                                     {
+                                         return is_done(of, progress, name);
+                                     });
+        if (progress[i] == stage_progress::waiting && met)
+        {
+            ready.push_back(i);
+        }
+    }
+    return ready;
+}
+
+std::string
+stage_input(const stage& of, const client_request& request, const stage_outputs& outputs)
+{
+    if (of.after.empty())
+    {
+        return request.input;
+    }
+    std::string object = "{";
+    for (const std::string& name : of.after)
+    {
+        append_member(object, name, outputs.at(name));
+    }
+    return object + "}";
+}
+
+bool may_repeat(const stage& of, const client_request& request)
+{
+    return of.idempotent.value_or(request.idempotent);
+}
+
+token_count token_limit(const stage& of, const client_request& request)
+{
+    if (of.max_tokens.get() == 0 || request.max_tokens.get() == 0)
+    {
+        return std::max(of.max_tokens, request.max_tokens);
+    }
+    return std::min(of.max_tokens, request.max_tokens);
+}
+
+std::string write_outputs(const stage_outputs& outputs)
+{
+    std::string object = "{";
+    for (const auto& [name, value] : outputs)
+    {
+        append_member(object, name, value);
+    }
+    return object + "}";
+}
+
+} // namespace medlar
