--- a/include/medlar/detail/gateway/stage_client.hpp
+++ b/include/medlar/detail/gateway/stage_client.hpp
@@ -46,6 +46,8 @@
     /// index of the token after the last one received
     std::int64_t next_token = 0;
     std::int64_t cached_tokens = 0;
+    steady_time started;
+    /// from its start
     std::optional<millis> first_token;
     millis elapsed{0};
     std::optional<millis> retry_after;
--- a/src/gateway/stage_client.cpp
+++ b/src/gateway/stage_client.cpp
@@ -145,8 +145,8 @@
 
 stage_reply stage_client::call(const stage_try& what) const
 {
-    const steady_time started = time_.steady_now();
     stage_reply reply;
+    reply.started = time_.steady_now();
     reply.next_token = what.message.resume_from;
     reply.why = reason::target_failed;
     reply.message = "no connection to the target";
@@ -156,7 +156,7 @@
         exchange_messages(what, std::move(session), reply);
     }
     apply_cause(what.token->cause(), reply);
-    reply.elapsed = time_.steady_now() - started;
+    reply.elapsed = time_.steady_now() - reply.started;
     return reply;
 }
 
@@ -248,7 +248,6 @@
                                stage_reply& reply,
                                bool& whole) const
 {
-    const steady_time started = time_.steady_now();
     const auto limit = static_cast<std::size_t>(max_answer_.get());
     std::string line;
     while (true)
@@ -281,7 +280,7 @@
         const auto& token = std::get<stream_token>(checked);
         if (!reply.first_token)
         {
-            reply.first_token = time_.steady_now() - started;
+            reply.first_token = time_.steady_now() - reply.started;
         }
         reply.tokens_text += token.text;
         ++reply.next_token;
