--- a/include/medlar/detail/cluster/view.hpp
+++ b/include/medlar/detail/cluster/view.hpp
@@ -35,6 +35,9 @@
     const view_member* find(incarnation process) const;
 };
 
+/// @brief digest of a view's number and members
+std::uint64_t digest_of(const view& members);
+
 /// @brief Key of a request within the system: its organisation and its id.
 struct request_key
 {
@@ -73,7 +76,7 @@
 };
 
 /// @brief Reads the JSON form of a record.
-/// @return error 704 if it is malformed, empty of members or out of order
+/// @return error 704 if it is malformed, without members, or its views are out of order
 absl::StatusOr<view_record> parse_view_record(absl::string_view text);
 
 /// @brief the JSON form that parse_view_record() reads
--- a/include/medlar/detail/ownership/claim_table.hpp
+++ b/include/medlar/detail/ownership/claim_table.hpp
@@ -79,13 +79,14 @@
 
 /// @brief Claims of one process, in shards each under its own lock.
 ///
-/// An answer is kept until the retention after the request's issue is over. Memory is
+/// An answer is kept until its lifetime after the request's issue is over. Memory is
 /// bounded: when the table is full, new claims are refused and none is dropped early.
 class claim_table
 {
   public:
+    /// @param lifetime how long after its issue a finished claim is kept
     /// @param max_bytes bound on the memory of keys and answers
-    static std::unique_ptr<claim_table> create(millis retention, byte_count max_bytes);
+    static std::unique_ptr<claim_table> create(millis lifetime, byte_count max_bytes);
 
     /// @brief the claim of that key, if there is one
     std::optional<claim> find(const request_key& key) const;
@@ -125,7 +126,7 @@
         return found;
     }
 
-    /// @brief Removes finished claims whose retention is over.
+    /// @brief Removes finished claims whose lifetime is over.
     void expire(wall_time now);
 
     /// @brief number of claims
@@ -135,7 +136,7 @@
     byte_count bytes() const;
 
   private:
-    claim_table(millis retention, byte_count max_bytes);
+    claim_table(millis lifetime, byte_count max_bytes);
 
     struct shard
     {
@@ -148,7 +149,7 @@
     shard& shard_of(const request_key& key);
     const shard& shard_of(const request_key& key) const;
 
-    millis retention_;
+    millis lifetime_;
     byte_count max_bytes_;
     std::array<shard, shard_count> shards_;
     std::atomic<std::int64_t> bytes_{0};
--- a/include/medlar/detail/ownership/ownership.hpp
+++ b/include/medlar/detail/ownership/ownership.hpp
@@ -23,6 +23,8 @@
     incarnation from;
     /// the view that the holder has adopted
     view_epoch epoch;
+    /// digest_of() that view, so that two views of one number are never taken for one
+    std::uint64_t view_digest = 0;
 };
 
 /// @brief answer to a grant_request
@@ -90,7 +92,7 @@
 
     /// @brief Takes note of a record read from the store or from a peer.
     /// @return whether it is newer than what was known
-    bool learn(const view_record& record, wall_time wall_now);
+    bool learn(const view_record& record, steady_time now, wall_time wall_now);
 
     /// @brief Adopts the newest known view once no grant for an older one is in force.
     /// @return whether a view was adopted
@@ -121,8 +123,7 @@
 
     /// @brief Counts an answer.
     /// @param asked_at when the request was made, by this process's clock
-    void
-    on_grant_reply(const grant_reply& reply, steady_time asked_at, wall_time wall_now);
+    void on_grant_reply(const grant_reply& reply, steady_time asked_at);
 
     /// @brief whether a majority of the adopted view has granted the lease
     bool lease_valid(steady_time now) const;
@@ -167,25 +168,32 @@
   private:
     ownership(incarnation self, const ownership_timing& timing);
 
-    /// @brief how requests came from an earlier home to this one
+    /// @brief what is known of the requests of an earlier home: unsettled while that
+    /// home may still accept, then only those issued after the floor are new
     struct fence
     {
         bool settled = false;
         wall_time floor;
     };
 
-    const view* view_of(view_epoch epoch) const;
+    std::size_t index_of(view_epoch epoch) const;
     bool closed(view_epoch epoch) const;
     void mark_closed(view_epoch epoch, wall_time wall_now);
+    void note_adoption(incarnation process, view_epoch epoch);
+    void remember_views(const view_record& record);
     bool cannot_make_majority(const view& old, steady_time now) const;
+    std::vector<steady_time> grant_times() const;
+    fence takeover_fence(view_epoch closed_view) const;
     fence fence_for(std::uint64_t key_hash) const;
-    outcome unproved() const;
+    fence fence_of_gain(std::size_t index) const;
+    std::optional<outcome>
+    refused_for_age(wall_time issued_at, bool first_attempt, wall_time wall_now) const;
 
     incarnation self_;
     ownership_timing timing_;
+    std::optional<view_record> newest_;
     // views known, ascending by epoch without gaps
     std::vector<view> views_;
-    std::vector<view> newest_earlier_;
     // adopted view; 0: none
     view_epoch adopted_{0};
     // end of the last grant given
--- a/include/medlar/detail/ownership/timing.hpp
+++ b/include/medlar/detail/ownership/timing.hpp
@@ -29,6 +29,13 @@
         return lease + drift_allowance;
     }
 
+    /// @brief how long after its issue a claim is kept, so that no host whose clock is
+    /// behind accepts a request whose claim another host has dropped
+    millis claim_lifetime() const
+    {
+        return retention + host_skew * 2;
+    }
+
     /// @brief how long after a takeover requests must have been issued to be new
     millis takeover_margin() const
     {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,7 +9,7 @@
 scripts/install_packages.sh || exit 1
 scripts/build.sh build || exit 1
 MEDLAR_BUILD_TARGETS="decisions_test" scripts/build.sh build-tsan thread || exit 1
-MEDLAR_BUILD_TARGETS="runtime_test" scripts/build.sh build-asan address,undefined || exit 1
+scripts/build.sh build-asan address,undefined || exit 1
 
 passed=0
 failed=0
