Read, validate and write configuration documents

Gateways, controllers and operators share one JSON form of the document.

An accepted document also says what its operator asked for (summary), so that a repeated change id can be told from one used for something else.

--- a/include/medlar/detail/config/document.hpp
+++ b/include/medlar/detail/config/document.hpp
@@ -143,6 +143,8 @@
     /// the operator's id of the change
     std::string change_id;
     std::string author;
+    /// what the operator asked for, such as "apply" or "drain target engine-1"
+    std::string summary;
     wall_time accepted_at;
     document content;
 };
--- /dev/null
+++ b/include/medlar/detail/config/field_reader.hpp
@@ -0,0 +1,114 @@
+#ifndef MEDLAR_DETAIL_CONFIG_FIELD_READER_HPP
+#define MEDLAR_DETAIL_CONFIG_FIELD_READER_HPP
+
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/config/names.hpp>
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief Reads the fields of one JSON object by name and keeps the first error.
+///
+/// After an error the reading functions return fallbacks, so that callers read all
+/// fields and ask finish() once.
+class field_reader
+{
+  public:
+    /// @param path where the object stands in its document; empty: it is the document
+    field_reader(const nlohmann::json& object, std::string path);
+
+    // fields that must be there: error 502 without them
+
+    std::string text(const char* name);
+    std::int64_t integer(const char* name, std::int64_t low, std::int64_t high);
+
+    // fields that may be left out
+
+    std::string text_or(const char* name, const std::string& fallback);
+    std::int64_t integer_or(const char* name,
+                            std::int64_t fallback,
+                            std::int64_t low,
+                            std::int64_t high);
+    double number_or(const char* name, double fallback);
+    bool boolean_or(const char* name, bool fallback);
+    std::optional<bool> optional_boolean(const char* name);
+    std::vector<std::string> texts_or_none(const char* name);
+
+    /// @brief the value of a field, or nullptr
+    const nlohmann::json* value(const char* name);
+
+    /// @brief an enumerator by its name
+    /// @param number error of a name that no enumerator has
+    template <typename Enum>
+    Enum named_or(const char* name, Enum fallback, error_number number)
+    {
+        const std::string given = text_or(name, std::string(to_string(fallback)));
+        const std::optional<Enum> found = enum_from_name<Enum>(given);
+        if (!found)
+        {
+            fail(number,
+                 name,
+                 absl::StrCat("'", given, "' is none of ", enum_names<Enum>()));
+        }
+        return found.value_or(fallback);
+    }
+
+    /// @brief Reads each element of an array field; a field left out has none.
+    /// @param read makes an item of (element, path) as a StatusOr
+    template <typename Item, typename Read>
+    std::vector<Item> items(const char* name, Read read)
+    {
+        std::vector<Item> all;
+        const nlohmann::json* elements = array(name);
+        for (std::size_t at = 0; elements != nullptr && at < elements->size(); ++at)
+        {
+            auto one = read((*elements)[at], absl::StrCat(path_of(name), "[", at, "]"));
+            if (!one.ok())
+            {
+                keep(one.status());
+                break;
+            }
+            all.push_back(*std::move(one));
+        }
+        return all;
+    }
+
+    /// @brief the path of a field in the document
+    std::string path_of(const std::string& name) const;
+
+    /// @brief Keeps an error unless there is an earlier one.
+    void fail(error_number number, const std::string& name, absl::string_view message);
+
+    /// @return the first error; error 510 if the object has a field that was never
+    ///     asked for
+    absl::Status finish();
+
+  private:
+    const nlohmann::json* array(const char* name);
+    const nlohmann::json* required(const char* name);
+    void keep(const absl::Status& error);
+    std::string text_of(const char* name, const nlohmann::json* found);
+    std::int64_t integer_of(const char* name,
+                            const nlohmann::json* found,
+                            std::int64_t low,
+                            std::int64_t high);
+
+    const nlohmann::json& object_;
+    std::string path_;
+    std::set<std::string> known_;
+    absl::Status first_error_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_CONFIG_FIELD_READER_HPP
--- a/include/medlar/detail/config/json.hpp
+++ b/include/medlar/detail/config/json.hpp
@@ -25,7 +25,9 @@
 std::string write_document(const document& content);
 
 /// @brief Reads an accepted document: an object of "revision", "change_id", "author",
-/// "accepted_at_ms" and "content".
+/// "accepted_at_ms", "content" and, if known, "summary".
+/// @note The content is read but not validated again: what one release accepted stays
+///     readable to the others.
 absl::StatusOr<accepted_document> parse_accepted_document(absl::string_view text);
 
 /// @brief the JSON form that parse_accepted_document() reads
