Route stage calls by estimated completion, with a round-robin baseline

The gateway needs decisions before the policies are complete. Routing estimates the calls at each target from own calls, aged reports and the number of gateways, ejects failing and slow targets, returns them by single probes, and keeps prompt prefixes on the targets that rendezvous hashing prefers.

Stage calls and observations carry the admission ticket of their request, so that the admission estimate can follow its progress.

--- /dev/null
+++ b/include/medlar/detail/policy/pool_shard.hpp
@@ -0,0 +1,144 @@
+#ifndef MEDLAR_DETAIL_POLICY_POOL_SHARD_HPP
+#define MEDLAR_DETAIL_POLICY_POOL_SHARD_HPP
+
+#include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/base/ids.hpp>
+#include <medlar/detail/config/document.hpp>
+#include <medlar/detail/policy/load_estimate.hpp>
+#include <medlar/detail/policy/prefix_affinity.hpp>
+#include <medlar/detail/policy/random_source.hpp>
+#include <medlar/detail/policy/routing.hpp>
+#include <medlar/detail/policy/service_model.hpp>
+#include <medlar/detail/policy/stage_call.hpp>
+#include <medlar/detail/policy/target_health.hpp>
+#include <medlar/detail/policy/time_quantile.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief a pool as an admission decision sees it
+struct pool_load
+{
+    /// calls there now, of all gateways
+    double in_system = 0;
+    /// calls there now, of this host
+    double own = 0;
+    /// calls that its usable targets run at once
+    double slots = 0;
+    /// mean time of the calls that it runs
+    double mean_service_ms = 0;
+    /// targets that get calls
+    int usable = 0;
+    /// whether most of its targets report their load
+    bool reported = false;
+};
+
+/// @brief What one host knows of a pool and its targets, under one lock.
+/// @note Safe to call from every thread.
+class pool_shard
+{
+  public:
+    pool_shard(failure_domain_id here, std::uint64_t seed);
+
+    /// @brief Takes over the targets; what is known of those that stay is kept.
+    void configure(const pool& content);
+
+    /// @brief Sets the targets that get no new work because they are leaving.
+    void set_leaving(const std::set<target_id>& leaving);
+
+    /// @brief Chooses a target and counts the call as in flight there.
+    std::optional<target> choose(const stage_call& call, int gateways, steady_time now);
+
+    /// @brief Ends a call and learns from it.
+    void observe(const call_observation& seen, int gateways, steady_time now);
+
+    /// @brief Learns from a report of one of its targets.
+    /// @return whether the target is one of this pool
+    bool observe_load(const load_report& report, steady_time now);
+
+    /// @brief Learns from a change of the prefix cache of one of its targets.
+    /// @return whether the target is one of this pool
+    bool observe_cache(const cache_event& change);
+
+    /// @brief the load of the pool as a whole
+    pool_load load(int gateways, steady_time now) const;
+
+    /// @brief milliseconds that a call is expected to run, waiting left out
+    double service_ms(stage_kind kind, const request_size& size) const;
+
+    /// @brief whether a call of that kind was seen
+    bool knows(stage_kind kind) const;
+
+    /// @brief the time that 95 of 100 calls need, relative to their expected time
+    double slowness_p95() const;
+
+    /// @brief its targets as JSON
+    nlohmann::json describe(int gateways, steady_time now) const;
+
+  private:
+    struct target_record
+    {
+        target is;
+        bool leaving = false;
+        target_health health;
+        // calls of this host
+        int own = 0;
+        double own_recent = 0;
+        steady_time own_recent_at;
+        std::multiset<std::int64_t> started_at_ms;
+        // reports of the target
+        std::optional<reported_load> report;
+        std::optional<double> reported_slots;
+        prefix_belief prefixes;
+    };
+
+    target_record* find(const target_id& name);
+    double own_mean() const;
+    double slots_of(const target_record& record) const;
+    double in_system(const target_record& record, int gateways, steady_time now) const;
+    double median_slowness() const;
+    bool is_open(const target_record& record) const;
+    target_snapshot snapshot_of(const target_record& record,
+                                const stage_call& call,
+                                int gateways,
+                                steady_time now) const;
+    routing_snapshot
+    snapshot(const stage_call& call, int gateways, steady_time now) const;
+    double service_ms_locked(stage_kind kind, const request_size& size) const;
+    void start_call(target_record& record, steady_time now);
+    void end_call(target_record& record, const call_observation& seen, steady_time now);
+    void learn_time(const target_record& record,
+                    const call_observation& seen,
+                    double slowness,
+                    int gateways,
+                    steady_time now);
+    void update_health(target_record& record,
+                       const call_observation& seen,
+                       double slowness,
+                       steady_time now);
+    std::size_t count_open() const;
+    std::size_t count_ejected() const;
+
+    failure_domain_id here_;
+    mutable std::mutex mutex_;
+    std::vector<target_record> records_;
+    std::map<stage_kind, service_model> models_;
+    slot_estimate slots_;
+    time_quantile slowness_p95_;
+    double mean_service_ms_ = 0;
+    random_source random_;
+    std::uint64_t turn_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_POLICY_POOL_SHARD_HPP
--- /dev/null
+++ b/include/medlar/detail/policy/prefix_affinity.hpp
@@ -0,0 +1,51 @@
+#ifndef MEDLAR_DETAIL_POLICY_PREFIX_AFFINITY_HPP
+#define MEDLAR_DETAIL_POLICY_PREFIX_AFFINITY_HPP
+
+#include <medlar/detail/base/ids.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief the rendezvous score of a target for a prefix, equal on every host
+std::uint64_t rendezvous_score(std::uint64_t prefix_hash, const target_id& at);
+
+/// @brief the targets in the order in which a prefix prefers them
+/// @return indexes into @p targets
+std::vector<std::size_t> rendezvous_order(std::uint64_t prefix_hash,
+                                          const std::vector<target_id>& targets);
+
+/// @brief The prefixes that a target is believed to hold, the least recently seen
+/// forgotten first. Beliefs come from own calls and from cache events, which are late
+/// and have gaps.
+class prefix_belief
+{
+  public:
+    /// @brief Notes that the target holds a prefix.
+    void stored(std::uint64_t prefix_hash);
+
+    /// @brief Notes that the target dropped a prefix.
+    void dropped(std::uint64_t prefix_hash);
+
+    /// @brief Takes a cache event; a gap in the sequence forgets what was believed.
+    void take_event(std::uint64_t sequence, bool was_stored, std::uint64_t prefix_hash);
+
+    /// @brief whether the target is believed to hold a prefix
+    bool holds(std::uint64_t prefix_hash) const;
+
+  private:
+    void forget_all();
+
+    std::uint64_t last_sequence_ = 0;
+    std::list<std::uint64_t> newest_first_;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_POLICY_PREFIX_AFFINITY_HPP
--- /dev/null
+++ b/include/medlar/detail/policy/random_source.hpp
@@ -0,0 +1,48 @@
+#ifndef MEDLAR_DETAIL_POLICY_RANDOM_SOURCE_HPP
+#define MEDLAR_DETAIL_POLICY_RANDOM_SOURCE_HPP
+
+#include <cstdint>
+
+namespace medlar
+{
+
+/// @brief A seeded sequence of numbers for choices between near-equal targets.
+/// @note Not for secrets. Not safe to call from several threads at once.
+class random_source
+{
+  public:
+    explicit random_source(std::uint64_t seed) : state_(seed)
+    {
+    }
+
+    /// @brief the next 64-bit number (the SplitMix64 sequence)
+    std::uint64_t next()
+    {
+        state_ += 0x9e3779b97f4a7c15U;
+        std::uint64_t value = state_;
+        value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+        value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+        return value ^ (value >> 31U);
+    }
+
+    /// @brief a number from 0 up to, not including, 1
+    double fraction()
+    {
+        constexpr double scale = 1.0 / 9007199254740992.0; // 2^-53
+        return static_cast<double>(next() >> 11U) * scale;
+    }
+
+    /// @brief a number from 0 up to, not including, @p bound
+    /// @param bound at least 1
+    std::uint64_t below(std::uint64_t bound)
+    {
+        return next() % bound;
+    }
+
+  private:
+    std::uint64_t state_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_POLICY_RANDOM_SOURCE_HPP
--- a/include/medlar/detail/policy/stage_call.hpp
+++ b/include/medlar/detail/policy/stage_call.hpp
@@ -35,6 +35,8 @@
     steady_time deadline;
     /// targets that this call has tried
     std::set<target_id> tried;
+    /// ticket of its request at admission; 0: not known
+    std::uint64_t ticket = 0;
 };
 
 /// @brief how a stage call ended
@@ -62,6 +64,8 @@
     std::optional<millis> first_token;
     token_count tokens_written{0};
     std::uint64_t prefix_hash = 0;
+    /// ticket of its request at admission; 0: not known
+    std::uint64_t ticket = 0;
 };
 
 /// @brief load that a target reported of itself
--- /dev/null
+++ b/include/medlar/detail/policy/time_quantile.hpp
@@ -0,0 +1,43 @@
+#ifndef MEDLAR_DETAIL_POLICY_TIME_QUANTILE_HPP
+#define MEDLAR_DETAIL_POLICY_TIME_QUANTILE_HPP
+
+#include <algorithm>
+
+namespace medlar
+{
+
+/// @brief Tracks a quantile of a changing series in constant memory, by steps up and
+/// down that balance at the quantile.
+class time_quantile
+{
+  public:
+    /// @param quantile between 0 and 1
+    /// @param start value before the first sample
+    time_quantile(double quantile, double start) : quantile_(quantile), value_(start)
+    {
+    }
+
+    /// @brief Learns from one sample.
+    void learn(double sample)
+    {
+        const double step = relative_step * std::max(value_, least_value);
+        value_ += sample > value_ ? step * quantile_ : -step * (1 - quantile_);
+    }
+
+    /// @brief the tracked value
+    double value() const
+    {
+        return value_;
+    }
+
+  private:
+    static constexpr double relative_step = 0.05;
+    static constexpr double least_value = 0.01;
+
+    double quantile_;
+    double value_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_POLICY_TIME_QUANTILE_HPP
--- /dev/null
+++ b/src/policy/routing.cpp
@@ -0,0 +1,294 @@
+#include <medlar/detail/policy/load_estimate.hpp>
+#include <medlar/detail/policy/prefix_affinity.hpp>
+#include <medlar/detail/policy/routing.hpp>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+/// round trip between failure domains
+constexpr double other_domain_ms = 3;
+constexpr double relative_noise = 0.05;
+/// time of a call where none was seen yet
+constexpr double least_service_ms = 1;
+/// share of its time that a call loses on a target whose slots are all taken
+constexpr double crowding_weight = 0.25;
+constexpr std::size_t random_choices = 3;
+/// targets that a prefix may be kept on beside those known to hold it
+constexpr std::size_t affinity_targets = 2;
+/// a probe is sent only with a call that leaves this many times its expected time
+constexpr double probe_slack_factor = 3;
+constexpr double share_of_slack_for_domain = 0.5;
+constexpr double share_of_slack_for_affinity = 0.5;
+
+using indexes = std::vector<std::size_t>;
+
+double time_left_ms(const stage_call& call, steady_time now)
+{
+    return static_cast<double>((call.deadline - now).count());
+}
+
+bool was_tried(const target_snapshot& at, const stage_call& call)
+{
+    return call.tried.count(at.name) != 0;
+}
+
+/// @brief open targets that the call has not tried, or all open ones if it tried each
+indexes open_targets(const routing_snapshot& pool, const stage_call& call)
+{
+    indexes fresh;
+    indexes all;
+    for (std::size_t i = 0; i < pool.targets.size(); ++i)
+    {
+        if (pool.targets[i].closed)
+        {
+            continue;
+        }
+        all.push_back(i);
+        if (!was_tried(pool.targets[i], call))
+        {
+            fresh.push_back(i);
+        }
+    }
+    return fresh.empty() ? all : fresh;
+}
+
+/// @brief the healthy ones, or all if none is healthy
+indexes usable_targets(const routing_snapshot& pool, const indexes& open)
+{
+    indexes healthy;
+    for (const std::size_t i : open)
+    {
+        if (pool.targets[i].health == health_state::healthy)
+        {
+            healthy.push_back(i);
+        }
+    }
+    return healthy.empty() ? open : healthy;
+}
+
+std::optional<std::size_t> due_probe(const routing_snapshot& pool,
+                                     const indexes& open,
+                                     const stage_call& call,
+                                     steady_time now)
+{
+    for (const std::size_t i : open)
+    {
+        const target_snapshot& at = pool.targets[i];
+        const double needed = probe_slack_factor * at.service_ms;
+        if (at.probe_due && time_left_ms(call, now) > needed)
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+bool has_room(const target_snapshot& at)
+{
+    return at.in_system + 1 <= at.slots && at.overdue_ms <= 0;
+}
+
+/// @brief whether waiting for the prefix costs less than computing it again
+bool worth_waiting(const target_snapshot& at,
+                   const routing_snapshot& pool,
+                   const stage_call& call,
+                   steady_time now)
+{
+    if (at.overdue_ms > 0)
+    {
+        return false;
+    }
+    const double wait = expected_wait_ms(at.in_system, at.slots, at.service_ms);
+    if (call.objective == objective_kind::attainment)
+    {
+        return wait <= pool.prefix_saving_ms;
+    }
+    const double done = wait + at.service_ms;
+    return done <= share_of_slack_for_affinity * time_left_ms(call, now) &&
+           wait <= 2 * pool.prefix_saving_ms;
+}
+
+/// @brief usable targets in the order in which the prefix prefers them
+indexes affinity_order(const routing_snapshot& pool,
+                       const indexes& usable,
+                       std::uint64_t prefix_hash)
+{
+    std::vector<target_id> names;
+    names.reserve(usable.size());
+    for (const std::size_t i : usable)
+    {
+        names.push_back(pool.targets[i].name);
+    }
+    indexes order;
+    for (const std::size_t place : rendezvous_order(prefix_hash, names))
+    {
+        order.push_back(usable[place]);
+    }
+    return order;
+}
+
+std::optional<std::size_t> affinity_target(const routing_snapshot& pool,
+                                           const indexes& usable,
+                                           const stage_call& call,
+                                           steady_time now)
+{
+    const indexes order = affinity_order(pool, usable, call.prefix_hash);
+    for (const std::size_t i : order)
+    {
+        if (pool.targets[i].holds_prefix && has_room(pool.targets[i]))
+        {
+            return i;
+        }
+    }
+    for (std::size_t rank = 0; rank < std::min(order.size(), affinity_targets); ++rank)
+    {
+        const target_snapshot& at = pool.targets[order[rank]];
+        if (has_room(at) || worth_waiting(at, pool, call, now))
+        {
+            return order[rank];
+        }
+    }
+    return std::nullopt;
+}
+
+/// @brief moves @p count random members to the front and drops the rest
+void keep_random(indexes& from, std::size_t count, random_source& random)
+{
+    for (std::size_t i = 0; i < std::min(count, from.size()); ++i)
+    {
+        std::swap(from[i], from[i + random.below(from.size() - i)]);
+    }
+    from.resize(std::min(count, from.size()));
+}
+
+std::optional<std::size_t>
+best_of(const routing_snapshot& pool, const indexes& candidates, random_source& random)
+{
+    std::optional<std::size_t> best;
+    double best_score = 0;
+    for (const std::size_t i : candidates)
+    {
+        const double noise = 1 + relative_noise * random.fraction();
+        const double score = expected_completion_ms(pool.targets[i], pool) * noise;
+        if (!best || score < best_score)
+        {
+            best = i;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+indexes in_domain(const routing_snapshot& pool, const indexes& from, bool inside)
+{
+    indexes found;
+    for (const std::size_t i : from)
+    {
+        if ((pool.targets[i].failure_domain == pool.here) == inside)
+        {
+            found.push_back(i);
+        }
+    }
+    return found;
+}
+
+/// @brief a few random targets of this failure domain and of the others
+indexes
+candidates(const routing_snapshot& pool, const indexes& usable, random_source& random)
+{
+    indexes near = in_domain(pool, usable, true);
+    indexes far = in_domain(pool, usable, false);
+    keep_random(near, random_choices, random);
+    keep_random(far, random_choices, random);
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+/// @brief the best target of this failure domain if the deadline allows it
+std::optional<std::size_t> near_target(const routing_snapshot& pool,
+                                       const indexes& usable,
+                                       const stage_call& call,
+                                       steady_time now,
+                                       random_source& random)
+{
+    indexes near = in_domain(pool, usable, true);
+    keep_random(near, random_choices, random);
+    const std::optional<std::size_t> best = best_of(pool, near, random);
+    if (!best)
+    {
+        return std::nullopt;
+    }
+    const double done = expected_completion_ms(pool.targets[*best], pool);
+    const double allowed = share_of_slack_for_domain * time_left_ms(call, now);
+    const bool free = has_room(pool.targets[*best]);
+    return free && done <= allowed ? best : std::nullopt;
+}
+
+} // namespace
+
+double expected_completion_ms(const target_snapshot& at, const routing_snapshot& pool)
+{
+    const double service = std::max(least_service_ms, at.service_ms);
+    const double wait = expected_wait_ms(at.in_system, at.slots, service);
+    const double crowding = crowding_weight * service * at.in_system / at.slots;
+    const double travel = at.failure_domain == pool.here ? 0 : other_domain_ms;
+    const double saved = at.holds_prefix ? pool.prefix_saving_ms : 0;
+    const double total = wait + service + crowding + at.overdue_ms + travel;
+    return std::max(0.0, total - saved);
+}
+
+std::optional<std::size_t> choose_adaptive(const routing_snapshot& pool,
+                                           const stage_call& call,
+                                           steady_time now,
+                                           random_source& random)
+{
+    const indexes open = open_targets(pool, call);
+    if (open.empty())
+    {
+        return std::nullopt;
+    }
+    if (const auto probe = due_probe(pool, open, call, now))
+    {
+        return probe;
+    }
+    const indexes usable = usable_targets(pool, open);
+    if (call.prefix_hash != 0)
+    {
+        if (const auto preferred = affinity_target(pool, usable, call, now))
+        {
+            return preferred;
+        }
+    }
+    if (call.objective == objective_kind::cost)
+    {
+        if (const auto near = near_target(pool, usable, call, now, random))
+        {
+            return near;
+        }
+    }
+    return best_of(pool, candidates(pool, usable, random), random);
+}
+
+std::optional<std::size_t> choose_round_robin(const routing_snapshot& pool,
+                                              const stage_call& call,
+                                              std::uint64_t turn)
+{
+    const indexes open = open_targets(pool, call);
+    if (open.empty())
+    {
+        return std::nullopt;
+    }
+    return open[turn % open.size()];
+}
+
+bool may_eject_one_more(std::size_t open, std::size_t ejected)
+{
+    return 2 * (ejected + 1) <= open;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/test/decisions/policy_engine_test.cpp
@@ -0,0 +1,100 @@
+#include <medlar/detail/policy/policy_engine.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace
+{
+
+using namespace medlar;
+
+document two_target_document()
+{
+    document content;
+    pool engines;
+    engines.name = pool_id("engines");
+    engines.targets.resize(2);
+    engines.targets[0].name = target_id("a");
+    engines.targets[1].name = target_id("b");
+    content.pools.push_back(engines);
+    pipeline review;
+    review.name = pipeline_id("review");
+    stage draft;
+    draft.name = "draft";
+    draft.kind = stage_kind::generate;
+    draft.pool = engines.name;
+    review.stages.push_back(draft);
+    content.pipelines.push_back(review);
+    return content;
+}
+
+stage_call draft_call()
+{
+    stage_call call;
+    call.pool = pool_id("engines");
+    call.kind = stage_kind::generate;
+    call.deadline = steady_time(10000);
+    return call;
+}
+
+class policy_engine_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(policy_engine_test);
+    CPPUNIT_TEST(round_robin_takes_each_target_in_turn);
+    CPPUNIT_TEST(calls_spread_over_idle_targets);
+    CPPUNIT_TEST(a_leaving_target_gets_nothing);
+    CPPUNIT_TEST(an_unknown_pool_has_no_target);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override
+    {
+        engine_ = policy_engine::create({});
+        engine_->configure(two_target_document());
+    }
+
+    void round_robin_takes_each_target_in_turn()
+    {
+        stage_call call = draft_call();
+        call.routing = routing_policy::round_robin;
+        CPPUNIT_ASSERT_EQUAL(5, count_of_ten_calls(call)[target_id("a")]);
+    }
+
+    void calls_spread_over_idle_targets()
+    {
+        CPPUNIT_ASSERT_EQUAL(5, count_of_ten_calls(draft_call())[target_id("a")]);
+    }
+
+    void a_leaving_target_gets_nothing()
+    {
+        engine_->set_leaving({target_id("a")});
+        CPPUNIT_ASSERT_EQUAL(10, count_of_ten_calls(draft_call())[target_id("b")]);
+        engine_->set_leaving({target_id("a"), target_id("b")});
+        CPPUNIT_ASSERT(!engine_->choose(draft_call(), steady_time(0)));
+    }
+
+    void an_unknown_pool_has_no_target()
+    {
+        stage_call call = draft_call();
+        call.pool = pool_id("elsewhere");
+        CPPUNIT_ASSERT(!engine_->choose(call, steady_time(0)));
+    }
+
+  private:
+    std::map<target_id, int> count_of_ten_calls(const stage_call& call)
+    {
+        std::map<target_id, int> counts;
+        for (int i = 0; i < 10; ++i)
+        {
+            counts[engine_->choose(call, steady_time(0))->name] += 1;
+        }
+        return counts;
+    }
+
+    std::unique_ptr<policy_engine> engine_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(policy_engine_test);
+
+} // namespace
