Serve callers over HTTP: filter chain, runner, relay and lookup

Requests pass small filters (answer, validate, authenticate, limit, trace, place, admit, plan, dispatch). Idempotent requests run at their entry, others where the exchange says.

--- /dev/null
+++ b/include/medlar/detail/gateway/cancel_sender.hpp
@@ -0,0 +1,54 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_CANCEL_SENDER_HPP
+#define MEDLAR_DETAIL_GATEWAY_CANCEL_SENDER_HPP
+
+#include <medlar/detail/gateway/stage_client.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace medlar
+{
+
+/// @brief One thread that tells targets which calls nobody waits for any more, so that
+/// answers to callers do not wait for it.
+class cancel_sender
+{
+  public:
+    /// @param timeout of each cancel
+    static std::unique_ptr<cancel_sender> create(const stage_client& client,
+                                                 millis timeout);
+
+    ~cancel_sender();
+
+    /// @brief Sends a cancel soon; drops it if too many are waiting.
+    void send(const endpoint& where, const std::string& call_id);
+
+  private:
+    struct waiting_cancel
+    {
+        endpoint where;
+        std::string call_id;
+    };
+
+    static constexpr std::size_t max_waiting = 4096;
+
+    cancel_sender(const stage_client& client, millis timeout);
+
+    void run();
+
+    const stage_client& client_;
+    millis timeout_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool stopping_ = false;
+    std::deque<waiting_cancel> waiting_;
+    std::thread thread_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_CANCEL_SENDER_HPP
--- a/include/medlar/detail/gateway/cancel_token.hpp
+++ b/include/medlar/detail/gateway/cancel_token.hpp
@@ -41,7 +41,7 @@
 
     /// @brief Registers an action for cancel(); called at once if it is cancelled.
     /// @note the action must not wait and must not use this token
-    std::uint64_t on_cancel(std::function<void()> action);
+    std::uint64_t on_cancel(std::function<void(cancel_cause)> action);
 
     /// @brief Removes an action; it does not run any more when this returns.
     void remove(std::uint64_t registration);
@@ -53,14 +53,15 @@
     mutable std::condition_variable changed_;
     cancel_cause cause_ = cancel_cause::none;
     std::uint64_t last_ = 0;
-    std::map<std::uint64_t, std::function<void()>> actions_;
+    std::map<std::uint64_t, std::function<void(cancel_cause)>> actions_;
 };
 
 /// @brief an action that is registered at a token as long as this lives
 class cancel_action
 {
   public:
-    cancel_action(std::shared_ptr<cancel_token> at, std::function<void()> action);
+    cancel_action(std::shared_ptr<cancel_token> at,
+                  std::function<void(cancel_cause)> action);
     cancel_action(const cancel_action&) = delete;
     cancel_action& operator=(const cancel_action&) = delete;
     ~cancel_action();
--- /dev/null
+++ b/include/medlar/detail/gateway/filter.hpp
@@ -0,0 +1,45 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_FILTER_HPP
+#define MEDLAR_DETAIL_GATEWAY_FILTER_HPP
+
+#include <medlar/detail/gateway/request_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief the rest of the chain
+using next_filter = std::function<run_end(request_context&)>;
+
+/// @brief One step in the handling of a request. It ends the request itself or hands it
+/// on, and sees how it ended.
+class filter
+{
+  public:
+    virtual ~filter() = default;
+
+    virtual run_end apply(request_context& context, const next_filter& next) = 0;
+};
+
+/// @brief Filters in the order in which requests pass them.
+class filter_chain
+{
+  public:
+    static filter_chain create(std::vector<std::unique_ptr<filter>> filters);
+
+    /// @brief Passes a request through all filters.
+    run_end run(request_context& context) const;
+
+  private:
+    explicit filter_chain(std::vector<std::unique_ptr<filter>> filters);
+
+    run_end run_from(std::size_t position, request_context& context) const;
+
+    std::vector<std::unique_ptr<filter>> filters_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_FILTER_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/filters/authenticate_filter.hpp
@@ -0,0 +1,25 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_FILTERS_AUTHENTICATE_FILTER_HPP
+#define MEDLAR_DETAIL_GATEWAY_FILTERS_AUTHENTICATE_FILTER_HPP
+
+#include <medlar/detail/gateway/filter.hpp>
+
+#include <memory>
+
+namespace medlar
+{
+
+/// @brief Checks the key of the request's organisation, if it has one.
+class authenticate_filter : public filter
+{
+  public:
+    static std::unique_ptr<filter> create();
+
+    run_end apply(request_context& context, const next_filter& next) override;
+
+  private:
+    authenticate_filter() = default;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_FILTERS_AUTHENTICATE_FILTER_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/filters/limit_filter.hpp
@@ -0,0 +1,31 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_FILTERS_LIMIT_FILTER_HPP
+#define MEDLAR_DETAIL_GATEWAY_FILTERS_LIMIT_FILTER_HPP
+
+#include <medlar/detail/gateway/filter.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace medlar
+{
+
+/// @brief Bounds the requests that this host holds at once.
+class limit_filter : public filter
+{
+  public:
+    /// @param held counter of requests held, shared with others that wait for it
+    /// @param max_held the bound
+    static std::unique_ptr<filter> create(std::atomic<int>& held, int max_held);
+
+    run_end apply(request_context& context, const next_filter& next) override;
+
+  private:
+    explicit limit_filter(std::atomic<int>& held, int max_held);
+
+    std::atomic<int>& held_;
+    int max_held_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_FILTERS_LIMIT_FILTER_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/filters/plan_filter.hpp
@@ -0,0 +1,25 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_FILTERS_PLAN_FILTER_HPP
+#define MEDLAR_DETAIL_GATEWAY_FILTERS_PLAN_FILTER_HPP
+
+#include <medlar/detail/gateway/filter.hpp>
+
+#include <memory>
+
+namespace medlar
+{
+
+/// @brief Checks that every stage has a pool with targets that may get work.
+class plan_filter : public filter
+{
+  public:
+    static std::unique_ptr<filter> create();
+
+    run_end apply(request_context& context, const next_filter& next) override;
+
+  private:
+    plan_filter() = default;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_FILTERS_PLAN_FILTER_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/filters/validate_filter.hpp
@@ -0,0 +1,36 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_FILTERS_VALIDATE_FILTER_HPP
+#define MEDLAR_DETAIL_GATEWAY_FILTERS_VALIDATE_FILTER_HPP
+
+#include <medlar/detail/gateway/filter.hpp>
+#include <medlar/detail/membership/exchange.hpp>
+#include <medlar/detail/request/client_request.hpp>
+
+#include <memory>
+
+namespace medlar
+{
+
+/// @brief Reads the body and checks it against the configuration in force.
+class validate_filter : public filter
+{
+  public:
+    static std::unique_ptr<filter>
+    create(const clock& time, exchange& peers, const body_limits& limits);
+
+    run_end apply(request_context& context, const next_filter& next) override;
+
+  private:
+    explicit validate_filter(const clock& time,
+                             exchange& peers,
+                             const body_limits& limits);
+
+    run_end check_configured(request_context& context, const next_filter& next) const;
+
+    const clock& time_;
+    exchange& peers_;
+    body_limits limits_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_FILTERS_VALIDATE_FILTER_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/gateway.hpp
@@ -0,0 +1,118 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_GATEWAY_HPP
+#define MEDLAR_DETAIL_GATEWAY_GATEWAY_HPP
+
+#include <medlar/detail/gateway/cancel_sender.hpp>
+#include <medlar/detail/gateway/filter.hpp>
+#include <medlar/detail/gateway/pipeline_runner.hpp>
+#include <medlar/detail/gateway/relay_client.hpp>
+#include <medlar/detail/gateway/relay_server.hpp>
+#include <medlar/detail/gateway/request_lookup.hpp>
+#include <medlar/detail/gateway/request_watch.hpp>
+#include <medlar/detail/gateway/session_pool.hpp>
+#include <medlar/detail/gateway/stage_client.hpp>
+#include <medlar/detail/gateway/stage_runner.hpp>
+#include <medlar/detail/gateway/target_poller.hpp>
+#include <medlar/detail/gateway/trace_store.hpp>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace medlar
+{
+
+/// @brief how a gateway works
+struct gateway_settings
+{
+    view_member self;
+    body_limits body;
+    byte_count max_answer{16 * 1024 * 1024};
+    int max_held = 512;
+    std::size_t max_traces = 4096;
+    millis connect_timeout{300};
+    millis max_idle{4000};
+    /// time between two looks at callers and deadlines
+    millis watch_every{20};
+    /// time between two polls of targets; 0: none
+    millis poll_every{1000};
+    /// configuration older than this makes it not ready
+    millis max_configuration_age{600000};
+};
+
+/// @brief One gateway: the filter chains and all that they work with.
+/// @note Safe to call from every thread.
+class gateway
+{
+  public:
+    /// @brief what it works with
+    struct parts
+    {
+        const clock& time;
+        exchange& peers;
+        link_client& links;
+        claim_table& claims;
+        policy_engine& policy;
+        metrics_registry& metrics;
+    };
+
+    static std::unique_ptr<gateway> create(const gateway_settings& settings,
+                                           const parts& with);
+
+    /// @brief Handles a caller's request.
+    run_end serve(request_context& context);
+
+    /// @brief Answers a call of another process.
+    int handle_link(const link_request& request, link_responder& responder);
+
+    /// @brief the state of a request as JSON text, if a host knows it
+    std::optional<std::string> find(const request_key& key) const;
+
+    /// @brief whether the platform's balancer should send callers here
+    bool ready() const;
+
+    /// @brief From now on it is not ready; requests that still come are served.
+    void begin_drain();
+    bool draining() const;
+
+    // requests held now
+
+    int callers_held() const;
+    int relayed_held() const;
+
+    /// @brief the metrics page
+    std::string metrics_page() const;
+
+    const gateway_settings& settings() const;
+    const clock& time() const;
+    const exchange& peers() const;
+
+  private:
+    gateway(const gateway_settings& settings, const parts& with);
+
+    filter_chain make_entry_chain();
+    filter_chain make_home_chain();
+
+    gateway_settings settings_;
+    parts with_;
+    std::atomic<bool> draining_{false};
+    std::atomic<int> callers_held_{0};
+    std::atomic<int> relayed_held_{0};
+    std::unique_ptr<session_pool> sessions_;
+    std::unique_ptr<stage_client> client_;
+    std::unique_ptr<cancel_sender> cancels_;
+    std::unique_ptr<request_watch> watch_;
+    std::unique_ptr<stage_runner> stages_;
+    std::unique_ptr<pipeline_runner> runner_;
+    std::unique_ptr<relay_client> relay_;
+    std::unique_ptr<trace_store> traces_;
+    std::unique_ptr<request_lookup> lookup_;
+    filter_chain entry_chain_;
+    filter_chain home_chain_;
+    std::unique_ptr<relay_server> relayed_;
+    std::unique_ptr<target_poller> poller_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_GATEWAY_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/pipeline_runner.hpp
@@ -0,0 +1,55 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_PIPELINE_RUNNER_HPP
+#define MEDLAR_DETAIL_GATEWAY_PIPELINE_RUNNER_HPP
+
+#include <medlar/detail/gateway/stage_runner.hpp>
+#include <medlar/detail/ownership/claim_table.hpp>
+#include <medlar/detail/policy/policy_engine.hpp>
+#include <medlar/detail/request/stage_plan.hpp>
+
+#include <memory>
+
+namespace medlar
+{
+
+/// @brief how a run ended
+struct run_end
+{
+    final_answer answer;
+    /// whether the same request may run at a later attempt
+    bool may_run_again = true;
+};
+
+/// @brief Runs the stages of a pipeline in the order of their dependencies; those that
+/// do not depend on each other run side by side.
+class pipeline_runner
+{
+  public:
+    static std::unique_ptr<pipeline_runner> create(const clock& time,
+                                                   const stage_runner& stages,
+                                                   const policy_engine& policy,
+                                                   const host_id& self);
+
+    run_end run(const run_context& context) const;
+
+  private:
+    class stage_board;
+
+    pipeline_runner(const clock& time,
+                    const stage_runner& stages,
+                    const policy_engine& policy,
+                    const host_id& self);
+
+    stage_end run_stage(const run_context& context,
+                        std::size_t index,
+                        const std::string& input) const;
+    void work(const run_context& context, stage_board& board) const;
+
+    const clock& time_;
+    const stage_runner& stages_;
+    const policy_engine& policy_;
+    host_id self_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_PIPELINE_RUNNER_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/run_log.hpp
@@ -0,0 +1,56 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_RUN_LOG_HPP
+#define MEDLAR_DETAIL_GATEWAY_RUN_LOG_HPP
+
+#include <medlar/detail/gateway/stage_client.hpp>
+#include <medlar/detail/request/answer_text.hpp>
+#include <medlar/detail/request/outcome_decision.hpp>
+
+#include <mutex>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief What is known of one run: the facts on which its outcome rests, and its trace.
+/// @note Safe to call from every thread.
+class run_log
+{
+  public:
+    /// @brief Takes note of a try that has ended.
+    void add(const trace_entry& call, const stage_reply& reply, bool repeatable)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        calls_.push_back(call);
+        if (!reply.handed)
+        {
+            return;
+        }
+        facts_.call_handed = true;
+        if (!repeatable)
+        {
+            facts_.unrepeatable_handed = true;
+            facts_.unrepeatable_settled = facts_.unrepeatable_settled && reply.settled;
+        }
+    }
+
+    run_facts facts() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return facts_;
+    }
+
+    std::vector<trace_entry> calls() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return calls_;
+    }
+
+  private:
+    mutable std::mutex mutex_;
+    run_facts facts_;
+    std::vector<trace_entry> calls_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_RUN_LOG_HPP
--- /dev/null
+++ b/include/medlar/detail/gateway/target_poller.hpp
@@ -0,0 +1,60 @@
+#ifndef MEDLAR_DETAIL_GATEWAY_TARGET_POLLER_HPP
+#define MEDLAR_DETAIL_GATEWAY_TARGET_POLLER_HPP
+
+#include <medlar/detail/gateway/cancel_token.hpp>
+#include <medlar/detail/gateway/stage_client.hpp>
+#include <medlar/detail/membership/exchange.hpp>
+#include <medlar/detail/metrics/registry.hpp>
+#include <medlar/detail/policy/policy_engine.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace medlar
+{
+
+/// @brief One thread that asks the targets of pools that report for their load, and
+/// engines for the changes of their prefix caches.
+class target_poller
+{
+  public:
+    /// @brief what it works with
+    struct parts
+    {
+        const clock& time;
+        const stage_client& client;
+        const exchange& peers;
+        policy_engine& policy;
+        metrics_registry& metrics;
+    };
+
+    /// @param interval time between two rounds
+    static std::unique_ptr<target_poller> create(const parts& with, millis interval);
+
+    ~target_poller();
+
+  private:
+    target_poller(const parts& with, millis interval);
+
+    void run();
+    void poll_all();
+    void poll_load(const target& at);
+    void poll_cache(const target& at);
+    std::string ask(const target& at, const std::string& path);
+
+    parts with_;
+    millis interval_;
+    std::map<target_id, std::uint64_t> last_sequence_;
+    std::shared_ptr<cancel_token> stop_ = cancel_token::create();
+    std::thread thread_;
+};
+
+/// @brief Reads a target's load report.
+/// @return unset if it is not of that form
+std::optional<load_report> read_load_report(const target_id& at, absl::string_view body);
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_GATEWAY_TARGET_POLLER_HPP
--- /dev/null
+++ b/src/gateway/caller_server.cpp
@@ -0,0 +1,380 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/gateway/authentication.hpp>
+#include <medlar/detail/gateway/caller_server.hpp>
+#include <medlar/detail/gateway/caller_stream.hpp>
+#include <medlar/detail/log/gateway_events.hpp>
+#include <medlar/detail/request/answer_text.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/Timespan.h>
+#include <Poco/URI.h>
+#include <absl/strings/str_cat.h>
+
+#include <exception>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace medlar
+{
+
+namespace
+{
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr std::int64_t us_per_ms = 1000;
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+Poco::Timespan timespan_of(millis span)
+{
+    return Poco::Timespan(span.count() * us_per_ms);
+}
+
+final_answer refusal(reason why, const std::string& message)
+{
+    return {{outcome_kind::not_run, why, message, std::nullopt}, "", ""};
+}
+
+/// @brief Reads bodies of callers, within bounds of size and time.
+class caller_body
+{
+  public:
+    caller_body(const clock& time, std::size_t max_bytes, millis timeout)
+        : time_(time), max_bytes_(max_bytes), until_(time.steady_now() + timeout)
+    {
+    }
+
+    /// @return the body, or why it was not read
+    std::variant<std::string, final_answer> read(HTTPServerRequest& request) const
+    {
+        const std::streamsize stated = request.getContentLength();
+        const bool sized = stated != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH;
+        if (sized && static_cast<std::uint64_t>(stated) > max_bytes_)
+        {
+            return too_large();
+        }
+        std::string text;
+        std::istream& in = request.stream();
+        for (int first = in.get(); first != std::istream::traits_type::eof();
+             first = in.get())
+        {
+            text += static_cast<char>(first);
+            append_buffered(in, text);
+            if (text.size() > max_bytes_)
+            {
+                return too_large();
+            }
+            if (time_.steady_now() > until_)
+            {
+                return refusal(reason::malformed, "the body did not arrive in time");
+            }
+        }
+        if (in.bad() || (sized && text.size() != static_cast<std::size_t>(stated)))
+        {
+            return refusal(reason::malformed, "the body ended before its length");
+        }
+        return text;
+    }
+
+  private:
+    static void append_buffered(std::istream& in, std::string& text)
+    {
+        const std::streamsize there = in.rdbuf()->in_avail();
+        if (there > 0)
+        {
+            const std::size_t before = text.size();
+            text.resize(before + static_cast<std::size_t>(there));
+            in.read(&text[before], there);
+        }
+    }
+
+    final_answer too_large() const
+    {
+        return refusal(reason::too_large,
+                       absl::StrCat("the body has more than ", max_bytes_, " bytes"));
+    }
+
+    const clock& time_;
+    std::size_t max_bytes_;
+    steady_time until_;
+};
+
+class caller_handler : public Poco::Net::HTTPRequestHandler
+{
+  public:
+    caller_handler(gateway& served, const caller_server_settings& settings)
+        : served_(served), settings_(settings)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override
+    {
+        if (served_.draining())
+        {
+            response.setKeepAlive(false);
+        }
+        try
+        {
+            route(request, response);
+        }
+        catch (const Poco::Net::NetException&)
+        {
+            response.setKeepAlive(false);
+        }
+        catch (const std::exception& error)
+        {
+            log_event(gateway_handler_failed, {{"error", error.what()}});
+            response.setKeepAlive(false);
+        }
+    }
+
+  private:
+    void route(HTTPServerRequest& request, HTTPServerResponse& response)
+    {
+        std::vector<std::string> path;
+        Poco::URI(request.getURI()).getPathSegments(path);
+        const std::string& method = request.getMethod();
+        if (method == "POST" && path.size() == 4 && path[0] == "v1" &&
+            path[1] == "pipelines" && path[3] == "requests")
+        {
+            submit(pipeline_id(path[2]), request, response);
+        }
+        else if (method == "GET" && path.size() == 4 && path[0] == "v1" &&
+                 path[1] == "requests")
+        {
+            look_up({organisation_id(path[2]), request_id(path[3])}, request, response);
+        }
+        else if (method == "GET" && path.size() == 1)
+        {
+            show(path[0], response);
+        }
+        else
+        {
+            no_such_path(response);
+        }
+    }
+
+    void submit(const pipeline_id& pipeline,
+                HTTPServerRequest& request,
+                HTTPServerResponse& response)
+    {
+        request_context context;
+        context.arrived = served_.time().steady_now();
+        caller_stream stream(response);
+        const caller_body reader(
+            served_.time(), served_.settings().body.max_bytes, settings_.body_timeout);
+        auto body = reader.read(request);
+        if (const auto* refused = std::get_if<final_answer>(&body))
+        {
+            log_event(gateway_body_incomplete, {{"reason", refused->result.message}});
+            response.setKeepAlive(false);
+            stream.send_answer(request_id(), *refused);
+            return;
+        }
+        context.pipeline_name = pipeline;
+        context.body = std::get<std::string>(std::move(body));
+        context.authorization = request.get("Authorization", "");
+        auto& with_socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+        with_socket.socket().setSendTimeout(timespan_of(settings_.socket_timeout));
+        context.caller_socket = with_socket.socket().impl()->sockfd();
+        context.on_token = [&stream](const std::string& stage,
+                                     std::int64_t index,
+                                     const std::string& text)
+        {
+            stream.send_token(stage, index, text);
+        };
+        const run_end end = served_.serve(context);
+        stream.send_answer(context.request.key.id, end.answer);
+    }
+
+    void look_up(const request_key& key,
+                 HTTPServerRequest& request,
+                 HTTPServerResponse& response)
+    {
+        const std::shared_ptr<const accepted_document> now =
+            served_.peers().configuration();
+        const organisation* who = now->content.find_organisation(key.organisation);
+        caller_stream stream(response);
+        if (who == nullptr)
+        {
+            stream.send_answer(key.id,
+                               refusal(reason::unknown_organisation,
+                                       "the organisation is not configured"));
+            return;
+        }
+        if (!is_authentic(*who, request.get("Authorization", "")))
+        {
+            stream.send_answer(key.id,
+                               refusal(reason::unauthenticated,
+                                       "the Authorization header has not the "
+                                       "organisation's key"));
+            return;
+        }
+        const std::optional<std::string> found = served_.find(key);
+        if (found)
+        {
+            send_json(response, status_ok, *found);
+            return;
+        }
+        send_not_found(key, response);
+    }
+
+    static void send_not_found(const request_key& key, HTTPServerResponse& response)
+    {
+        const final_answer answer{{outcome_kind::unknown,
+                                   reason::not_found,
+                                   "no host remembers a request of that id",
+                                   std::nullopt},
+                                  "",
+                                  ""};
+        send_json(response, http_status_of(answer.result), write_answer(key.id, answer));
+    }
+
+    void show(const std::string& page, HTTPServerResponse& response)
+    {
+        if (page == "healthz")
+        {
+            send_json(response, status_ok, "{\"healthy\":true}");
+        }
+        else if (page == "readyz")
+        {
+            const bool ready = served_.ready();
+            send_json(response,
+                      ready ? status_ok : status_unavailable,
+                      ready ? "{\"ready\":true}" : "{\"ready\":false}");
+        }
+        else if (page == "metrics")
+        {
+            const std::string text = served_.metrics_page();
+            response.setContentType("text/plain; version=0.0.4");
+            response.sendBuffer(text.data(), text.size());
+        }
+        else
+        {
+            no_such_path(response);
+        }
+    }
+
+    static void no_such_path(HTTPServerResponse& response)
+    {
+        response.setKeepAlive(false);
+        caller_stream(response).send_answer(
+            request_id(), refusal(reason::not_found, "there is no such path or method"));
+    }
+
+    gateway& served_;
+    const caller_server_settings& settings_;
+};
+
+class handler_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+  public:
+    handler_factory(gateway& served, const caller_server_settings& settings)
+        : served_(served), settings_(settings)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler*
+    createRequestHandler(const HTTPServerRequest& /*request*/) override
+    {
+        return new caller_handler(served_, settings_);
+    }
+
+  private:
+    gateway& served_;
+    const caller_server_settings& settings_;
+};
+
+class poco_caller_server : public caller_server
+{
+  public:
+    /// @note throws Poco::Exception if it cannot listen
+    poco_caller_server(const caller_server_settings& settings, gateway& served)
+        : settings_(settings),
+          socket_(Poco::Net::SocketAddress(settings.listen.address, settings.listen.port),
+                  backlog),
+          threads_(least_threads, settings.max_connections),
+          server_(new handler_factory(served, settings_),
+                  threads_,
+                  socket_,
+                  make_params(settings))
+    {
+        server_.start();
+    }
+
+    ~poco_caller_server() override
+    {
+        server_.stopAll(true);
+        threads_.joinAll();
+    }
+
+    endpoint where() const override
+    {
+        return {socket_.address().host().toString(), socket_.address().port()};
+    }
+
+    void stop_accepting() override
+    {
+        server_.stop();
+    }
+
+  private:
+    static constexpr int backlog = 512;
+    static constexpr int least_threads = 2;
+    static constexpr int max_queued = 64;
+
+    static Poco::Net::HTTPServerParams::Ptr
+    make_params(const caller_server_settings& settings)
+    {
+        Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams());
+        params->setMaxThreads(settings.max_connections);
+        params->setMaxQueued(max_queued);
+        params->setTimeout(timespan_of(settings.socket_timeout));
+        params->setKeepAliveTimeout(timespan_of(settings.keep_alive));
+        return params;
+    }
+
+    caller_server_settings settings_;
+    Poco::Net::ServerSocket socket_;
+    Poco::ThreadPool threads_;
+    Poco::Net::HTTPServer server_;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<caller_server>>
+caller_server::create(const caller_server_settings& settings, gateway& served)
+{
+    try
+    {
+        return std::unique_ptr<caller_server>(
+            std::make_unique<poco_caller_server>(settings, served));
+    }
+    catch (const Poco::Exception& error)
+    {
+        return make_error(absl::StatusCode::kUnavailable,
+                          error_number::bad_setting,
+                          absl::StrCat("cannot listen on ",
+                                       to_string(settings.listen),
+                                       ": ",
+                                       error.displayText()));
+    }
+}
+
+} // namespace medlar
--- a/src/gateway/cancel_token.cpp
+++ b/src/gateway/cancel_token.cpp
@@ -21,7 +21,7 @@
     cause_ = why;
     for (const auto& [registration, action] : actions_)
     {
-        action();
+        action(why);
     }
     changed_.notify_all();
 }
@@ -43,12 +43,12 @@
                              });
 }
 
-std::uint64_t cancel_token::on_cancel(std::function<void()> action)
+std::uint64_t cancel_token::on_cancel(std::function<void(cancel_cause)> action)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (cause_ != cancel_cause::none)
     {
-        action();
+        action(cause_);
     }
     ++last_;
     actions_.emplace(last_, std::move(action));
@@ -62,7 +62,7 @@
 }
 
 cancel_action::cancel_action(std::shared_ptr<cancel_token> at,
-                             std::function<void()> action)
+                             std::function<void(cancel_cause)> action)
     : at_(std::move(at)), registration_(at_->on_cancel(std::move(action)))
 {
 }
--- /dev/null
+++ b/src/gateway/filters/answer_filter.cpp
@@ -0,0 +1,47 @@
+#include <medlar/detail/gateway/filters/answer_filter.hpp>
+
+#include <string>
+#include <vector>
+
+namespace medlar
+{
+
+std::unique_ptr<filter> answer_filter::create(const clock& time,
+                                              metrics_registry& metrics)
+{
+    return std::unique_ptr<filter>(new answer_filter(time, metrics));
+}
+
+answer_filter::answer_filter(const clock& time, metrics_registry& metrics)
+    : time_(time), metrics_(metrics)
+{
+}
+
+run_end answer_filter::apply(request_context& context, const next_filter& next)
+{
+    run_end end = next(context);
+    // names that are in no configuration must not become labels
+    const bool known = context.of != nullptr;
+    const std::string pipeline = known ? context.request.pipeline.get() : "";
+    const std::string organisation = known ? context.request.key.organisation.get() : "";
+    const outcome& result = end.answer.result;
+    metrics_.add("medlar_requests_total",
+                 {{"pipeline", pipeline},
+                  {"organisation", organisation},
+                  {"outcome", std::string(to_string(result.kind))},
+                  {"reason", std::string(to_string(result.why))}});
+    const std::vector<label> labels = {{"pipeline", pipeline},
+                                       {"organisation", organisation}};
+    const steady_time now = time_.steady_now();
+    const bool attained =
+        known && result.kind == outcome_kind::answered && now <= context.deadline;
+    metrics_.add("medlar_requests_attained_total", labels, attained ? 1 : 0);
+    constexpr double ms_per_second = 1000;
+    metrics_.observe("medlar_request_seconds",
+                     labels,
+                     static_cast<double>((now - context.arrived).count()) /
+                         ms_per_second);
+    return end;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/gateway/filters/place_filter.cpp
@@ -0,0 +1,144 @@
+#include <medlar/detail/gateway/filters/place_filter.hpp>
+#include <medlar/detail/request/outcome_decision.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr millis relay_pause{20};
+constexpr millis home_retry_after{1000};
+
+run_end with_answer(final_answer answer)
+{
+    return {std::move(answer), false};
+}
+
+} // namespace
+
+std::unique_ptr<filter>
+place_filter::create(const clock& time, exchange& peers, relay_client& relay)
+{
+    return std::unique_ptr<filter>(new place_filter(time, peers, relay));
+}
+
+place_filter::place_filter(const clock& time, exchange& peers, relay_client& relay)
+    : time_(time), peers_(peers), relay_(relay)
+{
+}
+
+run_end place_filter::apply(request_context& context, const next_filter& next)
+{
+    return context.request.idempotent ? next(context) : place(context, next);
+}
+
+run_end place_filter::place(request_context& context, const next_filter& next)
+{
+    owned_request owned;
+    owned.key = context.request.key;
+    owned.digest = digest_of(identity_text(context.request));
+    owned.issued_at = context.request.issued_at;
+    owned.wait_until = context.deadline;
+    bool handed = false;
+    while (time_.steady_now() < context.deadline)
+    {
+        owned.first_attempt = context.request.first_attempt;
+        const placement where = peers_.place(owned);
+        if (std::holds_alternative<run_here>(where))
+        {
+            return run_here_and_finish(context, next);
+        }
+        if (std::holds_alternative<join_here>(where))
+        {
+            return wait_here(context);
+        }
+        if (const auto* known = std::get_if<answer_now>(&where))
+        {
+            return with_answer(known->answer);
+        }
+        if (context.relayed)
+        {
+            return home_moved();
+        }
+        const view_member home = std::get<run_elsewhere>(where).home;
+        std::optional<run_end> end = relay_to(context, home, handed);
+        if (end)
+        {
+            return *end;
+        }
+        context.token->wait_for(relay_pause);
+    }
+    return give_up(context, handed);
+}
+
+run_end place_filter::run_here_and_finish(request_context& context,
+                                          const next_filter& next)
+{
+    run_end end = next(context);
+    if (end.may_run_again)
+    {
+        peers_.withdraw(context.request.key, end.answer.result);
+    }
+    else
+    {
+        peers_.finish(context.request.key, end.answer);
+    }
+    return end;
+}
+
+run_end place_filter::wait_here(const request_context& context)
+{
+    std::optional<final_answer> answer =
+        peers_.wait_for_answer(context.request.key, context.deadline);
+    if (answer)
+    {
+        return with_answer(std::move(*answer));
+    }
+    return refuse_run(outcome_kind::unknown,
+                      reason::deadline_passed,
+                      "the same request still runs; send it again for its answer",
+                      home_retry_after,
+                      false);
+}
+
+std::optional<run_end>
+place_filter::relay_to(request_context& context, const view_member& home, bool& handed)
+{
+    relay_result result = relay_.send(context, home);
+    if (auto* answered = std::get_if<relay_answered>(&result))
+    {
+        return with_answer(std::move(answered->answer));
+    }
+    if (std::holds_alternative<relay_broken>(result))
+    {
+        handed = true;
+        context.request.first_attempt = false;
+    }
+    return std::nullopt;
+}
+
+run_end place_filter::home_moved() const
+{
+    return refuse_run(outcome_kind::not_run,
+                      reason::home_changed,
+                      "another host is the home of the request",
+                      relay_pause,
+                      true);
+}
+
+run_end place_filter::give_up(const request_context& context, bool handed) const
+{
+    const outcome_kind kind = decide_at_entry(
+        {context.request.idempotent, context.request.first_attempt, handed});
+    return refuse_run(kind,
+                      reason::home_unreachable,
+                      "the home of the request gave no answer",
+                      home_retry_after,
+                      false);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/gateway/filters/plan_filter.cpp
@@ -0,0 +1,46 @@
+#include <medlar/detail/gateway/filters/plan_filter.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr millis no_target_retry{1000};
+
+bool has_open_target(const pool* of)
+{
+    return of != nullptr && std::any_of(of->targets.begin(),
+                                        of->targets.end(),
+                                        [](const target& each)
+                                        {
+                                            return !each.drained;
+                                        });
+}
+
+} // namespace
+
+std::unique_ptr<filter> plan_filter::create()
+{
+    return std::unique_ptr<filter>(new plan_filter());
+}
+
+run_end plan_filter::apply(request_context& context, const next_filter& next)
+{
+    for (const stage& each : context.of->stages)
+    {
+        if (!has_open_target(context.configuration->content.find_pool(each.pool)))
+        {
+            return not_run(reason::no_target,
+                           absl::StrCat("no target may get stage '", each.name, "'"),
+                           no_target_retry);
+        }
+    }
+    return next(context);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/gateway/filters/trace_filter.cpp
@@ -0,0 +1,22 @@
+#include <medlar/detail/gateway/filters/trace_filter.hpp>
+
+namespace medlar
+{
+
+std::unique_ptr<filter> trace_filter::create(trace_store& traces)
+{
+    return std::unique_ptr<filter>(new trace_filter(traces));
+}
+
+trace_filter::trace_filter(trace_store& traces) : traces_(traces)
+{
+}
+
+run_end trace_filter::apply(request_context& context, const next_filter& next)
+{
+    run_end end = next(context);
+    traces_.add(context.request.key, end.answer);
+    return end;
+}
+
+} // namespace medlar
--- a/src/gateway/stage_client.cpp
+++ b/src/gateway/stage_client.cpp
@@ -164,18 +164,19 @@
                                      target_session session,
                                      stage_reply& reply) const
 {
-    const cancel_action close_on_cancel(what.token,
-                                        [socket = session->socket()]() mutable
-                                        {
-                                            try
-                                            {
-                                                socket.shutdown();
-                                            }
-                                            catch (const Poco::Exception&)
-                                            {
-                                                return;
-                                            }
-                                        });
+    const cancel_action close_on_cancel(
+        what.token,
+        [socket = session->socket()](cancel_cause /*why*/) mutable
+        {
+            try
+            {
+                socket.shutdown();
+            }
+            catch (const Poco::Exception&)
+            {
+                return;
+            }
+        });
     if (what.token->cause() != cancel_cause::none)
     {
         return;
--- /dev/null
+++ b/src/gateway/target_poller.cpp
@@ -0,0 +1,139 @@
+#include <medlar/detail/gateway/target_poller.hpp>
+#include <medlar/detail/request/json_fields.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr millis poll_timeout{250};
+constexpr int status_ok = 200;
+
+} // namespace
+
+std::optional<load_report> read_load_report(const target_id& at, absl::string_view body)
+{
+    const nlohmann::json parsed = parse_json(body);
+    if (!parsed.is_object())
+    {
+        return std::nullopt;
+    }
+    load_report report;
+    report.at = at;
+    report.running = number_in(parsed, "running", -1);
+    report.queued = number_in(parsed, "queued", -1);
+    report.slots = number_in(parsed, "slots", -1);
+    report.age = millis(number_in(parsed, "age_ms", 0));
+    const bool whole = report.running >= 0 && report.queued >= 0 && report.slots > 0;
+    return whole ? std::optional<load_report>(report) : std::nullopt;
+}
+
+std::unique_ptr<target_poller> target_poller::create(const parts& with, millis interval)
+{
+    return std::unique_ptr<target_poller>(new target_poller(with, interval));
+}
+
+target_poller::target_poller(const parts& with, millis interval)
+    : with_(with),
+      interval_(interval),
+      thread_(
+          [this]
+          {
+              run();
+          })
+{
+}
+
+target_poller::~target_poller()
+{
+    stop_->cancel(cancel_cause::not_needed);
+    thread_.join();
+}
+
+void target_poller::run()
+{
+    while (!stop_->wait_for(interval_))
+    {
+        poll_all();
+    }
+}
+
+void target_poller::poll_all()
+{
+    const std::shared_ptr<const accepted_document> now = with_.peers.configuration();
+    for (const pool& each : now->content.pools)
+    {
+        for (const target& at : each.targets)
+        {
+            if (stop_->cause() != cancel_cause::none)
+            {
+                return;
+            }
+            if (each.reports_load)
+            {
+                poll_load(at);
+            }
+            if (each.reports_load && !each.model.get().empty())
+            {
+                poll_cache(at);
+            }
+        }
+    }
+}
+
+void target_poller::poll_load(const target& at)
+{
+    const std::optional<load_report> report =
+        read_load_report(at.name, ask(at, "/v1/load"));
+    if (report)
+    {
+        with_.policy.observe_load(*report, with_.time.steady_now());
+    }
+}
+
+void target_poller::poll_cache(const target& at)
+{
+    std::uint64_t& last = last_sequence_[at.name];
+    const nlohmann::json parsed =
+        parse_json(ask(at, absl::StrCat("/v1/cache_events?after=", last)));
+    if (!parsed.is_object() || !parsed.contains("events") || !parsed["events"].is_array())
+    {
+        return;
+    }
+    for (const nlohmann::json& each : parsed["events"])
+    {
+        if (!each.is_object() || !each.contains("prefix_hash") ||
+            !each["prefix_hash"].is_number_unsigned())
+        {
+            continue;
+        }
+        cache_event change;
+        change.at = at.name;
+        change.sequence = static_cast<std::uint64_t>(number_in(each, "sequence", 0));
+        change.stored = flag_in(each, "stored");
+        change.prefix_hash = each["prefix_hash"].get<std::uint64_t>();
+        with_.policy.observe_cache(change, with_.time.steady_now());
+        last = std::max(last, change.sequence);
+    }
+}
+
+std::string target_poller::ask(const target& at, const std::string& path)
+{
+    // request line and headers of a poll, for the account of control traffic
+    constexpr std::size_t header_bytes = 200;
+    const std::optional<target_answer> answer =
+        with_.client.get({at.address, at.port}, path, poll_timeout);
+    const std::size_t bytes =
+        header_bytes + path.size() + (answer ? answer->body.size() : 0);
+    with_.metrics.add("medlar_control_bytes_total",
+                      {{"path", "target_poll"}},
+                      static_cast<double>(bytes));
+    return answer && answer->status == status_ok ? answer->body : std::string();
+}
+
+} // namespace medlar
--- a/src/request/answer_text.cpp
+++ b/src/request/answer_text.cpp
@@ -85,11 +85,11 @@
                                     ",\"outcome\":\"",
                                     to_string(result.kind),
                                     "\"");
-    if (result.kind == outcome_kind::answered)
+    if (!answer.output.empty())
     {
         absl::StrAppend(&text, ",\"output\":", answer.output);
     }
-    else
+    if (result.kind != outcome_kind::answered)
     {
         absl::StrAppend(&text,
                         ",\"reason\":\"",
