Carry calls between hosts over HTTP/2 streams

Cause: gateways, controllers and operators' programs need a link to each peer that many calls share. Ruled out: a thread pool over all connections (a blocking connect to a dead peer would hold up the others) and a shared bound on streams (long relayed requests would keep out lease grants).

--- /dev/null
+++ b/include/medlar/detail/link/peer_connection.hpp
@@ -0,0 +1,101 @@
+#ifndef MEDLAR_DETAIL_LINK_PEER_CONNECTION_HPP
+#define MEDLAR_DETAIL_LINK_PEER_CONNECTION_HPP
+
+#include <medlar/detail/base/endpoint.hpp>
+#include <medlar/detail/link/client_stream.hpp>
+#include <medlar/detail/link/stream_channel.hpp>
+#include <medlar/detail/link/wake_pipe.hpp>
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief The client's connection to one peer, with its thread. It opens when there is
+/// a call, opens again after a break, and ends when it was not used for a while.
+///
+/// A call is handed to the network only when the peer's settings have come: until then
+/// its process is not known to be alive.
+class peer_connection : private channel_listener
+{
+  public:
+    /// @param first the first call
+    /// @param traffic raised by the bytes sent and received
+    peer_connection(endpoint peer,
+                    const std::shared_ptr<client_stream>& first,
+                    std::atomic<std::int64_t>& traffic);
+
+    /// @brief ends the connection; its calls fail
+    ~peer_connection() override;
+
+    peer_connection(const peer_connection&) = delete;
+    peer_connection& operator=(const peer_connection&) = delete;
+
+    /// @brief Takes a call over.
+    /// @return false if the connection has ended; the call needs a new one
+    bool start(const std::shared_ptr<client_stream>& stream);
+
+    /// @brief whether it takes no more calls
+    bool ended() const;
+
+    /// @brief looks again at a call that was consumed from or given up
+    void touch(const std::shared_ptr<client_stream>& stream);
+
+  private:
+    void serve();
+    std::optional<Poco::Net::StreamSocket> open();
+    void run_channel(const Poco::Net::StreamSocket& socket);
+    bool end_if_unused();
+    void take_posted();
+    void submit_waiting();
+    void submit(const std::shared_ptr<client_stream>& stream);
+    void look_at(const std::shared_ptr<client_stream>& stream);
+    void fail_waiting(const std::string& why);
+    void fail_open(channel_end end);
+
+    void on_wake() override;
+    bool busy() const override;
+    void on_settings() override;
+    void on_header(std::int32_t stream,
+                   absl::string_view name,
+                   absl::string_view value) override;
+    void on_data(std::int32_t stream, absl::string_view part) override;
+    void on_end(std::int32_t stream) override;
+    void on_closed(std::int32_t stream, std::uint32_t error) override;
+    std::size_t read_body(std::int32_t stream,
+                          std::uint8_t* to,
+                          std::size_t room,
+                          bool& ended) override;
+
+    client_stream* find(std::int32_t stream);
+
+    const endpoint peer_;
+    std::atomic<std::int64_t>& traffic_;
+    wake_pipe wake_;
+    std::atomic<bool> stopping_{false};
+
+    // shared with the calling threads
+    mutable std::mutex mutex_;
+    std::vector<std::shared_ptr<client_stream>> posted_;
+    std::vector<std::shared_ptr<client_stream>> touched_;
+    bool ended_ = false;
+
+    // of the connection's thread
+    std::deque<std::shared_ptr<client_stream>> waiting_;
+    std::map<std::int32_t, std::shared_ptr<client_stream>> open_;
+    std::map<const client_stream*, std::int32_t> numbers_;
+    stream_channel* channel_ = nullptr;
+    bool greeted_ = false;
+    std::thread thread_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_LINK_PEER_CONNECTION_HPP
--- /dev/null
+++ b/include/medlar/detail/link/stream_channel.hpp
@@ -0,0 +1,170 @@
+#ifndef MEDLAR_DETAIL_LINK_STREAM_CHANNEL_HPP
+#define MEDLAR_DETAIL_LINK_STREAM_CHANNEL_HPP
+
+#include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/link/wake_pipe.hpp>
+
+#include <Poco/Net/StreamSocket.h>
+#include <absl/strings/string_view.h>
+#include <nghttp2/nghttp2.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace medlar
+{
+
+/// @brief which end of a connection a channel is
+enum class channel_side
+{
+    client,
+    server,
+};
+
+/// @brief how a channel ended
+enum class channel_end
+{
+    open,      ///< it has not ended
+    idle,      ///< closed by this side, without open streams
+    broken,    ///< the peer closed it, or has been silent for too long
+    malformed, ///< the peer sent what is not HTTP/2
+};
+
+/// @brief What happens on a channel; called on the thread that runs it.
+class channel_listener
+{
+  public:
+    virtual ~channel_listener() = default;
+
+    /// @brief takes over what other threads have asked for
+    virtual void on_wake() = 0;
+
+    /// @brief whether streams are open or wait to be opened
+    virtual bool busy() const = 0;
+
+    /// @brief the peer's settings have come, so a process of ours answers there
+    virtual void on_settings() = 0;
+
+    /// @brief one header field of a call or an answer
+    virtual void
+    on_header(std::int32_t stream, absl::string_view name, absl::string_view value) = 0;
+
+    /// @brief a part of a body
+    virtual void on_data(std::int32_t stream, absl::string_view part) = 0;
+
+    /// @brief the call or the answer is whole
+    virtual void on_end(std::int32_t stream) = 0;
+
+    /// @brief the stream is over
+    /// @param error HTTP/2 error code
+    virtual void on_closed(std::int32_t stream, std::uint32_t error) = 0;
+
+    /// @brief Gives the next bytes of a body to send.
+    /// @param[out] ended whether the body ends with these bytes
+    /// @return number of bytes; 0 without @p ended: none at present
+    virtual std::size_t
+    read_body(std::int32_t stream, std::uint8_t* to, std::size_t room, bool& ended) = 0;
+};
+
+/// @brief One HTTP/2 connection: an nghttp2 session over a POCO socket.
+///
+/// The thread that calls run() does all input and output; only wake() and stop() may
+/// be called by others.
+class stream_channel
+{
+  public:
+    /// @param traffic raised by the bytes sent and received
+    stream_channel(Poco::Net::StreamSocket socket,
+                   channel_side side,
+                   channel_listener& listener,
+                   wake_pipe& wake,
+                   std::atomic<std::int64_t>& traffic);
+    ~stream_channel();
+
+    stream_channel(const stream_channel&) = delete;
+    stream_channel& operator=(const stream_channel&) = delete;
+
+    /// @brief Serves the connection until it ends or stop() is called.
+    channel_end run();
+
+    /// @brief makes run() return soon
+    void stop();
+
+    // for the listener, on the thread that runs the channel
+
+    /// @brief Opens a stream with a POST whose body is read by read_body().
+    /// @return its number, or below 0 if none can be opened
+    std::int32_t submit_call(const std::string& authority, const std::string& path);
+
+    /// @brief Starts an answer whose body is read by read_body().
+    void submit_answer(std::int32_t stream, int status);
+
+    /// @brief tells that read_body() has bytes again
+    void resume(std::int32_t stream);
+
+    /// @brief ends a stream at once
+    void reset(std::int32_t stream, std::uint32_t error);
+
+    /// @brief gives the peer room to send @p bytes more on a stream
+    void consume(std::int32_t stream, std::size_t bytes);
+
+  private:
+    static int
+    frame_received(nghttp2_session* session, const nghttp2_frame* frame, void* self);
+    static int header_received(nghttp2_session* session,
+                               const nghttp2_frame* frame,
+                               const std::uint8_t* name,
+                               std::size_t name_length,
+                               const std::uint8_t* value,
+                               std::size_t value_length,
+                               std::uint8_t flags,
+                               void* self);
+    static int data_received(nghttp2_session* session,
+                             std::uint8_t flags,
+                             std::int32_t stream,
+                             const std::uint8_t* data,
+                             std::size_t length,
+                             void* self);
+    static int stream_closed(nghttp2_session* session,
+                             std::int32_t stream,
+                             std::uint32_t error,
+                             void* self);
+    static ssize_t body_wanted(nghttp2_session* session,
+                               std::int32_t stream,
+                               std::uint8_t* to,
+                               std::size_t room,
+                               std::uint32_t* flags,
+                               nghttp2_data_source* source,
+                               void* self);
+
+    void open_session();
+    void announce_settings();
+    channel_end step();
+    channel_end send_pending();
+    channel_end receive();
+    channel_end look_after();
+    bool wait();
+    int wait_ms() const;
+
+    Poco::Net::StreamSocket socket_;
+    channel_side side_;
+    channel_listener& listener_;
+    wake_pipe& wake_;
+    std::atomic<std::int64_t>& traffic_;
+    std::atomic<bool> stopping_{false};
+    nghttp2_session* session_ = nullptr;
+    clock time_ = clock::system();
+    // bytes made by the session that the socket has not taken
+    std::string unsent_;
+    // signs of life
+    steady_time last_received_;
+    steady_time last_busy_;
+    bool ping_sent_ = false;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_LINK_STREAM_CHANNEL_HPP
--- /dev/null
+++ b/src/link/wake_pipe.cpp
@@ -0,0 +1,41 @@
+#include <medlar/detail/link/wake_pipe.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+
+namespace medlar
+{
+
+wake_pipe::wake_pipe()
+{
+    if (pipe2(ends_, O_NONBLOCK | O_CLOEXEC) != 0)
+    {
+        std::abort();
+    }
+}
+
+wake_pipe::~wake_pipe()
+{
+    close(ends_[0]);
+    close(ends_[1]);
+}
+
+void wake_pipe::wake()
+{
+    const char mark = 1;
+    // a full pipe is readable already
+    [[maybe_unused]] const ssize_t written = write(ends_[1], &mark, 1);
+}
+
+void wake_pipe::drain()
+{
+    std::array<char, 256> taken{};
+    while (read(ends_[0], taken.data(), taken.size()) > 0)
+    {
+    }
+}
+
+} // namespace medlar
