--- a/src/gateway/filters/validate_filter.cpp
+++ b/src/gateway/filters/validate_filter.cpp
@@ -47,6 +47,10 @@
             return not_run(refused->why, refused->message, refused->retry_after);
         }
         context.request = std::get<client_request>(std::move(read));
+        if (!context.request.stream)
+        {
+            context.on_token = nullptr;
+        }
     }
     return check_configured(context, next);
 }
--- /dev/null
+++ b/src/programs/medlar_gateway.cpp
@@ -0,0 +1,335 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/config/json.hpp>
+#include <medlar/detail/gateway/caller_server.hpp>
+#include <medlar/detail/gateway/gateway.hpp>
+#include <medlar/detail/gateway/local_exchange.hpp>
+#include <medlar/detail/log/gateway_events.hpp>
+#include <medlar/detail/settings/settings.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <utility>
+
+DEFINE_string(listen, "127.0.0.1:0", "address and port for callers' HTTP");
+DEFINE_string(link, "127.0.0.1:0", "address and port for links of other processes");
+DEFINE_string(host_id, "", "name of this host");
+DEFINE_string(failure_domain, "", "failure domain of this host");
+DEFINE_string(seeds, "", "comma-separated link addresses of other gateways");
+DEFINE_string(config_file, "", "run alone on this configuration document");
+DEFINE_bool(check, false, "print the settings and end");
+DEFINE_int32(gateways, 1, "gateways that share the targets until their number is known");
+DEFINE_int32(max_connections, 1024, "connections of callers at once");
+DEFINE_int32(max_requests, 512, "requests held at once");
+DEFINE_int32(max_link_streams, 1024, "calls of other processes served at once");
+DEFINE_int32(max_nesting, 64, "nesting of a request's body");
+DEFINE_int64(max_body_bytes, 4 * 1024 * 1024, "bytes of a request's body");
+DEFINE_int64(max_answer_bytes, 16 * 1024 * 1024, "bytes of a target's answer");
+DEFINE_int64(max_claim_bytes, 256 * 1024 * 1024, "memory of claims and answers");
+DEFINE_int64(retention_ms, 600000, "how long after its issue a request is remembered");
+DEFINE_int64(connect_timeout_ms, 300, "time to connect to a target");
+DEFINE_int64(socket_timeout_ms, 10000, "time without a byte from a caller");
+DEFINE_int64(body_timeout_ms, 20000, "time until a caller's body must be there");
+DEFINE_int64(keep_alive_ms, 15000, "time that an unused connection of a caller is kept");
+DEFINE_int64(poll_interval_ms, 1000, "time between polls of targets; 0: none");
+DEFINE_int64(max_configuration_age_ms,
+             600000,
+             "age of the configuration at which the host stops being ready");
+DEFINE_int64(drain_wait_ms, 2000, "time that the balancer is given at shutdown");
+DEFINE_int64(shutdown_timeout_ms, 65000, "longest time to finish requests at shutdown");
+DEFINE_uint64(seed, 1, "seed of random choices of targets");
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr int exit_bad_setting = 2;
+constexpr int status_unavailable = 503;
+constexpr millis held_check{10};
+
+int end_with(const absl::Status& problem)
+{
+    log_event(gateway_bad_setting, {{"error", problem.message()}});
+    std::cerr << problem.message() << std::endl;
+    return exit_bad_setting;
+}
+
+absl::Status out_of_range(const std::string& name, const std::string& allowed)
+{
+    return make_error(absl::StatusCode::kInvalidArgument,
+                      error_number::bad_setting,
+                      absl::StrCat("--", name, " must be ", allowed));
+}
+
+/// @brief Checks the settings that gflags does not check itself.
+absl::Status check_settings()
+{
+    for (const char* name : {"max_connections",
+                             "max_requests",
+                             "max_link_streams",
+                             "max_nesting",
+                             "max_body_bytes",
+                             "max_answer_bytes",
+                             "max_claim_bytes",
+                             "retention_ms",
+                             "connect_timeout_ms",
+                             "socket_timeout_ms",
+                             "body_timeout_ms",
+                             "keep_alive_ms",
+                             "max_configuration_age_ms",
+                             "gateways"})
+    {
+        const std::string value = gflags::GetCommandLineFlagInfoOrDie(name).current_value;
+        if (value[0] == '-' || value == "0")
+        {
+            return out_of_range(name, "at least 1");
+        }
+    }
+    for (const char* name : {"poll_interval_ms", "drain_wait_ms", "shutdown_timeout_ms"})
+    {
+        if (gflags::GetCommandLineFlagInfoOrDie(name).current_value[0] == '-')
+        {
+            return out_of_range(name, "at least 0");
+        }
+    }
+    if (FLAGS_host_id.empty())
+    {
+        return out_of_range("host_id", "given");
+    }
+    return absl::OkStatus();
+}
+
+/// @brief the addresses among the settings
+struct addresses
+{
+    endpoint listen;
+    endpoint link;
+    std::vector<endpoint> seeds;
+};
+
+absl::StatusOr<addresses> read_addresses()
+{
+    const absl::StatusOr<endpoint> listen = parse_endpoint(FLAGS_listen);
+    const absl::StatusOr<endpoint> link = parse_endpoint(FLAGS_link);
+    const absl::StatusOr<std::vector<endpoint>> seeds = parse_endpoints(FLAGS_seeds);
+    for (const absl::Status& each : {listen.status(), link.status(), seeds.status()})
+    {
+        if (!each.ok())
+        {
+            return each;
+        }
+    }
+    return addresses{*listen, *link, *seeds};
+}
+
+absl::StatusOr<accepted_document> read_configuration_file()
+{
+    std::ifstream file(FLAGS_config_file);
+    const std::string text{std::istreambuf_iterator<char>(file),
+                           std::istreambuf_iterator<char>()};
+    absl::StatusOr<document> content = parse_document(text);
+    if (!content.ok())
+    {
+        return content.status();
+    }
+    accepted_document accepted;
+    accepted.number = revision(1);
+    accepted.change_id = "config_file";
+    accepted.content = std::move(*content);
+    return accepted;
+}
+
+incarnation draw_incarnation()
+{
+    std::random_device source;
+    constexpr unsigned half_bits = 32;
+    const std::uint64_t high = source();
+    return incarnation((high << half_bits) | source());
+}
+
+gateway_settings make_settings(const view_member& self)
+{
+    gateway_settings settings;
+    settings.self = self;
+    settings.body.max_bytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+    settings.body.max_nesting = FLAGS_max_nesting;
+    settings.max_answer = byte_count(FLAGS_max_answer_bytes);
+    settings.max_held = FLAGS_max_requests;
+    settings.connect_timeout = millis(FLAGS_connect_timeout_ms);
+    settings.poll_every = millis(FLAGS_poll_interval_ms);
+    settings.max_configuration_age = millis(FLAGS_max_configuration_age_ms);
+    return settings;
+}
+
+caller_server_settings make_server_settings(const endpoint& listen)
+{
+    caller_server_settings settings;
+    settings.listen = listen;
+    settings.max_connections = FLAGS_max_connections;
+    settings.socket_timeout = millis(FLAGS_socket_timeout_ms);
+    settings.body_timeout = millis(FLAGS_body_timeout_ms);
+    settings.keep_alive = millis(FLAGS_keep_alive_ms);
+    return settings;
+}
+
+policy_settings make_policy_settings(const view_member& self)
+{
+    policy_settings settings;
+    settings.self = self.host;
+    settings.failure_domain = self.failure_domain;
+    settings.gateways = FLAGS_gateways;
+    settings.max_requests = FLAGS_max_requests;
+    settings.seed = FLAGS_seed;
+    return settings;
+}
+
+sigset_t stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+/// @brief Waits for SIGTERM; a second one ends the process at once.
+void wait_for_stop_signal()
+{
+    const sigset_t signals = stop_signals();
+    int caught = 0;
+    sigwait(&signals, &caught);
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+/// @brief Waits until @p held is 0, but not beyond @p until.
+template <typename Held>
+bool wait_until_none(const clock& time, steady_time until, Held held)
+{
+    const auto never = cancel_token::create();
+    while (held() > 0 && time.steady_now() < until)
+    {
+        never->wait_for(held_check);
+    }
+    return held() == 0;
+}
+
+/// @brief Fails readiness, waits for the balancer, finishes what runs and hands over.
+void shut_down(const clock& time,
+               gateway& served,
+               caller_server& callers,
+               exchange& peers)
+{
+    log_event(gateway_draining, {{"held", std::int64_t{served.callers_held()}}});
+    served.begin_drain();
+    cancel_token::create()->wait_for(millis(FLAGS_drain_wait_ms));
+    callers.stop_accepting();
+    const steady_time until = time.steady_now() + millis(FLAGS_shutdown_timeout_ms);
+    const bool answered = wait_until_none(time,
+                                          until,
+                                          [&served]
+                                          {
+                                              return served.callers_held();
+                                          });
+    const bool handed_over = peers.leave(until);
+    const bool relayed = wait_until_none(time,
+                                         until,
+                                         [&served]
+                                         {
+                                             return served.relayed_held();
+                                         });
+    const bool clean = answered && handed_over && relayed;
+    log_event(clean ? gateway_stopped : gateway_stopped_early,
+              {{"held", std::int64_t{served.callers_held()}},
+               {"relayed", std::int64_t{served.relayed_held()}}});
+}
+
+int run(const addresses& at)
+{
+    const absl::StatusOr<accepted_document> configuration = read_configuration_file();
+    if (!configuration.ok())
+    {
+        return end_with(configuration.status());
+    }
+    const clock time = clock::system();
+    std::atomic<gateway*> behind_link{nullptr};
+    auto links_in = link_server::create(
+        at.link,
+        [&behind_link](const link_request& request, link_responder& responder)
+        {
+            gateway* served = behind_link;
+            return served == nullptr ? status_unavailable
+                                     : served->handle_link(request, responder);
+        },
+        FLAGS_max_link_streams);
+    if (!links_in.ok())
+    {
+        return end_with(links_in.status());
+    }
+    const view_member self{host_id(FLAGS_host_id),
+                           draw_incarnation(),
+                           (*links_in)->where(),
+                           failure_domain_id(FLAGS_failure_domain)};
+    const auto metrics = metrics_registry::create();
+    const auto policy = policy_engine::create(make_policy_settings(self));
+    const auto claims = claim_table::create(millis(FLAGS_retention_ms),
+                                            byte_count(FLAGS_max_claim_bytes));
+    const auto links = link_client::create();
+    const auto peers = local_exchange::create(self, *configuration, *claims);
+    const auto served = gateway::create(
+        make_settings(self), {time, *peers, *links, *claims, *policy, *metrics});
+    behind_link = served.get();
+    auto callers = caller_server::create(make_server_settings(at.listen), *served);
+    if (!callers.ok())
+    {
+        return end_with(callers.status());
+    }
+    std::cout << "listening " << to_string((*callers)->where()) << " link "
+              << to_string((*links_in)->where()) << std::endl;
+    log_event(gateway_started,
+              {{"host", self.host.get()}, {"incarnation", self.process.get()}});
+    wait_for_stop_signal();
+    shut_down(time, *served, **callers, *peers);
+    // no call may reach the parts below while they go
+    callers->reset();
+    links_in->reset();
+    return 0;
+}
+
+} // namespace
+
+/// @brief the program, once its flags are read
+int run_gateway(const absl::Status& loaded)
+{
+    const absl::Status checked = loaded.ok() ? check_settings() : loaded;
+    const absl::StatusOr<addresses> at = read_addresses();
+    if (!checked.ok() || !at.ok())
+    {
+        return end_with(checked.ok() ? at.status() : checked);
+    }
+    if (FLAGS_check)
+    {
+        print_settings(std::cout);
+        return 0;
+    }
+    const sigset_t signals = stop_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return run(*at);
+}
+
+} // namespace medlar
+
+int main(int argc, char** argv)
+{
+    const absl::Status loaded = medlar::load_settings(&argc, &argv);
+    medlar::open_log("medlar-gateway");
+    return medlar::run_gateway(loaded);
+}
--- /dev/null
+++ b/test/decisions/request/outcome_decision_test.cpp
@@ -0,0 +1,116 @@
+#include <medlar/detail/request/outcome_decision.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+
+/// @brief the facts that a number from 0 to 15 stands for, one bit each
+run_facts facts_of(unsigned bits)
+{
+    run_facts facts;
+    facts.complete = (bits & 1U) != 0;
+    facts.call_handed = (bits & 2U) != 0;
+    facts.unrepeatable_handed = (bits & 4U) != 0;
+    facts.unrepeatable_settled = (bits & 8U) != 0;
+    return facts;
+}
+
+class a_run_that_has_ended : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_run_that_has_ended);
+    CPPUNIT_TEST(is_answered_if_and_only_if_every_stage_answered);
+    CPPUNIT_TEST(is_not_run_only_if_no_byte_of_any_call_was_handed_over);
+    CPPUNIT_TEST(is_failed_for_good_if_every_unrepeatable_call_told_its_end);
+    CPPUNIT_TEST(is_unknown_if_an_unrepeatable_call_did_not_tell_its_end);
+    CPPUNIT_TEST(is_failed_but_may_run_again_if_only_repeatable_calls_ran);
+    CPPUNIT_TEST(may_never_run_again_once_an_unrepeatable_call_was_handed_over);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr unsigned combinations = 16;
+
+    void is_answered_if_and_only_if_every_stage_answered()
+    {
+        for (unsigned bits = 0; bits < combinations; ++bits)
+        {
+            const run_facts facts = facts_of(bits);
+            const bool answered = decide_outcome(facts).kind == outcome_kind::answered;
+            CPPUNIT_ASSERT_EQUAL(facts.complete, answered);
+        }
+    }
+
+    void is_not_run_only_if_no_byte_of_any_call_was_handed_over()
+    {
+        for (unsigned bits = 0; bits < combinations; ++bits)
+        {
+            const run_facts facts = facts_of(bits);
+            const bool not_run = decide_outcome(facts).kind == outcome_kind::not_run;
+            const bool nothing_handed =
+                !facts.complete && !facts.call_handed && !facts.unrepeatable_handed;
+            CPPUNIT_ASSERT_EQUAL(nothing_handed, not_run);
+        }
+    }
+
+    void is_failed_for_good_if_every_unrepeatable_call_told_its_end()
+    {
+        const run_decision decision = decide_outcome({false, true, true, true});
+        CPPUNIT_ASSERT(decision.kind == outcome_kind::failed);
+        CPPUNIT_ASSERT(!decision.may_run_again);
+    }
+
+    void is_unknown_if_an_unrepeatable_call_did_not_tell_its_end()
+    {
+        const run_decision decision = decide_outcome({false, true, true, false});
+        CPPUNIT_ASSERT(decision.kind == outcome_kind::unknown);
+        CPPUNIT_ASSERT(!decision.may_run_again);
+    }
+
+    void is_failed_but_may_run_again_if_only_repeatable_calls_ran()
+    {
+        const run_decision decision = decide_outcome({false, true, false, true});
+        CPPUNIT_ASSERT(decision.kind == outcome_kind::failed);
+        CPPUNIT_ASSERT(decision.may_run_again);
+    }
+
+    void may_never_run_again_once_an_unrepeatable_call_was_handed_over()
+    {
+        for (unsigned bits = 0; bits < combinations; ++bits)
+        {
+            const run_facts facts = facts_of(bits);
+            if (facts.unrepeatable_handed)
+            {
+                CPPUNIT_ASSERT(!decide_outcome(facts).may_run_again);
+            }
+        }
+    }
+};
+
+class an_entry_without_a_word_of_the_home : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(an_entry_without_a_word_of_the_home);
+    CPPUNIT_TEST(says_not_run_only_of_what_it_kept_and_what_cannot_have_run_before);
+    CPPUNIT_TEST_SUITE_END();
+
+    void says_not_run_only_of_what_it_kept_and_what_cannot_have_run_before()
+    {
+        for (const bool idempotent : {false, true})
+        {
+            for (const bool first : {false, true})
+            {
+                for (const bool handed : {false, true})
+                {
+                    const bool not_run = decide_at_entry({idempotent, first, handed}) ==
+                                         outcome_kind::not_run;
+                    CPPUNIT_ASSERT_EQUAL(!handed && (idempotent || first), not_run);
+                }
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_run_that_has_ended);
+CPPUNIT_TEST_SUITE_REGISTRATION(an_entry_without_a_word_of_the_home);
+
+} // namespace
--- /dev/null
+++ b/test/decisions/request/stage_plan_test.cpp
@@ -0,0 +1,107 @@
+#include <medlar/detail/request/stage_plan.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+
+stage make_stage(const std::string& name, std::vector<std::string> after)
+{
+    stage made;
+    made.name = name;
+    made.after = std::move(after);
+    return made;
+}
+
+/// @brief encode, then retrieve and rules side by side, then generate
+pipeline make_diamond()
+{
+    pipeline of;
+    of.stages = {make_stage("encode", {}),
+                 make_stage("retrieve", {"encode"}),
+                 make_stage("rules", {"encode"}),
+                 make_stage("generate", {"retrieve", "rules"})};
+    return of;
+}
+
+using indexes = std::vector<std::size_t>;
+
+class the_stages_of_a_pipeline : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_stages_of_a_pipeline);
+    CPPUNIT_TEST(start_with_those_that_need_nothing);
+    CPPUNIT_TEST(run_side_by_side_when_they_do_not_need_each_other);
+    CPPUNIT_TEST(wait_for_all_that_they_need);
+    CPPUNIT_TEST(take_the_input_or_the_outputs_that_they_name);
+    CPPUNIT_TEST(may_be_repeated_as_they_say_or_else_as_the_request_says);
+    CPPUNIT_TEST(write_no_more_tokens_than_either_bound);
+    CPPUNIT_TEST_SUITE_END();
+
+    const pipeline diamond_ = make_diamond();
+    const stage_progress waiting_ = stage_progress::waiting;
+    const stage_progress started_ = stage_progress::started;
+    const stage_progress done_ = stage_progress::done;
+
+    void start_with_those_that_need_nothing()
+    {
+        CPPUNIT_ASSERT(
+            (ready_stages(diamond_, {waiting_, waiting_, waiting_, waiting_}) ==
+             indexes{0}));
+        CPPUNIT_ASSERT(
+            ready_stages(diamond_, {started_, waiting_, waiting_, waiting_}).empty());
+    }
+
+    void run_side_by_side_when_they_do_not_need_each_other()
+    {
+        CPPUNIT_ASSERT((ready_stages(diamond_, {done_, waiting_, waiting_, waiting_}) ==
+                        indexes{1, 2}));
+    }
+
+    void wait_for_all_that_they_need()
+    {
+        CPPUNIT_ASSERT(
+            ready_stages(diamond_, {done_, done_, started_, waiting_}).empty());
+        CPPUNIT_ASSERT(
+            (ready_stages(diamond_, {done_, done_, done_, waiting_}) == indexes{3}));
+    }
+
+    void take_the_input_or_the_outputs_that_they_name()
+    {
+        client_request request;
+        request.input = "{\"ledger\":1}";
+        const stage_outputs outputs = {{"retrieve", "[1]"}, {"rules", "\"x\""}};
+        CPPUNIT_ASSERT_EQUAL(request.input,
+                             stage_input(diamond_.stages[0], request, outputs));
+        CPPUNIT_ASSERT_EQUAL(std::string("{\"retrieve\":[1],\"rules\":\"x\"}"),
+                             stage_input(diamond_.stages[3], request, outputs));
+    }
+
+    void may_be_repeated_as_they_say_or_else_as_the_request_says()
+    {
+        client_request request;
+        stage of;
+        CPPUNIT_ASSERT(!may_repeat(of, request));
+        of.idempotent = true;
+        CPPUNIT_ASSERT(may_repeat(of, request));
+        request.idempotent = true;
+        of.idempotent = false;
+        CPPUNIT_ASSERT(!may_repeat(of, request));
+    }
+
+    void write_no_more_tokens_than_either_bound()
+    {
+        client_request request;
+        stage of;
+        CPPUNIT_ASSERT(token_limit(of, request) == token_count(0));
+        of.max_tokens = token_count(20);
+        CPPUNIT_ASSERT(token_limit(of, request) == token_count(20));
+        request.max_tokens = token_count(5);
+        CPPUNIT_ASSERT(token_limit(of, request) == token_count(5));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(the_stages_of_a_pipeline);
+
+} // namespace
