--- a/test/decisions/request/client_request_test.cpp
+++ b/test/decisions/request/client_request_test.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/request/answer_text.hpp>
 #include <medlar/detail/request/client_request.hpp>
+#include <medlar/detail/request/json_fields.hpp>
 #include <medlar/detail/request/json_text.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -173,7 +174,8 @@
         const auto again = read_answer(line);
         CPPUNIT_ASSERT(again.has_value());
         CPPUNIT_ASSERT_EQUAL(answered.output, again->output);
-        CPPUNIT_ASSERT_EQUAL(line, write_answer(request_id("1"), *again));
+        CPPUNIT_ASSERT(parse_json(line) ==
+                       parse_json(write_answer(request_id("1"), *again)));
     }
 
     void is_not_read_from_a_cut_line()
