Add the client of the key-value service and its stand-in

The client tells calls of which nothing was sent (701) from those whose reply was lost (702), those refused without effect (703) and malformed replies (704).

store_entry has a holder, by which a lease holder can tell that the lock count that it reads is its own. release() takes the value, since the protocol writes it. close() ends waiting calls at shutdown.

The stand-in keeps entries, sessions, indexes and lock delays in memory; its faults are switched over HTTP.

--- a/include/medlar/detail/store/store_client.hpp
+++ b/include/medlar/detail/store/store_client.hpp
@@ -32,6 +32,8 @@
     store_index modified;
     /// rises each time a lease acquires it; a fencing number
     fencing_number lock_count;
+    /// the lease that holds it; empty: none
+    store_lease holder;
 };
 
 /// @brief a folder as it was at one index
@@ -88,9 +90,16 @@
                                          const std::string& value,
                                          const store_lease& lease) = 0;
 
-    /// @brief Unlocks an entry that the lease holds.
+    /// @brief Writes an entry that the lease holds and unlocks it.
     virtual absl::StatusOr<bool> release(const std::string& key,
+                                         const std::string& value,
                                          const store_lease& lease) = 0;
+
+    /// @brief Ends the calls that are waiting and lets every later one fail with 701;
+    /// called when the process stops.
+    virtual void close()
+    {
+    }
 };
 
 } // namespace medlar
--- /dev/null
+++ b/test/runtime/store_client_test.cpp
@@ -0,0 +1,291 @@
+#include "standins/shared/kv_server.hpp"
+
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/store/consul_json.hpp>
+#include <medlar/detail/store/store_client.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+
+namespace
+{
+
+using medlar::error_number;
+using medlar::error_number_of;
+using medlar::millis;
+using medlar::store_client;
+using medlar::store_entry;
+using medlar::store_index;
+
+constexpr millis call_timeout{2000};
+constexpr millis short_timeout{200};
+constexpr std::chrono::milliseconds min_lease(10);
+
+int number(error_number which)
+{
+    return static_cast<int>(which);
+}
+
+class store_client_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(store_client_test);
+    CPPUNIT_TEST(an_entry_is_written_once_and_read_back);
+    CPPUNIT_TEST(a_swap_with_an_old_index_is_not_written);
+    CPPUNIT_TEST(keys_with_spaces_and_marks_are_kept_apart);
+    CPPUNIT_TEST(a_watch_wakes_when_its_folder_changes);
+    CPPUNIT_TEST(a_watch_ends_after_its_wait);
+    CPPUNIT_TEST(closing_the_client_ends_a_watch);
+    CPPUNIT_TEST(a_lock_passes_on_with_a_higher_count_after_a_lapse);
+    CPPUNIT_TEST(a_lapsed_lease_neither_renews_nor_locks);
+    CPPUNIT_TEST(refused_connections_are_error_701);
+    CPPUNIT_TEST(the_next_address_is_tried_when_one_refuses);
+    CPPUNIT_TEST(a_lost_reply_is_error_702_and_the_write_took_effect);
+    CPPUNIT_TEST(a_closed_connection_is_error_702_and_the_write_had_no_effect);
+    CPPUNIT_TEST(a_slow_store_is_error_702);
+    CPPUNIT_TEST(a_rate_limit_is_error_703);
+    CPPUNIT_TEST(a_value_above_the_limit_is_error_703);
+    CPPUNIT_TEST(a_reply_of_another_protocol_is_error_704);
+    CPPUNIT_TEST(an_older_state_comes_back_with_a_lower_index);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override
+    {
+        server_ = std::make_unique<standins::kv_server>(medlar::endpoint{"127.0.0.1", 0},
+                                                        min_lease);
+        store_ = store_client::create({server_->where()}, call_timeout);
+    }
+
+    void tearDown() override
+    {
+        store_.reset();
+        server_.reset();
+    }
+
+  private:
+    bool write(const std::string& key, const std::string& value, std::uint64_t expected)
+    {
+        const absl::StatusOr<bool> done =
+            store_->compare_and_swap(key, value, store_index(expected));
+        CPPUNIT_ASSERT_MESSAGE(done.status().ToString(), done.ok());
+        return *done;
+    }
+
+    store_entry read(const std::string& key)
+    {
+        const absl::StatusOr<std::optional<store_entry>> found = store_->get(key);
+        CPPUNIT_ASSERT_MESSAGE(found.status().ToString(), found.ok());
+        CPPUNIT_ASSERT(found->has_value());
+        return **found;
+    }
+
+    void assert_error(error_number expected, const absl::Status& status)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            status.ToString(), number(expected), error_number_of(status));
+    }
+
+    // entries
+
+    void an_entry_is_written_once_and_read_back()
+    {
+        CPPUNIT_ASSERT(!store_->get("medlar/live/view")->has_value());
+        CPPUNIT_ASSERT(write("medlar/live/view", "one", 0));
+        CPPUNIT_ASSERT(!write("medlar/live/view", "two", 0));
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), read("medlar/live/view").value);
+    }
+
+    void a_swap_with_an_old_index_is_not_written()
+    {
+        write("key", "one", 0);
+        const store_index first = read("key").modified;
+        CPPUNIT_ASSERT(write("key", "two", first.get()));
+        CPPUNIT_ASSERT(!write("key", "three", first.get()));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), read("key").value);
+    }
+
+    void keys_with_spaces_and_marks_are_kept_apart()
+    {
+        write("pool a?b&c=d", "one", 0);
+        write("pool a", "two", 0);
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), read("pool a?b&c=d").value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, store_->list("pool a")->entries.size());
+    }
+
+    // watches
+
+    void a_watch_wakes_when_its_folder_changes()
+    {
+        write("medlar/live/view", "one", 0);
+        const store_index seen = store_->list("medlar/live/")->at;
+        auto watching =
+            std::async(std::launch::async,
+                       [this, seen]
+                       {
+                           return store_->watch("medlar/live/", seen, millis(60000));
+                       });
+        write("elsewhere", "one", 0);
+        write("medlar/live/configuration", "two", 0);
+        const absl::StatusOr<medlar::store_folder> folder = watching.get();
+        CPPUNIT_ASSERT(folder.ok());
+        CPPUNIT_ASSERT(folder->at > seen);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, folder->entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, server_->calls()["watch"]);
+    }
+
+    void a_watch_ends_after_its_wait()
+    {
+        write("medlar/live/view", "one", 0);
+        const store_index seen = store_->list("medlar/live/")->at;
+        const absl::StatusOr<medlar::store_folder> folder =
+            store_->watch("medlar/live/", seen, millis(20));
+        CPPUNIT_ASSERT(folder.ok());
+        CPPUNIT_ASSERT(folder->at == seen);
+    }
+
+    void closing_the_client_ends_a_watch()
+    {
+        write("medlar/live/view", "one", 0);
+        const store_index seen = store_->list("medlar/live/")->at;
+        auto watching =
+            std::async(std::launch::async,
+                       [this, seen]
+                       {
+                           return store_->watch("medlar/live/", seen, millis(600000));
+                       });
+        while (server_->calls()["watch"] == 0)
+        {
+            std::this_thread::yield();
+        }
+        store_->close();
+        CPPUNIT_ASSERT(!watching.get().ok());
+        assert_error(error_number::store_unreachable, store_->get("key").status());
+    }
+
+    // leases
+
+    void a_lock_passes_on_with_a_higher_count_after_a_lapse()
+    {
+        const auto first = store_->create_lease(millis(60000));
+        const auto second = store_->create_lease(millis(60000));
+        CPPUNIT_ASSERT(*store_->acquire("lock", "a", *first));
+        CPPUNIT_ASSERT(*store_->acquire("lock", "a again", *first));
+        CPPUNIT_ASSERT(!*store_->acquire("lock", "b", *second));
+        const store_entry held = read("lock");
+        CPPUNIT_ASSERT(held.holder == *first);
+        CPPUNIT_ASSERT(*store_->release("lock", "a", *first));
+        CPPUNIT_ASSERT(*store_->acquire("lock", "b", *second));
+        CPPUNIT_ASSERT(read("lock").lock_count > held.lock_count);
+        CPPUNIT_ASSERT(!*store_->release("lock", "a", *first));
+    }
+
+    void a_lapsed_lease_neither_renews_nor_locks()
+    {
+        const auto lease = store_->create_lease(millis(60000));
+        CPPUNIT_ASSERT(*store_->acquire("lock", "a", *lease));
+        CPPUNIT_ASSERT(*store_->renew_lease(*lease));
+        server_->state().end_sessions(lease->get());
+        CPPUNIT_ASSERT(!*store_->renew_lease(*lease));
+        CPPUNIT_ASSERT(!store_->acquire("lock", "b", *lease).ok());
+        CPPUNIT_ASSERT(read("lock").holder == medlar::store_lease(""));
+    }
+
+    // faults
+
+    void refused_connections_are_error_701()
+    {
+        server_->set_switches({{"down", true}, {"refuse", true}});
+        assert_error(error_number::store_unreachable, store_->get("key").status());
+        assert_error(error_number::store_unreachable,
+                     store_->compare_and_swap("key", "one", store_index(0)).status());
+        server_->set_switches({{"down", false}});
+        CPPUNIT_ASSERT(write("key", "one", 0));
+    }
+
+    void the_next_address_is_tried_when_one_refuses()
+    {
+        standins::kv_server gone(medlar::endpoint{"127.0.0.1", 0}, min_lease);
+        gone.set_switches({{"down", true}, {"refuse", true}});
+        store_ = store_client::create({gone.where(), server_->where()}, call_timeout);
+        CPPUNIT_ASSERT(write("key", "one", 0));
+    }
+
+    void a_lost_reply_is_error_702_and_the_write_took_effect()
+    {
+        server_->set_switches({{"lose_next_writes", 1}});
+        assert_error(error_number::store_reply_lost,
+                     store_->compare_and_swap("key", "one", store_index(0)).status());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), read("key").value);
+    }
+
+    void a_closed_connection_is_error_702_and_the_write_had_no_effect()
+    {
+        server_->set_switches({{"down", true}});
+        assert_error(error_number::store_reply_lost,
+                     store_->compare_and_swap("key", "one", store_index(0)).status());
+        server_->set_switches({{"down", false}});
+        CPPUNIT_ASSERT(!store_->get("key")->has_value());
+    }
+
+    void a_slow_store_is_error_702()
+    {
+        store_ = store_client::create({server_->where()}, short_timeout);
+        server_->set_switches({{"delay_ms", 3 * short_timeout.count()}});
+        assert_error(error_number::store_reply_lost, store_->get("key").status());
+    }
+
+    void a_rate_limit_is_error_703()
+    {
+        server_->set_switches({{"max_writes_per_second", 1}});
+        absl::Status status;
+        for (int i = 0; i < 100 && status.ok(); ++i)
+        {
+            status = store_->compare_and_swap("key", "one", store_index(0)).status();
+        }
+        assert_error(error_number::store_refused, status);
+    }
+
+    void a_value_above_the_limit_is_error_703()
+    {
+        const std::string large(1024 * 1024 + 1, 'x');
+        assert_error(error_number::store_refused,
+                     store_->compare_and_swap("key", large, store_index(0)).status());
+        CPPUNIT_ASSERT(write("key", large.substr(1), 0));
+        CPPUNIT_ASSERT(read("key").value == large.substr(1));
+    }
+
+    void a_reply_of_another_protocol_is_error_704()
+    {
+        for (const char* body : {"",
+                                 "{}",
+                                 "[1]",
+                                 R"([{"Key": "a"}])",
+                                 R"([{"Key": "a", "Value": "?", "ModifyIndex": 1}])",
+                                 R"([{"Key": "a", "Value": "", "ModifyIndex": "1"}])"})
+        {
+            assert_error(error_number::store_malformed,
+                         medlar::parse_entries(body, 1).status());
+        }
+        assert_error(error_number::store_malformed, medlar::parse_session("[]").status());
+    }
+
+    void an_older_state_comes_back_with_a_lower_index()
+    {
+        write("medlar/live/configuration", "one", 0);
+        const std::size_t snapshot = server_->state().snapshot();
+        const store_index first = read("medlar/live/configuration").modified;
+        write("medlar/live/configuration", "two", first.get());
+        server_->state().restore(snapshot);
+        const absl::StatusOr<medlar::store_folder> folder = store_->list("medlar/live/");
+        CPPUNIT_ASSERT(folder->at == first);
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), folder->entries.front().value);
+    }
+
+    std::unique_ptr<standins::kv_server> server_;
+    std::unique_ptr<store_client> store_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_client_test);
+
+} // namespace
