Change the configuration by compare-and-swap, with audit records

A change is accepted when its compare-and-swap took effect. The accepted document carries its own change, so a stop between the swap and the audit write loses nothing: whoever changes the document next records it first. A lost reply is settled by reading back; while it cannot be, the result says unknown and names the base, and the same id takes effect once only.

--- a/include/medlar/detail/base/error.hpp
+++ b/include/medlar/detail/base/error.hpp
@@ -37,6 +37,7 @@
     store_reply_lost = 702,
     store_refused = 703,
     store_malformed = 704,
+    store_outdated = 705,
 
     // links between hosts
     link_unreachable = 801,
--- a/include/medlar/detail/config/document.hpp
+++ b/include/medlar/detail/config/document.hpp
@@ -140,6 +140,8 @@
 {
     /// number of accepted changes up to this one; 0: nothing accepted yet
     revision number;
+    /// the accepted revision that the change replaced
+    revision based_on;
     /// the operator's id of the change
     std::string change_id;
     std::string author;
--- a/include/medlar/detail/config/json.hpp
+++ b/include/medlar/detail/config/json.hpp
@@ -25,7 +25,7 @@
 std::string write_document(const document& content);
 
 /// @brief Reads an accepted document: an object of "revision", "change_id", "author",
-/// "accepted_at_ms", "content" and, if known, "summary".
+/// "accepted_at_ms", "content" and, if known, "based_on" and "summary".
 /// @note The content is read but not validated again: what one release accepted stays
 ///     readable to the others.
 absl::StatusOr<accepted_document> parse_accepted_document(absl::string_view text);
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -134,6 +134,8 @@
     accepted_document accepted;
     accepted.number =
         revision(static_cast<std::uint64_t>(fields.integer("revision", 0, highest)));
+    accepted.based_on = revision(
+        static_cast<std::uint64_t>(fields.integer_or("based_on", 0, 0, highest)));
     accepted.change_id = fields.text("change_id");
     accepted.author = fields.text("author");
     accepted.summary = fields.text_or("summary", "");
@@ -285,6 +287,7 @@
 std::string write_accepted_document(const accepted_document& accepted)
 {
     return text_of(json{{"revision", accepted.number.get()},
+                        {"based_on", accepted.based_on.get()},
                         {"change_id", accepted.change_id},
                         {"author", accepted.author},
                         {"summary", accepted.summary},
--- /dev/null
+++ b/src/operators/change_service.cpp
@@ -0,0 +1,547 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/config/json.hpp>
+#include <medlar/detail/config/json_text.hpp>
+#include <medlar/detail/log/operator_events.hpp>
+#include <medlar/detail/operators/change_service.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+const std::string configuration_key = "medlar/live/configuration";
+constexpr int max_change_attempts = 5;
+constexpr std::size_t max_change_name_bytes = 128;
+/// largest step by which a change may raise the revision over lost ones
+constexpr std::uint64_t max_revision_step = 1000000;
+
+/// @brief whether a failed compare-and-swap may have taken effect all the same
+bool may_have_taken_effect(const absl::Status& status)
+{
+    const int number = error_number_of(status);
+    return number != static_cast<int>(error_number::store_unreachable) &&
+           number != static_cast<int>(error_number::store_refused);
+}
+
+absl::Status check_change_name(const std::string& name, absl::string_view field)
+{
+    const bool has_control = std::any_of(name.begin(),
+                                         name.end(),
+                                         [](unsigned char letter)
+                                         {
+                                             return letter < ' ' || letter == 0x7f;
+                                         });
+    if (name.empty() || name.size() > max_change_name_bytes || has_control)
+    {
+        return make_error(absl::StatusCode::kInvalidArgument,
+                          error_number::out_of_range,
+                          absl::StrCat(field,
+                                       ": 1 to ",
+                                       max_change_name_bytes,
+                                       " bytes without control characters"));
+    }
+    return absl::OkStatus();
+}
+
+change_result result_of(const audit_record& record)
+{
+    change_result result;
+    result.state = change_state::accepted;
+    result.change_id = record.change_id;
+    result.number = revision(record.number);
+    result.based_on = revision(record.based_on);
+    result.accepted_earlier = true;
+    result.differences = record.differences;
+    return result;
+}
+
+change_result unknown_result(const std::string& change_id, revision based_on)
+{
+    change_result result;
+    result.change_id = change_id;
+    result.based_on = based_on;
+    return result;
+}
+
+/// @brief the digest that the accepted content must have, or empty: any
+std::string wanted_digest(const document_edit& edit)
+{
+    const auto* replaced = std::get_if<replace_content>(&edit);
+    return replaced == nullptr ? "" : digest_of(replaced->content);
+}
+
+/// @brief the record of a change among the records, or nullptr
+const audit_record* find_record(const std::vector<audit_record>& records,
+                                const std::string& change_id)
+{
+    const auto found = std::find_if(records.begin(),
+                                    records.end(),
+                                    [&change_id](const audit_record& record)
+                                    {
+                                        return record.kind == audit_kind::configuration &&
+                                               record.change_id == change_id;
+                                    });
+    return found == records.end() ? nullptr : &*found;
+}
+
+/// @brief oldest revision among the records of configurations; 0 if there are none
+std::uint64_t oldest_revision(const std::vector<audit_record>& records)
+{
+    std::uint64_t oldest = 0;
+    for (const audit_record& record : records)
+    {
+        if (record.kind == audit_kind::configuration)
+        {
+            oldest = oldest == 0 ? record.number : std::min(oldest, record.number);
+        }
+    }
+    return oldest;
+}
+
+} // namespace
+
+absl::Status check_change_names(const std::string& change_id, const std::string& author)
+{
+    absl::Status status = check_change_name(change_id, "change_id");
+    status.Update(check_change_name(author, "author"));
+    return status;
+}
+
+std::unique_ptr<change_service> change_service::create(store_client& store,
+                                                       const clock& time,
+                                                       std::uint64_t audit_entries)
+{
+    return std::unique_ptr<change_service>(
+        new change_service(store, time, audit_entries));
+}
+
+change_service::change_service(store_client& store,
+                               const clock& time,
+                               std::uint64_t audit_entries)
+    : store_(store), time_(time), audit_(audit_log::create(store, audit_entries))
+{
+}
+
+absl::StatusOr<change_result> change_service::change(const change_request& request,
+                                                     const document_edit& edit)
+{
+    const absl::Status named = check_change_names(request.change_id, request.author);
+    if (!named.ok())
+    {
+        return named;
+    }
+    attempt so_far;
+    absl::Status refusal;
+    for (int tries = 0; tries < max_change_attempts; ++tries)
+    {
+        const auto result = try_once(request, edit, so_far);
+        if (result.ok() && result->has_value())
+        {
+            return **result;
+        }
+        refusal = result.status();
+        if (!result.ok() && !so_far.pending_base)
+        {
+            break;
+        }
+    }
+    if (so_far.pending_base)
+    {
+        log_event(change_unsettled,
+                  {{"change_id", request.change_id}, {"author", request.author}});
+        return unknown_result(request.change_id, *so_far.pending_base);
+    }
+    if (refusal.ok())
+    {
+        refusal = make_error(absl::StatusCode::kAborted,
+                             error_number::conflict,
+                             "other changes keep coming first");
+    }
+    log_event(change_refused,
+              {{"change_id", request.change_id},
+               {"author", request.author},
+               {"why", refusal.message()}});
+    return refusal;
+}
+
+absl::StatusOr<accepted_document> change_service::get(revision number)
+{
+    absl::StatusOr<live_document> live = read_live(revision(0));
+    if (!live.ok())
+    {
+        return live.status();
+    }
+    return number == revision(0) ? std::move(live->accepted)
+                                 : find_revision(*live, number);
+}
+
+absl::StatusOr<std::vector<audit_record>> change_service::history()
+{
+    const absl::StatusOr<live_document> live = read_live(revision(0));
+    if (!live.ok())
+    {
+        return live.status();
+    }
+    const absl::Status recorded = audit_->ensure(live->accepted);
+    if (!recorded.ok())
+    {
+        return recorded;
+    }
+    return audit_->list();
+}
+
+absl::StatusOr<change_result> change_service::status(const std::string& change_id,
+                                                     std::optional<revision> based_on)
+{
+    const absl::StatusOr<live_document> live = read_live(revision(0));
+    if (!live.ok())
+    {
+        return live.status();
+    }
+    const auto found = find_accepted(*live, change_id);
+    if (!found.ok() || found->has_value())
+    {
+        return found.ok() ? absl::StatusOr<change_result>(**found) : found.status();
+    }
+    const auto records = audit_->list();
+    if (!records.ok())
+    {
+        return records.status();
+    }
+    if (!based_on)
+    {
+        return make_error(absl::StatusCode::kNotFound,
+                          error_number::change_unknown,
+                          absl::StrCat("no change '",
+                                       change_id,
+                                       "' among the kept ones; with the revision that it "
+                                       "was based on, it can be settled"));
+    }
+    change_result result = unknown_result(change_id, *based_on);
+    const std::uint64_t next = based_on->get() + 1;
+    const std::uint64_t oldest = oldest_revision(*records);
+    const bool is_overtaken = live->accepted.number > *based_on;
+    const bool all_are_kept = oldest != 0 && oldest <= next;
+    if (is_overtaken && (all_are_kept || live->accepted.number.get() == next))
+    {
+        result.state = change_state::not_accepted;
+    }
+    return result;
+}
+
+void change_service::saw(revision number)
+{
+    std::uint64_t before = newest_seen_.load();
+    while (before < number.get() &&
+           !newest_seen_.compare_exchange_weak(before, number.get()))
+    {
+    }
+}
+
+audit_log& change_service::audit()
+{
+    return *audit_;
+}
+
+absl::StatusOr<change_service::live_document> change_service::read_live(revision above)
+{
+    const auto entry = store_.get(configuration_key);
+    if (!entry.ok())
+    {
+        return entry.status();
+    }
+    live_document live;
+    if (entry->has_value())
+    {
+        absl::StatusOr<accepted_document> accepted =
+            parse_accepted_document((*entry)->value);
+        if (!accepted.ok())
+        {
+            return make_error(absl::StatusCode::kInternal,
+                              error_number::store_malformed,
+                              absl::StrCat(configuration_key,
+                                           " holds no accepted document: ",
+                                           accepted.status().message()));
+        }
+        live = live_document{*std::move(accepted), (*entry)->modified};
+    }
+    const absl::Status current = check_not_outdated(live.accepted, above);
+    if (!current.ok())
+    {
+        return current;
+    }
+    return live;
+}
+
+absl::Status change_service::check_not_outdated(const accepted_document& live,
+                                                revision above)
+{
+    const std::uint64_t seen = newest_seen_.load();
+    if (live.number.get() >= seen || above.get() >= seen)
+    {
+        saw(live.number);
+        return absl::OkStatus();
+    }
+    log_event(store_outdated,
+              {{"store_revision", live.number.get()}, {"accepted_revision", seen}});
+    return make_error(absl::StatusCode::kFailedPrecondition,
+                      error_number::store_outdated,
+                      absl::StrCat("the store holds revision ",
+                                   live.number.get(),
+                                   ", but revision ",
+                                   seen,
+                                   " was accepted; apply a document above it"));
+}
+
+absl::StatusOr<accepted_document> change_service::find_revision(const live_document& live,
+                                                                revision number)
+{
+    if (number > revision(0) && number == live.accepted.number)
+    {
+        return live.accepted;
+    }
+    auto kept = audit_->find_content(number);
+    if (!kept.ok())
+    {
+        return kept.status();
+    }
+    if (!kept->has_value())
+    {
+        return make_error(absl::StatusCode::kNotFound,
+                          error_number::no_such_revision,
+                          absl::StrCat("revision ", number.get(), " is not kept"));
+    }
+    return **std::move(kept);
+}
+
+absl::StatusOr<std::optional<change_result>>
+change_service::find_accepted(const live_document& live, const std::string& change_id)
+{
+    if (live.accepted.number > revision(0) && live.accepted.change_id == change_id)
+    {
+        return result_of(record_of(live.accepted, nullptr));
+    }
+    const auto records = audit_->list();
+    if (!records.ok())
+    {
+        return records.status();
+    }
+    const audit_record* record = find_record(*records, change_id);
+    if (record == nullptr)
+    {
+        return std::nullopt;
+    }
+    return result_of(*record);
+}
+
+absl::StatusOr<std::optional<change_result>> change_service::find_same(
+    const live_document& live, const change_request& request, const document_edit& edit)
+{
+    std::vector<audit_record> records;
+    if (live.accepted.number > revision(0))
+    {
+        records.push_back(record_of(live.accepted, nullptr));
+    }
+    if (find_record(records, request.change_id) == nullptr)
+    {
+        auto listed = audit_->list();
+        if (!listed.ok())
+        {
+            return listed.status();
+        }
+        records = *std::move(listed);
+    }
+    const audit_record* record = find_record(records, request.change_id);
+    if (record == nullptr)
+    {
+        return std::nullopt;
+    }
+    const std::string digest = wanted_digest(edit);
+    const bool is_same_content = digest.empty() || digest == record->content_digest;
+    if (is_same_content && record->summary == summary_of(edit))
+    {
+        return result_of(*record);
+    }
+    return make_error(absl::StatusCode::kAlreadyExists,
+                      error_number::change_id_reused,
+                      absl::StrCat("change '",
+                                   request.change_id,
+                                   "' is revision ",
+                                   record->number,
+                                   " with other content"));
+}
+
+absl::StatusOr<document> change_service::edited(const live_document& live,
+                                                const document_edit& edit)
+{
+    if (const auto* replaced = std::get_if<replace_content>(&edit))
+    {
+        return replaced->content;
+    }
+    if (const auto* restored = std::get_if<restore_revision>(&edit))
+    {
+        absl::StatusOr<accepted_document> kept = find_revision(live, restored->number);
+        return kept.ok() ? absl::StatusOr<document>(std::move(kept->content))
+                         : kept.status();
+    }
+    document content = live.accepted.content;
+    const absl::Status drained = apply_drain(std::get<set_drained>(edit), content);
+    if (!drained.ok())
+    {
+        return drained;
+    }
+    return content;
+}
+
+absl::StatusOr<accepted_document> change_service::next_of(const live_document& live,
+                                                          const change_request& request,
+                                                          const document_edit& edit)
+{
+    absl::StatusOr<document> content = edited(live, edit);
+    if (!content.ok())
+    {
+        return content.status();
+    }
+    const absl::Status valid = validate(*content);
+    if (!valid.ok())
+    {
+        return valid;
+    }
+    if (write_document(*content).size() > max_document_bytes)
+    {
+        return make_error(
+            absl::StatusCode::kInvalidArgument,
+            error_number::document_too_large,
+            absl::StrCat("more than ", max_document_bytes, " bytes as JSON"));
+    }
+    accepted_document next;
+    next.based_on = live.accepted.number;
+    next.number = revision(std::max(live.accepted.number.get(), request.above.get()) + 1);
+    next.change_id = request.change_id;
+    next.author = request.author;
+    next.summary = summary_of(edit);
+    next.accepted_at = std::max(time_.wall_now(), live.accepted.accepted_at);
+    next.content = *std::move(content);
+    return next;
+}
+
+absl::Status change_service::check_base(const live_document& live,
+                                        const change_request& request,
+                                        const document_edit& edit,
+                                        const attempt& so_far)
+{
+    const revision found = live.accepted.number;
+    if (request.expected && *request.expected != found)
+    {
+        return conflict_with(live, *request.expected);
+    }
+    if (so_far.first_base && *so_far.first_base != found && !is_independent_of_base(edit))
+    {
+        return conflict_with(live, *so_far.first_base);
+    }
+    if (request.above > revision(found.get() + max_revision_step))
+    {
+        return make_error(absl::StatusCode::kInvalidArgument,
+                          error_number::out_of_range,
+                          absl::StrCat("above_revision: more than ",
+                                       max_revision_step,
+                                       " above the store's ",
+                                       found.get()));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status change_service::conflict_with(const live_document& live, revision looked_at)
+{
+    conflict_report report;
+    report.number = live.accepted.number;
+    report.change_id = live.accepted.change_id;
+    report.author = live.accepted.author;
+    const auto before = audit_->find_content(looked_at);
+    if (before.ok() && before->has_value())
+    {
+        report.differences = first_differences(
+            differences_between((*before)->content, live.accepted.content),
+            max_recorded_differences);
+    }
+    return make_conflict(report);
+}
+
+absl::StatusOr<std::optional<change_result>> change_service::try_once(
+    const change_request& request, const document_edit& edit, attempt& so_far)
+{
+    const absl::StatusOr<live_document> live = read_live(request.above);
+    if (!live.ok())
+    {
+        return live.status();
+    }
+    auto same = find_same(*live, request, edit);
+    const bool is_recorded = same.ok() && same->has_value();
+    const bool records_are_known =
+        same.ok() || same.status().code() == absl::StatusCode::kAlreadyExists;
+    if (records_are_known && so_far.pending_base != live->accepted.number)
+    {
+        // The pending try was for a base that is replaced: it can't take effect any more.
+        so_far.pending_base.reset();
+    }
+    if (!same.ok() || is_recorded)
+    {
+        return same;
+    }
+    const absl::Status base = check_base(*live, request, edit, so_far);
+    if (!base.ok())
+    {
+        return base;
+    }
+    const absl::StatusOr<accepted_document> next = next_of(*live, request, edit);
+    if (!next.ok())
+    {
+        return next.status();
+    }
+    const absl::Status recorded = audit_->ensure(live->accepted);
+    if (!recorded.ok())
+    {
+        return recorded;
+    }
+    so_far.first_base = so_far.first_base.value_or(live->accepted.number);
+    const absl::StatusOr<bool> written = store_.compare_and_swap(
+        configuration_key, write_accepted_document(*next), live->index);
+    if (written.ok())
+    {
+        return *written ? std::make_optional(accept(live->accepted, *next))
+                        : std::nullopt;
+    }
+    if (!may_have_taken_effect(written.status()))
+    {
+        return written.status();
+    }
+    so_far.pending_base = live->accepted.number;
+    return std::nullopt;
+}
+
+change_result change_service::accept(const accepted_document& before,
+                                     const accepted_document& next)
+{
+    saw(next.number);
+    log_event(change_accepted,
+              {{"revision", next.number.get()},
+               {"change_id", next.change_id},
+               {"author", next.author},
+               {"summary", next.summary}});
+    const absl::Status recorded = audit_->ensure(next);
+    if (!recorded.ok())
+    {
+        log_event(audit_delayed,
+                  {{"revision", next.number.get()}, {"why", recorded.message()}});
+    }
+    change_result result = result_of(record_of(next, &before.content));
+    result.accepted_earlier = false;
+    return result;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/test/runtime/operators/fake_store.hpp
@@ -0,0 +1,199 @@
+#ifndef MEDLAR_TEST_RUNTIME_OPERATORS_FAKE_STORE_HPP
+#define MEDLAR_TEST_RUNTIME_OPERATORS_FAKE_STORE_HPP
+
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/store/store_client.hpp>
+
+#include <absl/strings/match.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace medlar::test
+{
+
+/// @brief what becomes of one write to a key
+enum class write_fate
+{
+    done,
+    lost_after,  ///< it takes effect and its reply is lost
+    lost_before, ///< it does not take effect and its reply is lost
+    refused,
+};
+
+/// @brief A store in memory whose replies can be lost.
+class fake_store : public store_client
+{
+  public:
+    // switches
+
+    bool down = false;
+    /// fates of the next writes to the configuration
+    std::deque<write_fate> fates;
+    /// what lost writes leave the reader with: the store is down after them
+    bool down_after_loss = false;
+    /// run once before the next write to the configuration takes effect
+    std::function<void()> before_write;
+    /// writes to the audit records fail
+    bool audit_down = false;
+
+    absl::StatusOr<std::optional<store_entry>> get(const std::string& key) override
+    {
+        const std::lock_guard<std::recursive_mutex> lock(mutex_);
+        if (down)
+        {
+            return unreachable();
+        }
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? std::nullopt : std::make_optional(found->second);
+    }
+
+    absl::StatusOr<store_folder> list(const std::string& prefix) override
+    {
+        const std::lock_guard<std::recursive_mutex> lock(mutex_);
+        if (down)
+        {
+            return unreachable();
+        }
+        store_folder folder{store_index(index_), {}};
+        for (const auto& [key, entry] : entries_)
+        {
+            if (absl::StartsWith(key, prefix))
+            {
+                folder.entries.push_back(entry);
+            }
+        }
+        return folder;
+    }
+
+    absl::StatusOr<store_folder>
+    watch(const std::string& prefix, store_index /*after*/, millis /*wait*/) override
+    {
+        return list(prefix);
+    }
+
+    absl::StatusOr<bool> compare_and_swap(const std::string& key,
+                                          const std::string& value,
+                                          store_index expected) override
+    {
+        const std::lock_guard<std::recursive_mutex> lock(mutex_);
+        const bool is_audit = !absl::StartsWith(key, "medlar/live/");
+        if (down || (is_audit && audit_down))
+        {
+            return unreachable();
+        }
+        if (is_audit)
+        {
+            return write(key, value, expected);
+        }
+        if (before_write)
+        {
+            std::exchange(before_write, nullptr)();
+        }
+        return write_with_fate(key, value, expected);
+    }
+
+    absl::StatusOr<store_lease> create_lease(millis /*time_to_live*/) override
+    {
+        return store_lease("lease");
+    }
+
+    absl::StatusOr<bool> renew_lease(const store_lease& /*lease*/) override
+    {
+        return true;
+    }
+
+    absl::StatusOr<bool> acquire(const std::string& /*key*/,
+                                 const std::string& /*value*/,
+                                 const store_lease& /*lease*/) override
+    {
+        return true;
+    }
+
+    absl::StatusOr<bool> release(const std::string& /*key*/,
+                                 const store_lease& /*lease*/) override
+    {
+        return true;
+    }
+
+    /// @brief the value of a key, or empty
+    std::string value_of(const std::string& key) const
+    {
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? "" : found->second.value;
+    }
+
+    /// @brief Sets a value as an operation on the store itself would.
+    void set(const std::string& key, const std::string& value)
+    {
+        ++index_;
+        entries_[key] = store_entry{key, value, store_index(index_), fencing_number(0)};
+    }
+
+    void erase(const std::string& key)
+    {
+        entries_.erase(key);
+    }
+
+    std::size_t size() const
+    {
+        return entries_.size();
+    }
+
+  private:
+    static absl::Status unreachable()
+    {
+        return make_error(
+            absl::StatusCode::kUnavailable, error_number::store_unreachable, "down");
+    }
+
+    absl::StatusOr<bool> write_with_fate(const std::string& key,
+                                         const std::string& value,
+                                         store_index expected)
+    {
+        write_fate fate = write_fate::done;
+        if (!fates.empty())
+        {
+            fate = fates.front();
+            fates.pop_front();
+        }
+        if (fate == write_fate::refused)
+        {
+            return make_error(
+                absl::StatusCode::kUnavailable, error_number::store_refused, "busy");
+        }
+        const bool takes_effect = fate != write_fate::lost_before;
+        const bool written = takes_effect && write(key, value, expected);
+        if (fate == write_fate::done)
+        {
+            return written;
+        }
+        down = down_after_loss;
+        return make_error(
+            absl::StatusCode::kUnavailable, error_number::store_reply_lost, "lost");
+    }
+
+    bool write(const std::string& key, const std::string& value, store_index expected)
+    {
+        const auto found = entries_.find(key);
+        const store_index present =
+            found == entries_.end() ? store_index(0) : found->second.modified;
+        if (present != expected)
+        {
+            return false;
+        }
+        set(key, value);
+        return true;
+    }
+
+    std::recursive_mutex mutex_;
+    std::uint64_t index_ = 100;
+    std::map<std::string, store_entry> entries_;
+};
+
+} // namespace medlar::test
+
+#endif // MEDLAR_TEST_RUNTIME_OPERATORS_FAKE_STORE_HPP
