--- a/include/medlar/detail/base/error.hpp
+++ b/include/medlar/detail/base/error.hpp
@@ -31,6 +31,8 @@
     no_such_revision = 603,
     no_such_object = 604,
     change_id_reused = 605,
+    view_not_settled = 606,
+    not_confirmed = 607,
 
     // the platform's key-value service
     store_unreachable = 701,
--- a/include/medlar/detail/config/field_reader.hpp
+++ b/include/medlar/detail/config/field_reader.hpp
@@ -89,6 +89,12 @@
     /// @brief Keeps an error unless there is an earlier one.
     void fail(error_number number, const std::string& name, absl::string_view message);
 
+    /// @return the first error so far
+    const absl::Status& error() const
+    {
+        return first_error_;
+    }
+
     /// @return the first error; error 510 if the object has a field that was never
     ///     asked for
     absl::Status finish();
--- a/include/medlar/detail/operators/audit_log.hpp
+++ b/include/medlar/detail/operators/audit_log.hpp
@@ -32,6 +32,10 @@
     /// @param scope what has its own numbers: the pool of an order, or empty
     absl::Status add(const audit_record& record, const std::string& scope);
 
+    /// @brief Records what is about to be tried, in place of an earlier intent of the
+    /// same number.
+    absl::Status add_intent(const audit_record& record, const std::string& scope);
+
     /// @brief all records that are kept, newest first
     absl::StatusOr<std::vector<audit_record>> list() const;
 
@@ -46,9 +50,10 @@
     slot_of(audit_kind kind, const std::string& scope, std::uint64_t number) const;
     std::string content_slot_of(revision number) const;
     absl::StatusOr<bool> has_record(const accepted_document& accepted) const;
+    /// @param replaceable highest number of a value that is replaced
     absl::Status put(const std::string& key,
                      const std::string& value,
-                     std::uint64_t number,
+                     std::uint64_t replaceable,
                      std::uint64_t (*number_of)(const std::string&));
 
     store_client& store_;
--- a/src/operators/audit_log.cpp
+++ b/src/operators/audit_log.cpp
@@ -57,7 +57,7 @@
     }
     const absl::Status stored = put(content_slot_of(accepted.number),
                                     write_accepted_document(accepted),
-                                    accepted.number.get(),
+                                    accepted.number.get() - 1,
                                     content_number);
     if (!stored.ok())
     {
@@ -74,6 +74,14 @@
 }
 
 absl::Status audit_log::add(const audit_record& record, const std::string& scope)
+{
+    return put(slot_of(record.kind, scope, record.number),
+               write_audit_record(record),
+               record.number - 1,
+               record_number);
+}
+
+absl::Status audit_log::add_intent(const audit_record& record, const std::string& scope)
 {
     return put(slot_of(record.kind, scope, record.number),
                write_audit_record(record),
@@ -163,7 +171,7 @@
 
 absl::Status audit_log::put(const std::string& key,
                             const std::string& value,
-                            std::uint64_t number,
+                            std::uint64_t replaceable,
                             std::uint64_t (*number_of)(const std::string&))
 {
     absl::Status last;
@@ -176,7 +184,7 @@
             continue;
         }
         const bool taken = entry->has_value();
-        if (taken && number_of((*entry)->value) >= number)
+        if (taken && number_of((*entry)->value) > replaceable)
         {
             return absl::OkStatus();
         }
--- a/src/operators/change_service.cpp
+++ b/src/operators/change_service.cpp
@@ -3,6 +3,7 @@
 #include <medlar/detail/config/json_text.hpp>
 #include <medlar/detail/log/operator_events.hpp>
 #include <medlar/detail/operators/change_service.hpp>
+#include <medlar/detail/operators/settled_write.hpp>
 
 #include <absl/strings/str_cat.h>
 
@@ -15,19 +16,10 @@
 {
 
 const std::string configuration_key = "medlar/live/configuration";
-constexpr int max_change_attempts = 5;
 constexpr std::size_t max_change_name_bytes = 128;
 /// largest step by which a change may raise the revision over lost ones
 constexpr std::uint64_t max_revision_step = 1000000;
 
-/// @brief whether a failed compare-and-swap may have taken effect all the same
-bool may_have_taken_effect(const absl::Status& status)
-{
-    const int number = error_number_of(status);
-    return number != static_cast<int>(error_number::store_unreachable) &&
-           number != static_cast<int>(error_number::store_refused);
-}
-
 absl::Status check_change_name(const std::string& name, absl::string_view field)
 {
     const bool has_control = std::any_of(name.begin(),
@@ -136,37 +128,30 @@
         return named;
     }
     attempt so_far;
-    absl::Status refusal;
-    for (int tries = 0; tries < max_change_attempts; ++tries)
-    {
-        const auto result = try_once(request, edit, so_far);
-        if (result.ok() && result->has_value())
+    const auto settled = settle<change_result>(
+        [&]
         {
-            return **result;
-        }
-        refusal = result.status();
-        if (!result.ok() && !so_far.pending_base)
+            return try_once(request, edit, so_far);
+        },
+        [&so_far]
         {
-            break;
-        }
+            return so_far.pending_base.has_value();
+        });
+    if (!settled.ok())
+    {
+        log_event(change_refused,
+                  {{"change_id", request.change_id},
+                   {"author", request.author},
+                   {"why", settled.status().message()}});
+        return settled.status();
     }
-    if (so_far.pending_base)
+    if (!settled->has_value())
     {
         log_event(change_unsettled,
                   {{"change_id", request.change_id}, {"author", request.author}});
         return unknown_result(request.change_id, *so_far.pending_base);
     }
-    if (refusal.ok())
-    {
-        refusal = make_error(absl::StatusCode::kAborted,
-                             error_number::conflict,
-                             "other changes keep coming first");
-    }
-    log_event(change_refused,
-              {{"change_id", request.change_id},
-               {"author", request.author},
-               {"why", refusal.message()}});
-    return refusal;
+    return **settled;
 }
 
 absl::StatusOr<accepted_document> change_service::get(revision number)
--- /dev/null
+++ b/src/operators/fleet_service.cpp
@@ -0,0 +1,216 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/operators/fleet_service.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+const std::string view_key = "medlar/live/view";
+constexpr std::size_t max_calls_at_once = 16;
+constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
+
+/// @brief Runs @p work for each index below @p count, several at a time.
+void for_each_index(std::size_t count, const std::function<void(std::size_t)>& work)
+{
+    std::atomic<std::size_t> next{0};
+    const auto run = [&next, count, &work]
+    {
+        for (std::size_t at = next++; at < count; at = next++)
+        {
+            work(at);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (std::size_t each = 0; each < std::min(count, max_calls_at_once); ++each)
+    {
+        threads.emplace_back(run);
+    }
+    for (std::thread& each : threads)
+    {
+        each.join();
+    }
+}
+
+bool has_process(const std::vector<view_member>& hosts, incarnation process)
+{
+    return std::any_of(hosts.begin(),
+                       hosts.end(),
+                       [process](const view_member& one)
+                       {
+                           return one.process == process;
+                       });
+}
+
+void add_new(std::vector<view_member>& hosts, const view_member& one)
+{
+    if (!has_process(hosts, one.process))
+    {
+        hosts.push_back(one);
+    }
+}
+
+} // namespace
+
+std::unique_ptr<fleet_service> fleet_service::create(store_client& store,
+                                                     link_client& links,
+                                                     std::optional<endpoint> gateway,
+                                                     millis timeout)
+{
+    return std::unique_ptr<fleet_service>(
+        new fleet_service(store, links, std::move(gateway), timeout));
+}
+
+fleet_service::fleet_service(store_client& store,
+                             link_client& links,
+                             std::optional<endpoint> gateway,
+                             millis timeout)
+    : store_(store), links_(links), gateway_(std::move(gateway)), timeout_(timeout)
+{
+}
+
+fleet_status fleet_service::status()
+{
+    const roster known = list_hosts();
+    fleet_status result;
+    result.epoch = known.epoch;
+    result.store = known.store;
+    for (std::size_t at = 0; at < known.hosts.size(); ++at)
+    {
+        result.hosts.push_back(
+            {known.hosts[at], at < known.in_view, absl::UnknownError("")});
+    }
+    for_each_index(result.hosts.size(),
+                   [this, &result](std::size_t at)
+                   {
+                       host_status& one = result.hosts[at];
+                       one.report = report_of(one.host.link);
+                   });
+    return result;
+}
+
+std::vector<host_trace> fleet_service::explain(const request_key& key)
+{
+    const roster known = list_hosts();
+    std::vector<host_trace> traces;
+    for (const view_member& each : known.hosts)
+    {
+        traces.push_back({each.host, absl::UnknownError("")});
+    }
+    for_each_index(traces.size(),
+                   [this, &traces, &known, &key](std::size_t at)
+                   {
+                       traces[at].trace = trace_at(known.hosts[at].link, key);
+                   });
+    return traces;
+}
+
+absl::StatusOr<host_report> fleet_service::report_of(const endpoint& link)
+{
+    link_call call;
+    call.to = link;
+    call.path = "/v1/status";
+    call.body = "{}";
+    call.timeout = timeout_;
+    const absl::StatusOr<link_reply> reply = links_.call(call);
+    if (!reply.ok())
+    {
+        return reply.status();
+    }
+    if (reply->status != http_ok)
+    {
+        return make_error(absl::StatusCode::kUnavailable,
+                          error_number::link_malformed,
+                          absl::StrCat("status of a gateway: HTTP ", reply->status));
+    }
+    return parse_host_report(reply->body);
+}
+
+absl::StatusOr<host_report> fleet_service::local_report()
+{
+    if (!gateway_)
+    {
+        return make_error(absl::StatusCode::kNotFound,
+                          error_number::no_such_object,
+                          "no local gateway is set");
+    }
+    return report_of(*gateway_);
+}
+
+fleet_service::roster fleet_service::list_hosts()
+{
+    roster known;
+    known.store = add_view(known);
+    known.in_view = known.hosts.size();
+    const absl::StatusOr<host_report> local = local_report();
+    if (local.ok())
+    {
+        add_new(known.hosts, {local->host, local->process, *gateway_, {}});
+        for (const view_member& peer : local->peers)
+        {
+            add_new(known.hosts, peer);
+        }
+    }
+    return known;
+}
+
+absl::Status fleet_service::add_view(roster& known)
+{
+    const auto entry = store_.get(view_key);
+    if (!entry.ok())
+    {
+        return entry.status();
+    }
+    if (!entry->has_value())
+    {
+        return absl::OkStatus();
+    }
+    const absl::StatusOr<view_record> record = parse_view_record((*entry)->value);
+    if (!record.ok())
+    {
+        return record.status();
+    }
+    known.epoch = record->current.epoch;
+    known.hosts = record->current.members;
+    return absl::OkStatus();
+}
+
+absl::StatusOr<std::optional<std::string>> fleet_service::trace_at(const endpoint& link,
+                                                                   const request_key& key)
+{
+    link_call call;
+    call.to = link;
+    call.path = "/v1/explain";
+    call.body = nlohmann::json{{"organisation", key.organisation.get()},
+                               {"request_id", key.id.get()}}
+                    .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    call.timeout = timeout_;
+    absl::StatusOr<link_reply> reply = links_.call(call);
+    if (!reply.ok())
+    {
+        return reply.status();
+    }
+    if (reply->status == http_not_found)
+    {
+        return std::nullopt;
+    }
+    if (reply->status != http_ok)
+    {
+        return make_error(absl::StatusCode::kUnavailable,
+                          error_number::link_malformed,
+                          absl::StrCat("trace of a gateway: HTTP ", reply->status));
+    }
+    return std::move(reply->body);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/operators/order_service.cpp
@@ -0,0 +1,260 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/log/operator_events.hpp>
+#include <medlar/detail/operators/order_service.hpp>
+#include <medlar/detail/operators/settled_write.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+std::string key_of(const pool_id& pool)
+{
+    return absl::StrCat("medlar/orders/", pool.get());
+}
+
+std::string summary_of(const pool_id& pool, const std::vector<model_order>& wanted)
+{
+    std::string summary = absl::StrCat("order of pool ", pool.get(), ":");
+    for (const model_order& each : wanted)
+    {
+        absl::StrAppend(&summary, " ", each.action, " ", each.model, "@", each.version);
+    }
+    return summary;
+}
+
+absl::Status reused(const std::string& change_id)
+{
+    return make_error(
+        absl::StatusCode::kAlreadyExists,
+        error_number::change_id_reused,
+        absl::StrCat("change '", change_id, "' was accepted with other content"));
+}
+
+absl::Status overtaken(const pool_id& pool, const pool_orders& newest)
+{
+    return make_error(absl::StatusCode::kAborted,
+                      error_number::conflict,
+                      absl::StrCat(summary_of(pool, newest.wanted),
+                                   " by ",
+                                   newest.author,
+                                   " (change ",
+                                   newest.change_id,
+                                   ") came first"));
+}
+
+order_result earlier_result(revision number)
+{
+    order_result result;
+    result.state = change_state::accepted;
+    result.number = number;
+    result.accepted_earlier = true;
+    return result;
+}
+
+} // namespace
+
+std::unique_ptr<order_service>
+order_service::create(store_client& store, const clock& time, change_service& changes)
+{
+    return std::unique_ptr<order_service>(new order_service(store, time, changes));
+}
+
+order_service::order_service(store_client& store,
+                             const clock& time,
+                             change_service& changes)
+    : store_(store), time_(time), changes_(changes)
+{
+}
+
+absl::StatusOr<order_result> order_service::order(const order_request& request)
+{
+    const absl::Status checked = check(request);
+    if (!checked.ok())
+    {
+        return checked;
+    }
+    attempt so_far;
+    const auto settled = settle<order_result>(
+        [&]
+        {
+            return try_once(request, so_far);
+        },
+        [&so_far]
+        {
+            return so_far.pending_base.has_value();
+        });
+    if (!settled.ok())
+    {
+        return settled.status();
+    }
+    if (!settled->has_value())
+    {
+        log_event(change_unsettled,
+                  {{"change_id", request.change_id}, {"author", request.author}});
+        return order_result{};
+    }
+    return **settled;
+}
+
+absl::Status order_service::check(const order_request& request)
+{
+    const absl::Status named = check_change_names(request.change_id, request.author);
+    if (!named.ok())
+    {
+        return named;
+    }
+    const absl::Status valid = validate(request.wanted);
+    if (!valid.ok())
+    {
+        return valid;
+    }
+    const absl::StatusOr<accepted_document> accepted = changes_.get(revision(0));
+    if (!accepted.ok())
+    {
+        return accepted.status();
+    }
+    if (accepted->content.find_pool(request.pool) == nullptr)
+    {
+        return make_error(absl::StatusCode::kNotFound,
+                          error_number::no_such_object,
+                          absl::StrCat("there is no pool '", request.pool.get(), "'"));
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<order_service::stored_orders>
+order_service::read_orders(const pool_id& pool)
+{
+    const auto entry = store_.get(key_of(pool));
+    if (!entry.ok())
+    {
+        return entry.status();
+    }
+    if (!entry->has_value())
+    {
+        return stored_orders{};
+    }
+    absl::StatusOr<pool_orders> orders = parse_pool_orders((*entry)->value);
+    if (!orders.ok())
+    {
+        return make_error(absl::StatusCode::kInternal,
+                          error_number::store_malformed,
+                          absl::StrCat(key_of(pool), ": ", orders.status().message()));
+    }
+    return stored_orders{*std::move(orders), (*entry)->modified};
+}
+
+absl::StatusOr<std::optional<order_result>>
+order_service::find_same(const stored_orders& stored, const order_request& request)
+{
+    const pool_orders& newest = stored.orders;
+    if (newest.number > revision(0) && newest.change_id == request.change_id)
+    {
+        if (!same_orders(newest.wanted, request.wanted))
+        {
+            return reused(request.change_id);
+        }
+        return earlier_result(newest.number);
+    }
+    const auto records = changes_.audit().list();
+    if (!records.ok())
+    {
+        return records.status();
+    }
+    const auto found = std::find_if(records->begin(),
+                                    records->end(),
+                                    [&request](const audit_record& one)
+                                    {
+                                        return one.kind == audit_kind::order &&
+                                               one.change_id == request.change_id;
+                                    });
+    if (found == records->end())
+    {
+        return std::nullopt;
+    }
+    if (found->summary != summary_of(request.pool, request.wanted))
+    {
+        return reused(request.change_id);
+    }
+    return earlier_result(revision(found->number));
+}
+
+absl::StatusOr<std::optional<order_result>>
+order_service::try_once(const order_request& request, attempt& so_far)
+{
+    const absl::StatusOr<stored_orders> stored = read_orders(request.pool);
+    if (!stored.ok())
+    {
+        return stored.status();
+    }
+    auto same = find_same(*stored, request);
+    if (!same.ok() || same->has_value())
+    {
+        return same;
+    }
+    const revision base = stored->orders.number;
+    if (so_far.first_base.value_or(base) != base)
+    {
+        so_far.pending_base.reset();
+        return overtaken(request.pool, stored->orders);
+    }
+    so_far.first_base = base;
+    const absl::Status recorded = record(request, stored->orders);
+    if (!recorded.ok())
+    {
+        return recorded;
+    }
+    pool_orders next;
+    next.wanted = request.wanted;
+    next.change_id = request.change_id;
+    next.author = request.author;
+    next.number = revision(base.get() + 1);
+    next.accepted_at = std::max(time_.wall_now(), stored->orders.accepted_at);
+    const absl::StatusOr<bool> written = store_.compare_and_swap(
+        key_of(request.pool), write_pool_orders(next), stored->index);
+    if (!written.ok())
+    {
+        if (may_have_taken_effect(written.status()))
+        {
+            so_far.pending_base = base;
+        }
+        return written.status();
+    }
+    if (!*written)
+    {
+        return std::nullopt;
+    }
+    log_event(order_accepted,
+              {{"pool", request.pool.get()},
+               {"revision", next.number.get()},
+               {"change_id", next.change_id},
+               {"author", next.author}});
+    record(request, next).IgnoreError();
+    return order_result{change_state::accepted, next.number, false};
+}
+
+absl::Status order_service::record(const order_request& request,
+                                   const pool_orders& orders)
+{
+    if (orders.number == revision(0))
+    {
+        return absl::OkStatus();
+    }
+    audit_record made;
+    made.kind = audit_kind::order;
+    made.number = orders.number.get();
+    made.based_on = made.number - 1;
+    made.change_id = orders.change_id;
+    made.author = orders.author;
+    made.summary = summary_of(request.pool, orders.wanted);
+    made.at = orders.accepted_at;
+    return changes_.audit().add(made, request.pool.get());
+}
+
+} // namespace medlar
