--- a/include/medlar/detail/base/error.hpp
+++ b/include/medlar/detail/base/error.hpp
@@ -31,12 +31,15 @@
     no_such_revision = 603,
     no_such_object = 604,
     change_id_reused = 605,
+    view_not_settled = 606,
+    not_confirmed = 607,
 
     // the platform's key-value service
     store_unreachable = 701,
     store_reply_lost = 702,
     store_refused = 703,
     store_malformed = 704,
+    store_outdated = 705,
 
     // links between hosts
     link_unreachable = 801,
