Widen products before they are multiplied

Cause: the linter reports size bounds that are multiplied as int. Change: unsigned long factors. Conclusion: the linter is clean on the files of the links.

--- a/include/medlar/detail/link/link_limits.hpp
+++ b/include/medlar/detail/link/link_limits.hpp
@@ -12,9 +12,9 @@
 struct link_limits
 {
     /// most bytes of a call's body, and of an answer that is not taken part by part
-    static constexpr std::size_t max_body_bytes = 8 * 1024 * 1024;
+    static constexpr std::size_t max_body_bytes = 8UL * 1024 * 1024;
     /// most bytes of an answer that wait for the network at its sender
-    static constexpr std::size_t max_unsent_bytes = 256 * 1024;
+    static constexpr std::size_t max_unsent_bytes = 256UL * 1024;
     /// flow control window of a stream
     static constexpr int stream_window_bytes = 256 * 1024;
     /// flow control window of a connection
--- a/src/link/stream_channel.cpp
+++ b/src/link/stream_channel.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-constexpr std::size_t read_bytes = 64 * 1024;
-constexpr std::size_t send_batch_bytes = 64 * 1024;
+constexpr std::size_t read_bytes = 64UL * 1024;
+constexpr std::size_t send_batch_bytes = 64UL * 1024;
 
 absl::string_view view_of(const std::uint8_t* data, std::size_t length)
 {
--- a/test/runtime/link_test.cpp
+++ b/test/runtime/link_test.cpp
@@ -16,7 +16,6 @@
 {
 
 using medlar::endpoint;
-using medlar::error_number;
 using medlar::link_call;
 using medlar::link_client;
 using medlar::link_reply;
@@ -108,7 +107,7 @@
     {
         const auto server = serve(echo);
         const auto client = link_client::create();
-        const std::string body(6 * 1024 * 1024, 'x');
+        const std::string body(6UL * 1024 * 1024, 'x');
         const auto reply = client->call(call_to(server->where(), body));
         CPPUNIT_ASSERT(reply.ok());
         CPPUNIT_ASSERT(reply->body == body);
@@ -179,7 +178,7 @@
     {
         const auto server = serve(echo);
         const auto client = link_client::create();
-        const std::string too_large(8 * 1024 * 1024 + 1, 'x');
+        const std::string too_large(8UL * 1024 * 1024 + 1, 'x');
         const auto reply = client->call(call_to(server->where(), too_large));
         CPPUNIT_ASSERT_EQUAL(801, error_of(reply));
         CPPUNIT_ASSERT(client->call(call_to(server->where(), "x")).ok());
@@ -349,7 +348,7 @@
         const auto server = serve(
             [this](const link_request&, link_responder& responder)
             {
-                const std::string part(64 * 1024, 'x');
+                const std::string part(64UL * 1024, 'x');
                 while (responder.send(part))
                 {
                 }
@@ -377,8 +376,8 @@
     void holds_its_sender_back_and_no_other_call()
     {
         constexpr int parts = 128;
-        constexpr std::size_t part_bytes = 64 * 1024;
-        constexpr std::size_t bound_bytes = 4 * 1024 * 1024;
+        constexpr std::size_t part_bytes = 64UL * 1024;
+        constexpr std::size_t bound_bytes = 4UL * 1024 * 1024;
         std::atomic<std::size_t> sent{0};
         const auto server = serve(
             [&sent](const link_request& request, link_responder& responder)
