Admit by estimate, with fair shares and a queue that keeps what can be saved

A host starts a request when each pool of its pipeline has room for it, counting calls that are still in earlier stages.

Hedges are offered only while the retry budget has a call left.

--- a/include/medlar/detail/policy/policy_engine.hpp
+++ b/include/medlar/detail/policy/policy_engine.hpp
@@ -122,6 +122,7 @@
 
     /// @brief When to start a second call of an idempotent stage beside the first.
     /// @return unset if it is not worth it
+    /// @note The second call takes from the budget: ask may_retry() when it is due.
     virtual std::optional<millis> hedge_after(const stage_call& call,
                                               steady_time now) const = 0;
 
--- a/include/medlar/detail/policy/pool_shard.hpp
+++ b/include/medlar/detail/policy/pool_shard.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/base/ids.hpp>
 #include <medlar/detail/config/document.hpp>
 #include <medlar/detail/policy/load_estimate.hpp>
+#include <medlar/detail/policy/pool_load.hpp>
 #include <medlar/detail/policy/prefix_affinity.hpp>
 #include <medlar/detail/policy/random_source.hpp>
 #include <medlar/detail/policy/routing.hpp>
@@ -25,23 +26,6 @@
 namespace medlar
 {
 
-/// @brief a pool as an admission decision sees it
-struct pool_load
-{
-    /// calls there now, of all gateways
-    double in_system = 0;
-    /// calls there now, of this host
-    double own = 0;
-    /// calls that its usable targets run at once
-    double slots = 0;
-    /// mean time of the calls that it runs
-    double mean_service_ms = 0;
-    /// targets that get calls
-    int usable = 0;
-    /// whether most of its targets report their load
-    bool reported = false;
-};
-
 /// @brief What one host knows of a pool and its targets, under one lock.
 /// @note Safe to call from every thread.
 class pool_shard
@@ -101,26 +85,37 @@
         prefix_belief prefixes;
     };
 
+    /// @brief what one decision needs to know of the pool as a whole
+    struct pool_context
+    {
+        int gateways = 1;
+        steady_time now;
+        double own_mean = 0;
+        double median_slowness = 1;
+    };
+
     target_record* find(const target_id& name);
+    pool_context context(int gateways, steady_time now) const;
     double own_mean() const;
     double slots_of(const target_record& record) const;
-    double in_system(const target_record& record, int gateways, steady_time now) const;
+    double in_system(const target_record& record, const pool_context& of) const;
     double median_slowness() const;
     bool is_open(const target_record& record) const;
     target_snapshot snapshot_of(const target_record& record,
                                 const stage_call& call,
-                                int gateways,
-                                steady_time now) const;
-    routing_snapshot
-    snapshot(const stage_call& call, int gateways, steady_time now) const;
+                                double service_ms,
+                                const pool_context& of) const;
+    routing_snapshot snapshot(const stage_call& call, const pool_context& of) const;
+    double overdue_ms(const target_record& record,
+                      double service_ms,
+                      const pool_context& of) const;
     double service_ms_locked(stage_kind kind, const request_size& size) const;
     void start_call(target_record& record, steady_time now);
     void end_call(target_record& record, const call_observation& seen, steady_time now);
     void learn_time(const target_record& record,
                     const call_observation& seen,
                     double slowness,
-                    int gateways,
-                    steady_time now);
+                    const pool_context& of);
     void update_health(target_record& record,
                        const call_observation& seen,
                        double slowness,
--- a/src/policy/policy_engine.cpp
+++ b/src/policy/policy_engine.cpp
@@ -1,9 +1,12 @@
+#include <medlar/detail/policy/admission.hpp>
+#include <medlar/detail/policy/admission_shard.hpp>
 #include <medlar/detail/policy/policy_engine.hpp>
 #include <medlar/detail/policy/pool_shard.hpp>
 #include <medlar/detail/policy/retry_budget.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -24,7 +27,10 @@
 {
   public:
     explicit sharded_policy_engine(const policy_settings& settings)
-        : settings_(settings), gateways_(settings.gateways), seeds_(seed_of(settings))
+        : settings_(settings),
+          gateways_(settings.gateways),
+          seeds_(seed_of(settings)),
+          admission_(settings.max_requests)
     {
     }
 
@@ -59,23 +65,32 @@
 
     admission admit(std::uint64_t ticket, const arrival& what, steady_time now) override
     {
-        if (now >= what.deadline)
+        const auto current = current_configuration();
+        const pipeline* of = current->content.find_pipeline(what.pipeline);
+        admission_request request;
+        request.ticket = ticket;
+        request.what = what;
+        request.policy = of == nullptr ? admission_policy::none : of->admission;
+        if (of != nullptr)
         {
-            return turned_away{reason::deadline_passed, millis(0)};
+            request.need = need_of(*of, what.size, current->pools);
+            request.objective = of->objective;
         }
-        const std::lock_guard<std::mutex> lock(admission_mutex_);
-        if (running_.size() >= static_cast<std::size_t>(settings_.max_requests))
+        if (const organisation* asking =
+                current->content.find_organisation(what.organisation))
         {
-            return turned_away{reason::host_full, millis(100)};
+            request.weight = asking->weight;
         }
-        running_.insert(ticket);
-        return admitted{};
+        const auto read = [&]
+        {
+            return outlooks(current->pools, now);
+        };
+        return admission_.admit(request, read, now);
     }
 
     void finish(std::uint64_t ticket, steady_time) override
     {
-        const std::lock_guard<std::mutex> lock(admission_mutex_);
-        running_.erase(ticket);
+        admission_.finish(ticket);
     }
 
     bool worth_continuing(const arrival& what,
@@ -88,16 +103,12 @@
         {
             return true;
         }
-        double needed_ms = 0;
-        for (std::size_t i = next_stage; i < of->stages.size(); ++i)
-        {
-            const auto shard = current->pools.find(of->stages[i].pool);
-            if (shard != current->pools.end())
-            {
-                needed_ms += shard->second->service_ms(of->stages[i].kind, what.size);
-            }
-        }
-        return needed_ms <= static_cast<double>((what.deadline - now).count());
+        const request_need need = need_of(*of, what.size, current->pools);
+        const double expected =
+            expected_span_ms(need, outlooks(current->pools, now), next_stage);
+        const auto left = static_cast<double>((what.deadline - now).count());
+        return is_worth_continuing(
+            expected, bare_span_ms(need, next_stage), left, of->objective);
     }
 
     std::optional<target> choose(const stage_call& call, steady_time now) override
@@ -121,6 +132,10 @@
         {
             shard->observe(seen, gateways_, now);
         }
+        if (seen.result == call_result::succeeded)
+        {
+            admission_.stage_ended(seen.ticket, seen.pool);
+        }
     }
 
     void observe_load(const load_report& report, steady_time now) override
@@ -161,7 +176,7 @@
     {
         const auto shard = find_pool(call.pool);
         if (shard == nullptr || call.routing == routing_policy::round_robin ||
-            !shard->knows(call.kind))
+            !shard->knows(call.kind) || !budget_allows())
         {
             return std::nullopt;
         }
@@ -193,6 +208,63 @@
         pool_map pools;
     };
 
+    static request_need
+    need_of(const pipeline& of, const request_size& size, const pool_map& pools)
+    {
+        request_need need;
+        for (const stage& each : of.stages)
+        {
+            stage_need next;
+            next.pool = each.pool;
+            next.after = places_of(of, each.after);
+            const auto shard = pools.find(each.pool);
+            if (shard != pools.end())
+            {
+                next.service_ms =
+                    shard->second->service_ms(each.kind, size_at(each, size));
+            }
+            need.stages.push_back(std::move(next));
+        }
+        return need;
+    }
+
+    static std::vector<std::size_t> places_of(const pipeline& of,
+                                              const std::vector<std::string>& names)
+    {
+        std::vector<std::size_t> places;
+        for (std::size_t i = 0; i < of.stages.size(); ++i)
+        {
+            if (std::count(names.begin(), names.end(), of.stages[i].name) != 0)
+            {
+                places.push_back(i);
+            }
+        }
+        return places;
+    }
+
+    /// @brief the size of a request as one stage bounds it
+    static request_size size_at(const stage& of, const request_size& size)
+    {
+        request_size out = size;
+        const bool bounded = of.max_tokens.get() > 0;
+        if (bounded && (size.max_tokens.get() == 0 || of.max_tokens < size.max_tokens))
+        {
+            out.max_tokens = of.max_tokens;
+        }
+        return out;
+    }
+
+    pool_outlooks outlooks(const pool_map& pools, steady_time now) const
+    {
+        const int gateways = gateways_;
+        pool_outlooks all;
+        for (const auto& [name, shard] : pools)
+        {
+            all[name] = pool_outlook{shard->load(gateways, now), 0, gateways};
+        }
+        return all;
+    }
+
     static std::uint64_t seed_of(const policy_settings& settings)
     {
         return settings.seed ^ std::hash<host_id>{}(settings.self);
@@ -221,6 +293,12 @@
         return found == current->pools.end() ? nullptr : found->second;
     }
 
+    bool budget_allows() const
+    {
+        const std::lock_guard<std::mutex> lock(budget_mutex_);
+        return may_spend(budget_);
+    }
+
     bool spend_budget()
     {
         const std::lock_guard<std::mutex> lock(budget_mutex_);
@@ -241,10 +319,9 @@
     std::set<target_id> leaving_;
     random_source seeds_;
 
-    std::mutex admission_mutex_;
-    std::set<std::uint64_t> running_;
+    admission_shard admission_;
 
-    std::mutex budget_mutex_;
+    mutable std::mutex budget_mutex_;
     retry_budget budget_ = full_retry_budget();
 };
 
--- a/src/policy/pool_shard.cpp
+++ b/src/policy/pool_shard.cpp
@@ -84,7 +84,7 @@
 pool_shard::choose(const stage_call& call, int gateways, steady_time now)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const routing_snapshot seen = snapshot(call, gateways, now);
+    const routing_snapshot seen = snapshot(call, context(gateways, now));
     const std::optional<std::size_t> chosen =
         call.routing == routing_policy::round_robin
             ? choose_round_robin(seen, call, turn_++)
@@ -115,7 +115,7 @@
         clamped_slowness(static_cast<double>(seen.elapsed.count()), expected);
     if (seen.result == call_result::succeeded)
     {
-        learn_time(*record, seen, slowness, gateways, now);
+        learn_time(*record, seen, slowness, context(gateways, now));
     }
     end_call(*record, seen, now);
     update_health(*record, seen, slowness, now);
@@ -161,6 +161,7 @@
 pool_load pool_shard::load(int gateways, steady_time now) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
+    const pool_context of = context(gateways, now);
     pool_load total;
     int reporting = 0;
     for (const target_record& record : records_)
@@ -171,7 +172,7 @@
         }
         total.usable += 1;
         total.own += record.own;
-        total.in_system += in_system(record, gateways, now);
+        total.in_system += in_system(record, of);
         total.slots += slots_of(record);
         reporting += record.report ? 1 : 0;
     }
@@ -202,6 +203,7 @@
 nlohmann::json pool_shard::describe(int gateways, steady_time now) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
+    const pool_context of = context(gateways, now);
     nlohmann::json targets = nlohmann::json::array();
     for (const target_record& record : records_)
     {
@@ -210,7 +212,7 @@
                            {"drained", record.is.drained},
                            {"leaving", record.leaving},
                            {"in_flight", record.own},
-                           {"in_system", in_system(record, gateways, now)},
+                           {"in_system", in_system(record, of)},
                            {"slots", slots_of(record)},
                            {"slowness", record.health.slowness},
                            {"failure_share", record.health.failure_share}});
@@ -230,6 +232,11 @@
     return nullptr;
 }
 
+pool_shard::pool_context pool_shard::context(int gateways, steady_time now) const
+{
+    return {gateways, now, own_mean(), median_slowness()};
+}
+
 double pool_shard::own_mean() const
 {
     double own = 0;
@@ -245,15 +252,14 @@
     return record.reported_slots ? *record.reported_slots : slots_.slots();
 }
 
-double
-pool_shard::in_system(const target_record& record, int gateways, steady_time now) const
+double pool_shard::in_system(const target_record& record, const pool_context& of) const
 {
     load_knowledge known;
     known.own_now = record.own;
-    known.own_mean = own_mean();
-    known.gateways = gateways;
+    known.own_mean = of.own_mean;
+    known.gateways = of.gateways;
     known.report = record.report;
-    return record.own + others_in_system(known, now);
+    return record.own + others_in_system(known, of.now);
 }
 
 double pool_shard::median_slowness() const
@@ -279,39 +285,47 @@
 
 target_snapshot pool_shard::snapshot_of(const target_record& record,
                                         const stage_call& call,
-                                        int gateways,
-                                        steady_time now) const
+                                        double service_ms,
+                                        const pool_context& of) const
 {
-    const double service = service_ms_locked(call.kind, call.size);
     target_snapshot out;
     out.name = record.is.name;
     out.failure_domain = record.is.failure_domain;
     out.closed = !is_open(record);
     out.health = record.health.state;
-    out.probe_due = probe_is_due(record.health, now);
-    out.in_system = in_system(record, gateways, now);
+    out.probe_due = probe_is_due(record.health, of.now);
+    out.in_system = in_system(record, of);
     out.slots = slots_of(record);
-    out.service_ms = service * std::max(1.0, record.health.slowness / median_slowness());
+    const double slowness = record.health.slowness / of.median_slowness;
+    out.service_ms = service_ms * std::max(1.0, slowness);
+    out.overdue_ms = overdue_ms(record, service_ms, of);
     out.holds_prefix = call.prefix_hash != 0 && record.prefixes.holds(call.prefix_hash);
-    if (!record.started_at_ms.empty())
+    return out;
+}
+
+double pool_shard::overdue_ms(const target_record& record,
+                              double service_ms,
+                              const pool_context& of) const
+{
+    if (record.started_at_ms.empty())
     {
-        const std::int64_t age = now.since_origin() - *record.started_at_ms.begin();
-        const double allowed =
-            overdue_factor * std::max(service, mean_service_ms_) * median_slowness() +
-            overdue_floor_ms;
-        out.overdue_ms = std::max(0.0, static_cast<double>(age) - allowed);
+        return 0;
     }
-    return out;
+    const std::int64_t age = of.now.since_origin() - *record.started_at_ms.begin();
+    const double usual = std::max(service_ms, mean_service_ms_) * of.median_slowness;
+    const double allowed = overdue_factor * usual + overdue_floor_ms;
+    return std::max(0.0, static_cast<double>(age) - allowed);
 }
 
-routing_snapshot
-pool_shard::snapshot(const stage_call& call, int gateways, steady_time now) const
+routing_snapshot pool_shard::snapshot(const stage_call& call,
+                                      const pool_context& of) const
 {
     routing_snapshot out;
     out.here = here_;
+    const double service = service_ms_locked(call.kind, call.size);
     for (const target_record& record : records_)
     {
-        out.targets.push_back(snapshot_of(record, call, gateways, now));
+        out.targets.push_back(snapshot_of(record, call, service, of));
     }
     const auto model = models_.find(call.kind);
     if (call.prefix_hash != 0 && model != models_.end())
@@ -363,12 +377,11 @@
 void pool_shard::learn_time(const target_record& record,
                             const call_observation& seen,
                             double slowness,
-                            int gateways,
-                            steady_time now)
+                            const pool_context& of)
 {
-    const bool first = models_[seen.kind].known();
+    const bool known = models_[seen.kind].known();
     models_[seen.kind].learn(seen);
-    if (!first)
+    if (!known)
     {
         mean_service_ms_ = static_cast<double>(seen.elapsed.count());
         return;
@@ -377,10 +390,10 @@
     mean_service_ms_ += smoothing * (service - mean_service_ms_);
     slowness_p95_.learn(slowness);
     const bool typical = record.health.state == health_state::healthy &&
-                         record.health.slowness < 2 * median_slowness();
+                         record.health.slowness < 2 * of.median_slowness;
     if (typical)
     {
-        slots_.learn(in_system(record, gateways, now), slowness);
+        slots_.learn(in_system(record, of), slowness);
     }
 }
 
