--- a/include/medlar/detail/policy/admission_shard.hpp
+++ b/include/medlar/detail/policy/admission_shard.hpp
@@ -6,6 +6,8 @@
 #include <medlar/detail/config/document.hpp>
 #include <medlar/detail/policy/admission.hpp>
 #include <medlar/detail/policy/policy_engine.hpp>
+#include <medlar/detail/policy/service_model.hpp>
+#include <medlar/detail/policy/stage_call.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -42,9 +44,15 @@
     admission
     admit(const admission_request& request, const read_pools& read, steady_time now);
 
-    /// @brief Ends a stage call of an admitted request.
-    /// @param ticket 0: not known; the oldest request with a call there is taken
-    void stage_ended(std::uint64_t ticket, const pool_id& pool);
+    /// @brief Ends a stage call of an admitted request, and learns how long the stage
+    /// runs for a request of that size.
+    /// @note If the ticket is not known, the oldest request with a call there is taken.
+    void stage_succeeded(const call_observation& seen);
+
+    /// @brief milliseconds that a stage runs for a request of that size
+    /// @return unset if none was seen
+    std::optional<double>
+    service_ms(const pipeline_id& of, std::size_t stage, const request_size& size) const;
 
     /// @brief The request is over or was given up while it waited.
     void finish(std::uint64_t ticket);
@@ -55,11 +63,22 @@
   private:
     struct running_request
     {
-        organisation_id organisation;
+        arrival what;
         request_need need;
         std::vector<bool> ended;
     };
 
+    struct stage_key
+    {
+        pipeline_id of;
+        std::size_t stage;
+
+        friend bool operator<(const stage_key& a, const stage_key& b)
+        {
+            return a.of != b.of ? a.of < b.of : a.stage < b.stage;
+        }
+    };
+
     admission ask_waiting(const admission_request& request,
                           const read_pools& read,
                           steady_time now);
@@ -70,12 +89,14 @@
     waiting_request as_waiting(const admission_request& request, steady_time now) const;
     void count_pending(pool_outlooks& pools) const;
     work_in_progress count_work() const;
-    static bool end_stage(running_request& running, const pool_id& pool);
+    bool end_stage(running_request& running, const call_observation& seen);
 
     const int max_requests_;
     mutable std::mutex mutex_;
     std::map<std::uint64_t, admission_request> waiting_;
     std::map<std::uint64_t, running_request> running_;
+    /// times of stages by the size of the request as it arrived
+    std::map<stage_key, service_model> models_;
 
     // the newest plan
     std::map<std::uint64_t, waiting_plan> plan_;
--- a/include/medlar/detail/policy/pool_shard.hpp
+++ b/include/medlar/detail/policy/pool_shard.hpp
@@ -59,6 +59,9 @@
     /// @brief milliseconds that a call is expected to run, waiting left out
     double service_ms(stage_kind kind, const request_size& size) const;
 
+    /// @brief mean milliseconds of its calls, waiting left out; 0: none was seen
+    double mean_service_ms() const;
+
     /// @brief whether a call of that kind was seen
     bool knows(stage_kind kind) const;
 
--- a/include/medlar/detail/replay/caller.hpp
+++ b/include/medlar/detail/replay/caller.hpp
@@ -53,8 +53,6 @@
     replayed_request send(const trace_request& request, steady_time due);
 
   private:
-    struct exchange;
-
     std::optional<std::string> exchange_once(const trace_request& request,
                                              const std::string& body,
                                              steady_time give_up_at,
--- a/src/policy/admission_shard.cpp
+++ b/src/policy/admission_shard.cpp
@@ -107,8 +107,8 @@
     }
     for (const auto& [ticket, each] : running_)
     {
-        weights.emplace(each.organisation, 1);
-        held.of_organisation += each.organisation == request.what.organisation;
+        weights.emplace(each.what.organisation, 1);
+        held.of_organisation += each.what.organisation == request.what.organisation;
     }
     held.weight = request.weight;
     held.active_weight = 0;
@@ -128,7 +128,7 @@
     waiting_.erase(request.ticket);
     plan_.erase(request.ticket);
     running_request running;
-    running.organisation = request.what.organisation;
+    running.what = request.what;
     running.need = request.need;
     running.ended.resize(request.need.stages.size(), false);
     running_[request.ticket] = std::move(running);
@@ -201,47 +201,67 @@
         for (std::size_t i = 0; i < running.ended.size(); ++i)
         {
             const double service = running.need.stages[i].service_ms;
-            work[running.organisation] += running.ended[i] ? 0 : service;
+            work[running.what.organisation] += running.ended[i] ? 0 : service;
         }
     }
     return work;
 }
 
-bool admission_shard::end_stage(running_request& running, const pool_id& pool)
+bool admission_shard::end_stage(running_request& running, const call_observation& seen)
 {
     for (std::size_t i = 0; i < running.ended.size(); ++i)
     {
-        if (!running.ended[i] && running.need.stages[i].pool == pool)
+        if (running.ended[i] || running.need.stages[i].pool != seen.pool)
+        {
+            continue;
+        }
+        running.ended[i] = true;
+        if (seen.ticket != 0)
         {
-            running.ended[i] = true;
-            return true;
+            call_observation sized = seen;
+            sized.size.input = running.what.size.input;
+            models_[{running.what.pipeline, i}].learn(sized);
         }
+        return true;
     }
     return false;
 }
 
-void admission_shard::stage_ended(std::uint64_t ticket, const pool_id& pool)
+void admission_shard::stage_succeeded(const call_observation& seen)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     outdated_ = true;
-    if (ticket != 0)
+    if (seen.ticket != 0)
     {
-        const auto found = running_.find(ticket);
+        const auto found = running_.find(seen.ticket);
         if (found != running_.end())
         {
-            end_stage(found->second, pool);
+            end_stage(found->second, seen);
         }
         return;
     }
-    for (auto& [each, running] : running_)
+    for (auto& [ticket, running] : running_)
     {
-        if (end_stage(running, pool))
+        if (end_stage(running, seen))
         {
             return;
         }
     }
 }
 
+std::optional<double> admission_shard::service_ms(const pipeline_id& of,
+                                                  std::size_t stage,
+                                                  const request_size& size) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto model = models_.find({of, stage});
+    if (model == models_.end())
+    {
+        return std::nullopt;
+    }
+    return model->second.estimate_ms(size);
+}
+
 void admission_shard::finish(std::uint64_t ticket)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/policy/policy_engine.cpp
+++ b/src/policy/policy_engine.cpp
@@ -134,7 +134,7 @@
         }
         if (seen.result == call_result::succeeded)
         {
-            admission_.stage_ended(seen.ticket, seen.pool);
+            admission_.stage_succeeded(seen);
         }
     }
 
@@ -208,20 +208,25 @@
         pool_map pools;
     };
 
-    static request_need
-    need_of(const pipeline& of, const request_size& size, const pool_map& pools)
+    request_need
+    need_of(const pipeline& of, const request_size& size, const pool_map& pools) const
     {
         request_need need;
-        for (const stage& each : of.stages)
+        for (std::size_t i = 0; i < of.stages.size(); ++i)
         {
+            const stage& each = of.stages[i];
+            const auto seen = admission_.service_ms(of.name, i, size_at(each, size));
+            const auto shard = pools.find(each.pool);
             stage_need next;
             next.pool = each.pool;
             next.after = places_of(of, each.after);
-            const auto shard = pools.find(each.pool);
-            if (shard != pools.end())
+            if (seen)
+            {
+                next.service_ms = *seen;
+            }
+            else if (shard != pools.end())
             {
-                next.service_ms =
-                    shard->second->service_ms(each.kind, size_at(each, size));
+                next.service_ms = shard->second->mean_service_ms();
             }
             need.stages.push_back(std::move(next));
         }
--- a/src/policy/pool_shard.cpp
+++ b/src/policy/pool_shard.cpp
@@ -187,6 +187,12 @@
     return service_ms_locked(kind, size);
 }
 
+double pool_shard::mean_service_ms() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return mean_service_ms_;
+}
+
 bool pool_shard::knows(stage_kind kind) const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- /dev/null
+++ b/src/replay/executions.cpp
@@ -0,0 +1,81 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/replay/executions.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace medlar
+{
+
+namespace
+{
+
+absl::StatusOr<std::string> get_executions(const endpoint& from)
+{
+    try
+    {
+        Poco::Net::HTTPClientSession session(from.address, from.port);
+        Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET,
+                                       "/test/executions",
+                                       Poco::Net::HTTPMessage::HTTP_1_1);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::string text;
+        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+        return text;
+    }
+    catch (const Poco::Exception& error)
+    {
+        return make_error(absl::StatusCode::kUnavailable,
+                          error_number::link_unreachable,
+                          absl::StrCat(to_string(from), ": ", error.displayText()));
+    }
+}
+
+bool add_counts(const std::string& text, execution_counts& total)
+{
+    const nlohmann::json answer = nlohmann::json::parse(text, nullptr, false);
+    if (!answer.is_object() || !answer.contains("executions") ||
+        !answer["executions"].is_object())
+    {
+        return false;
+    }
+    for (const auto& [call_id, times] : answer["executions"].items())
+    {
+        if (!times.is_number_integer())
+        {
+            return false;
+        }
+        total[call_id] += times.get<std::int64_t>();
+    }
+    return true;
+}
+
+} // namespace
+
+absl::StatusOr<execution_counts> fetch_executions(const std::vector<endpoint>& targets)
+{
+    execution_counts total;
+    for (const endpoint& each : targets)
+    {
+        const absl::StatusOr<std::string> text = get_executions(each);
+        if (!text.ok())
+        {
+            return text.status();
+        }
+        if (!add_counts(*text, total))
+        {
+            return make_error(absl::StatusCode::kInternal,
+                              error_number::link_malformed,
+                              absl::StrCat(to_string(each), " gave no executions"));
+        }
+    }
+    return total;
+}
+
+} // namespace medlar
