Carry the admission ticket to stage calls and report tokens in traces

Admission learns the time of each stage by the size of the request, for which it has to know the request of a call. Hedges take from the retry budget. Traces of generate calls tell the time to the first token, tokens and cached tokens, so that a replay can tell the prefix hit rate.

--- a/include/medlar/detail/gateway/request_context.hpp
+++ b/include/medlar/detail/gateway/request_context.hpp
@@ -36,6 +36,8 @@
     std::shared_ptr<const accepted_document> configuration;
     const pipeline* of = nullptr;
     steady_time deadline;
+    /// its number at admission
+    std::uint64_t ticket = 0;
     std::shared_ptr<cancel_token> token = cancel_token::create();
 };
 
--- a/include/medlar/detail/gateway/stage_runner.hpp
+++ b/include/medlar/detail/gateway/stage_runner.hpp
@@ -33,6 +33,8 @@
     std::shared_ptr<cancel_token> token;
     token_sink on_token;
     run_log& log;
+    /// its number at admission
+    std::uint64_t ticket = 0;
 };
 
 /// @brief how a stage ended
--- a/include/medlar/detail/request/answer_text.hpp
+++ b/include/medlar/detail/request/answer_text.hpp
@@ -25,6 +25,10 @@
     std::string result;
     millis started_after{0};
     millis elapsed{0};
+    // generate calls
+    std::optional<millis> first_token;
+    token_count tokens{0};
+    token_count cached_tokens{0};
 };
 
 /// @brief JSON text of a trace: where the request ran and its calls
--- a/src/gateway/filters/admit_filter.cpp
+++ b/src/gateway/filters/admit_filter.cpp
@@ -35,6 +35,7 @@
 run_end admit_filter::apply(request_context& context, const next_filter& next)
 {
     const std::uint64_t ticket = ++last_ticket_;
+    context.ticket = ticket;
     const std::optional<run_end> refused = wait_for_admission(context, ticket);
     run_end end = refused ? *refused : next(context);
     policy_.finish(ticket, time_.steady_now());
--- a/src/gateway/filters/dispatch_filter.cpp
+++ b/src/gateway/filters/dispatch_filter.cpp
@@ -32,7 +32,8 @@
                           context.deadline,
                           context.token,
                           context.on_token,
-                          log};
+                          log,
+                          context.ticket};
     return runner_.run(run);
 }
 
--- a/src/gateway/stage_runner.cpp
+++ b/src/gateway/stage_runner.cpp
@@ -152,6 +152,7 @@
     const bool generates = of.kind == stage_kind::generate;
     now.call.prefix_hash = generates ? prefix_hash_of(context.request) : 0;
     now.call.deadline = context.deadline;
+    now.call.ticket = context.ticket;
     return now;
 }
 
@@ -216,7 +217,10 @@
             first_done->cancel(cancel_cause::not_needed);
         });
     stage_reply second;
-    if (!first_done->wait_for(after))
+    const bool slow = !first_done->wait_for(after);
+    if (slow &&
+        with_.policy.may_retry(
+            now.context.of, now.tries, with_.time.steady_now(), now.context.deadline))
     {
         stage_call other = now.call;
         other.tried.insert(at.name);
@@ -310,6 +314,7 @@
     seen.first_token = reply.first_token;
     seen.tokens_written = token_count(reply.next_token - now.next_token);
     seen.prefix_hash = now.call.prefix_hash;
+    seen.ticket = now.call.ticket;
     with_.policy.observe(seen, with_.time.steady_now());
     trace_entry entry;
     entry.stage = now.of.name;
@@ -318,6 +323,9 @@
     entry.result = std::string(name_of(reply.result));
     entry.started_after = reply.started - now.context.started;
     entry.elapsed = reply.elapsed;
+    entry.first_token = reply.first_token;
+    entry.tokens = seen.tokens_written;
+    entry.cached_tokens = token_count(reply.cached_tokens);
     now.context.log.add(entry, reply, now.repeatable);
     const std::vector<label> labels = {
         {"pipeline", now.context.of.name.get()},
--- a/src/request/answer_text.cpp
+++ b/src/request/answer_text.cpp
@@ -57,6 +57,16 @@
     std::string list;
     for (const trace_entry& each : calls)
     {
+        std::string generated;
+        if (each.first_token)
+        {
+            generated = absl::StrCat(",\"first_token_ms\":",
+                                     each.first_token->count(),
+                                     ",\"tokens\":",
+                                     each.tokens.get(),
+                                     ",\"cached_tokens\":",
+                                     each.cached_tokens.get());
+        }
         absl::StrAppend(&list,
                         list.empty() ? "" : ",",
                         "{\"stage\":",
@@ -71,6 +81,7 @@
                         each.started_after.count(),
                         ",\"elapsed_ms\":",
                         each.elapsed.count(),
+                        generated,
                         "}");
     }
     return absl::StrCat(
