--- a/include/medlar/detail/operators/order_service.hpp
+++ b/include/medlar/detail/operators/order_service.hpp
@@ -68,8 +68,8 @@
     absl::StatusOr<stored_orders> read_orders(const pool_id& pool);
     absl::StatusOr<std::optional<order_result>> find_same(const stored_orders& stored,
                                                           const order_request& request);
-    absl::StatusOr<std::optional<order_result>>
-    try_once(const order_request& request, std::optional<revision>& pending);
+    absl::StatusOr<std::optional<order_result>> try_once(const order_request& request,
+                                                         attempt& so_far);
     absl::Status record(const order_request& request, const pool_orders& orders);
 
     store_client& store_;
