--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Measures the system with real processes and stand-ins on this machine.
+# Usage: scripts/bench.sh policy [OPTION...]    the policies against the baselines
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+case "${1:-}" in
+    policy)
+        shift
+        exec python3 test/bench/policy_bench.py "$@"
+        ;;
+    *)
+        sed -n '2,3p' "$0" >&2
+        exit 2
+        ;;
+esac
--- a/test/decisions/request/client_request_test.cpp
+++ b/test/decisions/request/client_request_test.cpp
@@ -165,8 +165,13 @@
 
     void comes_back_from_its_home_unchanged()
     {
-        const trace_entry call{
-            "encode", target_id("t"), 1, "succeeded", millis(0), millis(3)};
+        trace_entry call;
+        call.stage = "draft";
+        call.at = target_id("t");
+        call.result = "succeeded";
+        call.elapsed = millis(3);
+        call.first_token = millis(1);
+        call.tokens = token_count(7);
         const final_answer answered{{outcome_kind::answered, reason::none, "", {}},
                                     "{\"a\":1}",
                                     write_trace(host_id("h"), {call})};
