Keep prefixes by expected load, drop by share, and order targets' queues by deadline

With no reports, eight gateways each see an eighth of the calls, so a decision by own calls in flight sent hot prefixes to engines that had a queue, and sent others away from a cached prefix too early. Prefixes are now assigned by their share of the calls. A report counts for about two calls' time, and what reports show to be free is shared between gateways. Requests are dropped only when the pool's queue cannot be served in time, from the organisation that holds most by weight. Stage calls carry their deadline as priority.

--- a/include/medlar/detail/policy/admission.hpp
+++ b/include/medlar/detail/policy/admission.hpp
@@ -44,8 +44,8 @@
 /// @brief Milliseconds that a call waits in a pool before it runs.
 double pool_wait_ms(const pool_outlook& pool);
 
-/// @brief Slots of a pool that this host may use: an equal part, and beside it what
-/// the pool's reports show to be free.
+/// @brief Slots of a pool that this host may use: an equal part, or more by a part of
+/// what the pool's reports show to be free.
 double usable_slots(const pool_outlook& pool);
 
 /// @brief Milliseconds that a request needs from its stage @p first on, waiting in
@@ -116,10 +116,11 @@
 
 /// @brief Decides on all waiting requests.
 ///
-/// Requests of one organisation start in the order of their slack. Where not all can
-/// start in time, those that need most are dropped until the others can (the rule of
-/// Moore and Hodgson for the fewest late jobs). Organisations take turns by the work
-/// that they have in progress relative to their weight.
+/// Where not all can start in time, some are dropped until the others can: of the
+/// organisation that holds most work relative to its weight, the request that needs
+/// most (after the rule of Moore and Hodgson for the fewest late jobs). Organisations
+/// take turns to start by the work that they have in progress relative to their weight,
+/// each in the order of slack.
 std::vector<waiting_plan> plan_waiting(const std::vector<waiting_request>& waiting,
                                        const work_in_progress& in_progress,
                                        const pool_outlooks& pools);
--- a/include/medlar/detail/policy/load_estimate.hpp
+++ b/include/medlar/detail/policy/load_estimate.hpp
@@ -28,6 +28,8 @@
     double own_mean = 0;
     /// gateways that share the pool, this one included
     int gateways = 1;
+    /// mean time of the pool's calls, which says how long a report stays true
+    double mean_service_ms = 0;
     /// unset: the target does not report
     std::optional<reported_load> report;
 };
--- a/include/medlar/detail/policy/pool_shard.hpp
+++ b/include/medlar/detail/policy/pool_shard.hpp
@@ -109,10 +109,14 @@
                                 double service_ms,
                                 const pool_context& of) const;
     routing_snapshot snapshot(const stage_call& call, const pool_context& of) const;
+    void plan_prefix(std::uint64_t prefix_hash);
+    bool keeps_prefix(std::size_t place, std::uint64_t prefix_hash) const;
+    std::vector<target_id> names() const;
     double overdue_ms(const target_record& record,
                       double service_ms,
                       const pool_context& of) const;
     double service_ms_locked(stage_kind kind, const request_size& size) const;
+    double expected_ms(const call_observation& seen) const;
     void start_call(target_record& record, steady_time now);
     void end_call(target_record& record, const call_observation& seen, steady_time now);
     void learn_time(const target_record& record,
@@ -133,6 +137,8 @@
     slot_estimate slots_;
     time_quantile slowness_p95_;
     double mean_service_ms_ = 0;
+    prefix_counter prefix_counts_;
+    prefix_places prefix_places_;
     random_source random_;
     std::uint64_t turn_;
 };
--- a/include/medlar/detail/policy/prefix_affinity.hpp
+++ b/include/medlar/detail/policy/prefix_affinity.hpp
@@ -20,6 +20,53 @@
 std::vector<std::size_t> rendezvous_order(std::uint64_t prefix_hash,
                                           const std::vector<target_id>& targets);
 
+/// @brief the first of rendezvous_order()
+/// @param targets at least one
+std::size_t rendezvous_first(std::uint64_t prefix_hash,
+                             const std::vector<target_id>& targets);
+
+/// @brief how often one prefix is asked for
+struct prefix_share
+{
+    std::uint64_t prefix_hash = 0;
+    /// share of the pool's calls, 0 to 1
+    double share = 0;
+};
+
+/// @brief targets that keep a prefix, as indexes, the preferred one first
+using prefix_places = std::unordered_map<std::uint64_t, std::vector<std::size_t>>;
+
+/// @brief Assigns prefixes to targets so that no target is expected to get much more
+/// than its part of the calls: rendezvous hashing with bounded loads, where the load is
+/// the expected one. Hosts that see the same shares assign alike.
+/// Only the prefixes with the greatest shares are assigned.
+prefix_places assign_prefixes(std::vector<prefix_share> shares,
+                              const std::vector<target_id>& targets);
+
+/// @brief Counts how often each prefix is asked for, older calls weighing less.
+class prefix_counter
+{
+  public:
+    /// @brief Counts one call.
+    void count(std::uint64_t prefix_hash);
+
+    /// @brief calls counted since the start
+    std::uint64_t calls() const
+    {
+        return calls_;
+    }
+
+    /// @brief the share of each prefix
+    std::vector<prefix_share> shares() const;
+
+  private:
+    void age();
+
+    std::uint64_t calls_ = 0;
+    double weight_ = 0;
+    std::unordered_map<std::uint64_t, double> counts_;
+};
+
 /// @brief The prefixes that a target is believed to hold, the least recently seen
 /// forgotten first. Beliefs come from own calls and from cache events, which are late
 /// and have gaps.
--- a/include/medlar/detail/policy/routing.hpp
+++ b/include/medlar/detail/policy/routing.hpp
@@ -35,6 +35,8 @@
     double overdue_ms = 0;
     /// it is believed to hold the prefix of this call
     bool holds_prefix = false;
+    /// it is one of the targets that keep the prefix of this call
+    bool keeps_prefix = false;
 };
 
 /// @brief a pool as a routing decision sees it
--- a/include/medlar/detail/policy/service_model.hpp
+++ b/include/medlar/detail/policy/service_model.hpp
@@ -46,8 +46,12 @@
     /// @brief milliseconds that a call of that size is expected to run
     double estimate_ms(const request_size& size) const;
 
-    /// @brief milliseconds until the first token, queueing left out
-    double first_token_ms(const request_size& size) const;
+    /// @brief milliseconds that this call is expected to run, given what it found
+    /// cached
+    double estimate_ms(const call_observation& seen) const;
+
+    /// @brief milliseconds that a cached prefix saves
+    double prefix_saving_ms(const request_size& size) const;
 
     /// @brief tokens that a call of that size is expected to write
     double expected_tokens(const request_size& size) const;
@@ -55,12 +59,18 @@
     /// @brief whether a call was seen
     bool known() const
     {
-        return start_.known();
+        return start_.known() || cached_start_.known();
     }
 
   private:
+    double start_ms(const request_size& size) const;
+
     /// time before the first token, or of the whole call, by input kilobytes
     size_line start_;
+    /// the same where the prefix of the prompt was cached
+    size_line cached_start_;
+    /// share of generate calls that found their prefix cached
+    double cached_share_ = 0;
     // generate calls
     double ms_per_token_ = 0;
     double mean_tokens_ = 0;
--- a/include/medlar/detail/policy/stage_call.hpp
+++ b/include/medlar/detail/policy/stage_call.hpp
@@ -63,6 +63,8 @@
     /// time to the first token of a generate stage
     std::optional<millis> first_token;
     token_count tokens_written{0};
+    /// tokens of the prompt that the target had cached
+    token_count cached_tokens{0};
     std::uint64_t prefix_hash = 0;
     /// ticket of its request at admission; 0: not known
     std::uint64_t ticket = 0;
--- a/src/gateway/stage_runner.cpp
+++ b/src/gateway/stage_runner.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/gateway/stage_runner.hpp>
+#include <medlar/detail/policy/call_priority.hpp>
 #include <medlar/detail/request/json_text.hpp>
 #include <medlar/detail/request/stage_plan.hpp>
 
@@ -282,8 +283,9 @@
     what.message.input = now.input;
     what.message.prompt_prefix = context.request.prompt_prefix;
     what.message.max_tokens = now.call.size.max_tokens;
-    what.message.priority = context.of.objective == objective_kind::attainment ? 1 : 0;
     what.message.deadline_left = context.deadline - with_.time.steady_now();
+    what.message.priority =
+        call_priority(with_.time.wall_now() + what.message.deadline_left);
     what.message.resume_from = now.next_token;
     what.repeatable = now.repeatable;
     what.until = context.deadline;
@@ -313,6 +315,7 @@
     seen.elapsed = reply.elapsed;
     seen.first_token = reply.first_token;
     seen.tokens_written = token_count(reply.next_token - now.next_token);
+    seen.cached_tokens = token_count(reply.cached_tokens);
     seen.prefix_hash = now.call.prefix_hash;
     seen.ticket = now.call.ticket;
     with_.policy.observe(seen, with_.time.steady_now());
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -9,9 +9,10 @@
 namespace
 {
 
-/// calls beyond its slots that a pool may hold, so that no slot waits for a start
-constexpr double relative_reserve = 0.1;
+/// calls beyond its slots that a host may have pending, so that no slot waits for one
 constexpr double reserve_calls = 1;
+/// share of the expected waiting that counts against continuing
+constexpr double waiting_that_counts = 0.5;
 
 constexpr double attainment_margin = 1.05;
 constexpr double cost_margin = 1.2;
@@ -46,7 +47,7 @@
 double pending_bound(const pool_outlook& pool, double before_ms)
 {
     const double underway = 1 + before_ms / pool.load.mean_service_ms;
-    return usable_slots(pool) * underway * (1 + relative_reserve) + reserve_calls;
+    return usable_slots(pool) * underway + reserve_calls;
 }
 
 template <typename WaitOf>
@@ -86,8 +87,8 @@
     {
         return part;
     }
-    const double others = std::max(0.0, pool.load.in_system - pool.load.own);
-    return std::max(part, pool.load.slots - others);
+    const double spare = std::max(0.0, pool.load.slots - pool.load.in_system);
+    return std::max(part, pool.load.own + spare / std::max(1, pool.gateways));
 }
 
 double
@@ -184,8 +185,10 @@
                          double left_ms,
                          objective_kind objective)
 {
-    return objective == objective_kind::cost ? expected_ms <= left_ms
-                                             : bare_ms <= left_ms;
+    const double waiting = expected_ms - bare_ms;
+    const double counted =
+        objective == objective_kind::cost ? waiting : waiting_that_counts * waiting;
+    return bare_ms + counted <= left_ms;
 }
 
 double drain_ms(const std::vector<waiting_request>& waiting, const pool_outlooks& pools)
--- a/src/policy/load_estimate.cpp
+++ b/src/policy/load_estimate.cpp
@@ -9,17 +9,20 @@
 namespace
 {
 
-constexpr double report_lifetime_ms = 2000;
+constexpr double least_report_lifetime_ms = 100;
+constexpr double report_lifetime_in_calls = 2;
 constexpr double likeness_of_gateways = 0.5;
 constexpr double slowness_without_wait = 1.3;
 constexpr double rise = 0.2;
 constexpr double fall = 0.05;
 
-double weight_of_report(const reported_load& report, steady_time now)
+/// @brief how much a report still tells: calls that ran then have since ended
+double weight_of_report(const load_knowledge& known, steady_time now)
 {
-    const double age_ms =
-        std::max(0.0, static_cast<double>((now - report.made_at).count()));
-    return std::exp(-age_ms / report_lifetime_ms);
+    const auto age = static_cast<double>((now - known.report->made_at).count());
+    const double lifetime = std::max(least_report_lifetime_ms,
+                                     report_lifetime_in_calls * known.mean_service_ms);
+    return std::exp(-std::max(0.0, age) / lifetime);
 }
 
 } // namespace
@@ -32,7 +35,7 @@
     {
         return by_likeness;
     }
-    const double weight = weight_of_report(*known.report, now);
+    const double weight = weight_of_report(known, now);
     const double then = std::max(0.0, known.report->in_system - known.report->own_then);
     const double moved = known.own_now - known.report->own_then;
     const double since = likeness_of_gateways * other_gateways * moved;
--- a/src/policy/pool_shard.cpp
+++ b/src/policy/pool_shard.cpp
@@ -18,6 +18,8 @@
 constexpr double smoothing = 0.05;
 constexpr double start_slowness_p95 = 2;
 constexpr double most_slowness = 100;
+constexpr std::uint64_t calls_between_prefix_plans = 64;
+constexpr std::uint64_t calls_between_first_prefix_plans = 8;
 
 double clamped_slowness(double elapsed_ms, double expected_ms)
 {
@@ -69,6 +71,7 @@
         next.push_back(std::move(record));
     }
     records_ = std::move(next);
+    prefix_places_.clear();
 }
 
 void pool_shard::set_leaving(const std::set<target_id>& leaving)
@@ -84,6 +87,10 @@
 pool_shard::choose(const stage_call& call, int gateways, steady_time now)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (call.prefix_hash != 0 && call.tried.empty())
+    {
+        plan_prefix(call.prefix_hash);
+    }
     const routing_snapshot seen = snapshot(call, context(gateways, now));
     const std::optional<std::size_t> chosen =
         call.routing == routing_policy::round_robin
@@ -110,7 +117,7 @@
     {
         return;
     }
-    const double expected = service_ms_locked(seen.kind, seen.size);
+    const double expected = expected_ms(seen);
     const double slowness =
         clamped_slowness(static_cast<double>(seen.elapsed.count()), expected);
     if (seen.result == call_result::succeeded)
@@ -264,6 +271,7 @@
     known.own_now = record.own;
     known.own_mean = of.own_mean;
     known.gateways = of.gateways;
+    known.mean_service_ms = mean_service_ms_;
     known.report = record.report;
     return record.own + others_in_system(known, of.now);
 }
@@ -309,6 +317,40 @@
     return out;
 }
 
+void pool_shard::plan_prefix(std::uint64_t prefix_hash)
+{
+    prefix_counts_.count(prefix_hash);
+    const std::uint64_t calls = prefix_counts_.calls();
+    const std::uint64_t period = calls < calls_between_prefix_plans
+                                     ? calls_between_first_prefix_plans
+                                     : calls_between_prefix_plans;
+    if (calls % period == 0)
+    {
+        prefix_places_ = assign_prefixes(prefix_counts_.shares(), names());
+    }
+    if (prefix_places_.count(prefix_hash) == 0)
+    {
+        prefix_places_[prefix_hash] = {rendezvous_first(prefix_hash, names())};
+    }
+}
+
+bool pool_shard::keeps_prefix(std::size_t place, std::uint64_t prefix_hash) const
+{
+    const auto places = prefix_places_.find(prefix_hash);
+    return prefix_hash != 0 && places != prefix_places_.end() &&
+           std::count(places->second.begin(), places->second.end(), place) != 0;
+}
+
+std::vector<target_id> pool_shard::names() const
+{
+    std::vector<target_id> all;
+    for (const target_record& record : records_)
+    {
+        all.push_back(record.is.name);
+    }
+    return all;
+}
+
 double pool_shard::overdue_ms(const target_record& record,
                               double service_ms,
                               const pool_context& of) const
@@ -329,14 +371,15 @@
     routing_snapshot out;
     out.here = here_;
     const double service = service_ms_locked(call.kind, call.size);
-    for (const target_record& record : records_)
+    for (std::size_t i = 0; i < records_.size(); ++i)
     {
-        out.targets.push_back(snapshot_of(record, call, service, of));
+        out.targets.push_back(snapshot_of(records_[i], call, service, of));
+        out.targets.back().keeps_prefix = keeps_prefix(i, call.prefix_hash);
     }
     const auto model = models_.find(call.kind);
     if (call.prefix_hash != 0 && model != models_.end())
     {
-        out.prefix_saving_ms = model->second.first_token_ms(call.size);
+        out.prefix_saving_ms = model->second.prefix_saving_ms(call.size);
     }
     return out;
 }
@@ -347,6 +390,12 @@
     return model == models_.end() ? 0 : model->second.estimate_ms(size);
 }
 
+double pool_shard::expected_ms(const call_observation& seen) const
+{
+    const auto model = models_.find(seen.kind);
+    return model == models_.end() ? 0 : model->second.estimate_ms(seen);
+}
+
 void pool_shard::start_call(target_record& record, steady_time now)
 {
     const double weight = remaining_weight(record.own_recent_at, now);
--- a/src/policy/prefix_affinity.cpp
+++ b/src/policy/prefix_affinity.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 
 namespace medlar
@@ -12,6 +13,53 @@
 {
 
 constexpr std::size_t most_prefixes_per_target = 512;
+constexpr std::uint64_t calls_between_agings = 256;
+constexpr double aging_factor = 0.5;
+constexpr double least_count = 0.2;
+/// how much more than its equal part of the calls a target is given
+constexpr double load_bound = 1.15;
+constexpr std::size_t most_prefixes_assigned = 64;
+
+bool has_greater_share(const prefix_share& a, const prefix_share& b)
+{
+    return a.share != b.share ? a.share > b.share : a.prefix_hash < b.prefix_hash;
+}
+
+/// @brief Assigns one prefix and adds its share to the load of its targets.
+/// @param most greatest load of a target
+std::vector<std::size_t> assign_prefix(const prefix_share& prefix,
+                                       const std::vector<target_id>& targets,
+                                       double most,
+                                       std::vector<double>& load)
+{
+    std::vector<std::size_t> chosen;
+    double left = prefix.share;
+    const std::vector<std::size_t> order = rendezvous_order(prefix.prefix_hash, targets);
+    for (const std::size_t i : order)
+    {
+        const double room = most - load[i];
+        // a prefix is split only if it is too much for one target
+        const bool splits = prefix.share > most && room > 0;
+        if (room < left && !splits)
+        {
+            continue;
+        }
+        const double given = std::min(room, left);
+        load[i] += given;
+        left -= given;
+        chosen.push_back(i);
+        if (left <= 0)
+        {
+            return chosen;
+        }
+    }
+    if (chosen.empty())
+    {
+        chosen.push_back(order.front());
+        load[order.front()] += left;
+    }
+    return chosen;
+}
 
 } // namespace
 
@@ -40,6 +88,74 @@
     return order;
 }
 
+prefix_places assign_prefixes(std::vector<prefix_share> shares,
+                              const std::vector<target_id>& targets)
+{
+    prefix_places places;
+    if (targets.empty())
+    {
+        return places;
+    }
+    std::sort(shares.begin(), shares.end(), has_greater_share);
+    shares.resize(std::min(shares.size(), most_prefixes_assigned));
+    const double most = load_bound / static_cast<double>(targets.size());
+    std::vector<double> load(targets.size(), 0);
+    for (const prefix_share& each : shares)
+    {
+        places[each.prefix_hash] = assign_prefix(each, targets, most, load);
+    }
+    return places;
+}
+
+void prefix_counter::count(std::uint64_t prefix_hash)
+{
+    ++calls_;
+    counts_[prefix_hash] += 1;
+    weight_ += 1;
+    if (calls_ % calls_between_agings == 0)
+    {
+        age();
+    }
+}
+
+void prefix_counter::age()
+{
+    weight_ = 0;
+    for (auto each = counts_.begin(); each != counts_.end();)
+    {
+        each->second *= aging_factor;
+        weight_ += each->second;
+        each = each->second < least_count ? counts_.erase(each) : std::next(each);
+    }
+}
+
+std::vector<prefix_share> prefix_counter::shares() const
+{
+    std::vector<prefix_share> all;
+    for (const auto& [prefix_hash, count] : counts_)
+    {
+        all.push_back({prefix_hash, count / std::max(1.0, weight_)});
+    }
+    return all;
+}
+
+std::size_t rendezvous_first(std::uint64_t prefix_hash,
+                             const std::vector<target_id>& targets)
+{
+    std::size_t best = 0;
+    std::uint64_t best_score = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i)
+    {
+        const std::uint64_t score = rendezvous_score(prefix_hash, targets[i]);
+        if (score >= best_score)
+        {
+            best = i;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
 void prefix_belief::stored(std::uint64_t prefix_hash)
 {
     dropped(prefix_hash);
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -1,5 +1,4 @@
 #include <medlar/detail/policy/load_estimate.hpp>
-#include <medlar/detail/policy/prefix_affinity.hpp>
 #include <medlar/detail/policy/routing.hpp>
 
 #include <algorithm>
@@ -18,12 +17,12 @@
 /// share of its time that a call loses on a target whose slots are all taken
 constexpr double crowding_weight = 0.25;
 constexpr std::size_t random_choices = 3;
-/// targets that a prefix may be kept on beside those known to hold it
-constexpr std::size_t affinity_targets = 2;
 /// a probe is sent only with a call that leaves this many times its expected time
 constexpr double probe_slack_factor = 3;
 constexpr double share_of_slack_for_domain = 0.5;
-constexpr double share_of_slack_for_affinity = 0.5;
+/// longer waits that a cached prefix is worth, in times that it saves
+constexpr double attainment_patience = 1;
+constexpr double cost_patience = 2;
 
 using indexes = std::vector<std::size_t>;
 
@@ -93,67 +92,71 @@
     return at.in_system + 1 <= at.slots && at.overdue_ms <= 0;
 }
 
-/// @brief whether waiting for the prefix costs less than computing it again
-bool worth_waiting(const target_snapshot& at,
-                   const routing_snapshot& pool,
-                   const stage_call& call,
-                   steady_time now)
+double wait_at(const target_snapshot& at)
 {
-    if (at.overdue_ms > 0)
-    {
-        return false;
-    }
-    const double wait = expected_wait_ms(at.in_system, at.slots, at.service_ms);
-    if (call.objective == objective_kind::attainment)
-    {
-        return wait <= pool.prefix_saving_ms;
-    }
-    const double done = wait + at.service_ms;
-    return done <= share_of_slack_for_affinity * time_left_ms(call, now) &&
-           wait <= 2 * pool.prefix_saving_ms;
+    return expected_wait_ms(at.in_system, at.slots, at.service_ms) + at.overdue_ms;
 }
 
-/// @brief usable targets in the order in which the prefix prefers them
-indexes affinity_order(const routing_snapshot& pool,
-                       const indexes& usable,
-                       std::uint64_t prefix_hash)
+double least_wait(const routing_snapshot& pool, const indexes& among)
 {
-    std::vector<target_id> names;
-    names.reserve(usable.size());
-    for (const std::size_t i : usable)
+    double least = wait_at(pool.targets[among.front()]);
+    for (const std::size_t i : among)
     {
-        names.push_back(pool.targets[i].name);
+        least = std::min(least, wait_at(pool.targets[i]));
     }
-    indexes order;
-    for (const std::size_t place : rendezvous_order(prefix_hash, names))
+    return least;
+}
+
+/// @brief most time that a call may wait longer for a target that has its prefix
+double worthwhile_wait_ms(const routing_snapshot& pool, objective_kind objective)
+{
+    const bool cost_first = objective == objective_kind::cost;
+    return pool.prefix_saving_ms * (cost_first ? cost_patience : attainment_patience);
+}
+
+std::optional<std::size_t>
+best_of(const routing_snapshot& pool, const indexes& candidates, random_source& random)
+{
+    std::optional<std::size_t> best;
+    double best_score = 0;
+    for (const std::size_t i : candidates)
     {
-        order.push_back(usable[place]);
+        const double noise = 1 + relative_noise * random.fraction();
+        const double score = expected_completion_ms(pool.targets[i], pool) * noise;
+        if (!best || score < best_score)
+        {
+            best = i;
+            best_score = score;
+        }
     }
-    return order;
+    return best;
 }
 
+/// @brief of the targets that keep the prefix, the one with the least wait
 std::optional<std::size_t> affinity_target(const routing_snapshot& pool,
                                            const indexes& usable,
                                            const stage_call& call,
-                                           steady_time now)
+                                           steady_time now,
+                                           random_source& random)
 {
-    const indexes order = affinity_order(pool, usable, call.prefix_hash);
-    for (const std::size_t i : order)
+    indexes keeping;
+    for (const std::size_t i : usable)
     {
-        if (pool.targets[i].holds_prefix && has_room(pool.targets[i]))
+        if (pool.targets[i].keeps_prefix)
         {
-            return i;
+            keeping.push_back(i);
         }
     }
-    for (std::size_t rank = 0; rank < std::min(order.size(), affinity_targets); ++rank)
+    const std::optional<std::size_t> best = best_of(pool, keeping, random);
+    if (!best)
     {
-        const target_snapshot& at = pool.targets[order[rank]];
-        if (has_room(at) || worth_waiting(at, pool, call, now))
-        {
-            return order[rank];
-        }
+        return std::nullopt;
     }
-    return std::nullopt;
+    const target_snapshot& at = pool.targets[*best];
+    const double longer = wait_at(at) - least_wait(pool, usable);
+    const bool in_time = wait_at(at) + at.service_ms <= time_left_ms(call, now);
+    const bool worthwhile = longer <= worthwhile_wait_ms(pool, call.objective);
+    return worthwhile && in_time ? best : std::nullopt;
 }
 
 /// @brief moves @p count random members to the front and drops the rest
@@ -166,24 +169,6 @@
     from.resize(std::min(count, from.size()));
 }
 
-std::optional<std::size_t>
-best_of(const routing_snapshot& pool, const indexes& candidates, random_source& random)
-{
-    std::optional<std::size_t> best;
-    double best_score = 0;
-    for (const std::size_t i : candidates)
-    {
-        const double noise = 1 + relative_noise * random.fraction();
-        const double score = expected_completion_ms(pool.targets[i], pool) * noise;
-        if (!best || score < best_score)
-        {
-            best = i;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
 indexes in_domain(const routing_snapshot& pool, const indexes& from, bool inside)
 {
     indexes found;
@@ -259,7 +244,7 @@
     const indexes usable = usable_targets(pool, open);
     if (call.prefix_hash != 0)
     {
-        if (const auto preferred = affinity_target(pool, usable, call, now))
+        if (const auto preferred = affinity_target(pool, usable, call, now, random))
         {
             return preferred;
         }
--- a/src/policy/service_model.cpp
+++ b/src/policy/service_model.cpp
@@ -74,7 +74,9 @@
     }
     const auto first = static_cast<double>(seen.first_token->count());
     const auto tokens = static_cast<double>(seen.tokens_written.get());
-    start_.learn(kilobytes(seen.size), first);
+    const bool cached = seen.cached_tokens.get() > 0;
+    (cached ? cached_start_ : start_).learn(kilobytes(seen.size), first);
+    cached_share_ = smoothed(cached_share_, cached ? 1 : 0);
     const double ms_per_token = std::max(0.0, elapsed - first) / tokens;
     const auto most = static_cast<double>(seen.size.max_tokens.get());
     const double share = most > 0 ? std::min(1.0, tokens / most) : 1.0;
@@ -91,14 +93,42 @@
     return most > 0 ? most * share_of_max_tokens_ : mean_tokens_;
 }
 
-double service_model::first_token_ms(const request_size& size) const
+double service_model::start_ms(const request_size& size) const
 {
-    return start_.at(kilobytes(size));
+    const double size_kb = kilobytes(size);
+    if (!cached_start_.known())
+    {
+        return start_.at(size_kb);
+    }
+    if (!start_.known())
+    {
+        return cached_start_.at(size_kb);
+    }
+    return cached_share_ * cached_start_.at(size_kb) +
+           (1 - cached_share_) * start_.at(size_kb);
+}
+
+double service_model::prefix_saving_ms(const request_size& size) const
+{
+    if (!start_.known())
+    {
+        return 0;
+    }
+    const double cached = cached_start_.known() ? cached_start_.at(kilobytes(size)) : 0;
+    return std::max(0.0, start_.at(kilobytes(size)) - cached);
 }
 
 double service_model::estimate_ms(const request_size& size) const
 {
-    return first_token_ms(size) + expected_tokens(size) * ms_per_token_;
+    return start_ms(size) + expected_tokens(size) * ms_per_token_;
+}
+
+double service_model::estimate_ms(const call_observation& seen) const
+{
+    const bool cached = seen.cached_tokens.get() > 0 && cached_start_.known();
+    const double start = (cached ? cached_start_ : start_).at(kilobytes(seen.size));
+    const auto written = static_cast<double>(seen.tokens_written.get());
+    return start + written * ms_per_token_;
 }
 
 } // namespace medlar
--- a/src/policy/waiting_plan.cpp
+++ b/src/policy/waiting_plan.cpp
@@ -1,5 +1,4 @@
 #include <medlar/detail/policy/admission.hpp>
-#include <medlar/detail/policy/fair_share.hpp>
 
 #include <algorithm>
 #include <queue>
@@ -11,7 +10,7 @@
 namespace
 {
 
-constexpr double least_horizon_ms = 1;
+constexpr double least_slots = 0.1;
 
 /// @brief the waiting requests of one organisation that one pool holds up
 struct queue_key
@@ -25,37 +24,21 @@
     }
 };
 
-/// @brief one queue: indexes into the waiting requests, least slack first
-struct organisation_queue
-{
-    std::vector<std::size_t> members;
-    double weight = 1;
-    double work_ms = 0;
-    double horizon_ms = least_horizon_ms;
-    /// slots that the organisation may use
-    double slots = 1;
-    /// whether it asks for more than that while others wait
-    bool contended = false;
-};
-
-using queue_map = std::map<queue_key, organisation_queue>;
+/// @brief indexes into the waiting requests, least slack first
+using pool_queues = std::map<pool_id, std::vector<std::size_t>>;
 
-queue_map group(const std::vector<waiting_request>& waiting, const pool_outlooks& pools)
+pool_queues group_by_pool(const std::vector<waiting_request>& waiting,
+                          const pool_outlooks& pools)
 {
-    queue_map queues;
+    pool_queues queues;
     for (std::size_t i = 0; i < waiting.size(); ++i)
     {
-        const pool_id pool = busiest_pool(waiting[i].need, pools);
-        organisation_queue& queue = queues[{pool, waiting[i].organisation}];
-        queue.members.push_back(i);
-        queue.weight = waiting[i].weight;
-        queue.work_ms += work_in(waiting[i].need, pool);
-        queue.horizon_ms = std::max(queue.horizon_ms, waiting[i].slack_ms);
+        queues[busiest_pool(waiting[i].need, pools)].push_back(i);
     }
-    for (auto& [key, queue] : queues)
+    for (auto& [pool, members] : queues)
     {
-        std::sort(queue.members.begin(),
-                  queue.members.end(),
+        std::sort(members.begin(),
+                  members.end(),
                   [&waiting](std::size_t a, std::size_t b)
                   {
                       return waiting[a].slack_ms < waiting[b].slack_ms;
@@ -64,48 +47,6 @@
     return queues;
 }
 
-/// @brief sets the slots of the queues of one pool
-void share_pool(queue_map& queues, const pool_id& pool, double capacity)
-{
-    std::vector<share_request> requests;
-    std::vector<organisation_queue*> order;
-    for (auto& [key, queue] : queues)
-    {
-        if (key.pool == pool)
-        {
-            const double demand = queue.work_ms / queue.horizon_ms;
-            requests.push_back({key.organisation, queue.weight, demand});
-            order.push_back(&queue);
-        }
-    }
-    const std::vector<double> shares = fair_shares(requests, capacity);
-    double left = capacity;
-    for (const double share : shares)
-    {
-        left -= share;
-    }
-    for (std::size_t i = 0; i < order.size(); ++i)
-    {
-        order[i]->slots = shares[i] + std::max(0.0, left);
-        order[i]->contended = order.size() > 1 && shares[i] < requests[i].demand;
-    }
-}
-
-void share_pools(queue_map& queues, const pool_outlooks& pools)
-{
-    std::set<pool_id> names;
-    for (const auto& [key, queue] : queues)
-    {
-        names.insert(key.pool);
-    }
-    for (const pool_id& name : names)
-    {
-        const auto found = pools.find(name);
-        const double capacity = found == pools.end() ? 1 : usable_slots(found->second);
-        share_pool(queues, name, std::max(0.1, capacity));
-    }
-}
-
 /// @brief when waiting requests of one host may start in a pool
 struct start_outlook
 {
@@ -113,6 +54,7 @@
     double first_ms = 0;
     /// work that may start then at once
     double at_once_ms = 0;
+    double slots = 1;
 };
 
 start_outlook outlook_of(const pool_id& name, const pool_outlooks& pools)
@@ -123,51 +65,108 @@
         return {};
     }
     const pool_outlook& pool = found->second;
-    const double free = usable_slots(pool) - pool.own_pending;
+    const double slots = std::max(least_slots, usable_slots(pool));
+    const double free = slots - pool.own_pending;
     if (free > 0)
     {
-        return {0, free * pool.load.mean_service_ms};
+        return {0, free * pool.load.mean_service_ms, slots};
     }
-    return {pool.load.mean_service_ms / std::max(1.0, pool.own_pending), 0};
+    return {pool.load.mean_service_ms / std::max(1.0, pool.own_pending), 0, slots};
 }
 
-/// @brief Drops the most demanding members until the rest can start in time.
-/// @return the members that stay, least slack first; their expected starts are set
-std::vector<std::size_t> drop_hopeless(const std::vector<waiting_request>& waiting,
-                                       const queue_key& key,
-                                       const organisation_queue& queue,
-                                       const start_outlook& outlook,
-                                       std::vector<waiting_plan>& plans)
+/// @brief Decides which members of one pool's queue are dropped.
+class drop_decision
 {
-    std::vector<std::size_t> kept;
-    double work = 0;
-    for (const std::size_t i : queue.members)
+  public:
+    drop_decision(const std::vector<waiting_request>& waiting,
+                  const pool_id& pool,
+                  const start_outlook& outlook,
+                  const work_in_progress& in_progress,
+                  std::vector<waiting_plan>& plans)
+        : waiting_(waiting),
+          pool_(pool),
+          outlook_(outlook),
+          held_(in_progress),
+          plans_(plans)
     {
-        const double ahead = std::max(0.0, work - outlook.at_once_ms);
-        plans[i].start_in_ms = outlook.first_ms + ahead / queue.slots;
-        kept.push_back(i);
-        work += work_in(waiting[i].need, key.pool);
-        if (plans[i].start_in_ms <= waiting[i].slack_ms)
+    }
+
+    /// @return the members that stay, least slack first; their expected starts are set
+    std::vector<std::size_t> decide(const std::vector<std::size_t>& members)
+    {
+        for (const std::size_t i : members)
         {
-            continue;
+            const double ahead = std::max(0.0, kept_work_ - outlook_.at_once_ms);
+            plans_[i].start_in_ms = outlook_.first_ms + ahead / outlook_.slots;
+            keep(i);
+            if (waiting_[i].slack_ms < outlook_.first_ms)
+            {
+                drop(kept_.size() - 1, false);
+            }
+            else if (plans_[i].start_in_ms > waiting_[i].slack_ms)
+            {
+                drop(victim(), true);
+            }
         }
-        const auto most = std::max_element(kept.begin(),
-                                           kept.end(),
-                                           [&](std::size_t a, std::size_t b)
-                                           {
-                                               return work_in(waiting[a].need, key.pool) <
-                                                      work_in(waiting[b].need, key.pool);
-                                           });
-        // A request that could not start in time even at the head is itself hopeless.
-        const bool alone = waiting[i].slack_ms < outlook.first_ms;
-        const auto victim = alone ? kept.end() - 1 : most;
-        plans[*victim].decision = waiting_decision::drop;
-        plans[*victim].over_share = queue.contended;
-        work -= work_in(waiting[*victim].need, key.pool);
-        kept.erase(victim);
+        return kept_;
+    }
+
+  private:
+    double work(std::size_t i) const
+    {
+        return work_in(waiting_[i].need, pool_);
+    }
+
+    void keep(std::size_t i)
+    {
+        kept_.push_back(i);
+        kept_work_ += work(i);
+        held_[waiting_[i].organisation] += work(i);
+    }
+
+    void drop(std::size_t place, bool contended)
+    {
+        const std::size_t i = kept_[place];
+        const bool alone = held_.size() < 2;
+        plans_[i].decision = waiting_decision::drop;
+        plans_[i].over_share = contended && !alone;
+        kept_work_ -= work(i);
+        held_[waiting_[i].organisation] -= work(i);
+        kept_.erase(kept_.begin() + static_cast<std::ptrdiff_t>(place));
     }
-    return kept;
-}
+
+    /// @brief what its organisation holds, by weight
+    double share_held(std::size_t i) const
+    {
+        const auto held = held_.find(waiting_[i].organisation);
+        return held == held_.end() ? 0 : held->second / waiting_[i].weight;
+    }
+
+    /// @brief the place of the member to be dropped
+    std::size_t victim() const
+    {
+        std::size_t chosen = 0;
+        for (std::size_t place = 1; place < kept_.size(); ++place)
+        {
+            const std::size_t one = kept_[place];
+            const std::size_t other = kept_[chosen];
+            const bool same = waiting_[one].organisation == waiting_[other].organisation;
+            const bool better =
+                same ? work(one) > work(other) : share_held(one) > share_held(other);
+            chosen = better ? place : chosen;
+        }
+        return chosen;
+    }
+
+    const std::vector<waiting_request>& waiting_;
+    const pool_id& pool_;
+    const start_outlook outlook_;
+    /// work that each organisation has in progress or kept here
+    work_in_progress held_;
+    std::vector<waiting_plan>& plans_;
+    std::vector<std::size_t> kept_;
+    double kept_work_ = 0;
+};
 
 /// @brief the next request of one queue in the order of starts
 struct turn
@@ -251,13 +250,15 @@
     {
         plans[i].ticket = waiting[i].ticket;
     }
-    queue_map queues = group(waiting, pools);
-    share_pools(queues, pools);
     kept_map kept;
-    for (const auto& [key, queue] : queues)
+    for (const auto& [pool, members] : group_by_pool(waiting, pools))
     {
-        const start_outlook outlook = outlook_of(key.pool, pools);
-        kept[key] = drop_hopeless(waiting, key, queue, outlook, plans);
+        const start_outlook outlook = outlook_of(pool, pools);
+        drop_decision decision(waiting, pool, outlook, in_progress, plans);
+        for (const std::size_t i : decision.decide(members))
+        {
+            kept[{pool, waiting[i].organisation}].push_back(i);
+        }
     }
     mark_starts(waiting, kept, in_progress, pools, plans);
     return plans;
