Learn the waiting at each target, and keep affinity within the saving it brings

Keeping hot prefixes on their engines left others idle under overload: the wait there was not known, as no report came. The wait is now learned from the time of own calls above the expected one; a prefix is kept while the wait is longer by at most the time that its cache saves, and spills in the order of rendezvous.

A pool that reports no free slots no longer raises the bound of a host by its own calls.

--- a/include/medlar/detail/policy/admission.hpp
+++ b/include/medlar/detail/policy/admission.hpp
@@ -71,7 +71,9 @@
 
 /// @brief The span by which a request is judged: the expected one with a margin, which
 /// is wider where cost comes first.
-double judged_span_ms(double expected_ms, objective_kind objective);
+/// @param expected_ms with waiting
+/// @param bare_ms without waiting
+double judged_span_ms(double expected_ms, double bare_ms, objective_kind objective);
 
 /// @brief whether the rest of a request is worth its cost
 /// @param expected_ms with waiting
--- a/include/medlar/detail/policy/load_estimate.hpp
+++ b/include/medlar/detail/policy/load_estimate.hpp
@@ -52,7 +52,7 @@
 {
   public:
     /// @brief Learns from a call that succeeded.
-    /// @param in_system estimated calls at the target when it ended
+    /// @param in_system estimated calls at a target of the pool when it ended
     /// @param slowness its time relative to a call that did not wait
     void learn(double in_system, double slowness);
 
--- a/include/medlar/detail/policy/pool_shard.hpp
+++ b/include/medlar/detail/policy/pool_shard.hpp
@@ -82,6 +82,9 @@
         double own_recent = 0;
         steady_time own_recent_at;
         std::multiset<std::int64_t> started_at_ms;
+        // waiting seen there
+        double seen_wait_ms = 0;
+        steady_time seen_wait_at;
         // reports of the target
         std::optional<reported_load> report;
         std::optional<double> reported_slots;
@@ -119,6 +122,10 @@
     double expected_ms(const call_observation& seen) const;
     void start_call(target_record& record, steady_time now);
     void end_call(target_record& record, const call_observation& seen, steady_time now);
+    void learn_wait(target_record& record,
+                    double elapsed_ms,
+                    double expected_ms,
+                    steady_time now);
     void learn_time(const target_record& record,
                     const call_observation& seen,
                     double slowness,
--- a/include/medlar/detail/policy/prefix_affinity.hpp
+++ b/include/medlar/detail/policy/prefix_affinity.hpp
@@ -40,7 +40,10 @@
 /// than its part of the calls: rendezvous hashing with bounded loads, where the load is
 /// the expected one. Hosts that see the same shares assign alike.
 /// Only the prefixes with the greatest shares are assigned.
+/// @param calls calls from which the shares were counted; the fewer, the more load is
+///     allowed before a prefix is moved
 prefix_places assign_prefixes(std::vector<prefix_share> shares,
+                              double calls,
                               const std::vector<target_id>& targets);
 
 /// @brief Counts how often each prefix is asked for, older calls weighing less.
@@ -56,6 +59,12 @@
         return calls_;
     }
 
+    /// @brief calls counted, older ones weighing less
+    double weight() const
+    {
+        return weight_;
+    }
+
     /// @brief the share of each prefix
     std::vector<prefix_share> shares() const;
 
--- a/include/medlar/detail/policy/routing.hpp
+++ b/include/medlar/detail/policy/routing.hpp
@@ -31,6 +31,8 @@
     double slots = 1;
     /// time of this call there, waiting left out
     double service_ms = 0;
+    /// time that recent calls waited there before they ran
+    double seen_wait_ms = 0;
     /// time by which its oldest call of this host is overdue
     double overdue_ms = 0;
     /// it is believed to hold the prefix of this call
@@ -49,6 +51,10 @@
     double prefix_saving_ms = 0;
 };
 
+/// @brief Milliseconds that this call would wait at a target before it runs: as recent
+/// calls did, or as the calls there now tell.
+double expected_wait_at(const target_snapshot& at);
+
 /// @brief Milliseconds until this call would end at a target.
 double expected_completion_ms(const target_snapshot& at, const routing_snapshot& pool);
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -14,8 +14,10 @@
 /// share of the expected waiting that counts against continuing
 constexpr double waiting_that_counts = 0.5;
 
-constexpr double attainment_margin = 1.05;
-constexpr double cost_margin = 1.2;
+constexpr double attainment_margin = 1.02;
+constexpr double cost_margin = 1.15;
+/// waiting is less certain than running
+constexpr double waiting_margin = 1.5;
 constexpr double margin_ms = 5;
 
 /// @brief pools that nobody has used yet have room
@@ -87,8 +89,9 @@
     {
         return part;
     }
-    const double spare = std::max(0.0, pool.load.slots - pool.load.in_system);
-    return std::max(part, pool.load.own + spare / std::max(1, pool.gateways));
+    const double spare = pool.load.slots - pool.load.in_system;
+    const double more = pool.load.own + spare / std::max(1, pool.gateways);
+    return spare > 0 ? std::max(part, more) : part;
 }
 
 double
@@ -174,10 +177,12 @@
     return total;
 }
 
-double judged_span_ms(double expected_ms, objective_kind objective)
+double judged_span_ms(double expected_ms, double bare_ms, objective_kind objective)
 {
     const bool cost_first = objective == objective_kind::cost;
-    return expected_ms * (cost_first ? cost_margin : attainment_margin) + margin_ms;
+    const double waiting = expected_ms - bare_ms;
+    return bare_ms * (cost_first ? cost_margin : attainment_margin) +
+           waiting * waiting_margin + margin_ms;
 }
 
 bool is_worth_continuing(double expected_ms,
--- a/src/policy/admission_shard.cpp
+++ b/src/policy/admission_shard.cpp
@@ -174,7 +174,8 @@
     out.need = request.need;
     const double span = expected_span_ms(request.need, pools_, 0);
     const auto left = static_cast<double>((request.what.deadline - now).count());
-    out.slack_ms = left - judged_span_ms(span, request.objective);
+    const double bare = bare_span_ms(request.need, 0);
+    out.slack_ms = left - judged_span_ms(span, bare, request.objective);
     return out;
 }
 
--- a/src/policy/load_estimate.cpp
+++ b/src/policy/load_estimate.cpp
@@ -13,7 +13,7 @@
 constexpr double report_lifetime_in_calls = 2;
 constexpr double likeness_of_gateways = 0.5;
 constexpr double slowness_without_wait = 1.3;
-constexpr double rise = 0.2;
+constexpr double rise = 0.05;
 constexpr double fall = 0.05;
 
 /// @brief how much a report still tells: calls that ran then have since ended
--- a/src/policy/pool_shard.cpp
+++ b/src/policy/pool_shard.cpp
@@ -18,6 +18,8 @@
 constexpr double smoothing = 0.05;
 constexpr double start_slowness_p95 = 2;
 constexpr double most_slowness = 100;
+constexpr double seen_wait_memory_ms = 1000;
+constexpr double seen_wait_smoothing = 0.4;
 constexpr std::uint64_t calls_between_prefix_plans = 64;
 constexpr std::uint64_t calls_between_first_prefix_plans = 8;
 
@@ -27,10 +29,10 @@
 }
 
 /// @brief weight that a value from @p then still has at @p now
-double remaining_weight(steady_time then, steady_time now)
+double remaining_weight(steady_time then, steady_time now, double memory_ms)
 {
     const auto passed = static_cast<double>((now - then).count());
-    return std::exp(-std::max(0.0, passed) / own_memory_ms);
+    return std::exp(-std::max(0.0, passed) / memory_ms);
 }
 
 const char* name_of(health_state state)
@@ -122,6 +124,7 @@
         clamped_slowness(static_cast<double>(seen.elapsed.count()), expected);
     if (seen.result == call_result::succeeded)
     {
+        learn_wait(*record, static_cast<double>(seen.elapsed.count()), expected, now);
         learn_time(*record, seen, slowness, context(gateways, now));
     }
     end_call(*record, seen, now);
@@ -137,7 +140,7 @@
         return false;
     }
     const steady_time made_at = now - report.age;
-    const double weight = remaining_weight(record->own_recent_at, now);
+    const double weight = remaining_weight(record->own_recent_at, now, own_memory_ms);
     reported_load next;
     next.in_system = static_cast<double>(report.running + report.queued);
     next.own_then = weight * record->own_recent + (1 - weight) * record->own;
@@ -312,6 +315,8 @@
     out.slots = slots_of(record);
     const double slowness = record.health.slowness / of.median_slowness;
     out.service_ms = service_ms * std::max(1.0, slowness);
+    out.seen_wait_ms = record.seen_wait_ms *
+                       remaining_weight(record.seen_wait_at, of.now, seen_wait_memory_ms);
     out.overdue_ms = overdue_ms(record, service_ms, of);
     out.holds_prefix = call.prefix_hash != 0 && record.prefixes.holds(call.prefix_hash);
     return out;
@@ -326,7 +331,8 @@
                                      : calls_between_prefix_plans;
     if (calls % period == 0)
     {
-        prefix_places_ = assign_prefixes(prefix_counts_.shares(), names());
+        prefix_places_ =
+            assign_prefixes(prefix_counts_.shares(), prefix_counts_.weight(), names());
     }
     if (prefix_places_.count(prefix_hash) == 0)
     {
@@ -398,7 +404,7 @@
 
 void pool_shard::start_call(target_record& record, steady_time now)
 {
-    const double weight = remaining_weight(record.own_recent_at, now);
+    const double weight = remaining_weight(record.own_recent_at, now, own_memory_ms);
     record.own_recent = weight * record.own_recent + (1 - weight) * record.own;
     record.own_recent_at = now;
     record.own += 1;
@@ -409,7 +415,7 @@
                           const call_observation& seen,
                           steady_time now)
 {
-    const double weight = remaining_weight(record.own_recent_at, now);
+    const double weight = remaining_weight(record.own_recent_at, now, own_memory_ms);
     record.own_recent = weight * record.own_recent + (1 - weight) * record.own;
     record.own_recent_at = now;
     record.own = std::max(0, record.own - 1);
@@ -429,6 +435,16 @@
     }
 }
 
+void pool_shard::learn_wait(target_record& record,
+                            double elapsed_ms,
+                            double expected_ms,
+                            steady_time now)
+{
+    const double waited = std::max(0.0, elapsed_ms - expected_ms);
+    record.seen_wait_ms += seen_wait_smoothing * (waited - record.seen_wait_ms);
+    record.seen_wait_at = now;
+}
+
 void pool_shard::learn_time(const target_record& record,
                             const call_observation& seen,
                             double slowness,
@@ -448,7 +464,7 @@
                          record.health.slowness < 2 * of.median_slowness;
     if (typical)
     {
-        slots_.learn(in_system(record, of), slowness);
+        slots_.learn(of.own_mean * of.gateways, slowness);
     }
 }
 
--- a/src/policy/prefix_affinity.cpp
+++ b/src/policy/prefix_affinity.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <numeric>
 
@@ -17,7 +18,9 @@
 constexpr double aging_factor = 0.5;
 constexpr double least_count = 0.2;
 /// how much more than its equal part of the calls a target is given
-constexpr double load_bound = 1.15;
+constexpr double load_bound = 1.25;
+/// added to the bound while few calls were counted, as shares are then uncertain
+constexpr double load_bound_uncertainty = 3;
 constexpr std::size_t most_prefixes_assigned = 64;
 
 bool has_greater_share(const prefix_share& a, const prefix_share& b)
@@ -89,6 +92,7 @@
 }
 
 prefix_places assign_prefixes(std::vector<prefix_share> shares,
+                              double calls,
                               const std::vector<target_id>& targets)
 {
     prefix_places places;
@@ -98,7 +102,9 @@
     }
     std::sort(shares.begin(), shares.end(), has_greater_share);
     shares.resize(std::min(shares.size(), most_prefixes_assigned));
-    const double most = load_bound / static_cast<double>(targets.size());
+    const double bound =
+        load_bound + load_bound_uncertainty / std::sqrt(std::max(1.0, calls));
+    const double most = bound / static_cast<double>(targets.size());
     std::vector<double> load(targets.size(), 0);
     for (const prefix_share& each : shares)
     {
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/policy/load_estimate.hpp>
+#include <medlar/detail/policy/prefix_affinity.hpp>
 #include <medlar/detail/policy/routing.hpp>
 
 #include <algorithm>
@@ -92,17 +93,12 @@
     return at.in_system + 1 <= at.slots && at.overdue_ms <= 0;
 }
 
-double wait_at(const target_snapshot& at)
-{
-    return expected_wait_ms(at.in_system, at.slots, at.service_ms) + at.overdue_ms;
-}
-
 double least_wait(const routing_snapshot& pool, const indexes& among)
 {
-    double least = wait_at(pool.targets[among.front()]);
+    double least = expected_wait_at(pool.targets[among.front()]);
     for (const std::size_t i : among)
     {
-        least = std::min(least, wait_at(pool.targets[i]));
+        least = std::min(least, expected_wait_at(pool.targets[i]));
     }
     return least;
 }
@@ -132,31 +128,53 @@
     return best;
 }
 
-/// @brief of the targets that keep the prefix, the one with the least wait
+/// @brief whether a cached prefix at a target is worth the wait there
+bool worth_waiting(const routing_snapshot& pool,
+                   std::size_t place,
+                   double shortest_wait,
+                   const stage_call& call,
+                   steady_time now)
+{
+    const target_snapshot& at = pool.targets[place];
+    const double longer = expected_wait_at(at) - shortest_wait;
+    const bool in_time = expected_wait_at(at) + at.service_ms <= time_left_ms(call, now);
+    return in_time && longer <= worthwhile_wait_ms(pool, call.objective);
+}
+
+/// @brief The target that keeps the prefix and has the least wait; where that is too
+/// long, the next ones by rendezvous, so that all hosts choose the same ones.
 std::optional<std::size_t> affinity_target(const routing_snapshot& pool,
                                            const indexes& usable,
                                            const stage_call& call,
                                            steady_time now,
                                            random_source& random)
 {
+    const double shortest_wait = least_wait(pool, usable);
     indexes keeping;
+    std::vector<target_id> names;
     for (const std::size_t i : usable)
     {
+        names.push_back(pool.targets[i].name);
         if (pool.targets[i].keeps_prefix)
         {
             keeping.push_back(i);
         }
     }
     const std::optional<std::size_t> best = best_of(pool, keeping, random);
-    if (!best)
+    if (best && worth_waiting(pool, *best, shortest_wait, call, now))
     {
-        return std::nullopt;
+        return best;
     }
-    const target_snapshot& at = pool.targets[*best];
-    const double longer = wait_at(at) - least_wait(pool, usable);
-    const bool in_time = wait_at(at) + at.service_ms <= time_left_ms(call, now);
-    const bool worthwhile = longer <= worthwhile_wait_ms(pool, call.objective);
-    return worthwhile && in_time ? best : std::nullopt;
+    const indexes order = rendezvous_order(call.prefix_hash, names);
+    for (const std::size_t rank : order)
+    {
+        const std::size_t place = usable[rank];
+        if (worth_waiting(pool, place, shortest_wait, call, now))
+        {
+            return place;
+        }
+    }
+    return std::nullopt;
 }
 
 /// @brief moves @p count random members to the front and drops the rest
@@ -216,14 +234,20 @@
 
 } // namespace
 
+double expected_wait_at(const target_snapshot& at)
+{
+    const double service = std::max(least_service_ms, at.service_ms);
+    const double by_load = expected_wait_ms(at.in_system, at.slots, service);
+    return std::max(by_load, at.seen_wait_ms) + at.overdue_ms;
+}
+
 double expected_completion_ms(const target_snapshot& at, const routing_snapshot& pool)
 {
     const double service = std::max(least_service_ms, at.service_ms);
-    const double wait = expected_wait_ms(at.in_system, at.slots, service);
     const double crowding = crowding_weight * service * at.in_system / at.slots;
     const double travel = at.failure_domain == pool.here ? 0 : other_domain_ms;
     const double saved = at.holds_prefix ? pool.prefix_saving_ms : 0;
-    const double total = wait + service + crowding + at.overdue_ms + travel;
+    const double total = expected_wait_at(at) + service + crowding + travel;
     return std::max(0.0, total - saved);
 }
 
