--- a/include/medlar/detail/policy/retry_budget.hpp
+++ b/include/medlar/detail/policy/retry_budget.hpp
@@ -64,8 +64,9 @@
 };
 
 /// @brief When to start a second call beside the first.
-/// @return unset if it is not worth it: the objective is cost, the pool has no room,
-///     or the second call could not end in time
+/// @return unset if it is not worth it: the pool has no room, or the second call could
+///     not end in time
+/// @note Where cost comes first, only calls that are far slower than expected.
 std::optional<millis> hedge_delay(const hedge_question& asked);
 
 } // namespace medlar
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -10,14 +10,14 @@
 {
 
 /// calls beyond its slots that a host may have pending, so that no slot waits for one
-constexpr double reserve_calls = 1;
+constexpr double reserve_calls = 2;
 /// share of the expected waiting that counts against continuing
 constexpr double waiting_that_counts = 0.5;
 
-constexpr double attainment_margin = 1.02;
-constexpr double cost_margin = 1.15;
+constexpr double attainment_margin = 1;
+constexpr double cost_margin = 1.1;
 /// waiting is less certain than running
-constexpr double waiting_margin = 1.5;
+constexpr double waiting_margin = 1.25;
 constexpr double margin_ms = 5;
 
 /// @brief pools that nobody has used yet have room
--- a/src/policy/pool_shard.cpp
+++ b/src/policy/pool_shard.cpp
@@ -13,8 +13,8 @@
 {
 
 constexpr double own_memory_ms = 300;
-constexpr double overdue_factor = 4;
-constexpr double overdue_floor_ms = 200;
+constexpr double overdue_factor = 2.5;
+constexpr double overdue_floor_ms = 100;
 constexpr double smoothing = 0.05;
 constexpr double start_slowness_p95 = 2;
 constexpr double most_slowness = 100;
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -15,6 +15,9 @@
 constexpr double start_tokens = 2;
 constexpr double least_hedge_delay_ms = 10;
 constexpr double most_utilisation_for_hedges = 0.7;
+/// where cost comes first, only calls that are this much slower than expected are
+/// doubled: their work would be lost otherwise
+constexpr double cost_hedge_slowness = 2.5;
 
 } // namespace
 
@@ -53,13 +56,14 @@
 
 std::optional<millis> hedge_delay(const hedge_question& asked)
 {
-    if (asked.objective == objective_kind::cost || asked.usable < 2 ||
-        asked.utilisation > most_utilisation_for_hedges)
+    if (asked.usable < 2 || asked.utilisation > most_utilisation_for_hedges)
     {
         return std::nullopt;
     }
-    const double delay =
-        std::max(least_hedge_delay_ms, asked.expected_ms * asked.slowness_p95);
+    const bool cost_first = asked.objective == objective_kind::cost;
+    const double usual = cost_first ? std::max(asked.slowness_p95, cost_hedge_slowness)
+                                    : asked.slowness_p95;
+    const double delay = std::max(least_hedge_delay_ms, asked.expected_ms * usual);
     if (delay + asked.expected_ms > static_cast<double>(asked.left.count()))
     {
         return std::nullopt;
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -166,15 +166,21 @@
         return best;
     }
     const indexes order = rendezvous_order(call.prefix_hash, names);
+    std::optional<std::size_t> spill;
     for (const std::size_t rank : order)
     {
         const std::size_t place = usable[rank];
-        if (worth_waiting(pool, place, shortest_wait, call, now))
+        if (!worth_waiting(pool, place, shortest_wait, call, now))
+        {
+            continue;
+        }
+        if (pool.targets[place].holds_prefix)
         {
             return place;
         }
+        spill = spill ? spill : place;
     }
-    return std::nullopt;
+    return spill;
 }
 
 /// @brief moves @p count random members to the front and drops the rest
