--- /dev/null
+++ b/test/decisions/policy/shared_targets.hpp
@@ -0,0 +1,171 @@
+#ifndef MEDLAR_TEST_DECISIONS_POLICY_SHARED_TARGETS_HPP
+#define MEDLAR_TEST_DECISIONS_POLICY_SHARED_TARGETS_HPP
+
+#include "decisions/policy/snapshots.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace medlar::test
+{
+
+/// @brief Engines of several gateways that choose among the same targets, in steps of one
+/// millisecond. A target runs calls in the order of their arrival.
+class shared_targets
+{
+  public:
+    struct settings
+    {
+        int gateways = 8;
+        int targets = 6;
+        int slots = 4;
+        millis service{100};
+        /// age of a report when it is received; 0: no reports
+        millis report_age{0};
+        millis report_every{1000};
+    };
+
+    explicit shared_targets(const settings& chosen) : settings_(chosen)
+    {
+        for (int i = 0; i < settings_.gateways; ++i)
+        {
+            policy_settings own;
+            own.self = host_id("g" + std::to_string(i));
+            own.failure_domain = failure_domain_id("north");
+            own.gateways = settings_.gateways;
+            own.seed = static_cast<std::uint64_t>(i) + 1;
+            engines_.push_back(policy_engine::create(own));
+            engines_.back()->configure(engine_document(settings_.targets));
+        }
+        for (int i = 0; i < settings_.targets; ++i)
+        {
+            queues_[target_id("t" + std::to_string(i))];
+        }
+    }
+
+    policy_engine& engine(std::size_t gateway)
+    {
+        return *engines_[gateway];
+    }
+
+    steady_time now() const
+    {
+        return now_;
+    }
+
+    /// @brief from now on calls at a target take that many times as long, or fail
+    void set_factor(const char* name, int factor)
+    {
+        factors_[target_id(name)] = factor;
+    }
+
+    /// @brief Places a call of one gateway.
+    /// @return where
+    target_id place(std::size_t gateway)
+    {
+        const stage_call call = draft_call(now_ + millis(100000));
+        const target_id at = engines_[gateway]->choose(call, now_)->name;
+        queues_[at].push_back({gateway, now_, steady_time(-1)});
+        placed_[at] += 1;
+        return at;
+    }
+
+    /// @brief Lets one millisecond pass.
+    void step()
+    {
+        now_ = now_ + millis(1);
+        for (auto& [name, queue] : queues_)
+        {
+            run(name, queue);
+            samples_[name].push_back(static_cast<std::int64_t>(queue.size()));
+        }
+        const bool due = now_.since_origin() % settings_.report_every.count() == 0;
+        if (settings_.report_age > millis(0) && due)
+        {
+            report();
+        }
+    }
+
+    /// @brief calls placed at a target since the last call of this function
+    int placed_since(const char* name)
+    {
+        const int count = placed_[target_id(name)];
+        placed_[target_id(name)] = 0;
+        return count;
+    }
+
+    /// @brief calls at a target now
+    std::int64_t in_system(const char* name) const
+    {
+        return static_cast<std::int64_t>(queues_.at(target_id(name)).size());
+    }
+
+  private:
+    struct placed_call
+    {
+        std::size_t gateway;
+        steady_time arrived;
+        steady_time ends;
+    };
+
+    void run(const target_id& name, std::deque<placed_call>& queue)
+    {
+        const int factor = factors_.count(name) != 0 ? factors_[name] : 1;
+        int running = 0;
+        for (placed_call& each : queue)
+        {
+            if (running++ < settings_.slots && each.ends < steady_time(0))
+            {
+                each.ends = now_ + settings_.service * factor;
+            }
+        }
+        const auto is_over = [this](const placed_call& each)
+        {
+            return each.ends >= steady_time(0) && each.ends <= now_;
+        };
+        for (const placed_call& each : queue)
+        {
+            if (is_over(each))
+            {
+                const millis elapsed = now_ - each.arrived;
+                engines_[each.gateway]->observe(draft_end(name, elapsed), now_);
+            }
+        }
+        queue.erase(std::remove_if(queue.begin(), queue.end(), is_over), queue.end());
+    }
+
+    void report()
+    {
+        const auto age = static_cast<std::size_t>(settings_.report_age.count());
+        for (const auto& [name, samples] : samples_)
+        {
+            if (samples.size() <= age)
+            {
+                continue;
+            }
+            const std::int64_t then = samples[samples.size() - 1 - age];
+            const std::int64_t running = std::min<std::int64_t>(then, settings_.slots);
+            const load_report seen{
+                name, running, then - running, settings_.slots, settings_.report_age};
+            for (const auto& each : engines_)
+            {
+                each->observe_load(seen, now_);
+            }
+        }
+    }
+
+    const settings settings_;
+    steady_time now_{0};
+    std::vector<std::unique_ptr<policy_engine>> engines_;
+    std::map<target_id, std::deque<placed_call>> queues_;
+    std::map<target_id, std::vector<std::int64_t>> samples_;
+    std::map<target_id, int> placed_;
+    std::map<target_id, int> factors_;
+};
+
+} // namespace medlar::test
+
+#endif // MEDLAR_TEST_DECISIONS_POLICY_SHARED_TARGETS_HPP
