Follow the store client's interface in the fake store

Cause: release() takes a value and entries name their holder since the client was written; the fake store of the operators' tests was written against the older header. Change: the fake store's signature and entries. Conclusion: the runtime tests build and pass.

--- a/test/runtime/operators/fake_store.hpp
+++ b/test/runtime/operators/fake_store.hpp
@@ -114,6 +114,7 @@
     }
 
     absl::StatusOr<bool> release(const std::string& /*key*/,
+                                 const std::string& /*value*/,
                                  const store_lease& /*lease*/) override
     {
         return true;
@@ -130,7 +131,8 @@
     void set(const std::string& key, const std::string& value)
     {
         ++index_;
-        entries_[key] = store_entry{key, value, store_index(index_), fencing_number(0)};
+        entries_[key] = store_entry{
+            key, value, store_index(index_), fencing_number(0), store_lease()};
     }
 
     void erase(const std::string& key)
