Exchange leases, views, claims and configuration between gateways

Cause: a gateway has to hold its lease, follow views, hand its claims over and learn the configuration without the store. Change: the exchange over links, in parts with one job: lease rounds, steps of views, handover, placement, messages and peers' news. An address that answers with another incarnation proves that the old process stopped; the host's name does not, since a replacement may start while the old one still runs. Ruled out: holding only the ownership's lock for adoption (a claim could fall between decision and adoption).

--- a/include/medlar/detail/link/link.hpp
+++ b/include/medlar/detail/link/link.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace medlar
 {
@@ -96,6 +97,20 @@
     ///     read the call), 804 (not an answer of this protocol), or kCancelled
     virtual absl::StatusOr<link_reply> call(const link_call& what) = 0;
 
+    /// @brief Makes several calls at once.
+    /// @param on_reply called on this thread with the place of each call in @p calls
+    ///     and its result
+    virtual void
+    call_all(const std::vector<link_call>& calls,
+             const std::function<void(std::size_t, const absl::StatusOr<link_reply>&)>&
+                 on_reply)
+    {
+        for (std::size_t at = 0; at < calls.size(); ++at)
+        {
+            on_reply(at, call(calls[at]));
+        }
+    }
+
     /// @brief bytes sent and received so far, headers included
     virtual byte_count traffic() const = 0;
 };
--- a/include/medlar/detail/membership/exchange.hpp
+++ b/include/medlar/detail/membership/exchange.hpp
@@ -85,8 +85,14 @@
     std::vector<incarnation> not_heard;
     /// processes that answer but are in no view
     std::vector<view_member> waiting;
+    /// processes that have asked to be left out of the view, this one included
+    std::vector<incarnation> leaving;
 };
 
+/// @brief the JSON form of a status: an object of the struct's field names, durations
+/// in milliseconds and links as "ADDRESS:PORT"
+std::string write_exchange_status(const exchange_status& status);
+
 /// @brief A gateway's exchange with its peers and its controller: lease grants, view
 /// changes, handover, claims, and the spread of configuration from host to host.
 ///
@@ -152,8 +158,16 @@
 
     /// @brief Asks the controllers to take this process out of the view, hands over what
     /// it owns, and returns when all is handed over or @p until has come.
-    /// @return whether all was handed over
+    /// @return whether all was handed over; false as soon as nothing runs here if no
+    ///     other process could take over
+    /// @note While the store is out nobody can change the view: it stays a member, goes
+    ///     on accepting what it is the home of, and returns false at @p until.
     virtual bool leave(steady_time until) = 0;
+
+    /// @brief Stops to grant, to renew and to accept; the rest goes on.
+    /// @note To be called before the link server is closed: peers take an address that
+    ///     answers with another incarnation as proof that this process has stopped.
+    virtual void stop() = 0;
 };
 
 } // namespace medlar
--- /dev/null
+++ b/include/medlar/detail/membership/request_placer.hpp
@@ -0,0 +1,35 @@
+#ifndef MEDLAR_DETAIL_MEMBERSHIP_REQUEST_PLACER_HPP
+#define MEDLAR_DETAIL_MEMBERSHIP_REQUEST_PLACER_HPP
+
+#include <medlar/detail/membership/exchange_core.hpp>
+
+#include <optional>
+
+namespace medlar
+{
+
+/// @brief Decides where requests run, by the claims and the ownership of this process.
+/// @note Safe to call from every thread.
+class request_placer
+{
+  public:
+    explicit request_placer(exchange_core& core);
+
+    /// @brief see exchange::place()
+    placement place(const owned_request& request);
+
+  private:
+    /// @brief a placement, or what to answer if the request cannot wait
+    using attempt = std::variant<placement, not_settled>;
+
+    attempt try_place(const owned_request& request);
+    attempt open_claim(const owned_request& request);
+    placement by_claim(const owned_request& request, const claim& found) const;
+    placement at_runner(const claim& found) const;
+
+    exchange_core& core_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_MEMBERSHIP_REQUEST_PLACER_HPP
--- a/src/link/link_client.cpp
+++ b/src/link/link_client.cpp
@@ -29,6 +29,7 @@
     const link_call& what;
     std::shared_ptr<client_stream> stream;
     std::shared_ptr<peer_connection> peer;
+    steady_time until;
     link_reply reply;
 };
 
@@ -60,16 +61,25 @@
   public:
     absl::StatusOr<link_reply> call(const link_call& what) override
     {
-        if (what.body.size() > link_limits::max_body_bytes)
+        call_state state = begin(what);
+        return follow(state);
+    }
+
+    void
+    call_all(const std::vector<link_call>& calls,
+             const std::function<void(std::size_t, const absl::StatusOr<link_reply>&)>&
+                 on_reply) override
+    {
+        std::vector<call_state> begun;
+        begun.reserve(calls.size());
+        for (const link_call& each : calls)
         {
-            return make_error(absl::StatusCode::kInvalidArgument,
-                              error_number::link_unreachable,
-                              "no call was sent: its body is too large");
+            begun.push_back(begin(each));
+        }
+        for (std::size_t at = 0; at < begun.size(); ++at)
+        {
+            on_reply(at, follow(begun[at]));
         }
-        call_state state{
-            what, std::make_shared<client_stream>(what.path, what.body), nullptr, {}};
-        state.peer = start(what.to, state.stream);
-        return follow(state);
     }
 
     byte_count traffic() const override
@@ -78,6 +88,20 @@
     }
 
   private:
+    call_state begin(const link_call& what)
+    {
+        call_state state{what,
+                         std::make_shared<client_stream>(what.path, what.body),
+                         nullptr,
+                         time_.steady_now() + what.timeout,
+                         {}};
+        if (what.body.size() <= link_limits::max_body_bytes)
+        {
+            state.peer = start(what.to, state.stream);
+        }
+        return state;
+    }
+
     std::shared_ptr<peer_connection> start(const endpoint& to,
                                            const std::shared_ptr<client_stream>& stream)
     {
@@ -103,11 +127,15 @@
 
     absl::StatusOr<link_reply> follow(call_state& state)
     {
-        const steady_time until = time_.steady_now() + state.what.timeout;
+        if (state.peer == nullptr)
+        {
+            return make_error(absl::StatusCode::kInvalidArgument,
+                              error_number::link_unreachable,
+                              "no call was sent: its body is too large");
+        }
         for (;;)
         {
-            const client_stream::progress news =
-                state.stream->wait(time_to_wait(state.what, until));
+            const client_stream::progress news = state.stream->wait(time_to_wait(state));
             const absl::Status taken = take(state, news);
             if (!taken.ok())
             {
@@ -123,17 +151,17 @@
                 give_up(state);
                 return absl::CancelledError("the call was cancelled");
             }
-            if (time_.steady_now() >= until)
+            if (time_.steady_now() >= state.until)
             {
                 return timed_out(state.what.to, give_up(state));
             }
         }
     }
 
-    millis time_to_wait(const link_call& what, steady_time until) const
+    millis time_to_wait(const call_state& state) const
     {
-        const millis left = std::max(until - time_.steady_now(), millis(0));
-        return what.cancelled ? std::min(left, cancel_check) : left;
+        const millis left = std::max(state.until - time_.steady_now(), millis(0));
+        return state.what.cancelled ? std::min(left, cancel_check) : left;
     }
 
     absl::Status take(call_state& state, const client_stream::progress& news)
--- /dev/null
+++ b/src/membership/request_placer.cpp
@@ -0,0 +1,157 @@
+#include <medlar/detail/membership/request_placer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr millis retry_soon{500};
+constexpr millis retry_when_full{1000};
+/// longest wait between two looks at the clock
+constexpr millis longest_wait{100};
+
+answer_now answer_of(outcome_kind kind,
+                     reason why,
+                     std::string message,
+                     std::optional<millis> retry_after)
+{
+    outcome result;
+    result.kind = kind;
+    result.why = why;
+    result.message = std::move(message);
+    result.retry_after = retry_after;
+    return {final_answer{std::move(result), "", ""}};
+}
+
+/// @brief an outcome of the ownership with the time to come back
+answer_now with_retry(outcome result)
+{
+    if (!result.retry_after && result.kind == outcome_kind::not_run)
+    {
+        result.retry_after = retry_soon;
+    }
+    return {final_answer{std::move(result), "", ""}};
+}
+
+} // namespace
+
+request_placer::request_placer(exchange_core& core) : core_(core)
+{
+}
+
+placement request_placer::place(const owned_request& request)
+{
+    for (;;)
+    {
+        const std::uint64_t seen = core_.owner.changes();
+        attempt made = try_place(request);
+        if (auto* placed = std::get_if<placement>(&made))
+        {
+            return std::move(*placed);
+        }
+        const millis left = request.wait_until - core_.time.steady_now();
+        if (left <= millis(0) || core_.stopped.load())
+        {
+            outcome answer = std::get<not_settled>(made).otherwise;
+            answer.retry_after = retry_soon;
+            return with_retry(std::move(answer));
+        }
+        core_.owner.wait_for_change(seen, std::min(left, longest_wait));
+    }
+}
+
+request_placer::attempt request_placer::try_place(const owned_request& request)
+{
+    // no view is adopted and no handover is taken in between the decision and the claim
+    return core_.owner.read(
+        [this, &request](const ownership& state) -> attempt
+        {
+            if (const std::optional<claim> found = core_.claims.find(request.key))
+            {
+                return by_claim(request, *found);
+            }
+            const ownership_decision decision = state.decide(hash_of(request.key),
+                                                             request.issued_at,
+                                                             request.first_attempt,
+                                                             core_.time.steady_now(),
+                                                             core_.time.wall_now());
+            if (const auto* elsewhere = std::get_if<at_home>(&decision))
+            {
+                return placement(run_elsewhere{elsewhere->home});
+            }
+            if (const auto* refused = std::get_if<refuse>(&decision))
+            {
+                return placement(with_retry(refused->answer));
+            }
+            if (const auto* waiting = std::get_if<not_settled>(&decision))
+            {
+                return *waiting;
+            }
+            return open_claim(request);
+        });
+}
+
+request_placer::attempt request_placer::open_claim(const owned_request& request)
+{
+    if (core_.stopped.load())
+    {
+        return placement(answer_of(outcome_kind::not_run,
+                                   reason::shutting_down,
+                                   "this host is shutting down",
+                                   retry_soon));
+    }
+    if (!core_.claims.has_room())
+    {
+        return placement(answer_of(outcome_kind::not_run,
+                                   reason::claims_full,
+                                   "its home holds as many claims as it may",
+                                   retry_when_full));
+    }
+    claim fresh;
+    fresh.key = request.key;
+    fresh.digest = request.digest;
+    fresh.issued_at = request.issued_at;
+    fresh.runner = core_.self();
+    const claim_lookup opened = core_.claims.open(fresh);
+    if (opened.state != claim_state::opened)
+    {
+        return by_claim(request, opened.found);
+    }
+    core_.runs.begin(request.key);
+    return placement(run_here{});
+}
+
+placement request_placer::by_claim(const owned_request& request, const claim& found) const
+{
+    if (found.digest != request.digest)
+    {
+        return answer_of(outcome_kind::not_run,
+                         reason::id_reused,
+                         "the id was used for another request",
+                         std::nullopt);
+    }
+    if (found.answer)
+    {
+        return answer_now{*found.answer};
+    }
+    return found.runner == core_.self() ? placement(join_here{}) : at_runner(found);
+}
+
+placement request_placer::at_runner(const claim& found) const
+{
+    const std::optional<view_member> runner = core_.find_member(found.runner);
+    if (runner && core_.peers.heard_lately(found.runner, core_.time.steady_now()))
+    {
+        return run_elsewhere{*runner};
+    }
+    return answer_of(outcome_kind::unknown,
+                     reason::reply_lost,
+                     "the host that ran it is not heard from",
+                     retry_when_full);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/membership/view_keeper.cpp
@@ -0,0 +1,145 @@
+#include <medlar/detail/log/membership_events.hpp>
+#include <medlar/detail/membership/view_keeper.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace medlar
+{
+
+namespace
+{
+
+/// @brief what an adoption changed
+struct adoption
+{
+    std::optional<view> before;
+    std::optional<view> after;
+};
+
+std::optional<view> adopted_view(const ownership& state)
+{
+    if (state.adopted() == nullptr)
+    {
+        return std::nullopt;
+    }
+    return *state.adopted();
+}
+
+bool adoption_is_due(const ownership& state)
+{
+    return state.newest() != nullptr &&
+           (state.adopted() == nullptr ||
+            state.adopted()->epoch != state.newest()->current.epoch);
+}
+
+bool closing_is_due(const ownership& state)
+{
+    return state.newest() != nullptr && !state.may_propose();
+}
+
+} // namespace
+
+view_keeper::view_keeper(exchange_core& core, claim_sender& sender)
+    : core_(core), sender_(sender)
+{
+}
+
+absl::Status view_keeper::learn(absl::string_view record_text)
+{
+    const absl::StatusOr<view_record> record = parse_view_record(record_text);
+    if (!record.ok())
+    {
+        return record.status();
+    }
+    const bool newer = core_.owner.write(
+        [this, &record](ownership& state)
+        {
+            return state.learn(*record, core_.time.steady_now(), core_.time.wall_now());
+        });
+    if (newer)
+    {
+        log_event(
+            view_learned,
+            {{"epoch", record->current.epoch.get()},
+             {"members", static_cast<std::uint64_t>(record->current.members.size())}});
+        step();
+    }
+    return absl::OkStatus();
+}
+
+void view_keeper::step()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (core_.owner.read(adoption_is_due) && !core_.stopped.load())
+    {
+        adopt();
+    }
+    if (core_.owner.read(closing_is_due))
+    {
+        core_.owner.write(
+            [this](ownership& state)
+            {
+                state.try_close(core_.time.steady_now(), core_.time.wall_now());
+                return true;
+            });
+    }
+    report_lease();
+}
+
+void view_keeper::adopt()
+{
+    const adoption change = core_.owner.write(
+        [this](ownership& state)
+        {
+            adoption made;
+            made.before = adopted_view(state);
+            if (state.try_adopt(core_.time.steady_now()))
+            {
+                made.after = adopted_view(state);
+            }
+            return made;
+        });
+    if (!change.after)
+    {
+        return;
+    }
+    core_.peers.view_adopted(core_.time.steady_now());
+    sender_.view_adopted(change.before, *change.after);
+    log_event(view_adopted,
+              {{"epoch", change.after->epoch.get()},
+               {"members", static_cast<std::uint64_t>(change.after->members.size())}});
+}
+
+void view_keeper::report_lease()
+{
+    const bool has_lease = core_.owner.read(
+        [this](const ownership& state)
+        {
+            return state.lease_valid(core_.time.steady_now());
+        });
+    if (has_lease != had_lease_)
+    {
+        had_lease_ = has_lease;
+        log_event(has_lease ? lease_gained : lease_lost, {});
+    }
+}
+
+void view_keeper::replaced(incarnation process)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (std::find(replaced_.begin(), replaced_.end(), process) != replaced_.end())
+    {
+        return;
+    }
+    replaced_.push_back(process);
+    core_.owner.write(
+        [this, process](ownership& state)
+        {
+            state.on_stopped(process, core_.time.steady_now());
+            return true;
+        });
+    log_event(peer_replaced, {{"process", process.get()}});
+}
+
+} // namespace medlar
