Add medlar-controller: configuration, views and the host list

One watch on the live folder feeds the gateway of the host over /v1/control; what is older than known is an event and changes nothing, and a store that came back with an older state gets the newest back by compare-and-swap.

Views are proposed from the gateway's report: waiting gateways are added, each in place of an older run of its host or address, and leaving or lost ones are left out. Which gateway proposes is spread by rank; the compare-and-swap decides. A lost reply is settled by reading the entry back.

--- /dev/null
+++ b/include/medlar/detail/controller/controller_process.hpp
@@ -0,0 +1,66 @@
+#ifndef MEDLAR_DETAIL_CONTROLLER_CONTROLLER_PROCESS_HPP
+#define MEDLAR_DETAIL_CONTROLLER_CONTROLLER_PROCESS_HPP
+
+#include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/base/endpoint.hpp>
+#include <medlar/detail/controller/configuration_controller.hpp>
+#include <medlar/detail/controller/gateway_feed.hpp>
+#include <medlar/detail/controller/live_state.hpp>
+#include <medlar/detail/controller/stop_signal.hpp>
+#include <medlar/detail/controller/target_controller.hpp>
+#include <medlar/detail/controller/view_controller.hpp>
+#include <medlar/detail/link/link.hpp>
+#include <medlar/detail/store/store_client.hpp>
+
+#include <memory>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief the checked settings of medlar-controller
+struct controller_settings
+{
+    host_id self;
+    std::vector<endpoint> store;
+    millis store_timeout{2000};
+    endpoint gateway;
+    millis heartbeat{1000};
+    watch_settings watch;
+    view_settings view;
+    /// unset: there is no host list
+    std::optional<host_list_settings> host_list;
+};
+
+/// @brief The controllers of one host, each on its own thread, until destroyed.
+class controller_process
+{
+  public:
+    static std::unique_ptr<controller_process> create(const controller_settings& settings,
+                                                      const clock& time);
+
+    ~controller_process();
+
+  private:
+    controller_process(const controller_settings& settings, const clock& time);
+
+    void start();
+
+    stop_signal stop_;
+    std::unique_ptr<link_client> links_;
+    // the watch has a client of its own, so that no other call waits for it
+    std::unique_ptr<store_client> watching_;
+    std::unique_ptr<store_client> writing_;
+    live_state live_;
+    gateway_feed feed_;
+    configuration_controller configuration_;
+    view_controller view_;
+    std::unique_ptr<target_controller> targets_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_CONTROLLER_CONTROLLER_PROCESS_HPP
--- /dev/null
+++ b/include/medlar/detail/controller/store_keys.hpp
@@ -0,0 +1,20 @@
+#ifndef MEDLAR_DETAIL_CONTROLLER_STORE_KEYS_HPP
+#define MEDLAR_DETAIL_CONTROLLER_STORE_KEYS_HPP
+
+namespace medlar::store_keys
+{
+
+/// @brief folder that every controller watches
+constexpr const char* live_folder = "medlar/live/";
+/// @brief the accepted document
+constexpr const char* configuration = "medlar/live/configuration";
+/// @brief the view record
+constexpr const char* view = "medlar/live/view";
+/// @brief folder of the wanted engine states, one entry a pool
+constexpr const char* orders_folder = "medlar/orders/";
+/// @brief lock of the controller that gives orders, and the loads that were ordered
+constexpr const char* order_lock = "medlar/leases/orders";
+
+} // namespace medlar::store_keys
+
+#endif // MEDLAR_DETAIL_CONTROLLER_STORE_KEYS_HPP
--- /dev/null
+++ b/src/controller/control_message.cpp
@@ -0,0 +1,141 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/controller/control_message.hpp>
+#include <medlar/detail/settings/settings.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace medlar
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+absl::Status malformed(absl::string_view what)
+{
+    return make_error(absl::StatusCode::kDataLoss,
+                      error_number::link_malformed,
+                      absl::StrCat("report of the gateway: ", what));
+}
+
+void append_field(std::string* body, absl::string_view name, absl::string_view value)
+{
+    absl::StrAppend(body, body->size() > 1 ? "," : "", "\"", name, "\":", value);
+}
+
+json names_of(const std::vector<target_id>& targets)
+{
+    json names = json::array();
+    for (const target_id& target : targets)
+    {
+        names.push_back(target.get());
+    }
+    return names;
+}
+
+json addresses_of(const std::vector<endpoint>& endpoints)
+{
+    json addresses = json::array();
+    for (const endpoint& each : endpoints)
+    {
+        addresses.push_back(to_string(each));
+    }
+    return addresses;
+}
+
+// these throw json::exception, which parse_gateway_report() turns into a status
+
+std::vector<incarnation> incarnations(const json& list)
+{
+    std::vector<incarnation> read;
+    for (const json& item : list)
+    {
+        read.emplace_back(item.get<std::uint64_t>());
+    }
+    return read;
+}
+
+absl::StatusOr<view_member> member_from(const json& item)
+{
+    const absl::StatusOr<endpoint> link =
+        parse_endpoint(item.at("link").get<std::string>());
+    if (!link.ok())
+    {
+        return malformed(absl::StrCat("waiting: ", link.status().message()));
+    }
+    view_member member;
+    member.host = host_id(item.at("host").get<std::string>());
+    member.process = incarnation(item.at("process").get<std::uint64_t>());
+    member.link = *link;
+    member.failure_domain =
+        failure_domain_id(item.at("failure_domain").get<std::string>());
+    return member;
+}
+
+absl::StatusOr<gateway_report> report_from(const json& from)
+{
+    gateway_report report;
+    report.host = host_id(from.at("host").get<std::string>());
+    report.process = incarnation(from.at("process").get<std::uint64_t>());
+    report.configuration = revision(from.at("configuration").get<std::uint64_t>());
+    report.adopted = view_epoch(from.at("adopted").get<std::uint64_t>());
+    report.newest = view_epoch(from.at("newest").get<std::uint64_t>());
+    report.member = from.at("member").get<bool>();
+    report.may_propose = from.at("may_propose").get<bool>();
+    report.not_heard = incarnations(from.at("not_heard"));
+    report.leaving = incarnations(from.value("leaving", json::array()));
+    for (const json& item : from.at("waiting"))
+    {
+        absl::StatusOr<view_member> member = member_from(item);
+        if (!member.ok())
+        {
+            return member.status();
+        }
+        report.waiting.push_back(*std::move(member));
+    }
+    return report;
+}
+
+} // namespace
+
+std::string write_control_push(const control_push& push)
+{
+    std::string body = "{";
+    if (push.view)
+    {
+        append_field(&body, "view", *push.view);
+    }
+    if (push.configuration)
+    {
+        append_field(&body, "configuration", *push.configuration);
+    }
+    if (push.confirmed)
+    {
+        append_field(&body, "confirmed", absl::StrCat(push.confirmed->get()));
+    }
+    if (push.leaving)
+    {
+        append_field(&body, "leaving", names_of(*push.leaving).dump());
+    }
+    if (push.peers)
+    {
+        append_field(&body, "peers", addresses_of(*push.peers).dump());
+    }
+    return absl::StrCat(body, "}");
+}
+
+absl::StatusOr<gateway_report> parse_gateway_report(absl::string_view text)
+{
+    try
+    {
+        return report_from(json::parse(text.begin(), text.end()));
+    }
+    catch (const json::exception& error)
+    {
+        return malformed(error.what());
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/controller/gateway_feed.cpp
@@ -0,0 +1,225 @@
+#include <medlar/detail/controller/gateway_feed.hpp>
+#include <medlar/detail/log/controller_events.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr millis push_timeout{1000};
+
+std::chrono::milliseconds to_chrono(millis span)
+{
+    return std::chrono::milliseconds(span.count());
+}
+
+} // namespace
+
+gateway_feed::gateway_feed(link_client& links, endpoint gateway, millis heartbeat)
+    : links_(links), gateway_(std::move(gateway)), heartbeat_(heartbeat)
+{
+}
+
+void gateway_feed::set_configuration(revision number, std::string text)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (number > wanted_.configuration.number)
+    {
+        wanted_.configuration = {number, std::move(text)};
+        note_change();
+    }
+}
+
+void gateway_feed::set_view(view_epoch epoch, std::string text)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (epoch > wanted_.view.number)
+    {
+        wanted_.view = {epoch, std::move(text)};
+        note_change();
+    }
+}
+
+void gateway_feed::set_confirmed(std::optional<revision> confirmed)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    wanted_.confirmed = confirmed;
+}
+
+void gateway_feed::set_leaving(std::vector<target_id> leaving)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (leaving != wanted_.leaving)
+    {
+        wanted_.leaving = std::move(leaving);
+        ++wanted_.hosts_version;
+        note_change();
+    }
+}
+
+void gateway_feed::set_peers(std::vector<endpoint> peers)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (peers != wanted_.peers)
+    {
+        wanted_.peers = std::move(peers);
+        ++wanted_.hosts_version;
+        note_change();
+    }
+}
+
+std::optional<gateway_feed::numbered_report>
+gateway_feed::wait_for_report(std::uint64_t after, millis wait)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait_for(lock,
+                      to_chrono(wait),
+                      [this, after]
+                      {
+                          return stopped_ || (report_ && reports_ > after);
+                      });
+    if (stopped_ || !report_ || reports_ <= after)
+    {
+        return std::nullopt;
+    }
+    return numbered_report{reports_, *report_};
+}
+
+std::optional<gateway_report> gateway_feed::report() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return report_;
+}
+
+void gateway_feed::push_now()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    note_change();
+}
+
+void gateway_feed::run()
+{
+    while (wait_for_work())
+    {
+        push();
+    }
+}
+
+void gateway_feed::stop()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopped_ = true;
+    changed_.notify_all();
+}
+
+void gateway_feed::note_change()
+{
+    push_wanted_ = true;
+    changed_.notify_all();
+}
+
+bool gateway_feed::wait_for_work()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait_for(lock,
+                      to_chrono(heartbeat_),
+                      [this]
+                      {
+                          return stopped_ || push_wanted_;
+                      });
+    push_wanted_ = false;
+    return !stopped_;
+}
+
+control_push gateway_feed::compose() const
+{
+    control_push push;
+    push.confirmed = wanted_.confirmed;
+    // Without a report it is not known what the gateway has: the first push asks.
+    if (!report_)
+    {
+        return push;
+    }
+    if (wanted_.configuration.number > report_->configuration)
+    {
+        push.configuration = wanted_.configuration.text;
+    }
+    if (wanted_.view.number > report_->newest)
+    {
+        push.view = wanted_.view.text;
+    }
+    if (wanted_.hosts_version != hosts_version_sent_)
+    {
+        push.leaving = wanted_.leaving;
+        push.peers = wanted_.peers;
+    }
+    return push;
+}
+
+void gateway_feed::push()
+{
+    link_call call;
+    std::uint64_t hosts_version = 0;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const control_push next = compose();
+        hosts_version = next.leaving ? wanted_.hosts_version : hosts_version_sent_;
+        call.body = write_control_push(next);
+    }
+    call.to = gateway_;
+    call.path = "/v1/control";
+    call.timeout = push_timeout;
+    const absl::StatusOr<link_reply> reply = links_.call(call);
+    if (!reply.ok() || reply->status != status_ok)
+    {
+        fail(reply.ok() ? absl::UnavailableError(reply->body) : reply.status());
+        return;
+    }
+    const absl::StatusOr<gateway_report> report = parse_gateway_report(reply->body);
+    if (!report.ok())
+    {
+        log_event(gateway_report_malformed, {{"error", report.status().message()}});
+        fail(report.status());
+        return;
+    }
+    take(*report, hosts_version);
+}
+
+void gateway_feed::take(const gateway_report& report, std::uint64_t hosts_version)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (unreachable_ || !report_)
+    {
+        log_event(gateway_reachable, {{"process", report.process.get()}});
+    }
+    const bool same_process = report_ && report_->process == report.process;
+    hosts_version_sent_ = same_process ? hosts_version : 0;
+    unreachable_ = false;
+    report_ = report;
+    ++reports_;
+    const bool behind = hosts_version_sent_ != wanted_.hosts_version ||
+                        wanted_.configuration.number > report.configuration ||
+                        wanted_.view.number > report.newest;
+    push_wanted_ = push_wanted_ || (behind && !same_process);
+    changed_.notify_all();
+}
+
+void gateway_feed::fail(const absl::Status& failure)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!unreachable_)
+    {
+        log_event(gateway_unreachable,
+                  {{"gateway", to_string(gateway_)}, {"error", failure.message()}});
+    }
+    unreachable_ = true;
+    report_.reset();
+    hosts_version_sent_ = 0;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/controller/target_controller.cpp
@@ -0,0 +1,105 @@
+#include <medlar/detail/cluster/host_list.hpp>
+#include <medlar/detail/controller/target_controller.hpp>
+#include <medlar/detail/log/controller_events.hpp>
+#include <medlar/detail/settings/settings.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+
+/// @brief the addresses that can be read, without @p self
+std::vector<endpoint> peers_of(const std::vector<std::string>& addresses,
+                               const endpoint& self)
+{
+    std::vector<endpoint> peers;
+    for (const std::string& address : addresses)
+    {
+        const absl::StatusOr<endpoint> peer = parse_endpoint(address);
+        if (peer.ok() && *peer != self)
+        {
+            peers.push_back(*peer);
+        }
+    }
+    return peers;
+}
+
+} // namespace
+
+target_controller::target_controller(gateway_feed& feed,
+                                     const host_list_settings& settings)
+    : feed_(feed), settings_(settings), pool_(settings.where)
+{
+}
+
+void target_controller::run(stop_signal& stop)
+{
+    do
+    {
+        read();
+    } while (stop.pause(settings_.period));
+}
+
+void target_controller::close()
+{
+    pool_.close();
+}
+
+void target_controller::read()
+{
+    http_call call;
+    call.target = "/v1/hosts";
+    call.timeout = settings_.timeout;
+    const absl::StatusOr<http_answer> answer = pool_.call(call);
+    if (!answer.ok())
+    {
+        note_failure(answer.status());
+        return;
+    }
+    if (answer->status != status_ok)
+    {
+        note_failure(absl::UnavailableError(absl::StrCat("status ", answer->status)));
+        return;
+    }
+    take(answer->body);
+}
+
+void target_controller::take(absl::string_view body)
+{
+    const absl::StatusOr<std::vector<listed_host>> listed = parse_host_list(body);
+    if (!listed.ok())
+    {
+        note_failure(listed.status());
+        return;
+    }
+    if (std::exchange(unreachable_, false))
+    {
+        log_event(host_list_reachable, {});
+    }
+    std::set<target_id> leaving = leaving_after(leaving_, *listed);
+    if (leaving != leaving_)
+    {
+        log_event(leaving_targets_changed,
+                  {{"leaving", static_cast<std::uint64_t>(leaving.size())}});
+    }
+    leaving_ = std::move(leaving);
+    feed_.set_leaving({leaving_.begin(), leaving_.end()});
+    feed_.set_peers(peers_of(gateways_of(*listed), settings_.gateway));
+}
+
+void target_controller::note_failure(const absl::Status& failure)
+{
+    if (!std::exchange(unreachable_, true))
+    {
+        log_event(host_list_unreachable, {{"error", failure.message()}});
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/controller/view_controller.cpp
@@ -0,0 +1,190 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/controller/store_keys.hpp>
+#include <medlar/detail/controller/view_controller.hpp>
+#include <medlar/detail/log/controller_events.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr millis report_wait{1000};
+// pause between reports while a change is wanted
+constexpr millis wanted_pause{100};
+
+} // namespace
+
+view_controller::view_controller(store_client& store,
+                                 live_state& live,
+                                 gateway_feed& feed,
+                                 const clock& time,
+                                 const view_settings& settings)
+    : store_(store),
+      live_(live),
+      feed_(feed),
+      time_(time),
+      settings_(settings),
+      schedule_(settings.settle, settings.stagger)
+{
+}
+
+void view_controller::run(stop_signal& stop)
+{
+    std::uint64_t last = 0;
+    while (!stop.stopped())
+    {
+        const std::optional<gateway_feed::numbered_report> report =
+            feed_.wait_for_report(last, report_wait);
+        if (!report)
+        {
+            continue;
+        }
+        last = report->number;
+        if (evaluate(report->content) && stop.pause(wanted_pause))
+        {
+            feed_.push_now();
+        }
+    }
+}
+
+bool view_controller::evaluate(const gateway_report& report)
+{
+    silence_.update(report.not_heard, time_.steady_now());
+    const live_snapshot now = live_.snapshot();
+    if (!now.reachable || now.stored_view.malformed)
+    {
+        schedule_.reset();
+        return false;
+    }
+    return now.view ? consider_next(report, now) : consider_first(report, now);
+}
+
+bool view_controller::consider_first(const gateway_report& report,
+                                     const live_snapshot& now)
+{
+    // A gateway that knows a view has it from before the store lost it.
+    if (report.newest != view_epoch(0))
+    {
+        return false;
+    }
+    const membership_evidence seen = evidence_of(report);
+    view_record first;
+    first.current.epoch = view_epoch(1);
+    first.current.members = first_members(seen);
+    if (first.current.members.empty())
+    {
+        return false;
+    }
+    const std::size_t rank = proposal_rank(view(), seen);
+    if (!schedule_.due(first.current.members, rank, time_.steady_now()))
+    {
+        return true;
+    }
+    propose(first, now.stored_view.modified);
+    return false;
+}
+
+bool view_controller::consider_next(const gateway_report& report,
+                                    const live_snapshot& now)
+{
+    const view_record& record = *now.view;
+    if (!report.may_propose || report.newest != record.current.epoch)
+    {
+        schedule_.reset();
+        return report.newest < record.current.epoch;
+    }
+    const membership_evidence seen = evidence_of(report);
+    const std::vector<view_member> wanted = next_members(record.current, seen);
+    if (same_processes(wanted, record.current.members))
+    {
+        schedule_.reset();
+        return false;
+    }
+    const std::size_t rank = proposal_rank(record.current, seen);
+    if (!schedule_.due(wanted, rank, time_.steady_now()))
+    {
+        return true;
+    }
+    propose(next_record(record, wanted), now.stored_view.modified);
+    return false;
+}
+
+membership_evidence view_controller::evidence_of(const gateway_report& report) const
+{
+    membership_evidence seen;
+    seen.self.host = report.host;
+    seen.self.process = report.process;
+    seen.self.link = settings_.gateway;
+    seen.self.failure_domain = settings_.failure_domain;
+    seen.lost = silence_.lost(settings_.eviction, time_.steady_now());
+    seen.leaving = report.leaving;
+    seen.waiting = report.waiting;
+    const bool listed = std::any_of(seen.waiting.begin(),
+                                    seen.waiting.end(),
+                                    [&report](const view_member& member)
+                                    {
+                                        return member.process == report.process;
+                                    });
+    if (!report.member && !listed)
+    {
+        seen.waiting.push_back(seen.self);
+    }
+    return seen;
+}
+
+void view_controller::propose(const view_record& record, store_index expected)
+{
+    schedule_.reset();
+    const field epoch("epoch", record.current.epoch.get());
+    const absl::StatusOr<bool> written =
+        store_.compare_and_swap(store_keys::view, write_view_record(record), expected);
+    if (written.ok() && !*written)
+    {
+        log_event(view_proposal_lost, {epoch});
+        return;
+    }
+    if (written.ok())
+    {
+        accept(record);
+        return;
+    }
+    const bool lost = error_number_of(written.status()) ==
+                      static_cast<int>(error_number::store_reply_lost);
+    if (!lost)
+    {
+        log_event(view_proposal_failed, {epoch, {"error", written.status().message()}});
+        return;
+    }
+    log_event(view_proposal_unsettled, {epoch, {"error", written.status().message()}});
+    if (was_written(record))
+    {
+        accept(record);
+    }
+}
+
+bool view_controller::was_written(const view_record& record)
+{
+    const absl::StatusOr<std::optional<store_entry>> entry = store_.get(store_keys::view);
+    if (!entry.ok() || !entry->has_value())
+    {
+        return false;
+    }
+    const absl::StatusOr<view_record> stored = parse_view_record((*entry)->value);
+    return stored.ok() &&
+           order_of(version_of(&record), version_of(&*stored)) == state_order::same;
+}
+
+void view_controller::accept(const view_record& record)
+{
+    log_event(view_proposed,
+              {{"epoch", record.current.epoch.get()},
+               {"members", static_cast<std::uint64_t>(record.current.members.size())}});
+    live_.take_view(record);
+    feed_.set_view(record.current.epoch, write_view_record(record));
+}
+
+} // namespace medlar
--- /dev/null
+++ b/test/runtime/controller_test.cpp
@@ -0,0 +1,282 @@
+#include <medlar/detail/cluster/view.hpp>
+#include <medlar/detail/config/json.hpp>
+#include <medlar/detail/controller/controller_process.hpp>
+#include <medlar/detail/controller/store_keys.hpp>
+
+#include "standins/shared/kv_server.hpp"
+#include "support/fake_gateway.hpp"
+#include "support/views.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using medlar::millis;
+using medlar::testing::fake_gateway;
+using nlohmann::json;
+
+std::string document_text(std::uint64_t number, const std::string& change_id)
+{
+    medlar::accepted_document accepted;
+    accepted.number = medlar::revision(number);
+    accepted.change_id = change_id;
+    accepted.author = "tester";
+    return medlar::write_accepted_document(accepted);
+}
+
+class a_controller : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_controller);
+    CPPUNIT_TEST(pushes_the_configuration_and_each_change_of_it);
+    CPPUNIT_TEST(proposes_the_first_view_and_adds_a_waiting_gateway);
+    CPPUNIT_TEST(removes_a_member_that_is_not_heard_from);
+    CPPUNIT_TEST(proposes_nothing_while_the_gateway_may_not);
+    CPPUNIT_TEST(settles_a_proposal_whose_reply_was_lost);
+    CPPUNIT_TEST(goes_on_after_an_outage_of_the_store);
+    CPPUNIT_TEST(moves_nobody_back_and_repairs_a_store_with_an_older_state);
+    CPPUNIT_TEST(tells_a_restarted_gateway_everything_again);
+    CPPUNIT_TEST(keeps_what_is_in_force_when_an_entry_is_malformed);
+    CPPUNIT_TEST(stops_while_its_watch_waits);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override
+    {
+        store_ = std::make_unique<standins::kv_server>(medlar::endpoint{"127.0.0.1", 0},
+                                                       std::chrono::milliseconds(10));
+        gateway_ = std::make_unique<fake_gateway>();
+    }
+
+    void tearDown() override
+    {
+        controller_.reset();
+        gateway_.reset();
+        store_.reset();
+    }
+
+  private:
+    void start()
+    {
+        medlar::controller_settings settings;
+        settings.self = medlar::host_id("h1");
+        settings.store = {store_->where()};
+        settings.store_timeout = millis(2000);
+        settings.gateway = gateway_->where();
+        settings.heartbeat = millis(50);
+        settings.watch.first_pause = millis(10);
+        settings.watch.longest_pause = millis(50);
+        settings.watch.repair_delay = millis(10);
+        settings.view.gateway = gateway_->where();
+        settings.view.failure_domain = medlar::failure_domain_id("d1");
+        settings.view.eviction = millis(100);
+        settings.view.settle = millis(20);
+        settings.view.stagger = millis(20);
+        controller_ = medlar::controller_process::create(settings, time_);
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        store_->state().put(key, value, std::nullopt);
+    }
+
+    /// @brief a first view of the gateway under test and others
+    void put_view(const std::vector<std::uint64_t>& numbers)
+    {
+        put(medlar::store_keys::view,
+            write_view_record(medlar::testing::first_record(numbers)));
+    }
+
+    void wait_for_revision(int number)
+    {
+        gateway_->wait_until(
+            [number](const json& pushed)
+            {
+                return pushed.contains("configuration") &&
+                       pushed["configuration"]["revision"] == number;
+            });
+    }
+
+    void wait_for_epoch(int epoch)
+    {
+        gateway_->wait_until(
+            [epoch](const json& pushed)
+            {
+                return pushed.contains("view") &&
+                       pushed["view"]["current"]["epoch"] == epoch;
+            });
+    }
+
+    std::size_t members_pushed() const
+    {
+        return gateway_->pushed()["view"]["current"]["members"].size();
+    }
+
+    // configuration
+
+    void pushes_the_configuration_and_each_change_of_it()
+    {
+        put(medlar::store_keys::configuration, document_text(1, "a"));
+        start();
+        wait_for_revision(1);
+        put(medlar::store_keys::configuration, document_text(2, "b"));
+        wait_for_revision(2);
+        CPPUNIT_ASSERT_EQUAL(2, gateway_->pushed()["confirmed"].get<int>());
+    }
+
+    void keeps_what_is_in_force_when_an_entry_is_malformed()
+    {
+        put(medlar::store_keys::configuration, document_text(1, "a"));
+        start();
+        wait_for_revision(1);
+        put(medlar::store_keys::configuration, "{");
+        put(medlar::store_keys::view, "[]");
+        gateway_->wait_for_pushes(5);
+        CPPUNIT_ASSERT_EQUAL(std::string("{"), stored(medlar::store_keys::configuration));
+        put(medlar::store_keys::configuration, document_text(2, "b"));
+        wait_for_revision(2);
+    }
+
+    void tells_a_restarted_gateway_everything_again()
+    {
+        put(medlar::store_keys::configuration, document_text(1, "a"));
+        put_view({1});
+        start();
+        wait_for_epoch(1);
+        wait_for_revision(1);
+        put(medlar::store_keys::configuration, document_text(2, "b"));
+        gateway_->set({{"process", 2},
+                       {"configuration", 0},
+                       {"newest", 0},
+                       {"member", false}});
+        wait_for_revision(2);
+        wait_for_epoch(2);
+        const json member = gateway_->pushed()["view"]["current"]["members"][0];
+        CPPUNIT_ASSERT_EQUAL(2, member["process"].get<int>());
+    }
+
+    // the view
+
+    void proposes_the_first_view_and_adds_a_waiting_gateway()
+    {
+        start();
+        wait_for_epoch(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, members_pushed());
+        gateway_->set({{"member", true}, {"waiting", json::array({waiting(2)})}});
+        wait_for_epoch(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, members_pushed());
+    }
+
+    void removes_a_member_that_is_not_heard_from()
+    {
+        put_view({1, 2, 3});
+        gateway_->set({{"member", true}, {"not_heard", json::array({3})}});
+        start();
+        wait_for_epoch(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, members_pushed());
+    }
+
+    void proposes_nothing_while_the_gateway_may_not()
+    {
+        put_view({1, 2, 3});
+        gateway_->set({{"member", true},
+                       {"may_propose", false},
+                       {"waiting", json::array({waiting(4)})}});
+        start();
+        wait_for_epoch(1);
+        gateway_->wait_for_pushes(20);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, store_->calls()["cas"]);
+    }
+
+    void settles_a_proposal_whose_reply_was_lost()
+    {
+        put_view({1, 2, 3});
+        gateway_->set({{"member", true}, {"waiting", json::array({waiting(4)})}});
+        store_->set_switches({{"lose_next_writes", 1}});
+        start();
+        wait_for_epoch(2);
+        gateway_->set({{"waiting", json::array()}});
+        gateway_->wait_for_pushes(10);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, store_->calls()["cas"]);
+    }
+
+    // the store
+
+    void goes_on_after_an_outage_of_the_store()
+    {
+        put(medlar::store_keys::configuration, document_text(1, "a"));
+        start();
+        wait_for_revision(1);
+        store_->set_switches({{"down", true}});
+        gateway_->wait_for_pushes(5);
+        put(medlar::store_keys::configuration, document_text(2, "b"));
+        store_->set_switches({{"down", false}});
+        wait_for_revision(2);
+    }
+
+    void moves_nobody_back_and_repairs_a_store_with_an_older_state()
+    {
+        put(medlar::store_keys::configuration, document_text(1, "a"));
+        put_view({1});
+        gateway_->set({{"member", true}});
+        start();
+        wait_for_epoch(1);
+        const std::size_t older = store_->state().snapshot();
+        put(medlar::store_keys::configuration, document_text(2, "b"));
+        gateway_->set({{"waiting", json::array({waiting(2)})}});
+        wait_for_revision(2);
+        wait_for_epoch(2);
+        store_->set_switches({{"down", true}});
+        store_->state().restore(older);
+        store_->set_switches({{"down", false}});
+        while (stored(medlar::store_keys::configuration) != document_text(2, "b") ||
+               epoch_stored() != 2)
+        {
+            gateway_->wait_for_pushes(1);
+        }
+        CPPUNIT_ASSERT_EQUAL(
+            2, gateway_->pushed()["configuration"]["revision"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, members_pushed());
+    }
+
+    void stops_while_its_watch_waits()
+    {
+        put(medlar::store_keys::configuration, document_text(1, "a"));
+        start();
+        wait_for_revision(1);
+        while (store_->calls()["watch"] == 0)
+        {
+            gateway_->wait_for_pushes(1);
+        }
+        controller_.reset();
+    }
+
+    static json waiting(std::uint64_t number)
+    {
+        const medlar::view_member member = medlar::testing::member(number);
+        return {{"host", member.host.get()},
+                {"process", member.process.get()},
+                {"link", to_string(member.link)},
+                {"failure_domain", member.failure_domain.get()}};
+    }
+
+    std::string stored(const std::string& key)
+    {
+        return store_->state().read(key, false).entries[key].value;
+    }
+
+    std::uint64_t epoch_stored()
+    {
+        const auto record = medlar::parse_view_record(stored(medlar::store_keys::view));
+        return record.ok() ? record->current.epoch.get() : 0;
+    }
+
+    medlar::clock time_ = medlar::clock::system();
+    std::unique_ptr<standins::kv_server> store_;
+    std::unique_ptr<fake_gateway> gateway_;
+    std::unique_ptr<medlar::controller_process> controller_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_controller);
+
+} // namespace
--- a/test/standins/plain_service.cpp
+++ b/test/standins/plain_service.cpp
@@ -1,8 +1,8 @@
-#include <medlar/detail/settings/settings.hpp>
-
 #include "standins/shared/plain_target.hpp"
 #include "standins/shared/run_until_signal.hpp"
 
+#include <medlar/detail/settings/settings.hpp>
+
 #include <gflags/gflags.h>
 
 #include <iostream>
--- a/test/standins/shared/engine_orders.hpp
+++ b/test/standins/shared/engine_orders.hpp
@@ -17,9 +17,7 @@
 class engine_orders
 {
   public:
-    engine_orders(bool checks_fencing,
-                  medlar::millis load_time,
-                  const std::string& model)
+    engine_orders(bool checks_fencing, medlar::millis load_time, const std::string& model)
         : checks_fencing_(checks_fencing), load_time_(load_time)
     {
         models_[model] = "1";
--- a/test/standins/shared/engine_target.hpp
+++ b/test/standins/shared/engine_target.hpp
@@ -44,7 +44,8 @@
 {
   public:
     explicit engine_target(const engine_settings& settings)
-        : settings_(settings), work_(settings.slots, settings.report_lag),
+        : settings_(settings),
+          work_(settings.slots, settings.report_lag),
           cache_(settings.cache_tokens, settings.event_delay, settings.event_gap_every),
           orders_(settings.checks_fencing, settings.load_time, settings.model),
           server_(
@@ -85,7 +86,8 @@
         const std::string events = "/v1/cache_events?after=";
         if (call.path.rfind(events, 0) == 0)
         {
-            const std::uint64_t after = std::stoull("0" + call.path.substr(events.size()));
+            const std::uint64_t after =
+                std::stoull("0" + call.path.substr(events.size()));
             call.reply(200, {{"events", cache_.events_after(after)}});
             return true;
         }
--- a/test/standins/shared/plain_target.hpp
+++ b/test/standins/shared/plain_target.hpp
@@ -23,7 +23,8 @@
 {
   public:
     explicit plain_target(const plain_settings& settings)
-        : settings_(settings), work_(settings.slots, settings.report_lag),
+        : settings_(settings),
+          work_(settings.slots, settings.report_lag),
           server_(
               settings.listen,
               work_,
@@ -59,8 +60,8 @@
     void run(received_call& call, const switches& now)
     {
         const std::string input = call.body["input"].dump();
-        const double us =
-            settings_.fixed_us + settings_.per_byte_us * static_cast<double>(input.size());
+        const double us = settings_.fixed_us +
+                          settings_.per_byte_us * static_cast<double>(input.size());
         if (!work_.spend(call.text("call_id"), us * now.straggle))
         {
             call.reply(500, {{"error", "cancelled"}});
@@ -74,9 +75,8 @@
         send(call, now, answer_to(call, now, input));
     }
 
-    static std::string answer_to(const received_call& call,
-                                 const switches& now,
-                                 const std::string& input)
+    static std::string
+    answer_to(const received_call& call, const switches& now, const std::string& input)
     {
         if (now.malformed)
         {
@@ -94,8 +94,7 @@
         return nlohmann::json({{"request_id", request_id}, {"output", output}}).dump();
     }
 
-    static void
-    send(received_call& call, const switches& now, const std::string& answer)
+    static void send(received_call& call, const switches& now, const std::string& answer)
     {
         call.response.setContentType("application/json");
         call.response.setContentLength(static_cast<std::streamsize>(answer.size()));
--- a/test/standins/shared/stage_server.hpp
+++ b/test/standins/shared/stage_server.hpp
@@ -1,11 +1,11 @@
 #ifndef MEDLAR_TEST_STANDINS_STAGE_SERVER_HPP
 #define MEDLAR_TEST_STANDINS_STAGE_SERVER_HPP
 
-#include <medlar/detail/base/endpoint.hpp>
-
 #include "standins/shared/switches.hpp"
 #include "standins/shared/work.hpp"
 
+#include <medlar/detail/base/endpoint.hpp>
+
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
@@ -79,11 +79,13 @@
                  work& shared,
                  run_function run,
                  other_function other)
-        : work_(shared), run_(std::move(run)), other_(std::move(other)),
+        : work_(shared),
+          run_(std::move(run)),
+          other_(std::move(other)),
           socket_(Poco::Net::SocketAddress(where.address, where.port), backlog)
     {
-        auto params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(
-            new Poco::Net::HTTPServerParams());
+        auto params =
+            Poco::AutoPtr<Poco::Net::HTTPServerParams>(new Poco::Net::HTTPServerParams());
         params->setMaxThreads(max_threads);
         params->setMaxQueued(max_threads);
         server_ = std::make_unique<Poco::Net::HTTPServer>(
@@ -123,12 +125,11 @@
         {
             std::string text;
             Poco::StreamCopier::copyToString(request.stream(), text);
-            received_call call{
-                request.getURI(),
-                text.empty() ? nlohmann::json()
-                             : nlohmann::json::parse(text, nullptr, false),
-                request,
-                response};
+            received_call call{request.getURI(),
+                               text.empty() ? nlohmann::json()
+                                            : nlohmann::json::parse(text, nullptr, false),
+                               request,
+                               response};
             owner_.serve(call);
         }
 
