--- a/test/runtime/operators/fake_store.hpp
+++ b/test/runtime/operators/fake_store.hpp
@@ -114,6 +114,7 @@
     }
 
     absl::StatusOr<bool> release(const std::string& /*key*/,
+                                 const std::string& /*value*/,
                                  const store_lease& /*lease*/) override
     {
         return true;
@@ -130,7 +131,11 @@
     void set(const std::string& key, const std::string& value)
     {
         ++index_;
-        entries_[key] = store_entry{key, value, store_index(index_), fencing_number(0)};
+        store_entry entry;
+        entry.key = key;
+        entry.value = value;
+        entry.modified = store_index(index_);
+        entries_[key] = entry;
     }
 
     void erase(const std::string& key)
