--- a/src/gateway/local_exchange.cpp
+++ b/src/gateway/local_exchange.cpp
@@ -180,4 +180,9 @@
     return true;
 }
 
+void local_exchange::stop()
+{
+    // it grants and renews nothing
+}
+
 } // namespace medlar
--- a/src/programs/medlar_gateway.cpp
+++ b/src/programs/medlar_gateway.cpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/gateway/gateway.hpp>
 #include <medlar/detail/gateway/local_exchange.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
+#include <medlar/detail/membership/exchange.hpp>
 #include <medlar/detail/settings/settings.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -33,6 +34,10 @@
 DEFINE_int64(max_body_bytes, 4 * 1024 * 1024, "bytes of a request's body");
 DEFINE_int64(max_answer_bytes, 16 * 1024 * 1024, "bytes of a target's answer");
 DEFINE_int64(max_claim_bytes, 256 * 1024 * 1024, "memory of claims and answers");
+DEFINE_int64(lease_ms, 2000, "how long a lease lasts; the same on all hosts");
+DEFINE_int64(renew_ms, 500, "how often a lease is renewed; the same on all hosts");
+DEFINE_int64(caller_skew_ms, 500, "how far a caller's clock may be from a host's");
+DEFINE_int64(host_skew_ms, 100, "how far the clocks of two hosts may be apart");
 DEFINE_int64(retention_ms, 600000, "how long after its issue a request is remembered");
 DEFINE_int64(connect_timeout_ms, 300, "time to connect to a target");
 DEFINE_int64(socket_timeout_ms, 10000, "time without a byte from a caller");
@@ -54,6 +59,9 @@
 
 constexpr int exit_bad_setting = 2;
 constexpr int status_unavailable = 503;
+
+/// a clock drifts by less than this part of a lease while the lease lasts
+constexpr std::int64_t drift_divisor = 50;
 constexpr millis held_check{10};
 
 int end_with(const absl::Status& problem)
@@ -81,6 +89,8 @@
                              "max_answer_bytes",
                              "max_claim_bytes",
                              "retention_ms",
+                             "lease_ms",
+                             "renew_ms",
                              "connect_timeout_ms",
                              "socket_timeout_ms",
                              "body_timeout_ms",
@@ -133,6 +143,10 @@
 
 absl::StatusOr<accepted_document> read_configuration_file()
 {
+    if (FLAGS_config_file.empty())
+    {
+        return accepted_document{};
+    }
     std::ifstream file(FLAGS_config_file);
     const std::string text{std::istreambuf_iterator<char>(file),
                            std::istreambuf_iterator<char>()};
@@ -156,6 +170,29 @@
     return incarnation((high << half_bits) | source());
 }
 
+ownership_timing make_timing()
+{
+    ownership_timing timing;
+    timing.lease = millis(FLAGS_lease_ms);
+    timing.drift_allowance = millis(FLAGS_lease_ms / drift_divisor);
+    timing.renew_every = millis(FLAGS_renew_ms);
+    timing.caller_skew = millis(FLAGS_caller_skew_ms);
+    timing.host_skew = millis(FLAGS_host_skew_ms);
+    timing.retention = millis(FLAGS_retention_ms);
+    return timing;
+}
+
+exchange_settings make_exchange_settings(const view_member& self,
+                                         const ownership_timing& timing,
+                                         const std::vector<endpoint>& seeds)
+{
+    exchange_settings settings;
+    settings.self = self;
+    settings.timing = timing;
+    settings.seeds = seeds;
+    return settings;
+}
+
 gateway_settings make_settings(const view_member& self)
 {
     gateway_settings settings;
@@ -259,7 +296,8 @@
     {
         return end_with(configuration.status());
     }
-    const clock time = clock::system();
+    clock time = clock::system();
+    const ownership_timing timing = make_timing();
     std::atomic<gateway*> behind_link{nullptr};
     auto links_in = link_server::create(
         at.link,
@@ -280,10 +318,14 @@
                            failure_domain_id(FLAGS_failure_domain)};
     const auto metrics = metrics_registry::create();
     const auto policy = policy_engine::create(make_policy_settings(self));
-    const auto claims = claim_table::create(millis(FLAGS_retention_ms),
-                                            byte_count(FLAGS_max_claim_bytes));
+    const auto claims =
+        claim_table::create(timing.claim_lifetime(), byte_count(FLAGS_max_claim_bytes));
     const auto links = link_client::create();
-    const auto peers = local_exchange::create(self, *configuration, *claims);
+    const std::unique_ptr<exchange> peers =
+        FLAGS_config_file.empty()
+            ? exchange::create(
+                  make_exchange_settings(self, timing, at.seeds), time, *claims, *links)
+            : local_exchange::create(self, *configuration, *claims);
     const auto served = gateway::create(
         make_settings(self), {time, *peers, *links, *claims, *policy, *metrics});
     behind_link = served.get();
@@ -300,6 +342,7 @@
     shut_down(time, *served, **callers, *peers);
     // no call may reach the parts below while they go
     callers->reset();
+    peers->stop();
     links_in->reset();
     return 0;
 }
