--- a/src/operators/fleet_service.cpp
+++ b/src/operators/fleet_service.cpp
@@ -192,7 +192,7 @@
     call.to = link;
     call.path = "/v1/explain";
     call.body = nlohmann::json{{"organisation", key.organisation.get()},
-                               {"request_id", key.id.get()}}
+                               {"id", key.id.get()}}
                     .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     call.timeout = timeout_;
     absl::StatusOr<link_reply> reply = links_.call(call);
