--- a/test/runtime/operators/fake_store.hpp
+++ b/test/runtime/operators/fake_store.hpp
@@ -31,11 +31,11 @@
     // switches
 
     bool down = false;
-    /// fates of the next writes to the configuration
+    /// fates of the next writes, audit records and contents apart
     std::deque<write_fate> fates;
     /// what lost writes leave the reader with: the store is down after them
     bool down_after_loss = false;
-    /// run once before the next write to the configuration takes effect
+    /// run once before the next such write takes effect
     std::function<void()> before_write;
     /// writes to the audit records fail
     bool audit_down = false;
@@ -80,7 +80,8 @@
                                           store_index expected) override
     {
         const std::lock_guard<std::recursive_mutex> lock(mutex_);
-        const bool is_audit = !absl::StartsWith(key, "medlar/live/");
+        const bool is_audit = absl::StartsWith(key, "medlar/audit/") ||
+                              absl::StartsWith(key, "medlar/contents/");
         if (down || (is_audit && audit_down))
         {
             return unreachable();
