--- a/test/runtime/controller_test.cpp
+++ b/test/runtime/controller_test.cpp
@@ -64,6 +64,7 @@
         settings.store_timeout = millis(2000);
         settings.gateway = gateway_->where();
         settings.heartbeat = millis(50);
+        settings.watch.wait = millis(1000);
         settings.watch.first_pause = millis(10);
         settings.watch.longest_pause = millis(50);
         settings.watch.repair_delay = millis(10);
--- a/test/standins/shared/kv_state.hpp
+++ b/test/standins/shared/kv_state.hpp
@@ -67,8 +67,9 @@
         std::unique_lock<std::mutex> lock(mutex_);
         const kv_time until = std::chrono::steady_clock::now() + wait;
         kv_reading now = read_locked(key, recurse);
+        const std::uint64_t restores = restores_;
         while (now.index <= after && std::chrono::steady_clock::now() < until &&
-               !given_up())
+               restores == restores_ && !given_up())
         {
             changed_.wait_until(lock, next_wake(until));
             lapse_sessions();
@@ -210,6 +211,7 @@
             return false;
         }
         data_ = snapshots_[number];
+        ++restores_;
         changed_.notify_all();
         return true;
     }
@@ -322,6 +324,8 @@
     contents data_;
     std::vector<contents> snapshots_;
     std::uint64_t next_session_ = 0;
+    // ends the waits that began before a restore
+    std::uint64_t restores_ = 0;
 };
 
 } // namespace standins
--- a/test/support/fake_gateway.hpp
+++ b/test/support/fake_gateway.hpp
@@ -6,8 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 
-#include <condition_variable>
 #include <chrono>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
