Let the controller's word on a target that is back outlast older news of peers

Cause: a gateway that had told a peer of a leaving target got the entry back from that peer after the controller had listed the target as live, and kept it off work for up to 30 s. Ruled out: a lost control call (the list had changed). Change: peers' news of a target that came off the list are left out for as long as a refusal lasts; a refusal seen here still counts.

--- a/include/medlar/detail/membership/leaving_targets.hpp
+++ b/include/medlar/detail/membership/leaving_targets.hpp
@@ -27,9 +27,10 @@
     /// @return whether the list has changed
     bool observe(const target_id& target, steady_time now);
 
-    /// @brief takes over the controller's list
+    /// @brief takes over the controller's list; what peers tell of a target that is on it
+    /// no longer is older news and is left out for a while
     /// @return whether the list has changed
-    bool set_listed(const std::vector<target_id>& listed);
+    bool set_listed(const std::vector<target_id>& listed, steady_time now);
 
     /// @brief takes over a peer's entries
     /// @return whether the list has changed
@@ -52,6 +53,8 @@
     mutable std::mutex mutex_;
     std::set<target_id> listed_;
     std::map<target_id, steady_time> seen_until_;
+    // targets that have come back, and until when peers' news of them is old
+    std::map<target_id, steady_time> back_until_;
 };
 
 } // namespace medlar
--- a/src/membership/leaving_targets.cpp
+++ b/src/membership/leaving_targets.cpp
@@ -37,10 +37,11 @@
 bool leaving_targets::observe(const target_id& target, steady_time now)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
+    back_until_.erase(target);
     return extend(target, now + refusal_lasts);
 }
 
-bool leaving_targets::set_listed(const std::vector<target_id>& listed)
+bool leaving_targets::set_listed(const std::vector<target_id>& listed, steady_time now)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const std::set<target_id> before = names();
@@ -50,8 +51,13 @@
         if (fresh.count(target) == 0)
         {
             seen_until_.erase(target);
+            back_until_[target] = now + refusal_lasts;
         }
     }
+    for (const target_id& target : fresh)
+    {
+        back_until_.erase(target);
+    }
     listed_ = fresh;
     return names() != before;
 }
@@ -63,7 +69,7 @@
     for (const leaving_target& each : told)
     {
         const millis left = std::min(each.left, refusal_lasts);
-        if (left >= least_told)
+        if (left >= least_told && back_until_.count(each.name) == 0)
         {
             changed = extend(each.name, now + left) || changed;
         }
@@ -74,6 +80,10 @@
 bool leaving_targets::expire(steady_time now)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
+    for (auto each = back_until_.begin(); each != back_until_.end();)
+    {
+        each = each->second > now ? std::next(each) : back_until_.erase(each);
+    }
     bool changed = false;
     for (auto each = seen_until_.begin(); each != seen_until_.end();)
     {
--- a/src/membership/message_handler.cpp
+++ b/src/membership/message_handler.cpp
@@ -194,7 +194,8 @@
     {
         core_.configuration.confirm(*message->confirmed, millis(0), now);
     }
-    if (message->leaving && core_.leaving.set_listed(*message->leaving))
+    if (message->leaving &&
+        core_.leaving.set_listed(*message->leaving, core_.time.steady_now()))
     {
         leaving_changed_();
     }
