--- a/test/runtime/controller_test.cpp
+++ b/test/runtime/controller_test.cpp
@@ -1,12 +1,12 @@
+#include "standins/shared/kv_server.hpp"
+#include "support/fake_gateway.hpp"
+#include "support/views.hpp"
+
 #include <medlar/detail/cluster/view.hpp>
 #include <medlar/detail/config/json.hpp>
 #include <medlar/detail/controller/controller_process.hpp>
 #include <medlar/detail/controller/store_keys.hpp>
 
-#include "standins/shared/kv_server.hpp"
-#include "support/fake_gateway.hpp"
-#include "support/views.hpp"
-
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace
@@ -146,10 +146,8 @@
         wait_for_epoch(1);
         wait_for_revision(1);
         put(medlar::store_keys::configuration, document_text(2, "b"));
-        gateway_->set({{"process", 2},
-                       {"configuration", 0},
-                       {"newest", 0},
-                       {"member", false}});
+        gateway_->set(
+            {{"process", 2}, {"configuration", 0}, {"newest", 0}, {"member", false}});
         wait_for_revision(2);
         wait_for_epoch(2);
         const json member = gateway_->pushed()["view"]["current"]["members"][0];
@@ -235,8 +233,8 @@
         {
             gateway_->wait_for_pushes(1);
         }
-        CPPUNIT_ASSERT_EQUAL(
-            2, gateway_->pushed()["configuration"]["revision"].get<int>());
+        CPPUNIT_ASSERT_EQUAL(2,
+                             gateway_->pushed()["configuration"]["revision"].get<int>());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, members_pushed());
     }
 
