--- /dev/null
+++ b/test/runtime/gateway/stage_client_test.cpp
@@ -0,0 +1,158 @@
+#include "runtime/gateway/gateway_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace gateway_testing;
+
+class a_call_to_a_target : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_call_to_a_target);
+    CPPUNIT_TEST(that_takes_no_connection_hands_nothing_over);
+    CPPUNIT_TEST(that_is_refused_hands_nothing_over);
+    CPPUNIT_TEST(that_fails_is_settled);
+    CPPUNIT_TEST(whose_reply_is_lost_is_not_settled);
+    CPPUNIT_TEST(is_never_sent_a_second_time_by_itself);
+    CPPUNIT_TEST(whose_answer_cannot_be_used_says_why);
+    CPPUNIT_TEST(ends_at_once_when_it_is_cancelled);
+    CPPUNIT_TEST_SUITE_END();
+
+    const clock time_ = clock::system();
+    std::unique_ptr<session_pool> sessions_ =
+        session_pool::create(time_, millis(300), millis(4000));
+    std::unique_ptr<stage_client> client_ =
+        stage_client::create(time_, *sessions_, byte_count(100000));
+    standins::plain_target plain_{{}};
+    std::shared_ptr<cancel_token> token_ = cancel_token::create();
+
+    stage_reply call(const endpoint& at, bool repeatable)
+    {
+        stage_try what;
+        what.at = at;
+        what.message.request_id = "org/1";
+        what.message.call_id = "org/1/post";
+        what.message.kind = stage_kind::call;
+        what.message.input = "{}";
+        what.repeatable = repeatable;
+        what.until = time_.steady_now() + millis(60000);
+        what.token = token_;
+        return client_->call(what);
+    }
+
+    stage_reply call_with(const standins::switches& wanted)
+    {
+        plain_.board().set(wanted);
+        return call(plain_.where(), true);
+    }
+
+    void that_takes_no_connection_hands_nothing_over()
+    {
+        const Poco::Net::ServerSocket closed = []
+        {
+            Poco::Net::ServerSocket socket;
+            socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+            return socket;
+        }();
+        const stage_reply reply = call({"127.0.0.1", closed.address().port()}, false);
+        CPPUNIT_ASSERT(reply.result == call_result::unreachable);
+        CPPUNIT_ASSERT(!reply.handed);
+    }
+
+    void that_is_refused_hands_nothing_over()
+    {
+        standins::switches busy;
+        busy.refuse = true;
+        const stage_reply refused = call_with(busy);
+        CPPUNIT_ASSERT(refused.result == call_result::refused);
+        CPPUNIT_ASSERT(!refused.handed && !refused.leaving);
+        CPPUNIT_ASSERT(refused.retry_after == millis(50));
+        standins::switches going;
+        going.leaving = true;
+        CPPUNIT_ASSERT(call_with(going).leaving);
+    }
+
+    void that_fails_is_settled()
+    {
+        standins::switches failing;
+        failing.fail = 500;
+        const stage_reply reply = call_with(failing);
+        CPPUNIT_ASSERT(reply.result == call_result::failed);
+        CPPUNIT_ASSERT(reply.handed && reply.settled);
+    }
+
+    void whose_reply_is_lost_is_not_settled()
+    {
+        standins::switches losing;
+        losing.drop_after = true;
+        const stage_reply reply = call_with(losing);
+        CPPUNIT_ASSERT(reply.result == call_result::broken);
+        CPPUNIT_ASSERT(reply.handed && !reply.settled);
+        CPPUNIT_ASSERT_EQUAL(1, plain_.state().executions()["org/1/post"]);
+    }
+
+    void is_never_sent_a_second_time_by_itself()
+    {
+        CPPUNIT_ASSERT(call(plain_.where(), true).result == call_result::succeeded);
+        for (const bool repeatable : {true, false})
+        {
+            standins::switches once;
+            once.drop_before = true;
+            once.calls = 1;
+            plain_.board().set(once);
+            const stage_reply reply = call(plain_.where(), repeatable);
+            CPPUNIT_ASSERT(reply.result == call_result::broken);
+            CPPUNIT_ASSERT(reply.handed && !reply.settled);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, plain_.state().executions()["org/1/post"]);
+    }
+
+    void whose_answer_cannot_be_used_says_why()
+    {
+        standins::switches cut;
+        cut.truncate = true;
+        CPPUNIT_ASSERT(call_with(cut).result == call_result::broken);
+        standins::switches malformed;
+        malformed.malformed = true;
+        CPPUNIT_ASSERT(call_with(malformed).why == reason::target_answer_malformed);
+        standins::switches other;
+        other.wrong_request_id = true;
+        CPPUNIT_ASSERT(call_with(other).why == reason::target_answer_mismatched);
+        standins::switches huge;
+        huge.oversized = true;
+        const stage_reply reply = call_with(huge);
+        CPPUNIT_ASSERT(reply.why == reason::target_answer_too_large);
+        CPPUNIT_ASSERT(reply.handed && !reply.settled);
+    }
+
+    void ends_at_once_when_it_is_cancelled()
+    {
+        standins::switches slow;
+        slow.delay_ms = 60000;
+        plain_.board().set(slow);
+        std::thread canceller(
+            [this]
+            {
+                wait_until(
+                    [this]
+                    {
+                        return plain_.state().running() == 1;
+                    });
+                token_->cancel(cancel_cause::caller_gone);
+            });
+        const stage_reply reply = call(plain_.where(), true);
+        canceller.join();
+        CPPUNIT_ASSERT(reply.result == call_result::cancelled);
+        client_->cancel(plain_.where(), "org/1/post", millis(60000));
+        wait_until(
+            [this]
+            {
+                return plain_.state().running() == 0;
+            });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_call_to_a_target);
+
+} // namespace
