--- a/test/runtime/gateway/gateway_fixture.hpp
+++ b/test/runtime/gateway/gateway_fixture.hpp
@@ -22,11 +22,9 @@
 #include <thread>
 #include <vector>
 
-namespace gateway_testing
+namespace medlar::gateway_testing
 {
 
-using namespace medlar;
-
 /// @brief an answer over HTTP; status 0: there was none
 struct reply
 {
@@ -330,6 +328,6 @@
     return text;
 }
 
-} // namespace gateway_testing
+} // namespace medlar::gateway_testing
 
 #endif // MEDLAR_TEST_RUNTIME_GATEWAY_GATEWAY_FIXTURE_HPP
--- a/test/runtime/gateway/gateway_test.cpp
+++ b/test/runtime/gateway/gateway_test.cpp
@@ -5,7 +5,8 @@
 namespace
 {
 
-using namespace gateway_testing;
+using namespace medlar;
+using namespace medlar::gateway_testing;
 using nlohmann::json;
 
 class a_gateway : public CppUnit::TestFixture
--- a/test/runtime/gateway/relay_test.cpp
+++ b/test/runtime/gateway/relay_test.cpp
@@ -7,7 +7,8 @@
 namespace
 {
 
-using namespace gateway_testing;
+using namespace medlar;
+using namespace medlar::gateway_testing;
 using nlohmann::json;
 
 class a_relayed_request : public CppUnit::TestFixture
--- a/test/runtime/gateway/stage_client_test.cpp
+++ b/test/runtime/gateway/stage_client_test.cpp
@@ -5,7 +5,8 @@
 namespace
 {
 
-using namespace gateway_testing;
+using namespace medlar;
+using namespace medlar::gateway_testing;
 
 class a_call_to_a_target : public CppUnit::TestFixture
 {
@@ -19,7 +20,7 @@
     CPPUNIT_TEST(ends_at_once_when_it_is_cancelled);
     CPPUNIT_TEST_SUITE_END();
 
-    const clock time_ = clock::system();
+    const medlar::clock time_ = medlar::clock::system();
     std::unique_ptr<session_pool> sessions_ =
         session_pool::create(time_, millis(300), millis(4000));
     std::unique_ptr<stage_client> client_ =
