--- a/include/medlar/detail/gateway/local_exchange.hpp
+++ b/include/medlar/detail/gateway/local_exchange.hpp
@@ -41,6 +41,7 @@
     std::vector<view_member> peers() const override;
     exchange_status status() const override;
     bool leave(steady_time until) override;
+    void stop() override;
 
   private:
     /// @brief what those that joined a withdrawn run get
--- a/src/gateway/local_exchange.cpp
+++ b/src/gateway/local_exchange.cpp
@@ -180,4 +180,8 @@
     return true;
 }
 
+void local_exchange::stop()
+{
+}
+
 } // namespace medlar
--- a/src/programs/medlar_gateway.cpp
+++ b/src/programs/medlar_gateway.cpp
@@ -34,6 +34,10 @@
 DEFINE_int64(max_answer_bytes, 16 * 1024 * 1024, "bytes of a target's answer");
 DEFINE_int64(max_claim_bytes, 256 * 1024 * 1024, "memory of claims and answers");
 DEFINE_int64(retention_ms, 600000, "how long after its issue a request is remembered");
+DEFINE_int64(lease_ms, 2000, "length of the lease on the right to accept requests");
+DEFINE_int64(renew_every_ms, 500, "time between renewals of the lease");
+DEFINE_int64(caller_skew_ms, 500, "how far a caller's clock may be from a host's");
+DEFINE_int64(host_skew_ms, 100, "how far two hosts' clocks may be from each other");
 DEFINE_int64(connect_timeout_ms, 300, "time to connect to a target");
 DEFINE_int64(socket_timeout_ms, 10000, "time without a byte from a caller");
 DEFINE_int64(body_timeout_ms, 20000, "time until a caller's body must be there");
@@ -81,6 +85,8 @@
                              "max_answer_bytes",
                              "max_claim_bytes",
                              "retention_ms",
+                             "lease_ms",
+                             "renew_every_ms",
                              "connect_timeout_ms",
                              "socket_timeout_ms",
                              "body_timeout_ms",
@@ -192,6 +198,41 @@
     return settings;
 }
 
+ownership_timing make_timing()
+{
+    ownership_timing timing;
+    timing.lease = millis(FLAGS_lease_ms);
+    timing.renew_every = millis(FLAGS_renew_every_ms);
+    timing.caller_skew = millis(FLAGS_caller_skew_ms);
+    timing.host_skew = millis(FLAGS_host_skew_ms);
+    timing.retention = millis(FLAGS_retention_ms);
+    return timing;
+}
+
+/// @brief The exchange with the peers, or a local one if a configuration file is given.
+absl::StatusOr<std::unique_ptr<exchange>> make_exchange(const view_member& self,
+                                                        const addresses& at,
+                                                        clock& time,
+                                                        claim_table& claims,
+                                                        link_client& links)
+{
+    if (FLAGS_config_file.empty())
+    {
+        exchange_settings settings;
+        settings.self = self;
+        settings.timing = make_timing();
+        settings.seeds = at.seeds;
+        return exchange::create(settings, time, claims, links);
+    }
+    const absl::StatusOr<accepted_document> configuration = read_configuration_file();
+    if (!configuration.ok())
+    {
+        return configuration.status();
+    }
+    return std::unique_ptr<exchange>(
+        local_exchange::create(self, *configuration, claims));
+}
+
 sigset_t stop_signals()
 {
     sigset_t signals;
@@ -254,12 +295,7 @@
 
 int run(const addresses& at)
 {
-    const absl::StatusOr<accepted_document> configuration = read_configuration_file();
-    if (!configuration.ok())
-    {
-        return end_with(configuration.status());
-    }
-    const clock time = clock::system();
+    clock time = clock::system();
     std::atomic<gateway*> behind_link{nullptr};
     auto links_in = link_server::create(
         at.link,
@@ -283,9 +319,13 @@
     const auto claims = claim_table::create(millis(FLAGS_retention_ms),
                                             byte_count(FLAGS_max_claim_bytes));
     const auto links = link_client::create();
-    const auto peers = local_exchange::create(self, *configuration, *claims);
+    const auto peers = make_exchange(self, at, time, *claims, *links);
+    if (!peers.ok())
+    {
+        return end_with(peers.status());
+    }
     const auto served = gateway::create(
-        make_settings(self), {time, *peers, *links, *claims, *policy, *metrics});
+        make_settings(self), {time, **peers, *links, *claims, *policy, *metrics});
     behind_link = served.get();
     auto callers = caller_server::create(make_server_settings(at.listen), *served);
     if (!callers.ok())
@@ -297,8 +337,10 @@
     log_event(gateway_started,
               {{"host", self.host.get()}, {"incarnation", self.process.get()}});
     wait_for_stop_signal();
-    shut_down(time, *served, **callers, *peers);
+    shut_down(time, *served, **callers, **peers);
+    // peers must not hear of another process here before this one accepts no more, and
     // no call may reach the parts below while they go
+    (*peers)->stop();
     callers->reset();
     links_in->reset();
     return 0;
--- a/test/runtime/gateway/gateway_fixture.hpp
+++ b/test/runtime/gateway/gateway_fixture.hpp
@@ -139,6 +139,11 @@
         return local_->leave(until);
     }
 
+    void stop() override
+    {
+        local_->stop();
+    }
+
   private:
     std::unique_ptr<local_exchange> local_;
 };
