Accept a stated first attempt only when no other attempt can run

Cause: the exploration of the ownership found two runs of one request. A new home accepted a stated first attempt before the earlier view was closed, while the old home still held its lease and accepted the repetition. By the same statement a first attempt that was held up on its way ran after the home that had run its repetition was lost. Ruled out: dropping the statement (after a crash all requests issued before the takeover would be unknown), and the age fence for first attempts (the same). Change: a first attempt too waits until the earlier view is closed, and the statement counts only for first_attempt_window after the issue; its caller must not send the request again before that, unless it was told that it did not run. Fingerprints leave out what is over.

--- a/include/medlar/detail/ownership/ownership.hpp
+++ b/include/medlar/detail/ownership/ownership.hpp
@@ -155,14 +155,16 @@
     /// @brief Decides on a request of which this process has no claim.
     /// @param key_hash hash_of() its key
     /// @param issued_at when its caller first issued it
-    /// @param first_attempt whether its caller states that it was never sent before
+    /// @param states_first_attempt whether its caller states that it was never sent
+    ///     before, and will not be until ownership_timing::first_attempt_window is over
     ownership_decision decide(std::uint64_t key_hash,
                               wall_time issued_at,
-                              bool first_attempt,
+                              bool states_first_attempt,
                               steady_time now,
                               wall_time wall_now) const;
 
-    /// @brief the state as bytes, for the model checker; times relative to @p now
+    /// @brief The state as bytes, for the model checker: times relative to @p now, without
+    /// what is over.
     std::string fingerprint(steady_time now, wall_time wall_now) const;
 
   private:
--- a/include/medlar/detail/ownership/timing.hpp
+++ b/include/medlar/detail/ownership/timing.hpp
@@ -23,6 +23,9 @@
     /// how long after its issue a request is remembered
     millis retention{600000};
 
+    /// how long after its issue a caller that states a first attempt sends it only once
+    millis first_attempt_window{10000};
+
     /// @brief how long a grantor keeps a grant
     millis grant() const
     {
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -310,10 +310,14 @@
 
 ownership_decision ownership::decide(std::uint64_t key_hash,
                                      wall_time issued_at,
-                                     bool first_attempt,
+                                     bool states_first_attempt,
                                      steady_time now,
                                      wall_time wall_now) const
 {
+    // after the window another attempt may be under way
+    const bool first_attempt =
+        states_first_attempt &&
+        wall_now + timing_.caller_skew < issued_at + timing_.first_attempt_window;
     if (const auto too_old = refused_for_age(issued_at, first_attempt, wall_now))
     {
         return refuse{*too_old};
@@ -335,17 +339,13 @@
                                     first_attempt)};
     }
     const fence taken_over = fence_for(key_hash);
-    if (first_attempt)
-    {
-        return accept_run{};
-    }
     if (!taken_over.settled)
     {
         return not_settled{unproved(reason::ownership_unproved,
                                     "an earlier home may still hold its lease",
                                     first_attempt)};
     }
-    if (issued_at <= taken_over.floor)
+    if (!first_attempt && issued_at <= taken_over.floor)
     {
         return refuse{refusal(outcome_kind::unknown,
                               reason::issued_before_ownership,
@@ -437,10 +437,15 @@
                                     adopted_.get(),
                                     "|",
                                     newest_ ? newest_->current.epoch.get() : 0);
-    absl::StrAppend(&text, "|g", granted_until_ ? (*granted_until_ - now).count() : -1);
+    // what is over differs in nothing, however long ago
+    const bool granting = granted_until_ && now < *granted_until_;
+    absl::StrAppend(&text, "|g", granting ? (*granted_until_ - now).count() : 0);
     for (const auto& [process, asked_at] : grants_)
     {
-        absl::StrAppend(&text, "|", process.get(), "@", (now - asked_at).count());
+        if (now < asked_at + timing_.lease)
+        {
+            absl::StrAppend(&text, "|", process.get(), "@", (now - asked_at).count());
+        }
     }
     for (const auto& [process, epoch] : adopted_by_)
     {
@@ -448,7 +453,8 @@
     }
     for (const auto& [process, since] : stopped_since_)
     {
-        absl::StrAppend(&text, "|s", process.get(), ":", (now - since).count());
+        const millis stopped = std::min(now - since, timing_.grant());
+        absl::StrAppend(&text, "|s", process.get(), ":", stopped.count());
     }
     for (const auto& [epoch, at] : closed_at_)
     {
