Learn from the gateway what the store has lost

A controller that starts after the store came back with an older state knows no newer one itself. It now asks its gateway, which has it from its peers, so that the newest view and configuration are written back in this case as well.

--- a/include/medlar/detail/controller/control_message.hpp
+++ b/include/medlar/detail/controller/control_message.hpp
@@ -52,6 +52,21 @@
 /// @return error 804 that names the field
 absl::StatusOr<gateway_report> parse_gateway_report(absl::string_view text);
 
+/// @brief answer to `/v1/state`: what the gateway has that is newer
+struct newer_state
+{
+    std::optional<view_record> view;
+    /// JSON form of the accepted document
+    std::optional<std::string> configuration;
+};
+
+/// @brief the body of `/v1/state`: what the asker has
+std::string write_state_question(view_epoch newest, revision configuration);
+
+/// @brief Reads the answer to `/v1/state`.
+/// @return error 804 or 704 that names what is wrong
+absl::StatusOr<newer_state> parse_newer_state(absl::string_view text);
+
 } // namespace medlar
 
 #endif // MEDLAR_DETAIL_CONTROLLER_CONTROL_MESSAGE_HPP
--- a/include/medlar/detail/controller/gateway_feed.hpp
+++ b/include/medlar/detail/controller/gateway_feed.hpp
@@ -50,6 +50,9 @@
     /// @brief the last report; unset while the gateway does not answer
     std::optional<gateway_report> report() const;
 
+    /// @brief Asks the gateway for what it has that is newer.
+    absl::StatusOr<newer_state> ask_newer(view_epoch newest, revision configuration);
+
     /// @brief Pushes at once although nothing has changed.
     void push_now();
 
--- a/include/medlar/detail/controller/live_state.hpp
+++ b/include/medlar/detail/controller/live_state.hpp
@@ -60,13 +60,18 @@
     /// @brief Takes note of a view that was written, or learned from the gateway.
     void take_view(const view_record& record);
 
+    /// @brief Takes note of a configuration that was learned from the gateway.
+    /// @return errors of parse_accepted_document()
+    absl::Status take_configuration(const std::string& text);
+
     /// @brief The store does not answer.
     void set_unreachable();
 
     live_snapshot snapshot() const;
 
   private:
-    state_order take_configuration(const store_entry* entry, absl::Status* malformed);
+    state_order take_stored_configuration(const store_entry* entry,
+                                          absl::Status* malformed);
     state_order take_stored_view(const store_entry* entry, absl::Status* malformed);
 
     mutable std::mutex mutex_;
--- a/include/medlar/detail/controller/view_controller.hpp
+++ b/include/medlar/detail/controller/view_controller.hpp
@@ -47,6 +47,7 @@
     bool evaluate(const gateway_report& report);
 
   private:
+    void learn_from_gateway(const gateway_report& report);
     membership_evidence evidence_of(const gateway_report& report) const;
     bool consider_first(const gateway_report& report, const live_snapshot& now);
     bool consider_next(const gateway_report& report, const live_snapshot& now);
@@ -61,6 +62,8 @@
     view_settings settings_;
     silence_record silence_;
     proposal_schedule schedule_;
+    // the report before showed something newer than is known here
+    bool gateway_was_ahead_ = false;
 };
 
 } // namespace medlar
--- a/src/controller/control_message.cpp
+++ b/src/controller/control_message.cpp
@@ -126,6 +126,37 @@
     return absl::StrCat(body, "}");
 }
 
+std::string write_state_question(view_epoch newest, revision configuration)
+{
+    const json question = {{"newest", newest.get()},
+                           {"configuration", configuration.get()}};
+    return question.dump();
+}
+
+absl::StatusOr<newer_state> parse_newer_state(absl::string_view text)
+{
+    const json from = json::parse(text.begin(), text.end(), nullptr, false);
+    if (!from.is_object())
+    {
+        return malformed("the answer to /v1/state is no object");
+    }
+    newer_state newer;
+    if (from.contains("view"))
+    {
+        absl::StatusOr<view_record> record = parse_view_record(from["view"].dump());
+        if (!record.ok())
+        {
+            return record.status();
+        }
+        newer.view = *std::move(record);
+    }
+    if (from.contains("document"))
+    {
+        newer.configuration = from["document"].dump();
+    }
+    return newer;
+}
+
 absl::StatusOr<gateway_report> parse_gateway_report(absl::string_view text)
 {
     try
--- a/src/controller/gateway_feed.cpp
+++ b/src/controller/gateway_feed.cpp
@@ -96,6 +96,22 @@
     return report_;
 }
 
+absl::StatusOr<newer_state> gateway_feed::ask_newer(view_epoch newest,
+                                                    revision configuration)
+{
+    link_call call;
+    call.to = gateway_;
+    call.path = "/v1/state";
+    call.body = write_state_question(newest, configuration);
+    call.timeout = push_timeout;
+    const absl::StatusOr<link_reply> reply = links_.call(call);
+    if (!reply.ok() || reply->status != status_ok)
+    {
+        return reply.ok() ? absl::UnavailableError(reply->body) : reply.status();
+    }
+    return parse_newer_state(reply->body);
+}
+
 void gateway_feed::push_now()
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/controller/live_state.cpp
+++ b/src/controller/live_state.cpp
@@ -57,14 +57,14 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     now_.reachable = true;
     live_reading reading;
-    reading.configuration =
-        take_configuration(find(folder, store_keys::configuration), &reading.malformed);
+    reading.configuration = take_stored_configuration(
+        find(folder, store_keys::configuration), &reading.malformed);
     reading.view = take_stored_view(find(folder, store_keys::view), &reading.malformed);
     return reading;
 }
 
-state_order live_state::take_configuration(const store_entry* entry,
-                                           absl::Status* malformed)
+state_order live_state::take_stored_configuration(const store_entry* entry,
+                                                  absl::Status* malformed)
 {
     const state_version known = version_of(now_.configuration.get());
     live_entry seen = entry_of(entry);
@@ -124,6 +124,22 @@
     }
 }
 
+absl::Status live_state::take_configuration(const std::string& text)
+{
+    absl::StatusOr<accepted_document> read = parse_accepted_document(text);
+    if (!read.ok())
+    {
+        return read.status();
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (read->number.get() > version_of(now_.configuration.get()).number)
+    {
+        now_.configuration = std::make_shared<const accepted_document>(*std::move(read));
+        now_.configuration_text = text;
+    }
+    return absl::OkStatus();
+}
+
 void live_state::set_unreachable()
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/controller/view_controller.cpp
+++ b/src/controller/view_controller.cpp
@@ -44,6 +44,7 @@
             continue;
         }
         last = report->number;
+        learn_from_gateway(report->content);
         if (evaluate(report->content) && stop.pause(wanted_pause))
         {
             feed_.push_now();
@@ -63,6 +64,37 @@
     return now.view ? consider_next(report, now) : consider_first(report, now);
 }
 
+void view_controller::learn_from_gateway(const gateway_report& report)
+{
+    const live_snapshot known = live_.snapshot();
+    const view_epoch epoch(version_of(known.view.get()).number);
+    const revision number(version_of(known.configuration.get()).number);
+    const bool ahead = report.newest > epoch || report.configuration > number;
+    // Peers are often a moment faster than the watch; only a lasting lead is asked for.
+    if (!std::exchange(gateway_was_ahead_, ahead) || !ahead)
+    {
+        return;
+    }
+    const absl::StatusOr<newer_state> newer = feed_.ask_newer(epoch, number);
+    if (!newer.ok())
+    {
+        log_event(gateway_report_malformed, {{"error", newer.status().message()}});
+        return;
+    }
+    if (newer->view)
+    {
+        live_.take_view(*newer->view);
+    }
+    if (newer->configuration)
+    {
+        const absl::Status taken = live_.take_configuration(*newer->configuration);
+        if (!taken.ok())
+        {
+            log_event(gateway_report_malformed, {{"error", taken.message()}});
+        }
+    }
+}
+
 bool view_controller::consider_first(const gateway_report& report,
                                      const live_snapshot& now)
 {
--- a/test/runtime/controller_test.cpp
+++ b/test/runtime/controller_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(settles_a_proposal_whose_reply_was_lost);
     CPPUNIT_TEST(goes_on_after_an_outage_of_the_store);
     CPPUNIT_TEST(moves_nobody_back_and_repairs_a_store_with_an_older_state);
+    CPPUNIT_TEST(learns_from_its_gateway_what_the_store_has_lost);
     CPPUNIT_TEST(tells_a_restarted_gateway_everything_again);
     CPPUNIT_TEST(keeps_what_is_in_force_when_an_entry_is_malformed);
     CPPUNIT_TEST(stops_while_its_watch_waits);
@@ -238,6 +239,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, members_pushed());
     }
 
+    void learns_from_its_gateway_what_the_store_has_lost()
+    {
+        const medlar::view_record second = next_record(medlar::testing::first_record({1}),
+                                                       medlar::testing::members({1, 2}));
+        gateway_->set_state({{"view", json::parse(write_view_record(second))},
+                             {"document", json::parse(document_text(3, "c"))}});
+        gateway_->set({{"member", true}, {"newest", 2}, {"configuration", 3}});
+        start();
+        while (epoch_stored() != 2 || stored(medlar::store_keys::configuration).empty())
+        {
+            gateway_->wait_for_pushes(1);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             store_->state().read("medlar/live/", true).entries.size());
+    }
+
     void stops_while_its_watch_waits()
     {
         put(medlar::store_keys::configuration, document_text(1, "a"));
