Give orders to engines under a lease

One controller acts at a time: it holds a lock of the store under a lease, whose lock count is the fencing number. Each order is the difference between what the engine reports and what is wanted. It is given only if the wanted state is still the one that was planned from, and the lease is held for certain by the holder's own clock after that was read. The holder asks every engine again now and then and repairs what a late order has changed, so that engines that ignore fencing numbers end in the wanted state too.

Loads are counted in the store by compare-and-swap, over all hosts. The count has an entry of its own, since taking the lock overwrites the lock's value.

--- a/include/medlar/detail/controller/controller_process.hpp
+++ b/include/medlar/detail/controller/controller_process.hpp
@@ -6,6 +6,7 @@
 #include <medlar/detail/controller/configuration_controller.hpp>
 #include <medlar/detail/controller/gateway_feed.hpp>
 #include <medlar/detail/controller/live_state.hpp>
+#include <medlar/detail/controller/order_controller.hpp>
 #include <medlar/detail/controller/stop_signal.hpp>
 #include <medlar/detail/controller/target_controller.hpp>
 #include <medlar/detail/controller/view_controller.hpp>
@@ -32,6 +33,8 @@
     view_settings view;
     /// unset: there is no host list
     std::optional<host_list_settings> host_list;
+    /// unset: this host gives no orders to engines
+    std::optional<order_settings> orders;
 };
 
 /// @brief The controllers of one host, each on its own thread, until destroyed.
@@ -48,6 +51,17 @@
 
     void start();
 
+    /// @brief Runs a controller on a thread of its own.
+    template <typename Controller>
+    void start(Controller& controller)
+    {
+        threads_.emplace_back(
+            [this, &controller]
+            {
+                controller.run(stop_);
+            });
+    }
+
     stop_signal stop_;
     std::unique_ptr<link_client> links_;
     // the watch has a client of its own, so that no other call waits for it
@@ -58,6 +72,7 @@
     configuration_controller configuration_;
     view_controller view_;
     std::unique_ptr<target_controller> targets_;
+    std::unique_ptr<order_controller> orders_;
     std::vector<std::thread> threads_;
 };
 
--- a/include/medlar/detail/controller/store_keys.hpp
+++ b/include/medlar/detail/controller/store_keys.hpp
@@ -12,8 +12,10 @@
 constexpr const char* view = "medlar/live/view";
 /// @brief folder of the wanted engine states, one entry a pool
 constexpr const char* orders_folder = "medlar/orders/";
-/// @brief lock of the controller that gives orders, and the loads that were ordered
+/// @brief lock of the controller that gives orders
 constexpr const char* order_lock = "medlar/leases/orders";
+/// @brief when weights were loaded lately
+constexpr const char* load_ledger = "medlar/leases/loads";
 
 } // namespace medlar::store_keys
 
--- a/include/medlar/detail/log/controller_events.hpp
+++ b/include/medlar/detail/log/controller_events.hpp
@@ -85,8 +85,23 @@
 inline constexpr event leaving_targets_changed{
     3032, severity::info, "leaving_targets_changed"};
 
+/// @brief an order was given to an engine and applied
+inline constexpr event order_given{3040, severity::info, "order_given"};
+
+/// @brief an engine has refused an order because another controller has ordered since
+inline constexpr event order_fenced{3041, severity::warning, "order_fenced"};
+
+/// @brief whether an order was applied is not known; the engine's state is read again
+inline constexpr event order_unsettled{3042, severity::warning, "order_unsettled"};
+
+/// @brief an engine does not answer or its state cannot be read
+inline constexpr event engine_unreachable{3043, severity::warning, "engine_unreachable"};
+
+/// @brief no further load for now, so as to keep the rate of the weight store
+inline constexpr event load_rate_reached{3044, severity::info, "load_rate_reached"};
+
 /// @brief events of medlar-controller
-inline constexpr std::array<event, 22> controller_events{controller_started,
+inline constexpr std::array<event, 27> controller_events{controller_started,
                                                          controller_stopped,
                                                          store_unreachable,
                                                          store_reachable,
@@ -107,7 +122,12 @@
                                                          view_proposal_failed,
                                                          host_list_unreachable,
                                                          host_list_reachable,
-                                                         leaving_targets_changed};
+                                                         leaving_targets_changed,
+                                                         order_given,
+                                                         order_fenced,
+                                                         order_unsettled,
+                                                         engine_unreachable,
+                                                         load_rate_reached};
 
 } // namespace medlar
 
--- /dev/null
+++ b/src/cluster/order_plan.cpp
@@ -0,0 +1,297 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/cluster/order_plan.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+// a lease counts as lost this much before it can lapse, for clock drift
+constexpr std::int64_t drift_divisor = 50;
+// a lease is renewed when this part of it has passed
+constexpr std::int64_t renewal_divisor = 3;
+
+absl::Status malformed(absl::string_view what, absl::string_view why)
+{
+    return make_error(absl::StatusCode::kDataLoss,
+                      error_number::store_malformed,
+                      absl::StrCat(what, ": ", why));
+}
+
+absl::string_view to_string(order_action action)
+{
+    switch (action)
+    {
+        case order_action::load_model:
+            return "load_model";
+        case order_action::unload_model:
+            return "unload_model";
+        case order_action::load_adapter:
+            return "load_adapter";
+        case order_action::change_role:
+            return "change_role";
+    }
+    return "";
+}
+
+// these throw json::exception, which the public functions turn into a status
+
+std::vector<model_version> models_from(const json& list)
+{
+    std::vector<model_version> models;
+    for (const json& item : list)
+    {
+        models.push_back({model_id(item.at("model").get<std::string>()),
+                          item.at("version").get<std::string>()});
+    }
+    return models;
+}
+
+wanted_engine_state wanted_from(const json& from)
+{
+    wanted_engine_state wanted;
+    if (from.contains("models"))
+    {
+        wanted.models = models_from(from.at("models"));
+    }
+    if (from.contains("adapters"))
+    {
+        wanted.adapters = from.at("adapters").get<std::vector<std::string>>();
+    }
+    if (from.contains("role"))
+    {
+        wanted.role = from.at("role").get<std::string>();
+    }
+    return wanted;
+}
+
+engine_state state_from(const json& from)
+{
+    engine_state state;
+    state.models = models_from(from.at("models"));
+    state.adapters = from.at("adapters").get<std::vector<std::string>>();
+    state.role = from.at("role").get<std::string>();
+    return state;
+}
+
+const model_version* find_model(const std::vector<model_version>& models,
+                                const model_id& name)
+{
+    const auto found = std::find_if(models.begin(),
+                                    models.end(),
+                                    [&name](const model_version& each)
+                                    {
+                                        return each.model == name;
+                                    });
+    return found == models.end() ? nullptr : &*found;
+}
+
+std::optional<engine_order> next_load(const std::vector<model_version>& wanted,
+                                      const engine_state& actual)
+{
+    for (const model_version& each : wanted)
+    {
+        const model_version* loaded = find_model(actual.models, each.model);
+        if (loaded == nullptr || loaded->version != each.version)
+        {
+            return engine_order{order_action::load_model, each, "", ""};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<engine_order> next_adapter(const wanted_engine_state& wanted,
+                                         const engine_state& actual)
+{
+    for (const std::string& adapter : wanted.adapters)
+    {
+        const bool loaded =
+            std::find(actual.adapters.begin(), actual.adapters.end(), adapter) !=
+            actual.adapters.end();
+        if (!loaded)
+        {
+            return engine_order{order_action::load_adapter, {}, adapter, ""};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<engine_order> next_unload(const std::vector<model_version>& wanted,
+                                        const engine_state& actual)
+{
+    for (const model_version& each : actual.models)
+    {
+        if (find_model(wanted, each.model) == nullptr)
+        {
+            return engine_order{order_action::unload_model, each, "", ""};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+absl::StatusOr<wanted_engine_state> parse_wanted_state(absl::string_view text)
+{
+    try
+    {
+        const json from = json::parse(text.begin(), text.end());
+        if (!from.is_object())
+        {
+            return malformed("wanted engine state", "it is no object");
+        }
+        return wanted_from(from);
+    }
+    catch (const json::exception& error)
+    {
+        return malformed("wanted engine state", error.what());
+    }
+}
+
+absl::StatusOr<engine_state> parse_engine_state(absl::string_view text)
+{
+    try
+    {
+        return state_from(json::parse(text.begin(), text.end()));
+    }
+    catch (const json::exception& error)
+    {
+        return malformed("engine state", error.what());
+    }
+}
+
+std::optional<engine_order> next_order(const wanted_engine_state& wanted,
+                                       const engine_state& actual)
+{
+    if (wanted.role && *wanted.role != actual.role)
+    {
+        return engine_order{order_action::change_role, {}, "", *wanted.role};
+    }
+    std::optional<engine_order> order;
+    if (wanted.models)
+    {
+        order = next_load(*wanted.models, actual);
+    }
+    if (!order)
+    {
+        order = next_adapter(wanted, actual);
+    }
+    if (!order && wanted.models)
+    {
+        order = next_unload(*wanted.models, actual);
+    }
+    return order;
+}
+
+bool loads_weights(const engine_order& order)
+{
+    return order.action == order_action::load_model ||
+           order.action == order_action::load_adapter;
+}
+
+std::string write_order(const engine_order& order,
+                        fencing_number fencing,
+                        const std::string& order_id)
+{
+    json body = {{"fencing", fencing.get()},
+                 {"order_id", order_id},
+                 {"action", std::string(to_string(order.action))}};
+    switch (order.action)
+    {
+        case order_action::load_model:
+        case order_action::unload_model:
+            body["model"] = order.model.model.get();
+            body["version"] = order.model.version;
+            break;
+        case order_action::load_adapter:
+            body["adapter"] = order.adapter;
+            break;
+        case order_action::change_role:
+            body["role"] = order.role;
+            break;
+    }
+    return body.dump();
+}
+
+load_ledger::load_ledger(int limit, millis period) : limit_(limit), period_(period)
+{
+}
+
+void load_ledger::read(absl::string_view text)
+{
+    loads_.clear();
+    const json list = json::parse(text.begin(), text.end(), nullptr, false);
+    if (!list.is_array())
+    {
+        return;
+    }
+    for (const json& item : list)
+    {
+        if (item.is_number_integer())
+        {
+            loads_.emplace_back(item.get<std::int64_t>());
+        }
+    }
+}
+
+std::string load_ledger::write() const
+{
+    json list = json::array();
+    for (const wall_time load : loads_)
+    {
+        list.push_back(load.since_origin());
+    }
+    return list.dump();
+}
+
+bool load_ledger::add(wall_time now)
+{
+    const auto expired = std::remove_if(loads_.begin(),
+                                        loads_.end(),
+                                        [this, now](wall_time load)
+                                        {
+                                            return load + period_ <= now;
+                                        });
+    loads_.erase(expired, loads_.end());
+    if (loads_.size() >= static_cast<std::size_t>(limit_))
+    {
+        return false;
+    }
+    loads_.push_back(now);
+    return true;
+}
+
+lease_proof::lease_proof(millis time_to_live) : time_to_live_(time_to_live)
+{
+}
+
+void lease_proof::renewed(steady_time asked_at)
+{
+    renewed_at_ = asked_at;
+}
+
+void lease_proof::lost()
+{
+    renewed_at_.reset();
+}
+
+bool lease_proof::held(steady_time now) const
+{
+    const millis proven = time_to_live_ - time_to_live_ / drift_divisor;
+    return renewed_at_ && now < *renewed_at_ + proven;
+}
+
+bool lease_proof::renewal_due(steady_time now) const
+{
+    return !renewed_at_ || now >= *renewed_at_ + time_to_live_ / renewal_divisor;
+}
+
+} // namespace medlar
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -24,14 +24,19 @@
     {
         targets_ = std::make_unique<target_controller>(feed_, *settings.host_list);
     }
+    if (settings.orders)
+    {
+        orders_ = std::make_unique<order_controller>(
+            *writing_, live_, feed_, time, *settings.orders);
+    }
 }
 
 controller_process::~controller_process()
 {
     stop_.stop();
     feed_.stop();
+    // The other client stays open: the lock of orders is released with it.
     watching_->close();
-    writing_->close();
     if (targets_)
     {
         targets_->close();
@@ -49,23 +54,15 @@
         {
             feed_.run();
         });
-    threads_.emplace_back(
-        [this]
-        {
-            configuration_.run(stop_);
-        });
-    threads_.emplace_back(
-        [this]
-        {
-            view_.run(stop_);
-        });
+    start(configuration_);
+    start(view_);
     if (targets_)
     {
-        threads_.emplace_back(
-            [this]
-            {
-                targets_->run(stop_);
-            });
+        start(*targets_);
+    }
+    if (orders_)
+    {
+        start(*orders_);
     }
 }
 
--- /dev/null
+++ b/src/controller/order_controller.cpp
@@ -0,0 +1,237 @@
+#include <medlar/detail/controller/order_controller.hpp>
+#include <medlar/detail/controller/store_keys.hpp>
+#include <medlar/detail/log/controller_events.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
+// most orders to one target in one round
+constexpr int max_steps = 16;
+
+} // namespace
+
+order_controller::order_controller(store_client& store,
+                                   live_state& live,
+                                   gateway_feed& feed,
+                                   const clock& time,
+                                   const order_settings& settings)
+    : store_(store),
+      live_(live),
+      feed_(feed),
+      time_(time),
+      settings_(settings),
+      lease_(store, time, settings.lease, settings.self.get())
+{
+}
+
+void order_controller::run(stop_signal& stop)
+{
+    while (stop.pause(settings_.period))
+    {
+        act(stop);
+    }
+    lease_.release();
+}
+
+void order_controller::act(const stop_signal& stop)
+{
+    const live_snapshot now = live_.snapshot();
+    if (!now.reachable || !now.configuration || !is_candidate(now))
+    {
+        return;
+    }
+    const absl::StatusOr<store_folder> folder = store_.list(store_keys::orders_folder);
+    if (!folder.ok() || folder->entries.empty())
+    {
+        return;
+    }
+    const absl::StatusOr<bool> held = lease_.hold();
+    if (!held.ok() || !*held)
+    {
+        return;
+    }
+    for (const store_entry& entry : folder->entries)
+    {
+        const std::string name =
+            entry.key.substr(std::string(store_keys::orders_folder).size());
+        const pool* targets = now.configuration->content.find_pool(pool_id(name));
+        absl::StatusOr<wanted_engine_state> wanted = parse_wanted_state(entry.value);
+        if (!wanted.ok())
+        {
+            log_event(store_entry_malformed,
+                      {{"key", entry.key}, {"error", wanted.status().message()}});
+        }
+        else if (targets != nullptr)
+        {
+            bring_pool({entry.key, entry.modified, *std::move(wanted)}, *targets, stop);
+        }
+    }
+}
+
+bool order_controller::is_candidate(const live_snapshot& now) const
+{
+    const std::optional<gateway_report> report = feed_.report();
+    if (!report || !now.view)
+    {
+        return false;
+    }
+    const std::vector<view_member>& members = now.view->current.members;
+    const std::size_t count = std::min(settings_.candidates, members.size());
+    return std::any_of(members.begin(),
+                       members.begin() + static_cast<std::ptrdiff_t>(count),
+                       [&report](const view_member& member)
+                       {
+                           return member.process == report->process;
+                       });
+}
+
+void order_controller::bring_pool(const wanted_pool& wanted,
+                                  const pool& targets,
+                                  const stop_signal& stop)
+{
+    for (const target& each : targets.targets)
+    {
+        const absl::StatusOr<bool> held = lease_.hold();
+        if (stop.stopped() || !held.ok() || !*held)
+        {
+            return;
+        }
+        if (!is_verified(wanted, each))
+        {
+            bring_target(wanted, each);
+        }
+    }
+}
+
+bool order_controller::is_verified(const wanted_pool& wanted, const target& at) const
+{
+    const auto found = verified_.find(at.name);
+    return found != verified_.end() && found->second.modified == wanted.modified &&
+           found->second.term == lease_.terms() &&
+           time_.steady_now() < found->second.at + settings_.verify;
+}
+
+void order_controller::bring_target(const wanted_pool& wanted, const target& at)
+{
+    bool more = true;
+    for (int i = 0; i < max_steps && more; ++i)
+    {
+        if (!step(wanted, at, &more))
+        {
+            return;
+        }
+    }
+}
+
+bool order_controller::step(const wanted_pool& wanted, const target& at, bool* more)
+{
+    const std::uint64_t term = lease_.terms();
+    http_call call;
+    call.target = "/v1/state";
+    call.timeout = settings_.timeout;
+    const absl::StatusOr<http_answer> answer = pool_of(at).call(call);
+    const absl::StatusOr<engine_state> actual =
+        answer.ok() ? parse_engine_state(answer->body) : answer.status();
+    if (!actual.ok())
+    {
+        log_event(engine_unreachable,
+                  {{"target", at.name.get()}, {"error", actual.status().message()}});
+        return false;
+    }
+    const std::optional<engine_order> order = next_order(wanted.state, *actual);
+    if (!order)
+    {
+        verified_[at.name] = {wanted.modified, term, time_.steady_now()};
+        *more = false;
+        return true;
+    }
+    if (loads_weights(*order) && !count_load())
+    {
+        return false;
+    }
+    return still_wanted(wanted) && give(*order, wanted, at);
+}
+
+bool order_controller::count_load()
+{
+    const absl::StatusOr<std::optional<store_entry>> entry =
+        store_.get(store_keys::load_ledger);
+    if (!entry.ok())
+    {
+        return false;
+    }
+    load_ledger ledger(settings_.max_loads, settings_.load_period);
+    store_index expected(0);
+    if (entry->has_value())
+    {
+        ledger.read((*entry)->value);
+        expected = (*entry)->modified;
+    }
+    if (!ledger.add(time_.wall_now()))
+    {
+        log_event(load_rate_reached, {});
+        return false;
+    }
+    const absl::StatusOr<bool> written =
+        store_.compare_and_swap(store_keys::load_ledger, ledger.write(), expected);
+    return written.ok() && *written;
+}
+
+bool order_controller::still_wanted(const wanted_pool& wanted)
+{
+    const absl::StatusOr<std::optional<store_entry>> entry = store_.get(wanted.key);
+    return entry.ok() && entry->has_value() && (*entry)->modified == wanted.modified &&
+           lease_.held();
+}
+
+bool order_controller::give(const engine_order& order,
+                            const wanted_pool& wanted,
+                            const target& at)
+{
+    const std::string order_id = absl::StrCat(
+        wanted.key, "/", at.name.get(), "/", lease_.fencing().get(), "/", ++orders_);
+    http_call call;
+    call.method = "POST";
+    call.target = "/v1/order";
+    call.body = write_order(order, lease_.fencing(), order_id);
+    call.timeout = settings_.timeout;
+    const absl::StatusOr<http_answer> answer = pool_of(at).call(call);
+    if (answer.ok() && answer->status == status_ok)
+    {
+        log_event(order_given, {{"target", at.name.get()}, {"order", call.body}});
+        return true;
+    }
+    if (answer.ok() && answer->status == status_conflict)
+    {
+        log_event(order_fenced,
+                  {{"target", at.name.get()}, {"fencing", lease_.fencing().get()}});
+        lease_.release();
+        return false;
+    }
+    const std::string error = answer.ok() ? absl::StrCat("status ", answer->status)
+                                          : std::string(answer.status().message());
+    log_event(order_unsettled, {{"target", at.name.get()}, {"error", error}});
+    return false;
+}
+
+http_pool& order_controller::pool_of(const target& at)
+{
+    const endpoint where{at.address, at.port};
+    std::unique_ptr<http_pool>& pool = pools_[where];
+    if (!pool)
+    {
+        pool = std::make_unique<http_pool>(where);
+    }
+    return *pool;
+}
+
+} // namespace medlar
--- a/src/programs/medlar_controller.cpp
+++ b/src/programs/medlar_controller.cpp
@@ -25,6 +25,16 @@
              "how long a member is reported as not heard from before it is left out");
 DEFINE_int32(settle_ms, 300, "time without further change before a view is proposed");
 DEFINE_int32(stagger_ms, 150, "how much later each further gateway proposes a view");
+DEFINE_bool(orders, true, "whether this host may give orders to engines");
+DEFINE_int32(order_lease_ms, 15000, "time after which the right to give orders lapses");
+DEFINE_int32(order_period_ms, 5000, "pause between rounds of orders");
+DEFINE_int32(order_verify_ms,
+             30000,
+             "time after which an engine that had all that is wanted is asked again");
+DEFINE_int32(order_timeout_ms, 5000, "time for an answer of an engine");
+DEFINE_int32(order_candidates, 3, "members of the view that may give orders");
+DEFINE_int32(max_loads, 4, "most loads of weights by all hosts within a load period");
+DEFINE_int32(load_period_ms, 60000, "the load period");
 
 namespace
 {
@@ -32,6 +42,7 @@
 constexpr int exit_bad_setting = 2;
 constexpr int lowest_ms = 10;
 constexpr int highest_ms = 600000;
+constexpr int highest_count = 10000;
 
 /// @brief Keeps the first error of a row of checks.
 class setting_checks
@@ -75,6 +86,17 @@
         return medlar::millis(value);
     }
 
+    int count(const char* name, int value)
+    {
+        if (value < 1 || value > highest_count)
+        {
+            keep(name,
+                 absl::InvalidArgumentError(
+                     absl::StrCat(value, " is not from 1 to ", highest_count)));
+        }
+        return value;
+    }
+
     const absl::Status& first_error() const
     {
         return first_error_;
@@ -95,6 +117,21 @@
     absl::Status first_error_;
 };
 
+medlar::order_settings read_order_settings(setting_checks& checks)
+{
+    medlar::order_settings orders;
+    orders.self = medlar::host_id(FLAGS_host_id);
+    orders.lease = checks.span("order_lease_ms", FLAGS_order_lease_ms);
+    orders.period = checks.span("order_period_ms", FLAGS_order_period_ms);
+    orders.verify = checks.span("order_verify_ms", FLAGS_order_verify_ms);
+    orders.timeout = checks.span("order_timeout_ms", FLAGS_order_timeout_ms);
+    orders.max_loads = checks.count("max_loads", FLAGS_max_loads);
+    orders.load_period = checks.span("load_period_ms", FLAGS_load_period_ms);
+    orders.candidates = static_cast<std::size_t>(
+        checks.count("order_candidates", FLAGS_order_candidates));
+    return orders;
+}
+
 absl::StatusOr<medlar::controller_settings> read_settings()
 {
     setting_checks checks;
@@ -120,6 +157,11 @@
         hosts.gateway = settings.gateway;
         settings.host_list = hosts;
     }
+    const medlar::order_settings orders = read_order_settings(checks);
+    if (FLAGS_orders)
+    {
+        settings.orders = orders;
+    }
     if (!checks.first_error().ok())
     {
         return checks.first_error();
--- /dev/null
+++ b/test/decisions/order_plan_test.cpp
@@ -0,0 +1,193 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/cluster/order_plan.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using medlar::engine_order;
+using medlar::engine_state;
+using medlar::fencing_number;
+using medlar::lease_proof;
+using medlar::load_ledger;
+using medlar::millis;
+using medlar::steady_time;
+using medlar::wall_time;
+using medlar::wanted_engine_state;
+
+wanted_engine_state wanted(const std::string& text)
+{
+    const auto read = medlar::parse_wanted_state(text);
+    CPPUNIT_ASSERT_MESSAGE(read.status().ToString(), read.ok());
+    return *read;
+}
+
+engine_state actual(const std::string& models)
+{
+    const auto read = medlar::parse_engine_state(
+        R"({"models": [)" + models + R"(], "adapters": ["a"], "role": "generate"})");
+    CPPUNIT_ASSERT_MESSAGE(read.status().ToString(), read.ok());
+    return *read;
+}
+
+std::string next(const wanted_engine_state& goal, const engine_state& now)
+{
+    const std::optional<engine_order> order = medlar::next_order(goal, now);
+    return order ? medlar::write_order(*order, fencing_number(7), "id") : "";
+}
+
+class the_next_order : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_next_order);
+    CPPUNIT_TEST(is_none_if_all_is_as_wanted);
+    CPPUNIT_TEST(is_none_for_what_is_not_stated);
+    CPPUNIT_TEST(loads_a_missing_model_or_another_version);
+    CPPUNIT_TEST(unloads_other_models_last);
+    CPPUNIT_TEST(loads_a_missing_adapter);
+    CPPUNIT_TEST(changes_the_role_first);
+    CPPUNIT_TEST(is_not_planned_from_a_malformed_state);
+    CPPUNIT_TEST_SUITE_END();
+
+    const std::string m1_ = R"({"model": "m", "version": "1"})";
+    const std::string m2_ = R"({"model": "m", "version": "2"})";
+    const std::string n1_ = R"({"model": "n", "version": "1"})";
+
+    void is_none_if_all_is_as_wanted()
+    {
+        const std::string goal =
+            R"({"models": [)" + m1_ + R"(], "adapters": ["a"], "role": "generate"})";
+        CPPUNIT_ASSERT_EQUAL(std::string(), next(wanted(goal), actual(m1_)));
+    }
+
+    void is_none_for_what_is_not_stated()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), next(wanted("{}"), actual(m1_ + "," + n1_)));
+    }
+
+    void loads_a_missing_model_or_another_version()
+    {
+        const wanted_engine_state goal = wanted(R"({"models": [)" + m2_ + "]}");
+        const std::string load =
+            R"({"action":"load_model","fencing":7,"model":"m","order_id":"id","version":"2"})";
+        CPPUNIT_ASSERT_EQUAL(load, next(goal, actual(m1_)));
+        CPPUNIT_ASSERT_EQUAL(load, next(goal, actual("")));
+    }
+
+    void unloads_other_models_last()
+    {
+        const wanted_engine_state goal =
+            wanted(R"({"models": [)" + m1_ + R"(], "adapters": ["a", "b"]})");
+        const auto order = medlar::next_order(goal, actual(m1_ + "," + n1_));
+        CPPUNIT_ASSERT(order->action == medlar::order_action::load_adapter);
+        const wanted_engine_state less = wanted(R"({"models": [)" + m1_ + "]}");
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(
+                R"({"action":"unload_model","fencing":7,"model":"n","order_id":"id","version":"1"})"),
+            next(less, actual(m1_ + "," + n1_)));
+    }
+
+    void loads_a_missing_adapter()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(
+                R"({"action":"load_adapter","adapter":"b","fencing":7,"order_id":"id"})"),
+            next(wanted(R"({"adapters": ["a", "b"]})"), actual(m1_)));
+    }
+
+    void changes_the_role_first()
+    {
+        const wanted_engine_state goal =
+            wanted(R"({"models": [)" + m2_ + R"(], "role": "rerank"})");
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(
+                R"({"action":"change_role","fencing":7,"order_id":"id","role":"rerank"})"),
+            next(goal, actual(m1_)));
+    }
+
+    void is_not_planned_from_a_malformed_state()
+    {
+        for (const char* text : {"", "[]", R"({"models": 1})", R"({"models": [{}]})"})
+        {
+            CPPUNIT_ASSERT_EQUAL(
+                static_cast<int>(medlar::error_number::store_malformed),
+                medlar::error_number_of(medlar::parse_engine_state(text).status()));
+        }
+        CPPUNIT_ASSERT(!medlar::parse_wanted_state(R"({"role": 1})").ok());
+        CPPUNIT_ASSERT(!medlar::parse_wanted_state("[1]").ok());
+    }
+};
+
+class loads_of_weights : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(loads_of_weights);
+    CPPUNIT_TEST(are_bounded_within_a_period);
+    CPPUNIT_TEST(are_counted_over_hosts_by_the_stored_form);
+    CPPUNIT_TEST_SUITE_END();
+
+    void are_bounded_within_a_period()
+    {
+        load_ledger ledger(2, millis(100));
+        CPPUNIT_ASSERT(ledger.add(wall_time(0)));
+        CPPUNIT_ASSERT(ledger.add(wall_time(50)));
+        CPPUNIT_ASSERT(!ledger.add(wall_time(99)));
+        CPPUNIT_ASSERT(ledger.add(wall_time(100)));
+        CPPUNIT_ASSERT(!ledger.add(wall_time(149)));
+    }
+
+    void are_counted_over_hosts_by_the_stored_form()
+    {
+        load_ledger first(1, millis(100));
+        first.add(wall_time(50));
+        load_ledger second(1, millis(100));
+        second.read(first.write());
+        CPPUNIT_ASSERT(!second.add(wall_time(100)));
+        CPPUNIT_ASSERT(second.add(wall_time(150)));
+        second.read("not JSON");
+        CPPUNIT_ASSERT(second.add(wall_time(150)));
+    }
+};
+
+class the_proof_of_a_lease : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_proof_of_a_lease);
+    CPPUNIT_TEST(ends_before_the_lease_can_lapse);
+    CPPUNIT_TEST(is_renewed_from_when_it_was_asked_for);
+    CPPUNIT_TEST(ends_at_once_when_the_lease_is_lost);
+    CPPUNIT_TEST_SUITE_END();
+
+    void ends_before_the_lease_can_lapse()
+    {
+        lease_proof proof(millis(1000));
+        CPPUNIT_ASSERT(!proof.held(steady_time(0)));
+        proof.renewed(steady_time(0));
+        CPPUNIT_ASSERT(proof.held(steady_time(979)));
+        CPPUNIT_ASSERT(!proof.held(steady_time(980)));
+    }
+
+    void is_renewed_from_when_it_was_asked_for()
+    {
+        lease_proof proof(millis(900));
+        proof.renewed(steady_time(0));
+        CPPUNIT_ASSERT(!proof.renewal_due(steady_time(299)));
+        CPPUNIT_ASSERT(proof.renewal_due(steady_time(300)));
+        proof.renewed(steady_time(300));
+        CPPUNIT_ASSERT(proof.held(steady_time(1100)));
+        CPPUNIT_ASSERT(!proof.held(steady_time(1200)));
+    }
+
+    void ends_at_once_when_the_lease_is_lost()
+    {
+        lease_proof proof(millis(1000));
+        proof.renewed(steady_time(0));
+        proof.lost();
+        CPPUNIT_ASSERT(!proof.held(steady_time(1)));
+        CPPUNIT_ASSERT(proof.renewal_due(steady_time(1)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(the_next_order);
+CPPUNIT_TEST_SUITE_REGISTRATION(loads_of_weights);
+CPPUNIT_TEST_SUITE_REGISTRATION(the_proof_of_a_lease);
+
+} // namespace
--- a/test/standins/shared/kv_state.hpp
+++ b/test/standins/shared/kv_state.hpp
@@ -192,6 +192,13 @@
         return ended;
     }
 
+    /// @brief Whether an entry may not be locked yet after its session has ended.
+    bool is_delayed(const std::string& key)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return delayed(key);
+    }
+
     /// @brief Keeps the present state as a snapshot.
     /// @return its number
     std::size_t snapshot()
