--- a/test/runtime/order_test.cpp
+++ b/test/runtime/order_test.cpp
@@ -1,14 +1,15 @@
-#include <medlar/detail/config/json.hpp>
-#include <medlar/detail/controller/order_controller.hpp>
-#include <medlar/detail/controller/store_keys.hpp>
-
 #include "standins/shared/engine_target.hpp"
 #include "standins/shared/kv_server.hpp"
 #include "support/fake_gateway.hpp"
 #include "support/views.hpp"
 
+#include <medlar/detail/config/json.hpp>
+#include <medlar/detail/controller/order_controller.hpp>
+#include <medlar/detail/controller/store_keys.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <thread>
 
 namespace
@@ -31,12 +32,85 @@
     return made;
 }
 
+/// @brief A store client that calls a function before it reads an entry.
+class hooked_store : public medlar::store_client
+{
+  public:
+    using hook = std::function<void(const std::string&)>;
+
+    explicit hooked_store(const medlar::endpoint& where)
+        : real_(medlar::store_client::create({where}, millis(2000)))
+    {
+    }
+
+    void before_get(hook called)
+    {
+        hook_ = std::move(called);
+    }
+
+    absl::StatusOr<std::optional<medlar::store_entry>>
+    get(const std::string& key) override
+    {
+        if (hook_)
+        {
+            hook_(key);
+        }
+        return real_->get(key);
+    }
+
+    absl::StatusOr<medlar::store_folder> list(const std::string& prefix) override
+    {
+        return real_->list(prefix);
+    }
+
+    absl::StatusOr<medlar::store_folder>
+    watch(const std::string& prefix, medlar::store_index after, millis wait) override
+    {
+        return real_->watch(prefix, after, wait);
+    }
+
+    absl::StatusOr<bool> compare_and_swap(const std::string& key,
+                                          const std::string& value,
+                                          medlar::store_index expected) override
+    {
+        return real_->compare_and_swap(key, value, expected);
+    }
+
+    absl::StatusOr<medlar::store_lease> create_lease(millis time_to_live) override
+    {
+        return real_->create_lease(time_to_live);
+    }
+
+    absl::StatusOr<bool> renew_lease(const medlar::store_lease& lease) override
+    {
+        return real_->renew_lease(lease);
+    }
+
+    absl::StatusOr<bool> acquire(const std::string& key,
+                                 const std::string& value,
+                                 const medlar::store_lease& lease) override
+    {
+        return real_->acquire(key, value, lease);
+    }
+
+    absl::StatusOr<bool> release(const std::string& key,
+                                 const std::string& value,
+                                 const medlar::store_lease& lease) override
+    {
+        return real_->release(key, value, lease);
+    }
+
+  private:
+    std::unique_ptr<medlar::store_client> real_;
+    hook hook_;
+};
+
 /// @brief one host that may give orders, with a clock of its own
 class ordering_host
 {
   public:
     ordering_host(const medlar::endpoint& store, std::uint64_t process)
-        : store_(medlar::store_client::create({store}, millis(2000))),
+        : store_(std::make_unique<hooked_store>(store)),
           feed_(*links_, gateway_.where(), millis(20)),
           pushing_(
               [this]
@@ -69,6 +143,11 @@
         return time_;
     }
 
+    hooked_store& store()
+    {
+        return *store_;
+    }
+
   private:
     static medlar::order_settings settings(std::uint64_t process)
     {
@@ -86,7 +165,7 @@
     medlar::stop_signal stop_;
     fake_gateway gateway_;
     std::unique_ptr<medlar::link_client> links_ = medlar::link_client::create();
-    std::unique_ptr<medlar::store_client> store_;
+    std::unique_ptr<hooked_store> store_;
     medlar::live_state live_;
     medlar::gateway_feed feed_;
     std::thread pushing_;
@@ -100,6 +179,8 @@
     CPPUNIT_TEST(are_given_by_one_host_at_a_time);
     CPPUNIT_TEST(pass_to_another_host_when_the_lease_has_lapsed);
     CPPUNIT_TEST(are_not_given_by_a_holder_that_was_paused);
+    CPPUNIT_TEST(are_not_given_after_a_pause_between_check_and_order);
+    CPPUNIT_TEST(are_not_given_when_something_else_is_wanted_meanwhile);
     CPPUNIT_TEST(repair_what_a_late_order_has_changed);
     CPPUNIT_TEST(are_taken_up_with_a_higher_number_after_a_refusal);
     CPPUNIT_TEST(keep_the_rate_of_the_weight_store_across_hosts);
@@ -157,8 +238,8 @@
     json engine_call(const std::string& method, const std::string& path, const json& body)
     {
         medlar::http_pool http(engine_->where());
-        const auto answer = http.call(
-            {method, path, body.is_null() ? "" : body.dump(), millis(2000)});
+        const auto answer =
+            http.call({method, path, body.is_null() ? "" : body.dump(), millis(2000)});
         CPPUNIT_ASSERT_MESSAGE(answer.status().ToString(), answer.ok());
         return json::parse(answer->body);
     }
@@ -245,6 +326,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), version());
     }
 
+    void are_not_given_after_a_pause_between_check_and_order()
+    {
+        ordering_host host(store_->where(), 1);
+        host.store().before_get(
+            [&host](const std::string& key)
+            {
+                host.time().advance(key == orders_key ? lease_time : millis(0));
+            });
+        host.act();
+        CPPUNIT_ASSERT_EQUAL(0, orders());
+        host.store().before_get(nullptr);
+        host.act();
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), version());
+    }
+
+    void are_not_given_when_something_else_is_wanted_meanwhile()
+    {
+        ordering_host host(store_->where(), 1);
+        host.store().before_get(
+            [this](const std::string& key)
+            {
+                if (key == orders_key)
+                {
+                    want("3");
+                }
+            });
+        host.act();
+        CPPUNIT_ASSERT_EQUAL(0, orders());
+        host.store().before_get(nullptr);
+        host.act();
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), version());
+    }
+
     void repair_what_a_late_order_has_changed()
     {
         ordering_host host(store_->where(), 1);
