--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -21,6 +21,7 @@
 #include <Poco/URI.h>
 #include <absl/strings/str_cat.h>
 
+#include <array>
 #include <exception>
 #include <optional>
 #include <string>
@@ -115,6 +116,33 @@
     steady_time until_;
 };
 
+/// @brief Reads what is left of a refused body for a while: a connection that is closed
+/// with unread bytes is reset, and its caller may lose the answer.
+void discard_rest(HTTPServerRequest& request)
+{
+    constexpr int max_bytes = 64 * 1024 * 1024;
+    constexpr std::int64_t max_silence_ms = 500;
+    auto& with_socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+    Poco::Net::StreamSocket& socket = with_socket.socket();
+    try
+    {
+        socket.shutdownSend();
+        socket.setReceiveTimeout(timespan_of(millis(max_silence_ms)));
+        std::array<char, 16 * 1024> bytes{};
+        int left = max_bytes;
+        int received = 1;
+        while (received > 0 && left > 0)
+        {
+            received = socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+            left -= received;
+        }
+    }
+    catch (const Poco::Exception&)
+    {
+        return;
+    }
+}
+
 class caller_handler : public Poco::Net::HTTPRequestHandler
 {
   public:
@@ -185,6 +213,7 @@
             log_event(gateway_body_incomplete, {{"reason", refused->result.message}});
             response.setKeepAlive(false);
             stream.send_answer(request_id(), *refused);
+            discard_rest(request);
             return;
         }
         context.pipeline_name = pipeline;
--- a/src/gateway/local_exchange.cpp
+++ b/src/gateway/local_exchange.cpp
@@ -182,6 +182,7 @@
 
 void local_exchange::stop()
 {
+    // it grants and renews nothing
 }
 
 } // namespace medlar
--- a/src/programs/medlar_gateway.cpp
+++ b/src/programs/medlar_gateway.cpp
@@ -34,8 +34,8 @@
 DEFINE_int64(max_answer_bytes, 16 * 1024 * 1024, "bytes of a target's answer");
 DEFINE_int64(max_claim_bytes, 256 * 1024 * 1024, "memory of claims and answers");
 DEFINE_int64(retention_ms, 600000, "how long after its issue a request is remembered");
-DEFINE_int64(lease_ms, 2000, "length of the lease on the right to accept requests");
-DEFINE_int64(renew_every_ms, 500, "time between renewals of the lease");
+DEFINE_int64(lease_ms, 2000, "how long a lease lasts; the same on all hosts");
+DEFINE_int64(renew_ms, 500, "how often a lease is renewed; the same on all hosts");
 DEFINE_int64(caller_skew_ms, 500, "how far a caller's clock may be from a host's");
 DEFINE_int64(host_skew_ms, 100, "how far two hosts' clocks may be from each other");
 DEFINE_int64(connect_timeout_ms, 300, "time to connect to a target");
@@ -86,7 +86,7 @@
                              "max_claim_bytes",
                              "retention_ms",
                              "lease_ms",
-                             "renew_every_ms",
+                             "renew_ms",
                              "connect_timeout_ms",
                              "socket_timeout_ms",
                              "body_timeout_ms",
@@ -202,7 +202,7 @@
 {
     ownership_timing timing;
     timing.lease = millis(FLAGS_lease_ms);
-    timing.renew_every = millis(FLAGS_renew_every_ms);
+    timing.renew_every = millis(FLAGS_renew_ms);
     timing.caller_skew = millis(FLAGS_caller_skew_ms);
     timing.host_skew = millis(FLAGS_host_skew_ms);
     timing.retention = millis(FLAGS_retention_ms);
@@ -338,10 +338,10 @@
               {{"host", self.host.get()}, {"incarnation", self.process.get()}});
     wait_for_stop_signal();
     shut_down(time, *served, **callers, **peers);
-    // peers must not hear of another process here before this one accepts no more, and
-    // no call may reach the parts below while they go
-    (*peers)->stop();
+    // no call may reach the parts below while they go; peers must not hear of another
+    // process at this link's address before this one accepts no more
     callers->reset();
+    (*peers)->stop();
     links_in->reset();
     return 0;
 }
