Let a caller whose body is refused read the answer

A connection closed with unread bytes is reset, and the answer was lost with it: the rest of the body is read for a while after the answer was sent.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -116,6 +116,19 @@
     steady_time until_;
 };
 
+/// @brief Sends a refusal without waiting for the end of the handler.
+void send_at_once(HTTPServerResponse& response, const final_answer& refused)
+{
+    const std::string text = write_answer(request_id(), refused);
+    response.setStatusAndReason(
+        static_cast<HTTPServerResponse::HTTPStatus>(http_status_of(refused.result)));
+    response.setContentType("application/json");
+    response.setContentLength(static_cast<std::streamsize>(text.size()));
+    std::ostream& out = response.send();
+    out << text;
+    out.flush();
+}
+
 /// @brief Reads what is left of a refused body for a while: a connection that is closed
 /// with unread bytes is reset, and its caller may lose the answer.
 void discard_rest(HTTPServerRequest& request)
@@ -212,7 +225,7 @@
         {
             log_event(gateway_body_incomplete, {{"reason", refused->result.message}});
             response.setKeepAlive(false);
-            stream.send_answer(request_id(), *refused);
+            send_at_once(response, *refused);
             discard_rest(request);
             return;
         }
