--- a/include/medlar/detail/policy/pool_shard.hpp
+++ b/include/medlar/detail/policy/pool_shard.hpp
@@ -82,6 +82,9 @@
         double own_recent = 0;
         steady_time own_recent_at;
         std::multiset<std::int64_t> started_at_ms;
+        // waiting seen there
+        double seen_wait_ms = 0;
+        steady_time seen_wait_at;
         // reports of the target
         std::optional<reported_load> report;
         std::optional<double> reported_slots;
@@ -109,12 +112,20 @@
                                 double service_ms,
                                 const pool_context& of) const;
     routing_snapshot snapshot(const stage_call& call, const pool_context& of) const;
+    void plan_prefix(std::uint64_t prefix_hash);
+    bool keeps_prefix(std::size_t place, std::uint64_t prefix_hash) const;
+    std::vector<target_id> names() const;
     double overdue_ms(const target_record& record,
                       double service_ms,
                       const pool_context& of) const;
     double service_ms_locked(stage_kind kind, const request_size& size) const;
+    double expected_ms(const call_observation& seen) const;
     void start_call(target_record& record, steady_time now);
     void end_call(target_record& record, const call_observation& seen, steady_time now);
+    void learn_wait(target_record& record,
+                    double elapsed_ms,
+                    double expected_ms,
+                    steady_time now);
     void learn_time(const target_record& record,
                     const call_observation& seen,
                     double slowness,
@@ -133,6 +144,8 @@
     slot_estimate slots_;
     time_quantile slowness_p95_;
     double mean_service_ms_ = 0;
+    prefix_counter prefix_counts_;
+    prefix_places prefix_places_;
     random_source random_;
     std::uint64_t turn_;
 };
