--- a/test/system/harness/process.cpp
+++ b/test/system/harness/process.cpp
@@ -117,6 +117,18 @@
     }
 }
 
+std::string process::rest_of_output()
+{
+    std::array<char, 4096> buffer{};
+    ssize_t count = read(output_, buffer.data(), buffer.size());
+    while (count > 0)
+    {
+        pending_.append(buffer.data(), static_cast<std::size_t>(count));
+        count = read(output_, buffer.data(), buffer.size());
+    }
+    return std::exchange(pending_, {});
+}
+
 void process::kill()
 {
     if (pid_ > 0)
--- a/test/system/harness/process.hpp
+++ b/test/system/harness/process.hpp
@@ -36,6 +36,9 @@
     /// @return the rest of the line; fails the test if the process ends first
     std::string wait_for_line(const std::string& prefix);
 
+    /// @brief all that it prints from now on, until it ends
+    std::string rest_of_output();
+
     /// @brief ends it at once (SIGKILL) and reaps it
     void kill();
 
