--- a/src/controller/control_message.cpp
+++ b/src/controller/control_message.cpp
@@ -47,12 +47,30 @@
 
 // these throw json::exception, which parse_gateway_report() turns into a status
 
+const json& array_of(const json& value)
+{
+    if (!value.is_array())
+    {
+        throw json::other_error::create(502, "a list is no array", &value);
+    }
+    return value;
+}
+
+std::uint64_t number_of(const json& value)
+{
+    if (!value.is_number_unsigned())
+    {
+        throw json::other_error::create(502, "a number is not unsigned", &value);
+    }
+    return value.get<std::uint64_t>();
+}
+
 std::vector<incarnation> incarnations(const json& list)
 {
     std::vector<incarnation> read;
-    for (const json& item : list)
+    for (const json& item : array_of(list))
     {
-        read.emplace_back(item.get<std::uint64_t>());
+        read.emplace_back(number_of(item));
     }
     return read;
 }
@@ -67,7 +85,7 @@
     }
     view_member member;
     member.host = host_id(item.at("host").get<std::string>());
-    member.process = incarnation(item.at("process").get<std::uint64_t>());
+    member.process = incarnation(number_of(item.at("process")));
     member.link = *link;
     member.failure_domain =
         failure_domain_id(item.at("failure_domain").get<std::string>());
@@ -78,15 +96,15 @@
 {
     gateway_report report;
     report.host = host_id(from.at("host").get<std::string>());
-    report.process = incarnation(from.at("process").get<std::uint64_t>());
-    report.configuration = revision(from.at("configuration").get<std::uint64_t>());
-    report.adopted = view_epoch(from.at("adopted").get<std::uint64_t>());
-    report.newest = view_epoch(from.at("newest").get<std::uint64_t>());
+    report.process = incarnation(number_of(from.at("process")));
+    report.configuration = revision(number_of(from.at("configuration")));
+    report.adopted = view_epoch(number_of(from.at("adopted")));
+    report.newest = view_epoch(number_of(from.at("newest")));
     report.member = from.at("member").get<bool>();
     report.may_propose = from.at("may_propose").get<bool>();
     report.not_heard = incarnations(from.at("not_heard"));
     report.leaving = incarnations(from.value("leaving", json::array()));
-    for (const json& item : from.at("waiting"))
+    for (const json& item : array_of(from.at("waiting")))
     {
         absl::StatusOr<view_member> member = member_from(item);
         if (!member.ok())
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -18,8 +18,8 @@
 namespace
 {
 
-constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
-constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t chunk_bytes = std::size_t{16} * 1024;
 constexpr std::int64_t us_per_ms = 1000;
 
 Poco::Timespan timespan_of(millis span)
--- a/test/runtime/controller_test.cpp
+++ b/test/runtime/controller_test.cpp
@@ -1,3 +1,4 @@
+#include "standins/shared/host_list_server.hpp"
 #include "standins/shared/kv_server.hpp"
 #include "support/fake_gateway.hpp"
 #include "support/views.hpp"
@@ -38,6 +39,8 @@
     CPPUNIT_TEST(learns_from_its_gateway_what_the_store_has_lost);
     CPPUNIT_TEST(tells_a_restarted_gateway_everything_again);
     CPPUNIT_TEST(keeps_what_is_in_force_when_an_entry_is_malformed);
+    CPPUNIT_TEST(pushes_leaving_targets_and_peers_of_the_host_list);
+    CPPUNIT_TEST(keeps_the_last_host_list_when_it_is_malformed);
     CPPUNIT_TEST(stops_while_its_watch_waits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -47,11 +50,14 @@
         store_ = std::make_unique<standins::kv_server>(medlar::endpoint{"127.0.0.1", 0},
                                                        std::chrono::milliseconds(10));
         gateway_ = std::make_unique<fake_gateway>();
+        hosts_ = std::make_unique<standins::host_list_server>(
+            medlar::endpoint{"127.0.0.1", 0}, millis(0));
     }
 
     void tearDown() override
     {
         controller_.reset();
+        hosts_.reset();
         gateway_.reset();
         store_.reset();
     }
@@ -74,6 +80,11 @@
         settings.view.eviction = millis(100);
         settings.view.settle = millis(20);
         settings.view.stagger = millis(20);
+        medlar::host_list_settings hosts;
+        hosts.where = hosts_->where();
+        hosts.period = millis(20);
+        hosts.gateway = gateway_->where();
+        settings.host_list = hosts;
         controller_ = medlar::controller_process::create(settings, time_);
     }
 
@@ -200,6 +211,57 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, store_->calls()["cas"]);
     }
 
+    // the host list
+
+    void pushes_leaving_targets_and_peers_of_the_host_list()
+    {
+        hosts_->set(json({{"hosts",
+                           {entry(to_string(gateway_->where())),
+                            entry("127.0.0.1:9"),
+                            target("leaving")}}})
+                        .dump());
+        start();
+        wait_for_leaving(json::array({"t1"}));
+        CPPUNIT_ASSERT(gateway_->pushed()["peers"] == json::array({"127.0.0.1:9"}));
+        hosts_->set(json({{"hosts", {target("live")}}}).dump());
+        wait_for_leaving(json::array());
+        CPPUNIT_ASSERT(gateway_->pushed()["peers"].empty());
+    }
+
+    void keeps_the_last_host_list_when_it_is_malformed()
+    {
+        hosts_->set(json({{"hosts", {target("leaving")}}}).dump());
+        start();
+        wait_for_leaving(json::array({"t1"}));
+        hosts_->set("[]");
+        gateway_->wait_for_pushes(10);
+        CPPUNIT_ASSERT(gateway_->pushed()["leaving"] == json::array({"t1"}));
+    }
+
+    void wait_for_leaving(const json& targets)
+    {
+        gateway_->wait_until(
+            [&targets](const json& pushed)
+            {
+                return pushed.contains("leaving") && pushed["leaving"] == targets;
+            });
+    }
+
+    static json entry(const std::string& address)
+    {
+        return {
+            {"host", "e"}, {"address", address}, {"state", "live"}, {"kind", "entry"}};
+    }
+
+    static json target(const std::string& state)
+    {
+        return {{"host", "t"},
+                {"address", "127.0.0.1"},
+                {"state", state},
+                {"kind", "target"},
+                {"target", "t1"}};
+    }
+
     // the store
 
     void goes_on_after_an_outage_of_the_store()
@@ -290,6 +352,7 @@
     medlar::clock time_ = medlar::clock::system();
     std::unique_ptr<standins::kv_server> store_;
     std::unique_ptr<fake_gateway> gateway_;
+    std::unique_ptr<standins::host_list_server> hosts_;
     std::unique_ptr<medlar::controller_process> controller_;
 };
 
--- a/test/standins/shared/kv_server.hpp
+++ b/test/standins/shared/kv_server.hpp
@@ -155,7 +155,7 @@
     }
 
   private:
-    static constexpr std::size_t max_value_bytes = 1024 * 1024;
+    static constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
     static constexpr int max_threads = 1024;
 
     class handler : public Poco::Net::HTTPRequestHandler
