--- a/include/medlar/detail/controller/controller_process.hpp
+++ b/include/medlar/detail/controller/controller_process.hpp
@@ -11,10 +11,12 @@
 #include <medlar/detail/controller/target_controller.hpp>
 #include <medlar/detail/controller/view_controller.hpp>
 #include <medlar/detail/link/link.hpp>
+#include <medlar/detail/metrics/registry.hpp>
 #include <medlar/detail/store/store_client.hpp>
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -25,6 +27,8 @@
 struct controller_settings
 {
     host_id self;
+    /// where the page of metrics is served
+    endpoint listen;
     std::vector<endpoint> store;
     millis store_timeout{2000};
     endpoint gateway;
@@ -46,6 +50,9 @@
 
     ~controller_process();
 
+    /// @brief the metrics in the Prometheus text format
+    std::string metrics_text();
+
   private:
     controller_process(const controller_settings& settings, const clock& time);
 
@@ -63,6 +70,7 @@
     }
 
     stop_signal stop_;
+    std::unique_ptr<metrics_registry> metrics_;
     std::unique_ptr<link_client> links_;
     // the watch has a client of its own, so that no other call waits for it
     std::unique_ptr<store_client> watching_;
--- a/include/medlar/detail/controller/order_controller.hpp
+++ b/include/medlar/detail/controller/order_controller.hpp
@@ -77,9 +77,8 @@
     };
 
     bool is_candidate(const live_snapshot& now) const;
-    void bring_pool(const wanted_pool& wanted,
-                    const pool& targets,
-                    const stop_signal& stop);
+    void
+    bring_pool(const wanted_pool& wanted, const pool& targets, const stop_signal& stop);
     void bring_target(const wanted_pool& wanted, const target& at);
     bool step(const wanted_pool& wanted, const target& at, bool* more);
     bool count_load();
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -1,8 +1,21 @@
 #include <medlar/detail/controller/controller_process.hpp>
+#include <medlar/detail/store/metered_store.hpp>
 
 namespace medlar
 {
 
+namespace
+{
+
+std::unique_ptr<store_client> make_client(const controller_settings& settings,
+                                          metrics_registry& metrics)
+{
+    return make_metered(store_client::create(settings.store, settings.store_timeout),
+                        metrics);
+}
+
+} // namespace
+
 std::unique_ptr<controller_process>
 controller_process::create(const controller_settings& settings, const clock& time)
 {
@@ -13,9 +26,10 @@
 
 controller_process::controller_process(const controller_settings& settings,
                                        const clock& time)
-    : links_(link_client::create()),
-      watching_(store_client::create(settings.store, settings.store_timeout)),
-      writing_(store_client::create(settings.store, settings.store_timeout)),
+    : metrics_(metrics_registry::create()),
+      links_(link_client::create()),
+      watching_(make_client(settings, *metrics_)),
+      writing_(make_client(settings, *metrics_)),
       feed_(*links_, settings.gateway, settings.heartbeat),
       configuration_(*watching_, live_, feed_, settings.watch),
       view_(*writing_, live_, feed_, time, settings.view)
@@ -47,6 +61,25 @@
     }
 }
 
+std::string controller_process::metrics_text()
+{
+    const live_snapshot now = live_.snapshot();
+    const auto as_number = [](std::uint64_t value)
+    {
+        return static_cast<double>(value);
+    };
+    metrics_->set("medlar_store_reachable", {}, now.reachable ? 1 : 0);
+    metrics_->set("medlar_configuration_revision",
+                  {},
+                  as_number(version_of(now.configuration.get()).number));
+    metrics_->set("medlar_view_epoch", {}, as_number(version_of(now.view.get()).number));
+    metrics_->set("medlar_gateway_reachable", {}, feed_.report() ? 1 : 0);
+    metrics_->set("medlar_control_bytes_total",
+                  {{"path", "gateway"}},
+                  static_cast<double>(links_->traffic().get()));
+    return metrics_->write();
+}
+
 void controller_process::start()
 {
     threads_.emplace_back(
--- a/src/programs/medlar_controller.cpp
+++ b/src/programs/medlar_controller.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/base/error.hpp>
 #include <medlar/detail/controller/controller_process.hpp>
+#include <medlar/detail/controller/metrics_page.hpp>
 #include <medlar/detail/log/controller_events.hpp>
 #include <medlar/detail/settings/settings.hpp>
 
@@ -13,6 +14,7 @@
 DEFINE_bool(check, false, "print the settings and where each comes from, and end");
 DEFINE_string(host_id, "", "name of this host");
 DEFINE_string(failure_domain, "", "failure domain of this host");
+DEFINE_string(listen, "127.0.0.1:0", "address and port of the page of metrics");
 DEFINE_string(gateway, "", "link address and port of the gateway of this host");
 DEFINE_string(store, "", "addresses and ports of the key-value service, tried in turn");
 DEFINE_int32(store_timeout_ms, 2000, "time for an answer of the key-value service");
@@ -137,6 +139,7 @@
     setting_checks checks;
     medlar::controller_settings settings;
     settings.self = medlar::host_id(checks.text("host_id", FLAGS_host_id));
+    settings.listen = checks.address("listen", FLAGS_listen);
     settings.gateway = checks.address("gateway", FLAGS_gateway);
     settings.store = checks.addresses("store", FLAGS_store);
     settings.store_timeout = checks.span("store_timeout_ms", FLAGS_store_timeout_ms);
@@ -200,8 +203,20 @@
     const medlar::clock time = medlar::clock::system();
     medlar::log_event(medlar::controller_started, {{"host", settings->self.get()}});
     auto process = medlar::controller_process::create(*settings, time);
+    auto page = medlar::metrics_page::create(settings->listen,
+                                             [&process]
+                                             {
+                                                 return process->metrics_text();
+                                             });
+    if (!page.ok())
+    {
+        std::cerr << page.status() << std::endl;
+        return exit_bad_setting;
+    }
+    std::cout << "listening " << to_string((*page)->where()) << std::endl;
     int caught = 0;
     sigwait(&signals, &caught);
+    page->reset();
     process.reset();
     medlar::log_event(medlar::controller_stopped, {{"host", settings->self.get()}});
     return 0;
--- a/test/runtime/controller_test.cpp
+++ b/test/runtime/controller_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(keeps_what_is_in_force_when_an_entry_is_malformed);
     CPPUNIT_TEST(pushes_leaving_targets_and_peers_of_the_host_list);
     CPPUNIT_TEST(keeps_the_last_host_list_when_it_is_malformed);
+    CPPUNIT_TEST(counts_its_calls);
     CPPUNIT_TEST(stops_while_its_watch_waits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -317,6 +318,24 @@
                              store_->state().read("medlar/live/", true).entries.size());
     }
 
+    void counts_its_calls()
+    {
+        put(medlar::store_keys::configuration, document_text(7, "a"));
+        start();
+        wait_for_revision(7);
+        wait_for_epoch(1);
+        const std::string text = controller_->metrics_text();
+        for (const char* line :
+             {"medlar_store_calls_total{call=\"compare_and_swap\",result=\"ok\"} 1",
+              "medlar_configuration_revision 7",
+              "medlar_view_epoch 1",
+              "medlar_store_reachable 1",
+              "medlar_gateway_reachable 1"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(text, text.find(line) != std::string::npos);
+        }
+    }
+
     void stops_while_its_watch_waits()
     {
         put(medlar::store_keys::configuration, document_text(1, "a"));
