--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -9,12 +9,15 @@
 namespace
 {
 
-/// calls beyond its slots that a pool may hold, so that no slot waits for a start
-constexpr double relative_reserve = 0.1;
-constexpr double reserve_calls = 1;
-
-constexpr double attainment_margin = 1.05;
-constexpr double cost_margin = 1.2;
+/// calls beyond its slots that a host may have pending, so that no slot waits for one
+constexpr double reserve_calls = 2;
+/// share of the expected waiting that counts against continuing
+constexpr double waiting_that_counts = 0.5;
+
+constexpr double attainment_margin = 1;
+constexpr double cost_margin = 1.1;
+/// waiting is less certain than running
+constexpr double waiting_margin = 1.25;
 constexpr double margin_ms = 5;
 
 /// @brief pools that nobody has used yet have room
@@ -46,7 +49,7 @@
 double pending_bound(const pool_outlook& pool, double before_ms)
 {
     const double underway = 1 + before_ms / pool.load.mean_service_ms;
-    return usable_slots(pool) * underway * (1 + relative_reserve) + reserve_calls;
+    return usable_slots(pool) * underway + reserve_calls;
 }
 
 template <typename WaitOf>
@@ -86,8 +89,9 @@
     {
         return part;
     }
-    const double others = std::max(0.0, pool.load.in_system - pool.load.own);
-    return std::max(part, pool.load.slots - others);
+    const double spare = pool.load.slots - pool.load.in_system;
+    const double more = pool.load.own + spare / std::max(1, pool.gateways);
+    return spare > 0 ? std::max(part, more) : part;
 }
 
 double
@@ -173,10 +177,12 @@
     return total;
 }
 
-double judged_span_ms(double expected_ms, objective_kind objective)
+double judged_span_ms(double expected_ms, double bare_ms, objective_kind objective)
 {
     const bool cost_first = objective == objective_kind::cost;
-    return expected_ms * (cost_first ? cost_margin : attainment_margin) + margin_ms;
+    const double waiting = expected_ms - bare_ms;
+    return bare_ms * (cost_first ? cost_margin : attainment_margin) +
+           waiting * waiting_margin + margin_ms;
 }
 
 bool is_worth_continuing(double expected_ms,
@@ -184,8 +190,10 @@
                          double left_ms,
                          objective_kind objective)
 {
-    return objective == objective_kind::cost ? expected_ms <= left_ms
-                                             : bare_ms <= left_ms;
+    const double waiting = expected_ms - bare_ms;
+    const double counted =
+        objective == objective_kind::cost ? waiting : waiting_that_counts * waiting;
+    return bare_ms + counted <= left_ms;
 }
 
 double drain_ms(const std::vector<waiting_request>& waiting, const pool_outlooks& pools)
