--- a/test/runtime/controller_test.cpp
+++ b/test/runtime/controller_test.cpp
@@ -1,3 +1,4 @@
+#include "standins/shared/host_list_server.hpp"
 #include "standins/shared/kv_server.hpp"
 #include "support/fake_gateway.hpp"
 #include "support/views.hpp"
@@ -38,6 +39,9 @@
     CPPUNIT_TEST(learns_from_its_gateway_what_the_store_has_lost);
     CPPUNIT_TEST(tells_a_restarted_gateway_everything_again);
     CPPUNIT_TEST(keeps_what_is_in_force_when_an_entry_is_malformed);
+    CPPUNIT_TEST(pushes_leaving_targets_and_peers_of_the_host_list);
+    CPPUNIT_TEST(keeps_the_last_host_list_when_it_is_malformed);
+    CPPUNIT_TEST(counts_its_calls);
     CPPUNIT_TEST(stops_while_its_watch_waits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -47,11 +51,14 @@
         store_ = std::make_unique<standins::kv_server>(medlar::endpoint{"127.0.0.1", 0},
                                                        std::chrono::milliseconds(10));
         gateway_ = std::make_unique<fake_gateway>();
+        hosts_ = std::make_unique<standins::host_list_server>(
+            medlar::endpoint{"127.0.0.1", 0}, millis(0));
     }
 
     void tearDown() override
     {
         controller_.reset();
+        hosts_.reset();
         gateway_.reset();
         store_.reset();
     }
@@ -74,6 +81,11 @@
         settings.view.eviction = millis(100);
         settings.view.settle = millis(20);
         settings.view.stagger = millis(20);
+        medlar::host_list_settings hosts;
+        hosts.where = hosts_->where();
+        hosts.period = millis(20);
+        hosts.gateway = gateway_->where();
+        settings.host_list = hosts;
         controller_ = medlar::controller_process::create(settings, time_);
     }
 
@@ -200,6 +212,57 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, store_->calls()["cas"]);
     }
 
+    // the host list
+
+    void pushes_leaving_targets_and_peers_of_the_host_list()
+    {
+        hosts_->set(json({{"hosts",
+                           {entry(to_string(gateway_->where())),
+                            entry("127.0.0.1:9"),
+                            target("leaving")}}})
+                        .dump());
+        start();
+        wait_for_leaving(json::array({"t1"}));
+        CPPUNIT_ASSERT(gateway_->pushed()["peers"] == json::array({"127.0.0.1:9"}));
+        hosts_->set(json({{"hosts", {target("live")}}}).dump());
+        wait_for_leaving(json::array());
+        CPPUNIT_ASSERT(gateway_->pushed()["peers"].empty());
+    }
+
+    void keeps_the_last_host_list_when_it_is_malformed()
+    {
+        hosts_->set(json({{"hosts", {target("leaving")}}}).dump());
+        start();
+        wait_for_leaving(json::array({"t1"}));
+        hosts_->set("[]");
+        gateway_->wait_for_pushes(10);
+        CPPUNIT_ASSERT(gateway_->pushed()["leaving"] == json::array({"t1"}));
+    }
+
+    void wait_for_leaving(const json& targets)
+    {
+        gateway_->wait_until(
+            [&targets](const json& pushed)
+            {
+                return pushed.contains("leaving") && pushed["leaving"] == targets;
+            });
+    }
+
+    static json entry(const std::string& address)
+    {
+        return {
+            {"host", "e"}, {"address", address}, {"state", "live"}, {"kind", "entry"}};
+    }
+
+    static json target(const std::string& state)
+    {
+        return {{"host", "t"},
+                {"address", "127.0.0.1"},
+                {"state", state},
+                {"kind", "target"},
+                {"target", "t1"}};
+    }
+
     // the store
 
     void goes_on_after_an_outage_of_the_store()
@@ -255,6 +318,24 @@
                              store_->state().read("medlar/live/", true).entries.size());
     }
 
+    void counts_its_calls()
+    {
+        put(medlar::store_keys::configuration, document_text(7, "a"));
+        start();
+        wait_for_revision(7);
+        wait_for_epoch(1);
+        const std::string text = controller_->metrics_text();
+        for (const char* line :
+             {"medlar_store_calls_total{call=\"compare_and_swap\",result=\"ok\"} 1",
+              "medlar_configuration_revision 7",
+              "medlar_view_epoch 1",
+              "medlar_store_reachable 1",
+              "medlar_gateway_reachable 1"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(text, text.find(line) != std::string::npos);
+        }
+    }
+
     void stops_while_its_watch_waits()
     {
         put(medlar::store_keys::configuration, document_text(1, "a"));
@@ -290,6 +371,7 @@
     medlar::clock time_ = medlar::clock::system();
     std::unique_ptr<standins::kv_server> store_;
     std::unique_ptr<fake_gateway> gateway_;
+    std::unique_ptr<standins::host_list_server> hosts_;
     std::unique_ptr<medlar::controller_process> controller_;
 };
 
