--- a/test/bench/policy_bench.py
+++ b/test/bench/policy_bench.py
@@ -17,13 +17,14 @@
 TUNING_TRACES = [
     "normal_day",
     "month_end_burst",
+    "weekend_rush",
     "flooding",
     "straggling_stage",
     "failing_stage",
     "gateway_killed",
     "reports_frozen",
 ]
-HELD_OUT_TRACES = ["weekend_rush", "reports_frozen_burst"]
+HELD_OUT_TRACES = ["gateway_killed_burst", "reports_frozen_burst"]
 
 POLICIES = {
     "policy": {},
