Do not guess a call's time steeper than in proportion to its size

Cause: after two samples of nearly one size the fitted line could be so steep that a long ledger seemed to need seconds to encode. Ruled out: waiting at targets, as the p95 of answers was under half of the deadline. The slope is now at most that of a line through zero. The test failed before.

--- a/src/policy/service_model.cpp
+++ b/src/policy/service_model.cpp
@@ -50,7 +50,10 @@
     {
         return 0;
     }
-    return std::max(0.0, (sum_size_time_ - sum_size_ * sum_time_ / weight_) / spread);
+    const double fitted = (sum_size_time_ - sum_size_ * sum_time_ / weight_) / spread;
+    // the time at size 0 is not negative, whatever a few samples say
+    const double steepest = sum_time_ / std::max(sum_size_, least_spread);
+    return std::clamp(fitted, 0.0, steepest);
 }
 
 double size_line::at(double size) const
