Explore every interleaving of the ownership's steps

Cause: the rule that a request runs at most once rests on timing that single tests cannot cover. Change: an explorer whose processes are medlar::ownership itself; views, grants in three steps, adoption, restarts, evidence of stops, handovers and lost messages interleave freely with time, for homes that move, return and restart, with clocks apart. Ten seeded mistakes are each found. Closing a view is taken at once, since a later closing accepts less; calls older than a lease are dropped, since a newer one tells the same. Ruled out: one run a moment of issue (the same states many times over). Conclusion: no double run. The skew between hosts counts once in the margin as long as it bounds each pair of hosts; with clocks twice that apart a double run is found. Under ThreadSanitizer the explored time is bounded and reachability is not checked.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -41,7 +41,9 @@
 }
 
 run_tests "decisions" build/decisions_test
-run_tests "decisions under ThreadSanitizer" build-tsan/decisions_test
+# The exploration of the ownership is one thread: a smaller bound will do here.
+run_tests "decisions under ThreadSanitizer" \
+    env MEDLAR_MODEL_HORIZON=1 build-tsan/decisions_test
 [ -x build/runtime_test ] && run_tests "runtime" build/runtime_test
 [ -x build-asan/runtime_test ] &&
     run_tests "runtime under AddressSanitizer" build-asan/runtime_test
--- /dev/null
+++ b/test/decisions/ownership_model_test.cpp
@@ -0,0 +1,332 @@
+#include "model/ownership_model.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+
+using namespace medlar;
+using namespace medlar::testing;
+
+/// one step of time is one millisecond
+ownership_timing step_timing()
+{
+    ownership_timing timing;
+    timing.lease = millis(2);
+    timing.drift_allowance = millis(0);
+    timing.caller_skew = millis(2);
+    timing.host_skew = millis(1);
+    timing.retention = millis(1000);
+    timing.first_attempt_window = millis(4);
+    return timing;
+}
+
+model_setup setup_of(const std::string& name,
+                     const std::vector<std::vector<std::uint64_t>>& views,
+                     const std::vector<std::uint64_t>& homes)
+{
+    model_setup setup;
+    setup.name = name;
+    setup.timing = step_timing();
+    setup.views = views;
+    setup.homes = homes;
+    setup.skews = {0, 0, 0};
+    setup.caller_skew = 2;
+    setup.horizon = 4;
+    return setup;
+}
+
+/// the home of three leaves the view
+model_setup removal()
+{
+    return setup_of("removal", {{1, 2, 3}, {2, 3}}, {1, 2});
+}
+
+/// a view of two is followed by another process alone
+model_setup succession()
+{
+    model_setup setup = setup_of("succession", {{1, 3}, {2}}, {1, 2});
+    setup.may_restart = {3};
+    return setup;
+}
+
+/// a third joins two and becomes the home
+model_setup joining()
+{
+    return setup_of("joining", {{1, 2}, {1, 2, 3}}, {1, 3});
+}
+
+/// one of two is replaced by a third
+model_setup replacement()
+{
+    return setup_of("replacement", {{1, 2}, {2, 3}}, {1, 3});
+}
+
+/// the home moves to one that joins, and back when that one leaves
+model_setup returning()
+{
+    model_setup setup = setup_of("returning", {{1}, {1, 2}, {1}}, {1, 2, 1});
+    setup.skews = {0, 0};
+    return setup;
+}
+
+/// leases of one step keep larger systems small enough
+model_setup with_short_lease(model_setup setup)
+{
+    setup.timing.lease = millis(1);
+    setup.horizon = 3;
+    return setup;
+}
+
+/// Environment variable that bounds the time explored where a run costs more, as under
+/// ThreadSanitizer: then only the absence of double runs is checked.
+constexpr const char* horizon_variable = "MEDLAR_MODEL_HORIZON";
+
+bool is_bounded()
+{
+    return std::getenv(horizon_variable) != nullptr;
+}
+
+int bounded(int horizon)
+{
+    return is_bounded() ? std::min(horizon, std::atoi(std::getenv(horizon_variable)))
+                        : horizon;
+}
+
+model_result explored(const model_setup& setup)
+{
+    const model_result result = ownership_model(setup).explore();
+    std::cout << "\n  " << setup.name << ", clocks " << setup.skews[0] << " "
+              << setup.skews[1] << ", " << setup.horizon
+              << " steps of time: " << result.states << " states"
+              << (result.double_run.empty() ? "" : "; run twice: " + result.double_run)
+              << std::flush;
+    return result;
+}
+
+/// the first home's clock is ahead of the others', the worst case; or all differences
+const std::vector<int> old_ahead{1};
+const std::vector<int> each_difference{0, 1, -1};
+
+void expect_no_double_run(model_setup setup, const std::vector<int>& differences)
+{
+    setup.horizon = bounded(setup.horizon);
+    const std::size_t last = setup.homes[1] - 1;
+    for (const int skew : differences)
+    {
+        setup.skews.assign(setup.skews.size(), 0);
+        setup.skews[last] = -skew;
+        const model_result result = explored(setup);
+        CPPUNIT_ASSERT_EQUAL(std::string(), result.double_run);
+        if (!is_bounded())
+        {
+            CPPUNIT_ASSERT(result.first_home_ran || setup.runs_from_view > 1);
+            CPPUNIT_ASSERT(result.last_home_ran);
+            CPPUNIT_ASSERT(result.settled);
+        }
+    }
+}
+
+void expect_double_run(model_setup setup)
+{
+    setup.horizon = bounded(setup.horizon);
+    const bool found = !explored(setup).double_run.empty();
+    CPPUNIT_ASSERT(found || is_bounded());
+}
+
+class every_interleaving : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(every_interleaving);
+    CPPUNIT_TEST(of_a_removal_runs_a_request_at_most_once);
+    CPPUNIT_TEST(of_a_removal_with_restarts_runs_a_request_at_most_once);
+    CPPUNIT_TEST(of_a_joining_runs_a_request_at_most_once);
+    CPPUNIT_TEST(of_a_replacement_runs_a_request_at_most_once);
+    CPPUNIT_TEST(of_a_return_runs_a_request_at_most_once);
+    CPPUNIT_TEST(of_a_handover_runs_a_request_at_most_once);
+    CPPUNIT_TEST(of_a_handover_can_lead_to_a_run_at_the_new_home);
+    CPPUNIT_TEST_SUITE_END();
+
+    void of_a_removal_runs_a_request_at_most_once()
+    {
+        expect_no_double_run(removal(), old_ahead);
+        model_setup shorter = removal();
+        shorter.horizon = 3;
+        expect_no_double_run(shorter, each_difference);
+    }
+
+    void of_a_removal_with_restarts_runs_a_request_at_most_once()
+    {
+        model_setup smaller = with_short_lease(succession());
+        smaller.horizon = 2;
+        expect_no_double_run(smaller, old_ahead);
+        for (const std::uint64_t process : {1, 2, 3})
+        {
+            model_setup setup = with_short_lease(removal());
+            setup.may_restart = {process};
+            setup.name = "removal, restart of " + std::to_string(process);
+            setup.horizon = 2;
+            expect_no_double_run(setup, old_ahead);
+        }
+    }
+
+    void of_a_joining_runs_a_request_at_most_once()
+    {
+        expect_no_double_run(joining(), old_ahead);
+    }
+
+    void of_a_replacement_runs_a_request_at_most_once()
+    {
+        model_setup setup = replacement();
+        setup.horizon = 3;
+        expect_no_double_run(setup, old_ahead);
+    }
+
+    void of_a_return_runs_a_request_at_most_once()
+    {
+        model_setup setup = returning();
+        expect_no_double_run(setup, old_ahead);
+        setup.hands_over = true;
+        expect_no_double_run(setup, old_ahead);
+        // what the first home did not run
+        setup.runs_from_view = 2;
+        expect_no_double_run(setup, old_ahead);
+    }
+
+    void of_a_handover_runs_a_request_at_most_once()
+    {
+        for (model_setup setup : {removal(), joining()})
+        {
+            setup = with_short_lease(setup);
+            setup.horizon = 4;
+            setup.name += " with handover";
+            setup.hands_over = true;
+            expect_no_double_run(setup, old_ahead);
+        }
+    }
+
+    void of_a_handover_can_lead_to_a_run_at_the_new_home()
+    {
+        model_setup setup = removal();
+        setup.horizon = bounded(3);
+        setup.runs_from_view = 2;
+        CPPUNIT_ASSERT(!explored(setup).ran_after_handover);
+        setup.hands_over = true;
+        const bool ran = explored(setup).ran_after_handover;
+        CPPUNIT_ASSERT(ran || is_bounded());
+    }
+};
+
+class a_double_run_is_found : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_double_run_is_found);
+    CPPUNIT_TEST(when_the_takeover_has_no_margin);
+    CPPUNIT_TEST(when_the_margin_leaves_out_the_skew_between_hosts);
+    CPPUNIT_TEST(when_the_margin_leaves_out_the_skew_of_callers);
+    CPPUNIT_TEST(when_hosts_clocks_are_twice_the_skew_apart);
+    CPPUNIT_TEST(when_a_view_is_adopted_before_grants_have_run_out);
+    CPPUNIT_TEST(when_nobody_waits_for_the_grants_of_a_stopped_process);
+    CPPUNIT_TEST(when_a_restarted_process_is_taken_as_a_member);
+    CPPUNIT_TEST(when_a_restarted_process_forgets_its_grants);
+    CPPUNIT_TEST(when_the_age_of_requests_is_not_checked);
+    CPPUNIT_TEST(when_a_stated_first_attempt_is_repeated_early);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// the clock of the old home is ahead of the new one's by all that is allowed
+    static model_setup ahead(model_setup setup)
+    {
+        setup.timing.host_skew = millis(2);
+        setup.skews = {0, -2, -2};
+        setup.horizon = 3;
+        return setup;
+    }
+
+    static void expect_no_double_run_here(model_setup setup)
+    {
+        setup.horizon = bounded(setup.horizon);
+        CPPUNIT_ASSERT_EQUAL(std::string(), explored(setup).double_run);
+    }
+
+    void when_the_takeover_has_no_margin()
+    {
+        model_setup setup = removal();
+        setup.faults.margin_left_out = setup.timing.takeover_margin();
+        expect_double_run(setup);
+    }
+
+    void when_the_margin_leaves_out_the_skew_between_hosts()
+    {
+        model_setup setup = ahead(removal());
+        expect_no_double_run_here(setup);
+        setup.faults.margin_left_out = setup.timing.host_skew;
+        expect_double_run(setup);
+    }
+
+    void when_the_margin_leaves_out_the_skew_of_callers()
+    {
+        model_setup setup = ahead(removal());
+        setup.faults.margin_left_out = setup.timing.caller_skew;
+        expect_double_run(setup);
+    }
+
+    void when_hosts_clocks_are_twice_the_skew_apart()
+    {
+        model_setup setup = ahead(removal());
+        setup.skews = {0, -4, -4};
+        setup.horizon = 5;
+        expect_double_run(setup);
+    }
+
+    void when_a_view_is_adopted_before_grants_have_run_out()
+    {
+        model_setup setup = ahead(removal());
+        setup.faults.adopts_at_once = true;
+        expect_double_run(setup);
+    }
+
+    void when_nobody_waits_for_the_grants_of_a_stopped_process()
+    {
+        model_setup setup = succession();
+        setup.skews = {0, -1, -1};
+        setup.faults.no_wait_after_stop = true;
+        expect_double_run(setup);
+    }
+
+    void when_a_restarted_process_is_taken_as_a_member()
+    {
+        model_setup setup = with_short_lease(succession());
+        setup.skews = {0, -1, -1};
+        setup.faults.restarted_is_member = true;
+        expect_double_run(setup);
+    }
+
+    void when_a_restarted_process_forgets_its_grants()
+    {
+        model_setup setup = succession();
+        setup.skews = {0, -1, -1};
+        setup.faults.forgets_grants = true;
+        expect_double_run(setup);
+    }
+
+    void when_the_age_of_requests_is_not_checked()
+    {
+        model_setup setup = removal();
+        setup.faults.skips_age_fence = true;
+        expect_double_run(setup);
+    }
+
+    void when_a_stated_first_attempt_is_repeated_early()
+    {
+        model_setup setup = removal();
+        setup.faults.resends_first_attempt_early = true;
+        expect_double_run(setup);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(every_interleaving);
+CPPUNIT_TEST_SUITE_REGISTRATION(a_double_run_is_found);
+
+} // namespace
