--- a/test/runtime/operators/ctl_test.cpp
+++ b/test/runtime/operators/ctl_test.cpp
@@ -57,12 +57,15 @@
   public:
     void setUp() override
     {
+        server_ = *medlar::operators_server::create(
+            {"127.0.0.1", 0}, {*changes_, *views_, *orders_, *fleet_});
         options_.operators = {server_->where()};
         options_.author = "ana";
     }
 
     void tearDown() override
     {
+        server_.reset();
         std::remove(file_.c_str());
     }
 
