--- a/include/medlar/detail/policy/load_estimate.hpp
+++ b/include/medlar/detail/policy/load_estimate.hpp
@@ -28,6 +28,8 @@
     double own_mean = 0;
     /// gateways that share the pool, this one included
     int gateways = 1;
+    /// mean time of the pool's calls, which says how long a report stays true
+    double mean_service_ms = 0;
     /// unset: the target does not report
     std::optional<reported_load> report;
 };
@@ -50,7 +52,7 @@
 {
   public:
     /// @brief Learns from a call that succeeded.
-    /// @param in_system estimated calls at the target when it ended
+    /// @param in_system estimated calls at a target of the pool when it ended
     /// @param slowness its time relative to a call that did not wait
     void learn(double in_system, double slowness);
 
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -21,6 +21,7 @@
 #include <Poco/URI.h>
 #include <absl/strings/str_cat.h>
 
+#include <array>
 #include <exception>
 #include <optional>
 #include <string>
@@ -115,6 +116,46 @@
     steady_time until_;
 };
 
+/// @brief Sends a refusal without waiting for the end of the handler.
+void send_at_once(HTTPServerResponse& response, const final_answer& refused)
+{
+    const std::string text = write_answer(request_id(), refused);
+    response.setStatusAndReason(
+        static_cast<HTTPServerResponse::HTTPStatus>(http_status_of(refused.result)));
+    response.setContentType("application/json");
+    response.setContentLength(static_cast<std::streamsize>(text.size()));
+    std::ostream& out = response.send();
+    out << text;
+    out.flush();
+}
+
+/// @brief Reads what is left of a refused body for a while: a connection that is closed
+/// with unread bytes is reset, and its caller may lose the answer.
+void discard_rest(HTTPServerRequest& request)
+{
+    constexpr int max_bytes = 64 * 1024 * 1024;
+    constexpr std::int64_t max_silence_ms = 500;
+    auto& with_socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
+    Poco::Net::StreamSocket& socket = with_socket.socket();
+    try
+    {
+        socket.shutdownSend();
+        socket.setReceiveTimeout(timespan_of(millis(max_silence_ms)));
+        std::array<char, 16 * 1024> bytes{};
+        int left = max_bytes;
+        int received = 1;
+        while (received > 0 && left > 0)
+        {
+            received = socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+            left -= received;
+        }
+    }
+    catch (const Poco::Exception&)
+    {
+        return;
+    }
+}
+
 class caller_handler : public Poco::Net::HTTPRequestHandler
 {
   public:
@@ -184,7 +225,8 @@
         {
             log_event(gateway_body_incomplete, {{"reason", refused->result.message}});
             response.setKeepAlive(false);
-            stream.send_answer(request_id(), *refused);
+            send_at_once(response, *refused);
+            discard_rest(request);
             return;
         }
         context.pipeline_name = pipeline;
