--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures the system with real processes and stand-ins on this machine.
 # Usage: scripts/bench.sh policy [OPTION...]    the policies against the baselines
+#        scripts/bench.sh slopes [SECONDS]      what the exchange costs by hosts and claims
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -9,8 +10,13 @@
         shift
         exec python3 test/bench/policy_bench.py "$@"
         ;;
+    slopes)
+        shift
+        # the log of the exchanges is not part of the result
+        exec "${MEDLAR_BUILD_DIR:-build}/exchange-slopes" "$@" 2>/dev/null
+        ;;
     *)
-        sed -n '2,3p' "$0" >&2
+        sed -n '2,4p' "$0" >&2
         exit 2
         ;;
 esac
--- /dev/null
+++ b/test/bench/exchange_slopes.cpp
@@ -0,0 +1,164 @@
+#include <medlar/detail/log/event.hpp>
+
+#include <support/gateway_group.hpp>
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+// Measures what the exchange costs a gateway: N exchanges in one process over loopback
+// links, with the durations that the gateways use. One line each:
+//   exchange hosts=N bytes_per_second=... messages_per_second=... cpu_percent=...
+//   rss_kb=... handover claims=... bytes_per_claim=... milliseconds=...
+// All figures but those of the handover are for one host.
+
+namespace
+{
+
+using namespace medlar;
+using namespace medlar::testing;
+
+constexpr std::int64_t us_per_second = 1000000;
+constexpr std::int64_t kb_per_page = 4;
+
+std::int64_t cpu_us()
+{
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    const auto us = [](const timeval& span)
+    {
+        return span.tv_sec * us_per_second + span.tv_usec;
+    };
+    return us(used.ru_utime) + us(used.ru_stime);
+}
+
+std::int64_t resident_kb()
+{
+    std::ifstream file("/proc/self/statm");
+    std::int64_t size = 0;
+    std::int64_t resident = 0;
+    file >> size >> resident;
+    return resident * kb_per_page;
+}
+
+std::int64_t traffic_of(gateway_group& group)
+{
+    std::int64_t bytes = 0;
+    for (const auto& node : group.nodes)
+    {
+        bytes += node->links().traffic().get();
+    }
+    return bytes;
+}
+
+void start(gateway_group& group, std::size_t hosts)
+{
+    std::vector<std::size_t> places;
+    for (std::size_t at = 0; at < hosts; ++at)
+    {
+        group.add();
+        places.push_back(at);
+    }
+    group.propose(places);
+    group.wait_for_leases(places);
+}
+
+void measure_exchange(std::size_t hosts, millis span)
+{
+    const std::int64_t rss_before = resident_kb();
+    gateway_group group{ownership_timing()};
+    start(group, hosts);
+    const std::int64_t bytes_before = traffic_of(group);
+    const std::int64_t cpu_before = cpu_us();
+    std::this_thread::sleep_for(std::chrono::milliseconds(span.count()));
+    const double seconds = static_cast<double>(span.count()) / 1000;
+    const double count = static_cast<double>(hosts);
+    const double bytes = static_cast<double>(traffic_of(group) - bytes_before);
+    const double cpu = static_cast<double>(cpu_us() - cpu_before) / us_per_second;
+    const double rss = static_cast<double>(resident_kb() - rss_before);
+    // each renewal is a call and an answer with every other host, from both sides
+    const double renewals =
+        1000.0 / static_cast<double>(ownership_timing().renew_every.count());
+    std::printf("exchange hosts=%zu bytes_per_second=%.0f messages_per_second=%.1f "
+                "cpu_percent=%.3f rss_kb=%.0f\n",
+                hosts,
+                // a client's traffic has its calls and their answers; a host also serves
+                2 * bytes / seconds / count,
+                4 * renewals * (count - 1),
+                100 * cpu / seconds / count,
+                rss / count);
+    std::fflush(stdout);
+}
+
+claim finished_claim(const std::string& id, incarnation runner, std::size_t output_bytes)
+{
+    claim one;
+    one.key = {organisation_id("organisation"), request_id(id)};
+    one.digest = digest_of(id);
+    one.issued_at = clock::system().wall_now();
+    one.runner = runner;
+    outcome result;
+    result.kind = outcome_kind::answered;
+    one.answer = final_answer{result, std::string(output_bytes, 'x'), "{}"};
+    return one;
+}
+
+/// The first of two hosts leaves with all its claims.
+void measure_handover(std::size_t claims, std::size_t output_bytes)
+{
+    gateway_group group{ownership_timing()};
+    start(group, 2);
+    gateway_node& old = *group.nodes[0];
+    for (std::size_t number = 0; number < claims; ++number)
+    {
+        old.claims().merge(finished_claim(
+            absl::StrCat("request-", number), old.self().process, output_bytes));
+    }
+    const double held = static_cast<double>(old.claims().bytes().get());
+    const std::int64_t bytes_before = old.links().traffic().get();
+    std::thread leaving(
+        [&old]
+        {
+            old.peers().leave(clock::system().steady_now() + millis(60000));
+        });
+    group.propose({1});
+    wait_until(
+        [&old, &group]
+        {
+            return old.peers().status().adopted == group.record.current.epoch;
+        });
+    const steady_time begun = clock::system().steady_now();
+    wait_until(
+        [&group, claims]
+        {
+            return group.nodes[1]->claims().size() == claims;
+        });
+    const millis taken = clock::system().steady_now() - begun;
+    const double sent = static_cast<double>(old.links().traffic().get() - bytes_before);
+    leaving.join();
+    std::printf("handover claims=%zu output_bytes=%zu bytes_held_per_claim=%.0f "
+                "bytes_sent_per_claim=%.0f milliseconds=%lld\n",
+                claims,
+                output_bytes,
+                held / static_cast<double>(claims),
+                sent / static_cast<double>(claims),
+                static_cast<long long>(taken.count()));
+    std::fflush(stdout);
+}
+
+} // namespace
+
+/// @param argv seconds to measure each number of hosts; 10 if left out
+int main(int argc, char** argv)
+{
+    open_log("exchange-slopes");
+    const int seconds = argc > 1 ? std::atoi(argv[1]) : 10;
+    for (const std::size_t hosts : {2, 4, 8, 16, 32})
+    {
+        measure_exchange(hosts, millis(std::int64_t(seconds) * 1000));
+    }
+    measure_handover(10000, 400);
+    return 0;
+}
