--- a/test/runtime/replay/replay_test.cpp
+++ b/test/runtime/replay/replay_test.cpp
@@ -289,7 +289,7 @@
                 first = serve_once(breaking, "");
                 second = serve_once(whole, whole_answer("1"));
             });
-        const clock time = clock::system();
+        const medlar::clock time = medlar::clock::system();
         caller through(settings, time);
         const replayed_request result =
             through.send(request_named("1"), time.steady_now());
