--- a/test/decisions/policy/admission_test.cpp
+++ b/test/decisions/policy/admission_test.cpp
@@ -163,7 +163,7 @@
         {
             all.push_back(waiting(ticket, "large", 100, 300));
         }
-        all.push_back(waiting(100, "small", 100, 301));
+        all.push_back(waiting(100, "small", 150, 301));
         const decisions made = decide(all, full_pool());
         int dropped = 0;
         for (const auto& [ticket, decision] : made)
