--- a/include/medlar/detail/controller/controller_process.hpp
+++ b/include/medlar/detail/controller/controller_process.hpp
@@ -6,14 +6,17 @@
 #include <medlar/detail/controller/configuration_controller.hpp>
 #include <medlar/detail/controller/gateway_feed.hpp>
 #include <medlar/detail/controller/live_state.hpp>
+#include <medlar/detail/controller/order_controller.hpp>
 #include <medlar/detail/controller/stop_signal.hpp>
 #include <medlar/detail/controller/target_controller.hpp>
 #include <medlar/detail/controller/view_controller.hpp>
 #include <medlar/detail/link/link.hpp>
+#include <medlar/detail/metrics/registry.hpp>
 #include <medlar/detail/store/store_client.hpp>
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -24,6 +27,8 @@
 struct controller_settings
 {
     host_id self;
+    /// where the page of metrics is served
+    endpoint listen;
     std::vector<endpoint> store;
     millis store_timeout{2000};
     endpoint gateway;
@@ -32,6 +37,8 @@
     view_settings view;
     /// unset: there is no host list
     std::optional<host_list_settings> host_list;
+    /// unset: this host gives no orders to engines
+    std::optional<order_settings> orders;
 };
 
 /// @brief The controllers of one host, each on its own thread, until destroyed.
@@ -43,12 +50,27 @@
 
     ~controller_process();
 
+    /// @brief the metrics in the Prometheus text format
+    std::string metrics_text();
+
   private:
     controller_process(const controller_settings& settings, const clock& time);
 
     void start();
 
+    /// @brief Runs a controller on a thread of its own.
+    template <typename Controller>
+    void start(Controller& controller)
+    {
+        threads_.emplace_back(
+            [this, &controller]
+            {
+                controller.run(stop_);
+            });
+    }
+
     stop_signal stop_;
+    std::unique_ptr<metrics_registry> metrics_;
     std::unique_ptr<link_client> links_;
     // the watch has a client of its own, so that no other call waits for it
     std::unique_ptr<store_client> watching_;
@@ -58,6 +80,7 @@
     configuration_controller configuration_;
     view_controller view_;
     std::unique_ptr<target_controller> targets_;
+    std::unique_ptr<order_controller> orders_;
     std::vector<std::thread> threads_;
 };
 
--- a/src/programs/medlar_controller.cpp
+++ b/src/programs/medlar_controller.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/base/error.hpp>
 #include <medlar/detail/controller/controller_process.hpp>
+#include <medlar/detail/controller/metrics_page.hpp>
 #include <medlar/detail/log/controller_events.hpp>
 #include <medlar/detail/settings/settings.hpp>
 
@@ -13,6 +14,7 @@
 DEFINE_bool(check, false, "print the settings and where each comes from, and end");
 DEFINE_string(host_id, "", "name of this host");
 DEFINE_string(failure_domain, "", "failure domain of this host");
+DEFINE_string(listen, "127.0.0.1:0", "address and port of the page of metrics");
 DEFINE_string(gateway, "", "link address and port of the gateway of this host");
 DEFINE_string(store, "", "addresses and ports of the key-value service, tried in turn");
 DEFINE_int32(store_timeout_ms, 2000, "time for an answer of the key-value service");
@@ -25,6 +27,16 @@
              "how long a member is reported as not heard from before it is left out");
 DEFINE_int32(settle_ms, 300, "time without further change before a view is proposed");
 DEFINE_int32(stagger_ms, 150, "how much later each further gateway proposes a view");
+DEFINE_bool(orders, true, "whether this host may give orders to engines");
+DEFINE_int32(order_lease_ms, 15000, "time after which the right to give orders lapses");
+DEFINE_int32(order_period_ms, 5000, "pause between rounds of orders");
+DEFINE_int32(order_verify_ms,
+             30000,
+             "time after which an engine that had all that is wanted is asked again");
+DEFINE_int32(order_timeout_ms, 5000, "time for an answer of an engine");
+DEFINE_int32(order_candidates, 3, "members of the view that may give orders");
+DEFINE_int32(max_loads, 4, "most loads of weights by all hosts within a load period");
+DEFINE_int32(load_period_ms, 60000, "the load period");
 
 namespace
 {
@@ -32,6 +44,7 @@
 constexpr int exit_bad_setting = 2;
 constexpr int lowest_ms = 10;
 constexpr int highest_ms = 600000;
+constexpr int highest_count = 10000;
 
 /// @brief Keeps the first error of a row of checks.
 class setting_checks
@@ -75,6 +88,17 @@
         return medlar::millis(value);
     }
 
+    int count(const char* name, int value)
+    {
+        if (value < 1 || value > highest_count)
+        {
+            keep(name,
+                 absl::InvalidArgumentError(
+                     absl::StrCat(value, " is not from 1 to ", highest_count)));
+        }
+        return value;
+    }
+
     const absl::Status& first_error() const
     {
         return first_error_;
@@ -95,11 +119,27 @@
     absl::Status first_error_;
 };
 
+medlar::order_settings read_order_settings(setting_checks& checks)
+{
+    medlar::order_settings orders;
+    orders.self = medlar::host_id(FLAGS_host_id);
+    orders.lease = checks.span("order_lease_ms", FLAGS_order_lease_ms);
+    orders.period = checks.span("order_period_ms", FLAGS_order_period_ms);
+    orders.verify = checks.span("order_verify_ms", FLAGS_order_verify_ms);
+    orders.timeout = checks.span("order_timeout_ms", FLAGS_order_timeout_ms);
+    orders.max_loads = checks.count("max_loads", FLAGS_max_loads);
+    orders.load_period = checks.span("load_period_ms", FLAGS_load_period_ms);
+    orders.candidates = static_cast<std::size_t>(
+        checks.count("order_candidates", FLAGS_order_candidates));
+    return orders;
+}
+
 absl::StatusOr<medlar::controller_settings> read_settings()
 {
     setting_checks checks;
     medlar::controller_settings settings;
     settings.self = medlar::host_id(checks.text("host_id", FLAGS_host_id));
+    settings.listen = checks.address("listen", FLAGS_listen);
     settings.gateway = checks.address("gateway", FLAGS_gateway);
     settings.store = checks.addresses("store", FLAGS_store);
     settings.store_timeout = checks.span("store_timeout_ms", FLAGS_store_timeout_ms);
@@ -120,6 +160,11 @@
         hosts.gateway = settings.gateway;
         settings.host_list = hosts;
     }
+    const medlar::order_settings orders = read_order_settings(checks);
+    if (FLAGS_orders)
+    {
+        settings.orders = orders;
+    }
     if (!checks.first_error().ok())
     {
         return checks.first_error();
@@ -158,8 +203,20 @@
     const medlar::clock time = medlar::clock::system();
     medlar::log_event(medlar::controller_started, {{"host", settings->self.get()}});
     auto process = medlar::controller_process::create(*settings, time);
+    auto page = medlar::metrics_page::create(settings->listen,
+                                             [&process]
+                                             {
+                                                 return process->metrics_text();
+                                             });
+    if (!page.ok())
+    {
+        std::cerr << page.status() << std::endl;
+        return exit_bad_setting;
+    }
+    std::cout << "listening " << to_string((*page)->where()) << std::endl;
     int caught = 0;
     sigwait(&signals, &caught);
+    page->reset();
     process.reset();
     medlar::log_event(medlar::controller_stopped, {{"host", settings->self.get()}});
     return 0;
