Carry out the orders that operators write

Cause: operators write the wanted state as a list of actions, which the order controller read as an entry that wants nothing: every order was silently without effect. Change: the controller reads the operators' form with parse_pool_orders(); of several entries about one model the last counts, so that a list cannot make an engine load two versions in turn.

--- a/include/medlar/detail/cluster/order_plan.hpp
+++ b/include/medlar/detail/cluster/order_plan.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/ids.hpp>
+#include <medlar/detail/config/model_order.hpp>
 
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
@@ -21,13 +22,20 @@
     std::string version;
 };
 
-/// @brief What the engines of a pool are to have. What is unset is left as it is.
+/// @brief an adapter and its version; "": any
+struct adapter_version
+{
+    std::string adapter;
+    std::string version;
+};
+
+/// @brief What the engines of a pool are to have. What is not named is left as it is.
 struct wanted_engine_state
 {
-    /// all models that are to be loaded; others are unloaded
-    std::optional<std::vector<model_version>> models;
-    /// adapters that are to be loaded
-    std::vector<std::string> adapters;
+    std::vector<model_version> models;
+    /// models that are not to be loaded
+    std::vector<model_id> absent;
+    std::vector<adapter_version> adapters;
     std::optional<std::string> role;
 };
 
@@ -53,12 +61,15 @@
 {
     order_action action = order_action::load_model;
     model_version model;
-    std::string adapter;
+    adapter_version adapter;
     std::string role;
 };
 
+/// @brief What a list of orders comes to: of several about one model, the last counts.
+wanted_engine_state wanted_of(const std::vector<model_order>& orders);
+
 /// @brief Reads the value of `medlar/orders/POOL`.
-/// @return error 704 that names the field
+/// @return errors 501 to 504 that name the field
 absl::StatusOr<wanted_engine_state> parse_wanted_state(absl::string_view text);
 
 /// @brief Reads the answer to `GET /v1/state`.
--- a/src/cluster/order_plan.cpp
+++ b/src/cluster/order_plan.cpp
@@ -55,24 +55,6 @@
     return models;
 }
 
-wanted_engine_state wanted_from(const json& from)
-{
-    wanted_engine_state wanted;
-    if (from.contains("models"))
-    {
-        wanted.models = models_from(from.at("models"));
-    }
-    if (from.contains("adapters"))
-    {
-        wanted.adapters = from.at("adapters").get<std::vector<std::string>>();
-    }
-    if (from.contains("role"))
-    {
-        wanted.role = from.at("role").get<std::string>();
-    }
-    return wanted;
-}
-
 engine_state state_from(const json& from)
 {
     engine_state state;
@@ -94,15 +76,15 @@
     return found == models.end() ? nullptr : &*found;
 }
 
-std::optional<engine_order> next_load(const std::vector<model_version>& wanted,
+std::optional<engine_order> next_load(const wanted_engine_state& wanted,
                                       const engine_state& actual)
 {
-    for (const model_version& each : wanted)
+    for (const model_version& each : wanted.models)
     {
         const model_version* loaded = find_model(actual.models, each.model);
         if (loaded == nullptr || loaded->version != each.version)
         {
-            return engine_order{order_action::load_model, each, "", ""};
+            return engine_order{order_action::load_model, each, {}, ""};
         }
     }
     return std::nullopt;
@@ -111,49 +93,88 @@
 std::optional<engine_order> next_adapter(const wanted_engine_state& wanted,
                                          const engine_state& actual)
 {
-    for (const std::string& adapter : wanted.adapters)
+    for (const adapter_version& each : wanted.adapters)
     {
         const bool loaded =
-            std::find(actual.adapters.begin(), actual.adapters.end(), adapter) !=
+            std::find(actual.adapters.begin(), actual.adapters.end(), each.adapter) !=
             actual.adapters.end();
         if (!loaded)
         {
-            return engine_order{order_action::load_adapter, {}, adapter, ""};
+            return engine_order{order_action::load_adapter, {}, each, ""};
         }
     }
     return std::nullopt;
 }
 
-std::optional<engine_order> next_unload(const std::vector<model_version>& wanted,
+std::optional<engine_order> next_unload(const wanted_engine_state& wanted,
                                         const engine_state& actual)
 {
-    for (const model_version& each : actual.models)
+    for (const model_id& each : wanted.absent)
     {
-        if (find_model(wanted, each.model) == nullptr)
+        if (const model_version* loaded = find_model(actual.models, each))
         {
-            return engine_order{order_action::unload_model, each, "", ""};
+            return engine_order{order_action::unload_model, *loaded, {}, ""};
         }
     }
     return std::nullopt;
 }
 
+/// @brief Removes what earlier orders want of a model.
+void forget_model(wanted_engine_state& wanted, const model_id& name)
+{
+    const auto same_model = [&name](const model_version& each)
+    {
+        return each.model == name;
+    };
+    wanted.models.erase(
+        std::remove_if(wanted.models.begin(), wanted.models.end(), same_model),
+        wanted.models.end());
+    wanted.absent.erase(std::remove(wanted.absent.begin(), wanted.absent.end(), name),
+                        wanted.absent.end());
+}
+
 } // namespace
 
-absl::StatusOr<wanted_engine_state> parse_wanted_state(absl::string_view text)
+wanted_engine_state wanted_of(const std::vector<model_order>& orders)
 {
-    try
+    wanted_engine_state wanted;
+    for (const model_order& order : orders)
     {
-        const json from = json::parse(text.begin(), text.end());
-        if (!from.is_object())
+        if (order.action == to_string(order_action::load_model))
         {
-            return malformed("wanted engine state", "it is no object");
+            forget_model(wanted, model_id(order.model));
+            wanted.models.push_back({model_id(order.model), order.version});
+        }
+        else if (order.action == to_string(order_action::unload_model))
+        {
+            forget_model(wanted, model_id(order.model));
+            wanted.absent.emplace_back(order.model);
+        }
+        else if (order.action == to_string(order_action::load_adapter))
+        {
+            wanted.adapters.push_back({order.model, order.version});
+        }
+        else if (order.action == to_string(order_action::change_role))
+        {
+            wanted.role = order.model;
         }
-        return wanted_from(from);
     }
-    catch (const json::exception& error)
+    return wanted;
+}
+
+absl::StatusOr<wanted_engine_state> parse_wanted_state(absl::string_view text)
+{
+    const absl::StatusOr<pool_orders> orders = parse_pool_orders(text);
+    if (!orders.ok())
+    {
+        return orders.status();
+    }
+    const absl::Status valid = validate(orders->wanted);
+    if (!valid.ok())
     {
-        return malformed("wanted engine state", error.what());
+        return valid;
     }
+    return wanted_of(orders->wanted);
 }
 
 absl::StatusOr<engine_state> parse_engine_state(absl::string_view text)
@@ -173,20 +194,16 @@
 {
     if (wanted.role && *wanted.role != actual.role)
     {
-        return engine_order{order_action::change_role, {}, "", *wanted.role};
-    }
-    std::optional<engine_order> order;
-    if (wanted.models)
-    {
-        order = next_load(*wanted.models, actual);
+        return engine_order{order_action::change_role, {}, {}, *wanted.role};
     }
+    std::optional<engine_order> order = next_load(wanted, actual);
     if (!order)
     {
         order = next_adapter(wanted, actual);
     }
-    if (!order && wanted.models)
+    if (!order)
     {
-        order = next_unload(*wanted.models, actual);
+        order = next_unload(wanted, actual);
     }
     return order;
 }
@@ -212,7 +229,8 @@
             body["version"] = order.model.version;
             break;
         case order_action::load_adapter:
-            body["adapter"] = order.adapter;
+            body["adapter"] = order.adapter.adapter;
+            body["version"] = order.adapter.version;
             break;
         case order_action::change_role:
             body["role"] = order.role;
