Count a write with an unusable reply as one whose reply was lost

Cause: such a write was error 704, from which nobody reads back, although it may have taken effect. The test failed with 704 before, and passes with 702.

--- a/src/store/consul_client.cpp
+++ b/src/store/consul_client.cpp
@@ -80,7 +80,7 @@
     {
         return false;
     }
-    return malformed("a write was answered neither true nor false");
+    return lost("a write was answered neither true nor false");
 }
 
 /// @brief store_client over the HTTP protocol of Consul
--- a/test/runtime/store_client_test.cpp
+++ b/test/runtime/store_client_test.cpp
@@ -4,8 +4,11 @@
 #include <medlar/detail/store/consul_json.hpp>
 #include <medlar/detail/store/store_client.hpp>
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <future>
 
 namespace
@@ -46,6 +49,7 @@
     CPPUNIT_TEST(a_rate_limit_is_error_703);
     CPPUNIT_TEST(a_value_above_the_limit_is_error_703);
     CPPUNIT_TEST(a_reply_of_another_protocol_is_error_704);
+    CPPUNIT_TEST(a_write_with_an_unusable_reply_is_error_702);
     CPPUNIT_TEST(an_older_state_comes_back_with_a_lower_index);
     CPPUNIT_TEST_SUITE_END();
 
@@ -270,6 +274,43 @@
         assert_error(error_number::store_malformed, medlar::parse_session("[]").status());
     }
 
+    void a_write_with_an_unusable_reply_is_error_702()
+    {
+        for (const std::string reply :
+             {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntru",
+              "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntr",
+              "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+              "not HTTP\r\n\r\n"})
+        {
+            Poco::Net::ServerSocket listening(Poco::Net::SocketAddress("127.0.0.1", 0));
+            auto answering = std::async(std::launch::async,
+                                        [&listening, &reply]
+                                        {
+                                            answer_once(listening, reply);
+                                        });
+            store_ = store_client::create({{"127.0.0.1", listening.address().port()}},
+                                          call_timeout);
+            assert_error(error_number::store_reply_lost,
+                         store_->compare_and_swap("key", "one", store_index(0)).status());
+            answering.get();
+        }
+    }
+
+    /// @brief Answers the first call on a socket with the same bytes, whatever it is.
+    static void answer_once(Poco::Net::ServerSocket& listening, const std::string& reply)
+    {
+        Poco::Net::StreamSocket connection = listening.acceptConnection();
+        std::string call;
+        std::array<char, 256> part{};
+        while (call.find("one") == std::string::npos)
+        {
+            const int size = connection.receiveBytes(part.data(), part.size());
+            call.append(part.data(), static_cast<std::size_t>(size));
+        }
+        connection.sendBytes(reply.data(), static_cast<int>(reply.size()));
+        connection.shutdownSend();
+    }
+
     void an_older_state_comes_back_with_a_lower_index()
     {
         write("medlar/live/configuration", "one", 0);
