--- a/include/medlar/detail/operators/change_service.hpp
+++ b/include/medlar/detail/operators/change_service.hpp
@@ -5,11 +5,11 @@
 #include <medlar/detail/config/document_edit.hpp>
 #include <medlar/detail/operators/audit_log.hpp>
 #include <medlar/detail/operators/conflict.hpp>
+#include <medlar/detail/operators/live_configuration.hpp>
 #include <medlar/detail/store/store_client.hpp>
 
 #include <absl/status/statusor.h>
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -98,13 +98,6 @@
     audit_log& audit();
 
   private:
-    /// the newest accepted document as it lies in the store
-    struct live_document
-    {
-        accepted_document accepted;
-        store_index index;
-    };
-
     /// a change on its way through several tries
     struct attempt
     {
@@ -116,10 +109,6 @@
 
     change_service(store_client& store, const clock& time, std::uint64_t audit_entries);
 
-    absl::StatusOr<live_document> read_live(revision above);
-    absl::Status check_not_outdated(const accepted_document& live, revision above);
-    absl::StatusOr<accepted_document> find_revision(const live_document& live,
-                                                    revision number);
     absl::StatusOr<std::optional<change_result>>
     find_accepted(const live_document& live, const std::string& change_id);
     absl::StatusOr<std::optional<change_result>> find_same(const live_document& live,
@@ -138,10 +127,9 @@
     try_once(const change_request& request, const document_edit& edit, attempt& so_far);
     change_result accept(const accepted_document& before, const accepted_document& next);
 
-    store_client& store_;
     const clock& time_;
+    live_configuration live_;
     std::unique_ptr<audit_log> audit_;
-    std::atomic<std::uint64_t> newest_seen_{0};
 };
 
 } // namespace medlar
--- a/src/operators/change_service.cpp
+++ b/src/operators/change_service.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-const std::string configuration_key = "medlar/live/configuration";
 constexpr std::size_t max_change_name_bytes = 128;
 /// largest step by which a change may raise the revision over lost ones
 constexpr std::uint64_t max_revision_step = 1000000;
@@ -115,7 +114,7 @@
 change_service::change_service(store_client& store,
                                const clock& time,
                                std::uint64_t audit_entries)
-    : store_(store), time_(time), audit_(audit_log::create(store, audit_entries))
+    : time_(time), live_(store), audit_(audit_log::create(store, audit_entries))
 {
 }
 
@@ -156,18 +155,18 @@
 
 absl::StatusOr<accepted_document> change_service::get(revision number)
 {
-    absl::StatusOr<live_document> live = read_live(revision(0));
+    absl::StatusOr<live_document> live = live_.read(revision(0));
     if (!live.ok())
     {
         return live.status();
     }
     return number == revision(0) ? std::move(live->accepted)
-                                 : find_revision(*live, number);
+                                 : live_.find(*live, *audit_, number);
 }
 
 absl::StatusOr<std::vector<audit_record>> change_service::history()
 {
-    const absl::StatusOr<live_document> live = read_live(revision(0));
+    const absl::StatusOr<live_document> live = live_.read(revision(0));
     if (!live.ok())
     {
         return live.status();
@@ -183,7 +182,7 @@
 absl::StatusOr<change_result> change_service::status(const std::string& change_id,
                                                      std::optional<revision> based_on)
 {
-    const absl::StatusOr<live_document> live = read_live(revision(0));
+    const absl::StatusOr<live_document> live = live_.read(revision(0));
     if (!live.ok())
     {
         return live.status();
@@ -221,11 +220,7 @@
 
 void change_service::saw(revision number)
 {
-    std::uint64_t before = newest_seen_.load();
-    while (before < number.get() &&
-           !newest_seen_.compare_exchange_weak(before, number.get()))
-    {
-    }
+    live_.saw(number);
 }
 
 audit_log& change_service::audit()
@@ -233,77 +228,6 @@
     return *audit_;
 }
 
-absl::StatusOr<change_service::live_document> change_service::read_live(revision above)
-{
-    const auto entry = store_.get(configuration_key);
-    if (!entry.ok())
-    {
-        return entry.status();
-    }
-    live_document live;
-    if (entry->has_value())
-    {
-        absl::StatusOr<accepted_document> accepted =
-            parse_accepted_document((*entry)->value);
-        if (!accepted.ok())
-        {
-            return make_error(absl::StatusCode::kInternal,
-                              error_number::store_malformed,
-                              absl::StrCat(configuration_key,
-                                           " holds no accepted document: ",
-                                           accepted.status().message()));
-        }
-        live = live_document{*std::move(accepted), (*entry)->modified};
-    }
-    const absl::Status current = check_not_outdated(live.accepted, above);
-    if (!current.ok())
-    {
-        return current;
-    }
-    return live;
-}
-
-absl::Status change_service::check_not_outdated(const accepted_document& live,
-                                                revision above)
-{
-    const std::uint64_t seen = newest_seen_.load();
-    if (live.number.get() >= seen || above.get() >= seen)
-    {
-        saw(live.number);
-        return absl::OkStatus();
-    }
-    log_event(store_outdated,
-              {{"store_revision", live.number.get()}, {"accepted_revision", seen}});
-    return make_error(absl::StatusCode::kFailedPrecondition,
-                      error_number::store_outdated,
-                      absl::StrCat("the store holds revision ",
-                                   live.number.get(),
-                                   ", but revision ",
-                                   seen,
-                                   " was accepted; apply a document above it"));
-}
-
-absl::StatusOr<accepted_document> change_service::find_revision(const live_document& live,
-                                                                revision number)
-{
-    if (number > revision(0) && number == live.accepted.number)
-    {
-        return live.accepted;
-    }
-    auto kept = audit_->find_content(number);
-    if (!kept.ok())
-    {
-        return kept.status();
-    }
-    if (!kept->has_value())
-    {
-        return make_error(absl::StatusCode::kNotFound,
-                          error_number::no_such_revision,
-                          absl::StrCat("revision ", number.get(), " is not kept"));
-    }
-    return **std::move(kept);
-}
-
 absl::StatusOr<std::optional<change_result>>
 change_service::find_accepted(const live_document& live, const std::string& change_id)
 {
@@ -370,7 +294,8 @@
     }
     if (const auto* restored = std::get_if<restore_revision>(&edit))
     {
-        absl::StatusOr<accepted_document> kept = find_revision(live, restored->number);
+        absl::StatusOr<accepted_document> kept =
+            live_.find(live, *audit_, restored->number);
         return kept.ok() ? absl::StatusOr<document>(std::move(kept->content))
                          : kept.status();
     }
@@ -460,7 +385,7 @@
 absl::StatusOr<std::optional<change_result>> change_service::try_once(
     const change_request& request, const document_edit& edit, attempt& so_far)
 {
-    const absl::StatusOr<live_document> live = read_live(request.above);
+    const absl::StatusOr<live_document> live = live_.read(request.above);
     if (!live.ok())
     {
         return live.status();
@@ -494,8 +419,7 @@
         return recorded;
     }
     so_far.first_base = so_far.first_base.value_or(live->accepted.number);
-    const absl::StatusOr<bool> written = store_.compare_and_swap(
-        configuration_key, write_accepted_document(*next), live->index);
+    const absl::StatusOr<bool> written = live_.write(*live, *next);
     if (written.ok())
     {
         return *written ? std::make_optional(accept(live->accepted, *next))
--- a/src/operators/fleet_service.cpp
+++ b/src/operators/fleet_service.cpp
@@ -191,9 +191,9 @@
     link_call call;
     call.to = link;
     call.path = "/v1/explain";
-    call.body = nlohmann::json{{"organisation", key.organisation.get()},
-                               {"id", key.id.get()}}
-                    .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    call.body =
+        nlohmann::json{{"organisation", key.organisation.get()}, {"id", key.id.get()}}
+            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     call.timeout = timeout_;
     absl::StatusOr<link_reply> reply = links_.call(call);
     if (!reply.ok())
