Take the view and the configuration from the gateway when the store cannot give them

Status and explain listed only the local gateway while the store was out, and an operator whose store had lost changes had no way to read what is in force. Both are in the gateway's answer to /v1/state. The fields of /v1/status are read under the names that gateways give them.

--- a/include/medlar/detail/operators/ctl/commands.hpp
+++ b/include/medlar/detail/operators/ctl/commands.hpp
@@ -39,6 +39,7 @@
     std::uint64_t epoch = 0;
     std::string confirmation;
     std::uint32_t limit = 0;
+    bool from_gateway = false;
 };
 
 /// @brief Runs one command of medlarctl.
--- a/include/medlar/detail/operators/fleet_service.hpp
+++ b/include/medlar/detail/operators/fleet_service.hpp
@@ -3,7 +3,9 @@
 
 #include <medlar/detail/base/endpoint.hpp>
 #include <medlar/detail/cluster/view.hpp>
+#include <medlar/detail/config/document.hpp>
 #include <medlar/detail/link/link.hpp>
+#include <medlar/detail/membership/messages.hpp>
 #include <medlar/detail/operators/host_report.hpp>
 #include <medlar/detail/store/store_client.hpp>
 
@@ -58,8 +60,9 @@
                                                  std::optional<endpoint> gateway,
                                                  millis timeout);
 
-    /// @brief Asks all gateways of the view record and those that the local gateway
-    /// knows, several at a time.
+    /// @brief Asks all gateways of the view record and those that wait to be in it,
+    /// several at a time.
+    /// @note While the store gives no view, the local gateway's is taken.
     fleet_status status();
 
     /// @brief Asks the same gateways what they know of a request.
@@ -72,6 +75,11 @@
     /// @return kNotFound if there is none
     absl::StatusOr<host_report> local_report();
 
+    /// @brief The configuration in force at the local gateway, which may be newer than
+    /// what a store holds that has lost changes.
+    /// @return error 603 if it has none, 604 if there is no local gateway
+    absl::StatusOr<accepted_document> local_configuration();
+
   private:
     /// the gateways to ask
     struct roster
@@ -89,6 +97,9 @@
 
     roster list_hosts();
     absl::Status add_view(roster& known);
+    void add_view_of_gateway(roster& known);
+    static absl::Status take_view(const std::string& text, roster& known);
+    absl::StatusOr<state_answer> local_state();
     absl::StatusOr<std::optional<std::string>> trace_at(const endpoint& link,
                                                         const request_key& key);
 
--- a/include/medlar/detail/operators/host_report.hpp
+++ b/include/medlar/detail/operators/host_report.hpp
@@ -29,8 +29,8 @@
     /// every view before the newest is closed
     bool may_propose = false;
     std::uint64_t claims = 0;
-    /// other gateways that it knows
-    std::vector<view_member> peers;
+    /// processes that answer it but are in no view
+    std::vector<view_member> waiting;
     /// the whole answer as JSON text
     std::string text;
 };
--- a/src/operators/ctl/read_commands.cpp
+++ b/src/operators/ctl/read_commands.cpp
@@ -102,6 +102,7 @@
                               ctl_exit::usage);
     }
     request.set_revision(number);
+    request.set_from_gateway(session.options.from_gateway);
     v1::AcceptedDocument reply;
     const call_result call = session.client.call(&stub::Get, request, &reply);
     if (!call.status.ok())
--- a/src/operators/fleet_service.cpp
+++ b/src/operators/fleet_service.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/base/error.hpp>
+#include <medlar/detail/config/json.hpp>
 #include <medlar/detail/operators/fleet_service.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -52,6 +53,13 @@
                        });
 }
 
+absl::Status no_gateway()
+{
+    return make_error(absl::StatusCode::kNotFound,
+                      error_number::no_such_object,
+                      "no local gateway is set");
+}
+
 void add_new(std::vector<view_member>& hosts, const view_member& one)
 {
     if (!has_process(hosts, one.process))
@@ -140,9 +148,7 @@
 {
     if (!gateway_)
     {
-        return make_error(absl::StatusCode::kNotFound,
-                          error_number::no_such_object,
-                          "no local gateway is set");
+        return no_gateway();
     }
     return report_of(*gateway_);
 }
@@ -151,14 +157,18 @@
 {
     roster known;
     known.store = add_view(known);
+    if (known.hosts.empty())
+    {
+        add_view_of_gateway(known);
+    }
     known.in_view = known.hosts.size();
     const absl::StatusOr<host_report> local = local_report();
     if (local.ok())
     {
         add_new(known.hosts, {local->host, local->process, *gateway_, {}});
-        for (const view_member& peer : local->peers)
+        for (const view_member& each : local->waiting)
         {
-            add_new(known.hosts, peer);
+            add_new(known.hosts, each);
         }
     }
     return known;
@@ -175,7 +185,12 @@
     {
         return absl::OkStatus();
     }
-    const absl::StatusOr<view_record> record = parse_view_record((*entry)->value);
+    return take_view((*entry)->value, known);
+}
+
+absl::Status fleet_service::take_view(const std::string& text, roster& known)
+{
+    const absl::StatusOr<view_record> record = parse_view_record(text);
     if (!record.ok())
     {
         return record.status();
@@ -185,6 +200,56 @@
     return absl::OkStatus();
 }
 
+void fleet_service::add_view_of_gateway(roster& known)
+{
+    const absl::StatusOr<state_answer> state = local_state();
+    if (state.ok() && state->record)
+    {
+        take_view(*state->record, known).IgnoreError();
+    }
+}
+
+absl::StatusOr<state_answer> fleet_service::local_state()
+{
+    if (!gateway_)
+    {
+        return no_gateway();
+    }
+    link_call call;
+    call.to = *gateway_;
+    call.path = "/v1/state";
+    call.body = to_json(state_message{});
+    call.timeout = timeout_;
+    const absl::StatusOr<link_reply> reply = links_.call(call);
+    if (!reply.ok())
+    {
+        return reply.status();
+    }
+    if (reply->status != http_ok)
+    {
+        return make_error(absl::StatusCode::kUnavailable,
+                          error_number::link_malformed,
+                          absl::StrCat("state of a gateway: HTTP ", reply->status));
+    }
+    return from_json<state_answer>(reply->body);
+}
+
+absl::StatusOr<accepted_document> fleet_service::local_configuration()
+{
+    const absl::StatusOr<state_answer> state = local_state();
+    if (!state.ok())
+    {
+        return state.status();
+    }
+    if (!state->document)
+    {
+        return make_error(absl::StatusCode::kNotFound,
+                          error_number::no_such_revision,
+                          "the local gateway has no configuration");
+    }
+    return parse_accepted_document(*state->document);
+}
+
 absl::StatusOr<std::optional<std::string>> fleet_service::trace_at(const endpoint& link,
                                                                    const request_key& key)
 {
--- a/src/operators/host_report.cpp
+++ b/src/operators/host_report.cpp
@@ -43,25 +43,25 @@
     return incarnation(found->get<std::uint64_t>());
 }
 
-absl::StatusOr<view_member> read_peer(const json& from, const std::string& path)
+absl::StatusOr<view_member> read_member(const json& from, const std::string& path)
 {
     field_reader fields(from, path);
-    view_member peer;
-    peer.host = host_id(fields.text("host"));
-    peer.process = process_of(fields);
-    peer.failure_domain = failure_domain_id(fields.text_or("failure_domain", ""));
+    view_member member;
+    member.host = host_id(fields.text("host"));
+    member.process = process_of(fields);
+    member.failure_domain = failure_domain_id(fields.text_or("failure_domain", ""));
     const absl::StatusOr<endpoint> link = parse_endpoint(fields.text("link"));
     if (!link.ok())
     {
         return link.status();
     }
-    peer.link = *link;
+    member.link = *link;
     const absl::Status first_error = fields.error();
     if (!first_error.ok())
     {
         return first_error;
     }
-    return peer;
+    return member;
 }
 
 } // namespace
@@ -79,14 +79,14 @@
     report.process = process_of(fields);
     report.configuration = revision(count_or_zero(fields, "configuration"));
     report.configuration_age =
-        millis(fields.integer_or("configuration_age_ms", 0, 0, highest));
+        millis(fields.integer_or("configuration_age", 0, 0, highest));
     report.adopted = view_epoch(count_or_zero(fields, "adopted"));
     report.newest = view_epoch(count_or_zero(fields, "newest"));
     report.member = fields.boolean_or("member", false);
     report.lease_valid = fields.boolean_or("lease_valid", false);
     report.may_propose = fields.boolean_or("may_propose", false);
     report.claims = count_or_zero(fields, "claims");
-    report.peers = fields.items<view_member>("peers", read_peer);
+    report.waiting = fields.items<view_member>("waiting", read_member);
     report.text = std::string(text);
     const absl::Status first_error = fields.error();
     if (!first_error.ok())
--- a/src/operators/operators_server.cpp
+++ b/src/operators/operators_server.cpp
@@ -46,6 +46,10 @@
                      const v1::GetRequest* request,
                      v1::AcceptedDocument* reply) override
     {
+        if (request->from_gateway())
+        {
+            return answer(parts_.fleet.local_configuration(), reply);
+        }
         return answer(parts_.changes.get(revision(request->revision())), reply);
     }
 
--- a/src/programs/medlarctl.cpp
+++ b/src/programs/medlarctl.cpp
@@ -19,6 +19,7 @@
 DEFINE_uint64(epoch, 0, "the epoch of the view that is to be forced");
 DEFINE_string(confirm, "", "the statement that view force asks for");
 DEFINE_uint32(limit, 0, "most changes that history lists; 0: all");
+DEFINE_bool(from_gateway, false, "get what is in force at the operator's own gateway");
 DEFINE_bool(check, false, "print the settings and where each comes from, and end");
 
 namespace
@@ -72,6 +73,7 @@
     options.epoch = FLAGS_epoch;
     options.confirmation = FLAGS_confirm;
     options.limit = FLAGS_limit;
+    options.from_gateway = FLAGS_from_gateway;
     return options;
 }
 
--- a/test/runtime/operators/fleet_test.cpp
+++ b/test/runtime/operators/fleet_test.cpp
@@ -2,6 +2,7 @@
 #include "fake_links.hpp"
 #include "fake_store.hpp"
 
+#include <medlar/detail/config/json.hpp>
 #include <medlar/detail/operators/order_service.hpp>
 #include <medlar/detail/operators/view_service.hpp>
 
@@ -79,7 +80,7 @@
                          newest,
                          ",\"may_propose\":",
                          may_propose ? "true" : "false",
-                         ",\"peers\":[{\"host\":\"h6\",\"process\":6,"
+                         ",\"waiting\":[{\"host\":\"h6\",\"process\":6,"
                          "\"link\":\"127.0.0.1:6\"}],\"load\":{\"running\":3}}")};
     }
 
@@ -97,6 +98,7 @@
     CPPUNIT_TEST_SUITE(the_fleet_is_asked);
     CPPUNIT_TEST(for_the_status_of_all_hosts);
     CPPUNIT_TEST(also_while_the_store_is_down);
+    CPPUNIT_TEST(for_the_configuration_in_force);
     CPPUNIT_TEST(and_a_malformed_answer_is_an_error_of_its_host);
     CPPUNIT_TEST(for_the_trace_of_a_request);
     CPPUNIT_TEST_SUITE_END();
@@ -121,10 +123,31 @@
         store_.down = true;
         answer_status(1, true, 2);
         answer_status(6, true, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet_->status().hosts.size());
+        set_view();
+        medlar::state_answer known;
+        known.record = store_.value_of(view_key);
+        links_.answers["1 /v1/state"] = {200, medlar::to_json(known)};
         const medlar::fleet_status status = fleet_->status();
         CPPUNIT_ASSERT(!status.store.ok());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, status.hosts.size());
-        CPPUNIT_ASSERT(status.hosts[1].report.ok());
+        CPPUNIT_ASSERT(status.epoch == medlar::view_epoch(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, status.hosts.size());
+        CPPUNIT_ASSERT(status.hosts[5].report.ok());
+    }
+
+    void for_the_configuration_in_force()
+    {
+        expect_error(error_number::link_unreachable, fleet_->local_configuration());
+        medlar::state_answer known;
+        links_.answers["1 /v1/state"] = {200, medlar::to_json(known)};
+        expect_error(error_number::no_such_revision, fleet_->local_configuration());
+        medlar::accepted_document accepted;
+        accepted.number = medlar::revision(41);
+        known.document = medlar::write_accepted_document(accepted);
+        links_.answers["1 /v1/state"] = {200, medlar::to_json(known)};
+        const auto found = fleet_->local_configuration();
+        CPPUNIT_ASSERT_MESSAGE(found.status().ToString(), found.ok());
+        CPPUNIT_ASSERT(found->number == medlar::revision(41));
     }
 
     void and_a_malformed_answer_is_an_error_of_its_host()
