Force a view only where a gateway shows the stored view as the newest

At the first epoch the gateways were not asked, since nothing earlier can be open. A store that has come back empty begins at the first epoch too, while gateways know a later view, and the forced one would have been passed over by them. A test that failed first shows it; 169 runtime tests pass.

--- a/src/operators/view_service.cpp
+++ b/src/operators/view_service.cpp
@@ -279,10 +279,6 @@
 absl::Status view_service::check_settled(const view_record& record,
                                          const force_view_request& request)
 {
-    if (record.earlier.empty())
-    {
-        return absl::OkStatus();
-    }
     for (const view_member& member : record.current.members)
     {
         const bool is_stopped =
--- a/test/runtime/operators/fleet_test.cpp
+++ b/test/runtime/operators/fleet_test.cpp
@@ -183,6 +183,7 @@
     CPPUNIT_TEST(only_with_the_confirmation_and_known_hosts);
     CPPUNIT_TEST(only_at_the_epoch_that_was_looked_at);
     CPPUNIT_TEST(only_when_earlier_views_are_closed);
+    CPPUNIT_TEST(only_when_the_store_has_the_newest_view);
     CPPUNIT_TEST(once_when_the_reply_is_lost);
     CPPUNIT_TEST(and_the_statement_is_recorded_before_the_swap);
     CPPUNIT_TEST_SUITE_END();
@@ -267,6 +268,20 @@
         CPPUNIT_ASSERT(stored_view().current.epoch == medlar::view_epoch(2));
     }
 
+    void only_when_the_store_has_the_newest_view()
+    {
+        medlar::view_record first;
+        first.current.epoch = medlar::view_epoch(1);
+        first.current.members = five();
+        store_.set(view_key, medlar::write_view_record(first));
+        medlar::force_view_request request = without_three();
+        request.expected = medlar::view_epoch(1);
+        answer_status(2, true, 5);
+        expect_error(error_number::view_not_settled, views_->force(request));
+        answer_status(2, true, 1);
+        CPPUNIT_ASSERT(views_->force(request).ok());
+    }
+
     void once_when_the_reply_is_lost()
     {
         given_a_settled_view();
