--- a/include/medlar/detail/gateway/body_reader.hpp
+++ b/include/medlar/detail/gateway/body_reader.hpp
@@ -16,7 +16,7 @@
 /// @return unset if it has more than @p max_bytes
 inline std::optional<std::string> read_body(std::istream& body, std::size_t max_bytes)
 {
-    constexpr std::streamsize chunk_bytes = 16 * 1024;
+    constexpr std::streamsize chunk_bytes = 16L * 1024;
     std::string text;
     std::streambuf& buffer = *body.rdbuf();
     while (buffer.sgetc() != std::char_traits<char>::eof())
--- a/include/medlar/detail/gateway/gateway.hpp
+++ b/include/medlar/detail/gateway/gateway.hpp
@@ -27,7 +27,7 @@
 {
     view_member self;
     body_limits body;
-    byte_count max_answer{16 * 1024 * 1024};
+    byte_count max_answer{16L * 1024 * 1024};
     int max_held = 512;
     std::size_t max_traces = 4096;
     millis connect_timeout{300};
--- a/include/medlar/detail/gateway/target_poller.hpp
+++ b/include/medlar/detail/gateway/target_poller.hpp
@@ -16,7 +16,8 @@
 {
 
 /// @brief One thread that asks the targets of pools that report for their load, and
-/// engines for the changes of their prefix caches.
+/// engines for the changes of their prefix caches. It also tells the policies how many
+/// gateways share the targets.
 class target_poller
 {
   public:
--- a/include/medlar/detail/request/client_request.hpp
+++ b/include/medlar/detail/request/client_request.hpp
@@ -41,7 +41,7 @@
 /// @brief bounds on the body of a request
 struct body_limits
 {
-    std::size_t max_bytes = 4 * 1024 * 1024;
+    std::size_t max_bytes = 4UL * 1024 * 1024;
     int max_nesting = 64;
 };
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures the system with real processes and stand-ins on this machine.
 # Usage: scripts/bench.sh policy [OPTION...]    the policies against the baselines
+#        scripts/bench.sh path                  what a gateway adds to direct calls
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -9,8 +10,11 @@
         shift
         exec python3 test/bench/policy_bench.py "$@"
         ;;
+    path)
+        exec scripts/bench_path.sh
+        ;;
     *)
-        sed -n '2,3p' "$0" >&2
+        sed -n '2,4p' "$0" >&2
         exit 2
         ;;
 esac
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -141,7 +141,7 @@
     {
         socket.shutdownSend();
         socket.setReceiveTimeout(timespan_of(millis(max_silence_ms)));
-        std::array<char, 16 * 1024> bytes{};
+        std::array<char, 16UL * 1024> bytes{};
         int left = max_bytes;
         int received = 1;
         while (received > 0 && left > 0)
--- a/src/gateway/filters/answer_filter.cpp
+++ b/src/gateway/filters/answer_filter.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/gateway/filters/answer_filter.hpp>
+#include <medlar/detail/log/gateway_events.hpp>
 
 #include <string>
 #include <vector>
@@ -25,6 +26,12 @@
     const std::string pipeline = known ? context.request.pipeline.get() : "";
     const std::string organisation = known ? context.request.key.organisation.get() : "";
     const outcome& result = end.answer.result;
+    if (known && result.kind == outcome_kind::unknown)
+    {
+        log_event(gateway_outcome_unknown,
+                  {{"request", to_string(context.request.key)},
+                   {"reason", to_string(result.why)}});
+    }
     metrics_.add("medlar_requests_total",
                  {{"pipeline", pipeline},
                   {"organisation", organisation},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include <medlar/detail/gateway/filters/trace_filter.hpp>
 #include <medlar/detail/gateway/filters/validate_filter.hpp>
 #include <medlar/detail/gateway/gateway.hpp>
+#include <medlar/detail/log/gateway_events.hpp>
 
 #include <utility>
 #include <vector>
@@ -37,15 +38,17 @@
       client_(stage_client::create(with.time, *sessions_, settings.max_answer)),
       cancels_(cancel_sender::create(*client_, cancel_timeout)),
       watch_(request_watch::create(with.time, settings.watch_every)),
-      stages_(stage_runner::create({with.time,
-                                    *client_,
-                                    *cancels_,
-                                    with.policy,
-                                    with.metrics,
-                                    [&peers = with.peers](const target_id& at)
-                                    {
-                                        peers.target_is_leaving(at);
-                                    }})),
+      stages_(stage_runner::create(
+          {with.time,
+           *client_,
+           *cancels_,
+           with.policy,
+           with.metrics,
+           [&peers = with.peers](const target_id& at)
+           {
+               log_event(gateway_target_leaving, {{"target", at.get()}});
+               peers.target_is_leaving(at);
+           }})),
       runner_(
           pipeline_runner::create(with.time, *stages_, with.policy, settings.self.host)),
       relay_(relay_client::create(with.time, with.links)),
--- a/src/gateway/stage_runner.cpp
+++ b/src/gateway/stage_runner.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/gateway/stage_runner.hpp>
+#include <medlar/detail/log/gateway_events.hpp>
 #include <medlar/detail/policy/call_priority.hpp>
 #include <medlar/detail/request/json_text.hpp>
 #include <medlar/detail/request/stage_plan.hpp>
@@ -41,6 +42,13 @@
     return "failed";
 }
 
+bool is_bad_answer(reason why)
+{
+    return why == reason::target_answer_malformed ||
+           why == reason::target_answer_mismatched ||
+           why == reason::target_answer_too_large;
+}
+
 std::uint64_t prefix_hash_of(const client_request& request)
 {
     const std::string& prefix = request.prompt_prefix;
@@ -319,6 +327,14 @@
     seen.prefix_hash = now.call.prefix_hash;
     seen.ticket = now.call.ticket;
     with_.policy.observe(seen, with_.time.steady_now());
+    if (is_bad_answer(reply.why))
+    {
+        log_event(gateway_target_answer_bad,
+                  {{"target", at.name.get()},
+                   {"request", to_string(now.context.request.key)},
+                   {"stage", now.of.name},
+                   {"reason", to_string(reply.why)}});
+    }
     trace_entry entry;
     entry.stage = now.of.name;
     entry.at = at.name;
--- a/src/gateway/target_poller.cpp
+++ b/src/gateway/target_poller.cpp
@@ -65,6 +65,7 @@
 
 void target_poller::poll_all()
 {
+    with_.policy.set_gateways(static_cast<int>(with_.peers.peers().size()) + 1);
     const std::shared_ptr<const accepted_document> now = with_.peers.configuration();
     for (const pool& each : now->content.pools)
     {
--- a/test/standins/shared/engine_target.hpp
+++ b/test/standins/shared/engine_target.hpp
@@ -79,7 +79,7 @@
 
   private:
     static constexpr std::size_t bytes_per_token = 4;
-    static constexpr std::size_t oversized_bytes = 64 * 1024 * 1024;
+    static constexpr std::size_t oversized_bytes = 64UL * 1024 * 1024;
 
     bool other(received_call& call)
     {
--- a/test/standins/shared/plain_target.hpp
+++ b/test/standins/shared/plain_target.hpp
@@ -55,7 +55,7 @@
     }
 
   private:
-    static constexpr std::size_t oversized_bytes = 64 * 1024 * 1024;
+    static constexpr std::size_t oversized_bytes = 64UL * 1024 * 1024;
 
     void run(received_call& call, const switches& now)
     {
