Bound, watch and count requests where it can be told what ran

The bound on running requests now follows the placement, so that it says not_run of what was placed here, where it had to say unknown before. Callers that go while their request waits for admission are noticed too. A broken pipe no longer ends the process.

--- a/include/medlar/detail/gateway/filters/limit_filter.hpp
+++ b/include/medlar/detail/gateway/filters/limit_filter.hpp
@@ -9,11 +9,12 @@
 namespace medlar
 {
 
-/// @brief Bounds the requests that this host holds at once.
+/// @brief Bounds the requests that run or wait here at once. It comes after the
+/// placement, so that it can say not_run.
 class limit_filter : public filter
 {
   public:
-    /// @param held counter of requests held, shared with others that wait for it
+    /// @param held counter of such requests, shared by all chains
     /// @param max_held the bound
     static std::unique_ptr<filter> create(std::atomic<int>& held, int max_held);
 
--- a/include/medlar/detail/gateway/filters/validate_filter.hpp
+++ b/include/medlar/detail/gateway/filters/validate_filter.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/membership/exchange.hpp>
 #include <medlar/detail/request/client_request.hpp>
 
+#include <atomic>
 #include <memory>
 
 namespace medlar
@@ -14,21 +15,26 @@
 class validate_filter : public filter
 {
   public:
-    static std::unique_ptr<filter>
-    create(const clock& time, exchange& peers, const body_limits& limits);
+    /// @param refusing whether requests are refused because this process ends
+    static std::unique_ptr<filter> create(const clock& time,
+                                          exchange& peers,
+                                          const body_limits& limits,
+                                          const std::atomic<bool>& refusing);
 
     run_end apply(request_context& context, const next_filter& next) override;
 
   private:
     explicit validate_filter(const clock& time,
                              exchange& peers,
-                             const body_limits& limits);
+                             const body_limits& limits,
+                             const std::atomic<bool>& refusing);
 
     run_end check_configured(request_context& context, const next_filter& next) const;
 
     const clock& time_;
     exchange& peers_;
     body_limits limits_;
+    const std::atomic<bool>& refusing_;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/gateway/gateway.hpp
+++ b/include/medlar/detail/gateway/gateway.hpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace medlar
 {
@@ -75,6 +76,9 @@
     void begin_drain();
     bool draining() const;
 
+    /// @brief From now on callers' new requests are refused.
+    void refuse_callers();
+
     // requests held now
 
     int callers_held() const;
@@ -92,10 +96,14 @@
 
     filter_chain make_entry_chain();
     filter_chain make_home_chain();
+    void add_run_filters(std::vector<std::unique_ptr<filter>>& filters);
 
     gateway_settings settings_;
     parts with_;
     std::atomic<bool> draining_{false};
+    std::atomic<bool> refusing_{false};
+    const std::atomic<bool> never_refusing_{false};
+    std::atomic<int> running_{0};
     std::atomic<int> callers_held_{0};
     std::atomic<int> relayed_held_{0};
     std::unique_ptr<session_pool> sessions_;
--- a/src/gateway/filters/admit_filter.cpp
+++ b/src/gateway/filters/admit_filter.cpp
@@ -56,6 +56,10 @@
                            "the deadline passed while the request waited",
                            least_wait);
         }
+        if (context.token->cause() == cancel_cause::caller_gone)
+        {
+            return not_run(reason::cancelled, "nobody waits for the answer", least_wait);
+        }
         const admission decision = policy_.admit(ticket, what, now);
         if (std::holds_alternative<admitted>(decision))
         {
--- a/src/gateway/filters/validate_filter.cpp
+++ b/src/gateway/filters/validate_filter.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr millis configuration_retry{1000};
+constexpr millis at_once{0};
 
 bool may_use(const pipeline& of, const organisation_id& who)
 {
@@ -22,16 +23,19 @@
 
 } // namespace
 
-std::unique_ptr<filter>
-validate_filter::create(const clock& time, exchange& peers, const body_limits& limits)
+std::unique_ptr<filter> validate_filter::create(const clock& time,
+                                                exchange& peers,
+                                                const body_limits& limits,
+                                                const std::atomic<bool>& refusing)
 {
-    return std::unique_ptr<filter>(new validate_filter(time, peers, limits));
+    return std::unique_ptr<filter>(new validate_filter(time, peers, limits, refusing));
 }
 
 validate_filter::validate_filter(const clock& time,
                                  exchange& peers,
-                                 const body_limits& limits)
-    : time_(time), peers_(peers), limits_(limits)
+                                 const body_limits& limits,
+                                 const std::atomic<bool>& refusing)
+    : time_(time), peers_(peers), limits_(limits), refusing_(refusing)
 {
 }
 
@@ -59,6 +63,13 @@
                                           const next_filter& next) const
 {
     context.configuration = peers_.configuration();
+    if (refusing_)
+    {
+        return refuse_unplaced(context.request,
+                               reason::shutting_down,
+                               "this host is ending; another takes the request",
+                               at_once);
+    }
     const document& content = context.configuration->content;
     const organisation_id& who = context.request.key.organisation;
     if (context.configuration->number == revision(0))
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,7 +7,9 @@
 #include <medlar/detail/gateway/filters/plan_filter.hpp>
 #include <medlar/detail/gateway/filters/trace_filter.hpp>
 #include <medlar/detail/gateway/filters/validate_filter.hpp>
+#include <medlar/detail/gateway/filters/watch_filter.hpp>
 #include <medlar/detail/gateway/gateway.hpp>
+#include <medlar/detail/gateway/held_count.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
 
 #include <utility>
@@ -81,32 +83,38 @@
 {
     std::vector<std::unique_ptr<filter>> filters;
     filters.push_back(answer_filter::create(with_.time, with_.metrics));
-    filters.push_back(validate_filter::create(with_.time, with_.peers, settings_.body));
+    filters.push_back(
+        validate_filter::create(with_.time, with_.peers, settings_.body, refusing_));
     filters.push_back(authenticate_filter::create());
-    filters.push_back(limit_filter::create(callers_held_, settings_.max_held));
     filters.push_back(trace_filter::create(*traces_));
     filters.push_back(place_filter::create(with_.time, with_.peers, *relay_));
-    filters.push_back(admit_filter::create(with_.time, with_.policy));
-    filters.push_back(plan_filter::create());
-    filters.push_back(dispatch_filter::create(*runner_, *watch_));
+    add_run_filters(filters);
     return filter_chain::create(std::move(filters));
 }
 
 filter_chain gateway::make_home_chain()
 {
     std::vector<std::unique_ptr<filter>> filters;
-    filters.push_back(validate_filter::create(with_.time, with_.peers, settings_.body));
-    filters.push_back(limit_filter::create(relayed_held_, settings_.max_held));
+    filters.push_back(validate_filter::create(
+        with_.time, with_.peers, settings_.body, never_refusing_));
     filters.push_back(trace_filter::create(*traces_));
     filters.push_back(place_filter::create(with_.time, with_.peers, *relay_));
+    add_run_filters(filters);
+    return filter_chain::create(std::move(filters));
+}
+
+void gateway::add_run_filters(std::vector<std::unique_ptr<filter>>& filters)
+{
+    filters.push_back(limit_filter::create(running_, settings_.max_held));
+    filters.push_back(watch_filter::create(*watch_));
     filters.push_back(admit_filter::create(with_.time, with_.policy));
     filters.push_back(plan_filter::create());
-    filters.push_back(dispatch_filter::create(*runner_, *watch_));
-    return filter_chain::create(std::move(filters));
+    filters.push_back(dispatch_filter::create(*runner_));
 }
 
 run_end gateway::serve(request_context& context)
 {
+    const held_count held(callers_held_);
     return entry_chain_.run(context);
 }
 
@@ -114,6 +122,7 @@
 {
     if (request.path == "/v1/relay")
     {
+        const held_count held(relayed_held_);
         return relayed_->handle(request, responder);
     }
     const std::optional<int> looked_up = lookup_->handle(request, responder);
@@ -141,6 +150,11 @@
     draining_ = true;
 }
 
+void gateway::refuse_callers()
+{
+    refusing_ = true;
+}
+
 bool gateway::draining() const
 {
     return draining_;
--- a/src/programs/medlar_gateway.cpp
+++ b/src/programs/medlar_gateway.cpp
@@ -273,6 +273,7 @@
     served.begin_drain();
     cancel_token::create()->wait_for(millis(FLAGS_drain_wait_ms));
     callers.stop_accepting();
+    served.refuse_callers();
     const steady_time until = time.steady_now() + millis(FLAGS_shutdown_timeout_ms);
     const bool answered = wait_until_none(time,
                                           until,
@@ -362,6 +363,8 @@
         print_settings(std::cout);
         return 0;
     }
+    // a caller or a target that has gone is seen by the result of the write
+    std::signal(SIGPIPE, SIG_IGN);
     const sigset_t signals = stop_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return run(*at);
--- a/test/standins/shared/run_until_signal.hpp
+++ b/test/standins/shared/run_until_signal.hpp
@@ -10,9 +10,10 @@
 {
 
 /// @brief Keeps SIGTERM and SIGINT for run_until_signal(); called before any thread is
-/// started.
+/// started. A broken connection must not end the process.
 inline void hold_signals()
 {
+    std::signal(SIGPIPE, SIG_IGN);
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
