--- a/src/programs/medlar_gateway.cpp
+++ b/src/programs/medlar_gateway.cpp
@@ -30,9 +30,9 @@
 DEFINE_int32(max_requests, 512, "requests held at once");
 DEFINE_int32(max_link_streams, 1024, "calls of other processes served at once");
 DEFINE_int32(max_nesting, 64, "nesting of a request's body");
-DEFINE_int64(max_body_bytes, 4 * 1024 * 1024, "bytes of a request's body");
-DEFINE_int64(max_answer_bytes, 16 * 1024 * 1024, "bytes of a target's answer");
-DEFINE_int64(max_claim_bytes, 256 * 1024 * 1024, "memory of claims and answers");
+DEFINE_int64(max_body_bytes, 4L * 1024 * 1024, "bytes of a request's body");
+DEFINE_int64(max_answer_bytes, 16L * 1024 * 1024, "bytes of a target's answer");
+DEFINE_int64(max_claim_bytes, 256L * 1024 * 1024, "memory of claims and answers");
 DEFINE_int64(retention_ms, 600000, "how long after its issue a request is remembered");
 DEFINE_int64(lease_ms, 2000, "how long a lease lasts; the same on all hosts");
 DEFINE_int64(renew_ms, 500, "how often a lease is renewed; the same on all hosts");
@@ -273,6 +273,7 @@
     served.begin_drain();
     cancel_token::create()->wait_for(millis(FLAGS_drain_wait_ms));
     callers.stop_accepting();
+    served.refuse_callers();
     const steady_time until = time.steady_now() + millis(FLAGS_shutdown_timeout_ms);
     const bool answered = wait_until_none(time,
                                           until,
@@ -362,6 +363,8 @@
         print_settings(std::cout);
         return 0;
     }
+    // a caller or a target that has gone is seen by the result of the write
+    std::signal(SIGPIPE, SIG_IGN);
     const sigset_t signals = stop_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return run(*at);
