Let a call that did not run go elsewhere outside of the retry budget

Cause: a call that a target refused unrun, or that could not be connected, took from the retry budget. On a quiet host two such refusals used it up, and a request failed for good while another target stood idle (test goes_to_another_target_when_it_provably_did_not_run: outcome failed). Operators' commands in the system tests lacked an author. Ruled out: ejection of the other target (it was not tried). Change: such calls go to another target up to the most tries of the pipeline; the budget bounds added work only. A quiet host earns back its first retries with time, 0.1 a second.

--- a/include/medlar/detail/policy/retry_budget.hpp
+++ b/include/medlar/detail/policy/retry_budget.hpp
@@ -25,6 +25,9 @@
 /// @brief the budget after a first call
 retry_budget after_first_call(const retry_budget& before);
 
+/// @brief the budget after @p span, in which a quiet host earns what it may start with
+retry_budget after_time(const retry_budget& before, millis span);
+
 /// @brief whether a second call may be made
 bool may_spend(const retry_budget& budget);
 
--- a/src/gateway/stage_runner.cpp
+++ b/src/gateway/stage_runner.cpp
@@ -373,6 +373,11 @@
     {
         return now.tries <= static_cast<int>(now.from.targets.size());
     }
+    if (did_not_run(reply) && now.context.of.retries == retry_policy::budgeted)
+    {
+        // another target gets the first call that this one did not run: no added load
+        return now.tries < now.context.of.max_tries;
+    }
     return with_.policy.may_retry(
         now.context.of, now.tries, with_.time.steady_now(), now.context.deadline);
 }
--- a/src/policy/policy_engine.cpp
+++ b/src/policy/policy_engine.cpp
@@ -168,7 +168,7 @@
         {
             return false;
         }
-        return of.retries == retry_policy::blind || spend_budget();
+        return of.retries == retry_policy::blind || spend_budget(now);
     }
 
     std::optional<millis> hedge_after(const stage_call& call,
@@ -304,9 +304,11 @@
         return may_spend(budget_);
     }
 
-    bool spend_budget()
+    bool spend_budget(steady_time now)
     {
         const std::lock_guard<std::mutex> lock(budget_mutex_);
+        budget_ = after_time(budget_, now - budget_at_);
+        budget_at_ = now;
         if (!may_spend(budget_))
         {
             return false;
@@ -328,6 +330,7 @@
 
     mutable std::mutex budget_mutex_;
     retry_budget budget_ = full_retry_budget();
+    steady_time budget_at_;
 };
 
 } // namespace
--- a/src/policy/retry_budget.cpp
+++ b/src/policy/retry_budget.cpp
@@ -13,6 +13,7 @@
 constexpr double earned_per_first_call = 0.1;
 constexpr double most_tokens = 10;
 constexpr double start_tokens = 2;
+constexpr double earned_per_ms = 0.0001;
 constexpr double least_hedge_delay_ms = 10;
 constexpr double most_utilisation_for_hedges = 0.7;
 /// where cost comes first, only calls that are this much slower than expected are
@@ -31,6 +32,13 @@
     return {std::min(most_tokens, before.tokens + earned_per_first_call)};
 }
 
+retry_budget after_time(const retry_budget& before, millis span)
+{
+    const double earned = earned_per_ms * static_cast<double>(span.count());
+    const double most = std::max(before.tokens, start_tokens);
+    return {std::min(most, before.tokens + earned)};
+}
+
 bool may_spend(const retry_budget& budget)
 {
     return budget.tokens >= 1;
--- a/test/decisions/policy/retry_budget_test.cpp
+++ b/test/decisions/policy/retry_budget_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(second_calls);
     CPPUNIT_TEST(stay_under_a_tenth_when_everything_fails);
     CPPUNIT_TEST(are_allowed_in_a_burst_after_a_quiet_time);
+    CPPUNIT_TEST(are_earned_again_in_a_quiet_time);
     CPPUNIT_TEST(are_not_made_without_time_left);
     CPPUNIT_TEST(are_made_at_once_by_the_baseline);
     CPPUNIT_TEST_SUITE_END();
@@ -51,6 +52,19 @@
         CPPUNIT_ASSERT(second >= 9 && second <= 10);
     }
 
+    void are_earned_again_in_a_quiet_time()
+    {
+        retry_budget budget = full_retry_budget();
+        while (may_spend(budget))
+        {
+            budget = after_second_call(budget);
+        }
+        CPPUNIT_ASSERT(!may_spend(after_time(budget, millis(1000))));
+        CPPUNIT_ASSERT(may_spend(after_time(budget, millis(10000))));
+        const retry_budget rested = after_time(budget, millis(1000000));
+        CPPUNIT_ASSERT(!may_spend(after_second_call(after_second_call(rested))));
+    }
+
     void are_not_made_without_time_left()
     {
         retry_question asked;
--- a/test/system/harness/deployment.cpp
+++ b/test/system/harness/deployment.cpp
@@ -61,7 +61,11 @@
            const std::string& pool,
            const std::vector<std::string>& after)
 {
-    return {{"name", name}, {"kind", kind}, {"pool", pool}, {"after", after}};
+    return {{"name", name},
+            {"kind", kind},
+            {"pool", pool},
+            {"after", after},
+            {"idempotent", kind != "call"}};
 }
 
 } // namespace
@@ -101,7 +105,7 @@
     {
         encoders.push_back(start_target("plain-service", {}));
         ledger.push_back(start_target("plain-service", {}));
-        language.push_back(start_target("engine", {"--token_us=500"}));
+        language.push_back(start_target("engine", engine_flags));
     }
 }
 
@@ -143,6 +147,11 @@
                                       "--host_list_period_ms=200",
                                       "--heartbeat_ms=200",
                                       "--eviction_ms=" + std::to_string(eviction_ms),
+                                      "--order_lease_ms=2000",
+                                      "--order_period_ms=300",
+                                      "--order_verify_ms=600",
+                                      "--order_candidates=3",
+                                      "--load_period_ms=1000",
                                   },
                                   log_name("controller-" + name));
     made->operator_program = std::make_unique<process>(
@@ -199,7 +208,7 @@
     const std::string path =
         std::string(MEDLAR_BINARY_DIR) + "/system-logs/" + name_ + "-document.json";
     std::ofstream(path) << content.dump(2);
-    return control(*hosts.front(), {"--author=test", "apply", path});
+    return control(*hosts.front(), {"apply", path});
 }
 
 int deployment::control(const host& through,
@@ -207,7 +216,8 @@
                         json* output)
 {
     std::vector<std::string> all = {"--operator=" + to_string(through.operators),
-                                    "--output=json"};
+                                    "--output=json",
+                                    "--author=test"};
     all.insert(all.end(), arguments.begin(), arguments.end());
     process command("medlarctl", all, log_name("medlarctl"));
     const std::string text = command.rest_of_output();
--- a/test/system/harness/deployment.hpp
+++ b/test/system/harness/deployment.hpp
@@ -146,7 +146,8 @@
     /// @brief a request of that id that is issued now
     static sent_request fresh(const std::string& id);
 
-    // parts
+    // parts; flags are for start_platform()
+    std::vector<std::string> engine_flags = {"--token_us=500"};
     endpoint store;
     endpoint store_control;
     endpoint host_list;
