Send claims also when the floor of a handover is not known

Cause: a process that missed a view never knows the floor of what it gained in it, so its finished answers never reached the new homes. Change: after some rounds the claims go out without the notice; the new homes keep their own fence. Claims are judged outside of the ownership's lock, which was taken twice by one thread. A peer's news name only itself.

--- a/include/medlar/detail/membership/claim_sender.hpp
+++ b/include/medlar/detail/membership/claim_sender.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/membership/exchange_core.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -72,6 +73,8 @@
     std::condition_variable changed_;
     std::vector<view_member> receivers_;
     view_epoch epoch_{0};
+    // rounds of sending since the adoption
+    std::atomic<int> rounds_{0};
     std::deque<change> changes_;
     bool stopping_ = false;
     std::thread thread_;
--- a/include/medlar/detail/membership/request_placer.hpp
+++ b/include/medlar/detail/membership/request_placer.hpp
@@ -19,8 +19,9 @@
     placement place(const owned_request& request);
 
   private:
-    /// @brief a placement, or what to answer if the request cannot wait
-    using attempt = std::variant<placement, not_settled>;
+    /// @brief a placement, the claim of an earlier attempt, or what to answer if the
+    /// request cannot wait
+    using attempt = std::variant<placement, claim, not_settled>;
 
     attempt try_place(const owned_request& request);
     attempt open_claim(const owned_request& request);
--- a/src/membership/claim_sender.cpp
+++ b/src/membership/claim_sender.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::chrono::milliseconds retry_every{100};
+/// After so many rounds the floor is not expected any more, such as when this process
+/// missed a view: its claims still answer what was asked before.
+constexpr int rounds_to_wait_for_floor = 30;
 constexpr millis part_timeout{3000};
 constexpr std::size_t max_part_claims = 512;
 constexpr std::size_t max_part_bytes = 1024UL * 1024;
@@ -73,6 +76,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         receivers_ = gaining(before, adopted, core_.self());
+        rounds_ = 0;
         epoch_ = adopted.epoch;
     }
     changed_.notify_all();
@@ -141,6 +145,7 @@
         receivers = receivers_;
         epoch = epoch_;
     }
+    ++rounds_;
     for (const view_member& receiver : receivers)
     {
         const bool done = !still_expected(receiver) || hand_over(receiver);
@@ -188,7 +193,7 @@
         {
             return handover_plan{*state.adopted(), state.handover_floor()};
         });
-    if (!plan.floor)
+    if (!plan.floor && rounds_ < rounds_to_wait_for_floor)
     {
         return false;
     }
@@ -211,7 +216,10 @@
         }
         bytes = full ? 0 : bytes;
     }
-    part.notice = handover_notice{core_.self(), plan.members.epoch, *plan.floor};
+    if (plan.floor)
+    {
+        part.notice = handover_notice{core_.self(), plan.members.epoch, *plan.floor};
+    }
     if (!send_part(receiver, part))
     {
         return false;
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -41,7 +41,7 @@
     {
         one.member = news.sender;
     }
-    else if (known)
+    else if (known && known->process == from)
     {
         one.member = known;
     }
--- a/src/membership/request_placer.cpp
+++ b/src/membership/request_placer.cpp
@@ -53,6 +53,10 @@
         {
             return std::move(*placed);
         }
+        if (const auto* found = std::get_if<claim>(&made))
+        {
+            return by_claim(request, *found);
+        }
         const millis left = request.wait_until - core_.time.steady_now();
         if (left <= millis(0) || core_.stopped.load())
         {
@@ -72,7 +76,7 @@
         {
             if (const std::optional<claim> found = core_.claims.find(request.key))
             {
-                return by_claim(request, *found);
+                return *found;
             }
             const ownership_decision decision = state.decide(hash_of(request.key),
                                                              request.issued_at,
@@ -119,7 +123,7 @@
     const claim_lookup opened = core_.claims.open(fresh);
     if (opened.state != claim_state::opened)
     {
-        return by_claim(request, opened.found);
+        return opened.found;
     }
     core_.runs.begin(request.key);
     return placement(run_here{});
--- a/test/runtime/exchange_test.cpp
+++ b/test/runtime/exchange_test.cpp
@@ -167,6 +167,7 @@
     CPPUNIT_TEST(hands_over_what_it_has_finished);
     CPPUNIT_TEST(waits_for_what_it_runs_and_tells_its_answer);
     CPPUNIT_TEST(leaves_its_requests_to_homes_that_accept_them);
+    CPPUNIT_TEST(that_missed_a_view_still_tells_its_answers);
     CPPUNIT_TEST(stays_while_nobody_changes_the_view);
     CPPUNIT_TEST_SUITE_END();
 
@@ -242,6 +243,24 @@
         CPPUNIT_ASSERT(is<run_here>(peers(home).place(issued_before)));
     }
 
+    void that_missed_a_view_still_tells_its_answers()
+    {
+        const std::string id = group_->id_at(2, "a");
+        CPPUNIT_ASSERT(is<run_here>(place(2, id)));
+        peers(2).finish(key(id), answer_with("42"));
+        std::vector<view_member> staying = group_->record.current.members;
+        staying.pop_back();
+        // nobody hears of the view in between
+        group_->record = next_record(group_->record, staying);
+        group_->propose({0, 1});
+        group_->wait_for_leases({0, 1});
+        wait_until(
+            [&]
+            {
+                return group_->nodes[new_home(id)]->claims().find(key(id)).has_value();
+            });
+    }
+
     void stays_while_nobody_changes_the_view()
     {
         const std::string id = group_->id_at(2, "a");
