--- a/include/medlar/detail/ownership/ownership.hpp
+++ b/include/medlar/detail/ownership/ownership.hpp
@@ -163,8 +163,8 @@
                               steady_time now,
                               wall_time wall_now) const;
 
-    /// @brief The state as bytes, for the model checker: times relative to @p now, without
-    /// what is over.
+    /// @brief The state as bytes, for the model checker: times relative to @p now,
+    /// without what is over.
     std::string fingerprint(steady_time now, wall_time wall_now) const;
 
   private:
