--- a/test/runtime/control_message_test.cpp
+++ b/test/runtime/control_message_test.cpp
@@ -11,7 +11,6 @@
 {
 
 using medlar::control_push;
-using medlar::gateway_report;
 using nlohmann::json;
 
 class the_control_call : public CppUnit::TestFixture
