--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,6 +3,8 @@
 # Usage: scripts/bench.sh policy [OPTION...]    the policies against the baselines
 #        scripts/bench.sh slopes [SECONDS]      what the exchange costs by hosts and claims
 #        scripts/bench.sh path                  what a gateway adds to direct calls
+#        scripts/bench.sh decisions             what decisions cost by targets and organisations
+#        scripts/bench.sh control [SECONDS]     what control costs each process when idle
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -19,8 +21,15 @@
     path)
         exec scripts/bench_path.sh
         ;;
+    decisions)
+        exec "${MEDLAR_BUILD_DIR:-build}/decision-slopes"
+        ;;
+    control)
+        shift
+        exec scripts/bench_control.sh "$@"
+        ;;
     *)
-        sed -n '2,5p' "$0" >&2
+        sed -n '2,7p' "$0" >&2
         exit 2
         ;;
 esac
