--- /dev/null
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -0,0 +1,93 @@
+#ifndef MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
+#define MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
+
+#include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/peer_network.hpp>
+#include <medlar/detail/entry/piece_broker.hpp>
+#include <medlar/detail/entry/piece_service.hpp>
+#include <medlar/detail/entry/store_controller.hpp>
+#include <medlar/detail/entry/store_mirror.hpp>
+#include <medlar/detail/loop/http_server.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace medlar
+{
+
+/// @brief One entry process: takes callers' requests and brings them to targets.
+class entry_host
+{
+  public:
+    using settings_reader = std::function<absl::StatusOr<entry_settings>()>;
+
+    /// @brief a process that listens and has begun to read the store
+    /// @param read_settings reads the settings anew
+    /// @return error 901 if an address cannot be used
+    static absl::StatusOr<std::unique_ptr<entry_host>>
+    create(event_loop& loop,
+           const entry_protocol& protocol,
+           const entry_settings& settings,
+           settings_reader read_settings);
+
+    entry_host(const entry_host&) = delete;
+    entry_host& operator=(const entry_host&) = delete;
+
+    /// @brief Stops being ready and ends when what runs is finished.
+    void drain();
+
+    /// @brief Reads the settings again.
+    void reload();
+
+    /// @brief whether the process may end
+    bool is_finished() const;
+
+  private:
+    entry_host(event_loop& loop,
+               const entry_protocol& protocol,
+               const entry_settings& settings,
+               settings_reader read_settings);
+
+    absl::Status listen();
+    void serve(const std::shared_ptr<caller_exchange>& exchange);
+    void serve_readiness(const std::shared_ptr<caller_exchange>& exchange) const;
+    void serve_metrics(const std::shared_ptr<caller_exchange>& exchange);
+    void answer_directly(const std::shared_ptr<caller_exchange>& exchange,
+                         const request_fields& fields,
+                         int status,
+                         absl::string_view why);
+    bool is_ready() const;
+    bool takes_requests() const;
+
+    void item_changed(const store_item& item);
+    void item_lapsed(const std::string& key, steady_time until);
+    void configuration_changed(const store_item& item);
+    void target_changed(const target_id& id, const store_item& item);
+    void host_changed(const host_id& id, const store_item& item);
+    void tick();
+
+    event_loop& loop_;
+    entry_settings settings_;
+    settings_reader read_settings_;
+    server_limits caller_limits_;
+    server_limits inner_limits_;
+    entry_context context_;
+    peer_network peers_;
+    piece_service pieces_;
+    piece_broker broker_;
+    store_mirror mirror_;
+    store_controller store_;
+    std::map<host_id, peer_host> known_hosts_;
+    std::unique_ptr<http_server> callers_;
+    std::unique_ptr<http_server> readiness_;
+    std::unique_ptr<http_server> metrics_server_;
+    std::optional<steady_time> drain_began_;
+    steady_time started_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
--- /dev/null
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -0,0 +1,113 @@
+#ifndef MEDLAR_DETAIL_ENTRY_REQUEST_RUN_HPP
+#define MEDLAR_DETAIL_ENTRY_REQUEST_RUN_HPP
+
+#include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/piece_broker.hpp>
+#include <medlar/detail/entry/stage_pipeline.hpp>
+#include <medlar/detail/http/event_stream.hpp>
+#include <medlar/detail/loop/http_server.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief One request of a caller from its arrival to the end of its answer.
+class request_run : public std::enable_shared_from_this<request_run>
+{
+  public:
+    /// @brief a run of a request that was routed and authorised
+    /// @param configuration holds @p on
+    static std::shared_ptr<request_run> create(entry_context& context,
+                                               piece_broker& broker,
+                                               std::shared_ptr<caller_exchange> exchange,
+                                               request_fields fields,
+                                               configuration_ptr configuration,
+                                               const route& on,
+                                               std::optional<organisation_rule> of);
+
+    /// @brief Begins. The run keeps itself alive until its answer is finished.
+    void start();
+
+  private:
+    request_run(entry_context& context,
+                piece_broker& broker,
+                std::shared_ptr<caller_exchange> exchange,
+                request_fields fields,
+                configuration_ptr configuration,
+                const route& on,
+                std::optional<organisation_rule> of);
+
+    bool is_stream() const;
+    millis left() const;
+    int priority() const;
+    pool_id choose_pool();
+    target_state* choose_target();
+
+    // the stages before the request
+    void run_stages();
+    void stages_done(const std::vector<result_handle>& inputs);
+    void stages_failed(pipeline_failure why, millis retry_after);
+    void free_stages();
+
+    // attempts
+    void send();
+    void on_head(const answer_head& head);
+    void on_data(absl::string_view data);
+    void on_call_end(call_end how);
+    void forget_call();
+    void target_did_not_run(const answer_head& head);
+    bool try_again(bool has_run);
+    void after_failure(absl::string_view why);
+
+    // the answer
+    void begin_answer();
+    void forward_events(absl::string_view data);
+    void forward_event(absl::string_view event, std::optional<std::int64_t> id);
+    void answer_complete();
+    void refuse(millis retry_after, absl::string_view why);
+    void fail(int status, absl::string_view why);
+    void cut(absl::string_view why);
+    void end(absl::string_view outcome, int status);
+    void on_timeout();
+    void on_left();
+
+    entry_context& context_;
+    piece_broker& broker_;
+    std::shared_ptr<caller_exchange> exchange_;
+    request_fields fields_;
+    configuration_ptr configuration_;
+    const route& route_;
+    std::optional<organisation_rule> organisation_;
+    pool_id pool_;
+    steady_time deadline_;
+    timer_id timer_{0};
+    std::shared_ptr<request_run> self_;
+
+    std::shared_ptr<stage_pipeline> pipeline_;
+    std::vector<result_handle> inputs_;
+    bool has_inputs_ = false;
+    target_id planned_;
+
+    std::shared_ptr<client_call> call_;
+    target_id target_;
+    steady_time sent_at_;
+    std::vector<target_id> tried_;
+    int sends_ = 0;
+    bool may_have_run_ = false;
+
+    std::optional<answer_head> head_;
+    std::string kept_;
+    event_splitter events_;
+    std::optional<std::int64_t> last_event_;
+    bool has_first_ = false;
+    bool event_failed_ = false;
+    bool ended_ = false;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_ENTRY_REQUEST_RUN_HPP
--- /dev/null
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -0,0 +1,82 @@
+#ifndef MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
+#define MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
+
+#include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/peer_network.hpp>
+#include <medlar/detail/entry/store_mirror.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace medlar
+{
+
+/// @brief Keeps the mirror of the store up to date: reads all once, then watches; while
+/// the store does not answer this host, asks other hosts. Registers this host under a
+/// lease.
+class store_controller
+{
+  public:
+    store_controller(entry_context& context,
+                     peer_network& peers,
+                     store_mirror& mirror,
+                     std::string registration);
+    ~store_controller();
+
+    store_controller(const store_controller&) = delete;
+    store_controller& operator=(const store_controller&) = delete;
+
+    /// @brief Begins.
+    void start();
+
+    /// @brief Ends the registration, so that other hosts stop counting on this one.
+    void leave();
+
+    /// @brief Takes the news of another host.
+    bool take_answer(const nlohmann::json& message);
+
+    /// @brief Answers another host that asks for news.
+    bool take_request(const std::shared_ptr<message_link>& from,
+                      const nlohmann::json& message);
+
+    /// @brief whether the store answered this host lately
+    bool is_in_contact() const;
+
+  private:
+    struct reply
+    {
+        int status = 0;
+        std::string body;
+    };
+
+    using reply_action = std::function<void(const reply&)>;
+
+    void call(std::string request, millis timeout, reply_action on_reply);
+    void note_contact(bool answered);
+
+    void read_all();
+    void read_next(std::size_t prefix, const std::string& after, store_page so_far);
+    void watch();
+    void watch_again(millis delay);
+    void register_host();
+    void renew();
+    void ask_peers();
+
+    entry_context& context_;
+    peer_network& peers_;
+    store_mirror& mirror_;
+    std::string registration_;
+    std::vector<std::string> prefixes_;
+    std::optional<store_lease> lease_;
+    std::int64_t read_revision_ = 0;
+    steady_time last_contact_;
+    bool lost_ = false;
+    bool leaving_ = false;
+    std::uint64_t round_ = 0;
+    std::vector<std::shared_ptr<client_call>> watches_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
--- /dev/null
+++ b/include/medlar/detail/loop/event_loop.hpp
@@ -0,0 +1,94 @@
+#ifndef MEDLAR_DETAIL_LOOP_EVENT_LOOP_HPP
+#define MEDLAR_DETAIL_LOOP_EVENT_LOOP_HPP
+
+#include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/base/strong_type.hpp>
+
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/Socket.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+
+namespace medlar
+{
+
+/// @brief what a socket is ready for
+struct readiness
+{
+    bool readable = false;
+    bool writable = false;
+    bool failed = false;
+};
+
+/// @brief receives the readiness of one socket
+class socket_handler
+{
+  public:
+    virtual ~socket_handler() = default;
+
+    /// @brief Reacts to a socket that is ready; may remove itself from the loop.
+    virtual void on_ready(readiness what) = 0;
+};
+
+/// @brief identity of one pending timer; 0 is none
+using timer_id = strong_type<struct timer_id_tag, std::uint64_t>;
+
+/// @brief One thread's loop over sockets and timers, on Poco::Net::PollSet.
+class event_loop
+{
+  public:
+    explicit event_loop(const medlar::clock& time);
+
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// @brief the time at which the current round of events began
+    steady_time now() const
+    {
+        return now_;
+    }
+
+    /// @brief Watches a socket for reading, or also for writing.
+    void watch(const Poco::Net::Socket& socket,
+               std::shared_ptr<socket_handler> handler,
+               bool read,
+               bool write);
+
+    /// @brief Changes what a watched socket is watched for.
+    void change(const Poco::Net::Socket& socket, bool read, bool write);
+
+    /// @brief Stops watching a socket; nothing happens if it is not watched.
+    void forget(const Poco::Net::Socket& socket);
+
+    /// @brief Calls @p action once after @p delay.
+    timer_id after(millis delay, std::function<void()> action);
+
+    /// @brief Drops a timer that has not fired; nothing happens if it has.
+    void cancel(timer_id timer);
+
+    /// @brief Waits for events, at most until the next timer or @p longest, and handles
+    /// them.
+    void run_once(millis longest);
+
+  private:
+    using timer_key = std::pair<std::int64_t, std::uint64_t>;
+
+    void fire_due_timers();
+
+    const medlar::clock& clock_;
+    steady_time now_;
+    Poco::Net::PollSet poll_;
+    std::unordered_map<const void*, std::shared_ptr<socket_handler>> handlers_;
+    std::map<timer_key, std::function<void()>> timers_;
+    std::unordered_map<std::uint64_t, std::int64_t> due_;
+    std::uint64_t last_timer_ = 0;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_LOOP_EVENT_LOOP_HPP
--- /dev/null
+++ b/include/medlar/detail/loop/listener.hpp
@@ -0,0 +1,49 @@
+#ifndef MEDLAR_DETAIL_LOOP_LISTENER_HPP
+#define MEDLAR_DETAIL_LOOP_LISTENER_HPP
+
+#include <medlar/detail/loop/connection.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace medlar
+{
+
+/// @brief Accepts connections at one address until it is closed.
+class listener : public socket_handler
+{
+  public:
+    using accept_action = std::function<void(std::shared_ptr<connection>)>;
+    using error_action = std::function<void(const std::string&)>;
+
+    /// @brief Listens at @p where.
+    /// @param on_error receives what went wrong when a connection was accepted
+    /// @return error 901 if the address cannot be used
+    static absl::StatusOr<std::shared_ptr<listener>> open(event_loop& loop,
+                                                          const endpoint& where,
+                                                          accept_action on_accept,
+                                                          error_action on_error);
+
+    /// @brief Stops accepting.
+    void close();
+
+    void on_ready(readiness what) override;
+
+  private:
+    listener(event_loop& loop, accept_action on_accept, error_action on_error);
+
+    event_loop& loop_;
+    accept_action on_accept_;
+    error_action on_error_;
+    Poco::Net::ServerSocket socket_;
+    bool open_ = false;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_LOOP_LISTENER_HPP
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -6,7 +6,7 @@
     g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl python3
     libpoco-dev libnghttp2-dev libboost-dev libgflags-dev liblog4cplus-dev libabsl-dev
     libcppunit-dev libprotobuf-dev libgrpc++-dev libxxhash-dev nlohmann-json3-dev
-    libssl-dev libprotoc-dev
+    libssl-dev libprotoc-dev protobuf-compiler protobuf-compiler-grpc
 )
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/src/entry/entry_context.cpp
@@ -0,0 +1,72 @@
+#include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/log/entry_events.hpp>
+
+#include <cmath>
+
+namespace medlar
+{
+
+namespace
+{
+
+// heads of targets' answers
+constexpr std::size_t max_answer_head_bytes = 65536;
+
+// until the first answer shows it: reading a prompt of some thousand tokens
+constexpr double initial_first_event_ms = 400;
+
+constexpr double first_event_smoothing = 0.05;
+
+} // namespace
+
+entry_context::entry_context(event_loop& with_loop,
+                             const entry_protocol& with_protocol,
+                             const entry_settings& with_settings,
+                             std::uint64_t seed)
+    : loop(with_loop),
+      protocol(with_protocol),
+      settings(with_settings),
+      client(with_loop, max_answer_head_bytes),
+      metrics(metrics_registry::create()),
+      random(seed)
+{
+}
+
+repeat_budget& entry_context::budget_of(const pool_id& pool)
+{
+    return budgets_.try_emplace(pool, settings.repeats).first->second;
+}
+
+millis entry_context::expected_first_event(const pool_id& pool) const
+{
+    const auto found = first_event_ms_.find(pool);
+    return millis(std::lround(found == first_event_ms_.end() ? initial_first_event_ms
+                                                             : found->second));
+}
+
+void entry_context::note_first_event(const pool_id& pool, millis took)
+{
+    double& mean = first_event_ms_.try_emplace(pool, initial_first_event_ms).first->second;
+    mean += first_event_smoothing * (static_cast<double>(took.count()) - mean);
+}
+
+void entry_context::note_target_call(const target_id& id, call_result result)
+{
+    target_state* const target = targets.find(id);
+    if (target == nullptr)
+    {
+        return;
+    }
+    const health_state before = target->health.state;
+    note_call(*target, {result, 1}, targets.serving(target->record.pool), loop.now());
+    if (before != health_state::ejected && target->health.state == health_state::ejected)
+    {
+        log_event(entry_target_ejected,
+                  {{"target", id.get()},
+                   {"pool", target->record.pool.get()},
+                   {"failures_in_a_row", std::int64_t{target->health.failures_in_a_row}},
+                   {"until_ms", (target->health.probe_due - loop.now()).count()}});
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/entry/entry_host.cpp
@@ -0,0 +1,508 @@
+#include <medlar/detail/entry/entry_host.hpp>
+#include <medlar/detail/entry/request_run.hpp>
+#include <medlar/detail/log/bounded_log.hpp>
+#include <medlar/detail/log/entry_events.hpp>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <random>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_unauthorised = 401;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+// the balancer asks once a second and takes a host out after two misses
+constexpr millis out_of_rotation{3000};
+
+// what is kept of the time until the process is killed
+constexpr millis kill_margin{500};
+
+// a host that does not know the configuration yet knows it after about this time
+constexpr millis retry_after_start{300};
+
+// how often lapsed targets, kept log lines and idle connections are looked at
+constexpr millis tick_interval{100};
+
+peer_host self_of(const entry_settings& settings)
+{
+    return {settings.host, settings.domain, settings.link, settings.core_share};
+}
+
+std::string registration_of(const entry_settings& settings)
+{
+    return nlohmann::json({{"link", to_string(settings.link)},
+                           {"address", settings.link.address},
+                           {"port", settings.link.port},
+                           {"domain", settings.domain.get()},
+                           {"share", settings.core_share}})
+        .dump();
+}
+
+absl::StatusOr<peer_host> read_registration(const host_id& id, const std::string& text)
+{
+    const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
+    if (!value.is_object())
+    {
+        return absl::InvalidArgumentError("the registration of a host is not JSON");
+    }
+    const auto address = value.find("address");
+    const auto port = value.find("port");
+    const auto domain = value.find("domain");
+    const auto share = value.find("share");
+    if (address == value.end() || !address->is_string() || port == value.end() ||
+        !port->is_number_unsigned() || domain == value.end() || !domain->is_string() ||
+        share == value.end() || !share->is_number())
+    {
+        return absl::InvalidArgumentError("the registration of a host lacks a field");
+    }
+    peer_host host;
+    host.id = id;
+    host.link = {address->get<std::string>(), port->get<std::uint16_t>()};
+    host.domain = failure_domain_id(domain->get<std::string>());
+    host.share = share->get<double>();
+    return host;
+}
+
+} // namespace
+
+entry_host::entry_host(event_loop& loop,
+                       const entry_protocol& protocol,
+                       const entry_settings& settings,
+                       settings_reader read_settings)
+    : loop_(loop),
+      settings_(settings),
+      read_settings_(std::move(read_settings)),
+      context_(loop, protocol, settings_, std::random_device{}()),
+      peers_(loop, self_of(settings)),
+      pieces_(context_),
+      broker_(context_, peers_, pieces_),
+      mirror_(
+          [this](const store_item& item)
+          {
+              item_changed(item);
+          },
+          [this](const std::string& key, steady_time until)
+          {
+              item_lapsed(key, until);
+          }),
+      store_(context_, peers_, mirror_, registration_of(settings)),
+      started_(loop.now())
+{
+}
+
+absl::StatusOr<std::unique_ptr<entry_host>>
+entry_host::create(event_loop& loop,
+                   const entry_protocol& protocol,
+                   const entry_settings& settings,
+                   settings_reader read_settings)
+{
+    std::unique_ptr<entry_host> made(
+        new entry_host(loop, protocol, settings, std::move(read_settings)));
+    const absl::Status listening = made->listen();
+    if (!listening.ok())
+    {
+        return listening;
+    }
+    made->store_.start();
+    made->tick();
+    return made;
+}
+
+absl::Status entry_host::listen()
+{
+    peers_.set_seeds(settings_.seeds);
+    peers_.when_asked(
+        [this](const std::shared_ptr<message_link>& from, const nlohmann::json& message)
+        {
+            if (!broker_.take_request(from, message))
+            {
+                store_.take_request(from, message);
+            }
+        });
+    peers_.when_answered(
+        [this](const host_id& from, const nlohmann::json& message)
+        {
+            if (!broker_.take_answer(from, message))
+            {
+                store_.take_answer(message);
+            }
+        });
+    peers_.when_lost(
+        [this](const host_id& host)
+        {
+            broker_.owner_lost(host);
+        });
+    peers_.when_asker_lost(
+        [this](const message_link* link)
+        {
+            broker_.asker_lost(link);
+        });
+    const absl::Status linked = peers_.listen();
+    if (!linked.ok())
+    {
+        return linked;
+    }
+    const auto open = [this](const endpoint& where,
+                             const server_limits& limits,
+                             http_server::request_action action,
+                             std::unique_ptr<http_server>& to) -> absl::Status
+    {
+        absl::StatusOr<std::unique_ptr<http_server>> server =
+            http_server::listen(loop_, where, limits, std::move(action));
+        if (!server.ok())
+        {
+            return server.status();
+        }
+        to = *std::move(server);
+        to->when_rejected(
+            [this](int status, const std::string& why)
+            {
+                context_.metrics->add("medlar_rejected_total",
+                                      {{"status", absl::StrCat(status)}});
+                log_event(entry_request_rejected,
+                          {{"status", std::int64_t{status}}, {"why", why}});
+            });
+        return absl::OkStatus();
+    };
+    absl::Status status = open(
+        settings_.callers,
+        caller_limits_,
+        [this](const std::shared_ptr<caller_exchange>& exchange)
+        {
+            serve(exchange);
+        },
+        callers_);
+    if (status.ok())
+    {
+        status = open(
+            settings_.readiness,
+            inner_limits_,
+            [this](const std::shared_ptr<caller_exchange>& exchange)
+            {
+                serve_readiness(exchange);
+            },
+            readiness_);
+    }
+    if (status.ok())
+    {
+        status = open(
+            settings_.metrics,
+            inner_limits_,
+            [this](const std::shared_ptr<caller_exchange>& exchange)
+            {
+                serve_metrics(exchange);
+            },
+            metrics_server_);
+    }
+    return status;
+}
+
+void entry_host::serve(const std::shared_ptr<caller_exchange>& exchange)
+{
+    const request_fields fields = context_.protocol.read_request(exchange->head());
+    if (!context_.configuration || !takes_requests())
+    {
+        answer_directly(exchange,
+                        fields,
+                        status_unavailable,
+                        context_.configuration ? "this host is stopping"
+                                               : "this host has no configuration yet");
+        return;
+    }
+    const configuration_ptr configuration = context_.configuration;
+    const route* const found = configuration->find_route(
+        exchange->head().headers.get("host"), exchange->head().path());
+    if (found == nullptr)
+    {
+        answer_directly(exchange, fields, status_not_found, "no route matches");
+        return;
+    }
+    std::optional<organisation_rule> organisation;
+    const auto known = configuration->organisations_by_key.find(fields.access_key);
+    if (known != configuration->organisations_by_key.end())
+    {
+        organisation = known->second;
+    }
+    else if (configuration->has_organisations && !found->is_public)
+    {
+        answer_directly(exchange, fields, status_unauthorised, "the access key is unknown");
+        return;
+    }
+    if (fields.attempt.get().empty())
+    {
+        answer_directly(exchange, fields, status_bad_request, "the attempt has no id");
+        return;
+    }
+    request_run::create(
+        context_, broker_, exchange, fields, configuration, *found, organisation)
+        ->start();
+}
+
+void entry_host::answer_directly(const std::shared_ptr<caller_exchange>& exchange,
+                                 const request_fields& fields,
+                                 int status,
+                                 absl::string_view why)
+{
+    header_list headers;
+    headers.add("Content-Type", "text/plain");
+    if (status == status_unavailable)
+    {
+        const header_field field = context_.protocol.retry_after(retry_after_start);
+        headers.add(field.name, field.value);
+    }
+    if (status == status_unauthorised)
+    {
+        headers.add("WWW-Authenticate", "Bearer");
+    }
+    context_.protocol.add_attempt(headers, fields.attempt);
+    context_.metrics->add("medlar_requests_total", {{"status", absl::StrCat(status)}});
+    log_event(entry_request_ended,
+              {{"attempt", fields.attempt.get()},
+               {"version", context_.configuration ? context_.configuration->version : -1},
+               {"outcome", why},
+               {"status", std::int64_t{status}}});
+    exchange->answer(status, headers, absl::StrCat(why, "\n"));
+}
+
+bool entry_host::is_ready() const
+{
+    return context_.configuration != nullptr && !context_.targets.all().empty() &&
+           !drain_began_;
+}
+
+bool entry_host::takes_requests() const
+{
+    return !drain_began_ || loop_.now() < *drain_began_ + out_of_rotation;
+}
+
+void entry_host::serve_readiness(const std::shared_ptr<caller_exchange>& exchange) const
+{
+    if (exchange->head().path() != context_.protocol.readiness_path())
+    {
+        exchange->answer(status_not_found, {}, "not found\n");
+        return;
+    }
+    exchange->answer(is_ready() ? status_ok : status_unavailable,
+                     {},
+                     is_ready() ? "ready\n" : "not ready\n");
+}
+
+void entry_host::serve_metrics(const std::shared_ptr<caller_exchange>& exchange)
+{
+    const std::pair<std::size_t, std::size_t> load = pieces_.load();
+    context_.metrics->set(
+        "medlar_pieces_waiting", {}, static_cast<double>(load.first));
+    context_.metrics->set(
+        "medlar_piece_calls_running", {}, static_cast<double>(load.second));
+    context_.metrics->set("medlar_requests_running",
+                          {},
+                          static_cast<double>(callers_->open_exchanges()));
+    context_.metrics->set("medlar_target_connections_opened",
+                          {},
+                          static_cast<double>(context_.client.opened_connections()));
+    context_.metrics->set(
+        "medlar_entry_hosts_live", {}, static_cast<double>(peers_.live().size()));
+    header_list headers;
+    headers.add("Content-Type", "text/plain; version=0.0.4");
+    exchange->answer(status_ok, headers, context_.metrics->write());
+}
+
+void entry_host::item_changed(const store_item& item)
+{
+    const std::string targets = context_.protocol.target_prefix();
+    const std::string hosts = context_.protocol.host_prefix();
+    if (item.key == context_.protocol.configuration_key())
+    {
+        configuration_changed(item);
+    }
+    else if (absl::StartsWith(item.key, targets))
+    {
+        target_changed(target_id(item.key.substr(targets.size())), item);
+    }
+    else if (absl::StartsWith(item.key, hosts))
+    {
+        host_changed(host_id(item.key.substr(hosts.size())), item);
+    }
+}
+
+void entry_host::item_lapsed(const std::string& key, steady_time until)
+{
+    const std::string targets = context_.protocol.target_prefix();
+    if (absl::StartsWith(key, targets))
+    {
+        context_.targets.mark_lapsed(target_id(key.substr(targets.size())), until);
+    }
+}
+
+void entry_host::configuration_changed(const store_item& item)
+{
+    if (item.is_deleted)
+    {
+        return;
+    }
+    absl::StatusOr<serving_configuration> read =
+        context_.protocol.read_configuration(item.value);
+    if (!read.ok())
+    {
+        log_event(entry_item_unreadable,
+                  {{"what", item.key},
+                   {"revision", item.revision},
+                   {"why", read.status().message()}});
+        return;
+    }
+    if (context_.configuration && context_.configuration->version >= read->version)
+    {
+        return;
+    }
+    caller_limits_.head_bytes = read->limits.head_bytes;
+    caller_limits_.body_bytes = read->limits.body_bytes;
+    caller_limits_.head_timeout = read->limits.head_timeout;
+    caller_limits_.idle_timeout = read->limits.idle_timeout;
+    log_event(entry_configuration_in_force,
+              {{"version", read->version},
+               {"revision", item.revision},
+               {"routes", static_cast<std::int64_t>(read->routes.size())},
+               {"in_contact", std::int64_t{store_.is_in_contact()}}});
+    context_.configuration =
+        std::make_shared<const serving_configuration>(*std::move(read));
+}
+
+void entry_host::target_changed(const target_id& id, const store_item& item)
+{
+    const target_state* const before = context_.targets.find(id);
+    const bool was_draining = before != nullptr && before->record.is_draining;
+    if (item.is_deleted)
+    {
+        context_.targets.remove(id);
+        log_event(entry_target_changed, {{"target", id.get()}, {"state", "gone"}});
+        return;
+    }
+    const absl::StatusOr<target_record> record =
+        context_.protocol.read_target(id, item.value);
+    if (!record.ok())
+    {
+        log_event(entry_item_unreadable,
+                  {{"what", item.key}, {"why", record.status().message()}});
+        context_.targets.remove(id);
+        return;
+    }
+    const bool is_new = context_.targets.put(*record);
+    if (is_new)
+    {
+        context_.client.drop_idle(record->where);
+    }
+    if (is_new || was_draining != record->is_draining)
+    {
+        log_event(entry_target_changed,
+                  {{"target", id.get()},
+                   {"pool", record->pool.get()},
+                   {"address", to_string(record->where)},
+                   {"domain", record->domain.get()},
+                   {"state", record->is_draining ? "draining" : "serving"},
+                   {"started_ms", record->started_ms}});
+    }
+}
+
+void entry_host::host_changed(const host_id& id, const store_item& item)
+{
+    if (item.is_deleted)
+    {
+        known_hosts_.erase(id);
+    }
+    else
+    {
+        const absl::StatusOr<peer_host> host = read_registration(id, item.value);
+        if (!host.ok())
+        {
+            log_event(entry_item_unreadable,
+                      {{"what", item.key}, {"why", host.status().message()}});
+            return;
+        }
+        known_hosts_[id] = *host;
+    }
+    std::vector<peer_host> hosts;
+    for (const auto& each : known_hosts_)
+    {
+        hosts.push_back(each.second);
+    }
+    peers_.set_hosts(std::move(hosts));
+    context_.hosts = std::max<std::size_t>(context_.hosts, peers_.registered());
+    log_event(entry_peer_changed,
+              {{"host", id.get()},
+               {"state", item.is_deleted ? "gone" : "registered"},
+               {"hosts", static_cast<std::int64_t>(peers_.registered())}});
+}
+
+void entry_host::tick()
+{
+    context_.targets.drop_lapsed(loop_.now());
+    if (const std::size_t dropped = take_dropped_lines())
+    {
+        log_event(entry_lines_dropped, {{"lines", static_cast<std::int64_t>(dropped)}});
+    }
+    write_kept_lines();
+    if (drain_began_ && !takes_requests())
+    {
+        callers_->close_idle();
+    }
+    loop_.after(tick_interval,
+                [this]
+                {
+                    tick();
+                });
+}
+
+void entry_host::drain()
+{
+    if (drain_began_)
+    {
+        return;
+    }
+    drain_began_ = loop_.now();
+    log_event(entry_draining,
+              {{"open", static_cast<std::int64_t>(callers_->open_exchanges())}});
+    callers_->set_draining();
+    store_.leave();
+}
+
+void entry_host::reload()
+{
+    const absl::StatusOr<entry_settings> read = read_settings_();
+    if (!read.ok())
+    {
+        log_event(entry_settings_read, {{"error", read.status().message()}});
+        return;
+    }
+    // addresses that this process listens at stay as they were until it starts again
+    settings_.store = read->store;
+    settings_.seeds = read->seeds;
+    settings_.grace = read->grace;
+    settings_.repeats = read->repeats;
+    peers_.set_seeds(settings_.seeds);
+    log_event(entry_settings_read, {{"store", to_string(settings_.store)}});
+}
+
+bool entry_host::is_finished() const
+{
+    if (!drain_began_)
+    {
+        return false;
+    }
+    const millis since = loop_.now() - *drain_began_;
+    const std::pair<std::size_t, std::size_t> load = pieces_.load();
+    const bool idle = callers_->open_exchanges() == 0 && callers_->connections() == 0 &&
+                      load.first == 0 && load.second == 0;
+    return (since > out_of_rotation && idle) || since > settings_.grace - kill_margin;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/entry/peer_network.cpp
@@ -0,0 +1,185 @@
+#include <medlar/detail/entry/peer_network.hpp>
+#include <medlar/detail/log/entry_events.hpp>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+// hosts are 1.4 ms apart; a host that does not accept in this time is away or frozen
+constexpr millis link_connect_timeout{250};
+
+// how long a host that did not answer is passed over
+constexpr millis suspicion{2000};
+
+// output that a link may hold back before it counts as broken
+constexpr std::size_t max_unsent_bytes = 2097152;
+
+} // namespace
+
+peer_network::peer_network(event_loop& loop, peer_host self)
+    : loop_(loop), self_(std::move(self))
+{
+}
+
+peer_network::~peer_network()
+{
+    if (listener_)
+    {
+        listener_->close();
+    }
+    for (auto& each : links_)
+    {
+        each.second->close();
+    }
+    for (const auto& each : accepted_)
+    {
+        each->close();
+    }
+}
+
+absl::Status peer_network::listen()
+{
+    absl::StatusOr<std::shared_ptr<listener>> opened = listener::open(
+        loop_,
+        self_.link,
+        [this](const std::shared_ptr<connection>& stream)
+        {
+            auto holder = std::make_shared<std::weak_ptr<message_link>>();
+            const std::shared_ptr<message_link> link = message_link::create(
+                stream,
+                [this, holder](const nlohmann::json& message)
+                {
+                    if (const auto from = holder->lock())
+                    {
+                        on_asked_(from, message);
+                    }
+                },
+                [this, holder]
+                {
+                    if (const auto from = holder->lock())
+                    {
+                        on_asker_lost_(from.get());
+                        accepted_.erase(from);
+                    }
+                });
+            *holder = link;
+            accepted_.insert(link);
+        },
+        [](const std::string& why)
+        {
+            log_event(entry_request_rejected, {{"where", "link"}, {"why", why}});
+        });
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    listener_ = *std::move(opened);
+    return absl::OkStatus();
+}
+
+void peer_network::set_hosts(std::vector<peer_host> others)
+{
+    others.erase(std::remove_if(others.begin(),
+                                others.end(),
+                                [this](const peer_host& each)
+                                {
+                                    return each.id == self_.id;
+                                }),
+                 others.end());
+    others_ = std::move(others);
+}
+
+std::vector<peer_host> peer_network::live() const
+{
+    std::vector<peer_host> hosts{self_};
+    for (const peer_host& each : others_)
+    {
+        const auto found = suspected_until_.find(each.id);
+        if (found == suspected_until_.end() || found->second <= loop_.now())
+        {
+            hosts.push_back(each);
+        }
+    }
+    return hosts;
+}
+
+void peer_network::suspect(const host_id& host)
+{
+    suspected_until_[host] = loop_.now() + suspicion;
+}
+
+void peer_network::lost(const host_id& host)
+{
+    links_.erase(host);
+    suspect(host);
+    log_event(entry_peer_lost, {{"host", host.get()}});
+    on_lost_(host);
+}
+
+std::shared_ptr<message_link> peer_network::link_to(const host_id& host,
+                                                    const endpoint& where)
+{
+    const auto found = links_.find(host);
+    if (found != links_.end())
+    {
+        return found->second;
+    }
+    const std::shared_ptr<message_link> link = message_link::create(
+        connection::opened(loop_, where, link_connect_timeout),
+        [this, host](const nlohmann::json& message)
+        {
+            on_answered_(host, message);
+        },
+        [this, host]
+        {
+            lost(host);
+        });
+    links_[host] = link;
+    return link;
+}
+
+bool peer_network::send(const host_id& host, const nlohmann::json& message)
+{
+    const auto found = std::find_if(others_.begin(),
+                                    others_.end(),
+                                    [&](const peer_host& each)
+                                    {
+                                        return each.id == host;
+                                    });
+    if (found == others_.end())
+    {
+        return false;
+    }
+    const std::shared_ptr<message_link> link = link_to(host, found->link);
+    if (link->unsent() > max_unsent_bytes)
+    {
+        link->close();
+        lost(host);
+        return false;
+    }
+    link->send(message);
+    return true;
+}
+
+void peer_network::send_to_any(std::size_t pick, const nlohmann::json& message)
+{
+    const std::vector<peer_host> hosts = live();
+    if (hosts.size() > 1)
+    {
+        send(hosts[1 + pick % (hosts.size() - 1)].id, message);
+        return;
+    }
+    std::vector<endpoint> usable = seeds_;
+    usable.erase(std::remove(usable.begin(), usable.end(), self_.link), usable.end());
+    if (!usable.empty())
+    {
+        const endpoint& seed = usable[pick % usable.size()];
+        link_to(host_id(to_string(seed)), seed)->send(message);
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/entry/piece_service.cpp
@@ -0,0 +1,312 @@
+#include <medlar/detail/entry/piece_service.hpp>
+#include <medlar/detail/log/entry_events.hpp>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+// how long a target that was full gets no call: the least time of a call of others
+constexpr millis full_pause{100};
+
+// how long a target that failed a call gets none
+constexpr millis failure_pause{700};
+
+// results that are freed together; a call to a target costs more than its few bytes
+constexpr millis free_delay{60};
+constexpr std::size_t free_batch = 48;
+
+// how often a queue with paused targets is looked at
+constexpr millis retry_interval{50};
+
+// a call that takes longer is given up, so that its place can be used
+constexpr int give_up_factor = 4;
+
+constexpr millis target_connect_timeout{400};
+
+} // namespace
+
+piece_service::group_state& piece_service::state_of(const piece_group& group)
+{
+    const pool_rule* const pool =
+        context_.configuration ? context_.configuration->find_pool(group.pool) : nullptr;
+    const piece_rule rule = pool != nullptr && pool->pieces ? *pool->pieces : piece_rule{};
+    std::unique_ptr<group_state>& state = groups_[group];
+    if (!state)
+    {
+        state = std::make_unique<group_state>(rule);
+    }
+    state->queue.set_rule(rule);
+    return *state;
+}
+
+void piece_service::refresh_targets(const piece_group& group, group_state& state)
+{
+    std::vector<piece_target> targets;
+    for (const target_state* each : context_.targets.serving(group.pool))
+    {
+        const bool in_group =
+            group.domain.empty() || each->record.domain.get() == group.domain;
+        if (in_group && may_call(*each, context_.loop.now()))
+        {
+            targets.push_back({each->record.id, each->record.where, each->record.domain});
+        }
+    }
+    state.queue.set_targets(targets);
+}
+
+job_verdict piece_service::judge(const piece_group& group, const piece_job& job)
+{
+    group_state& state = state_of(group);
+    refresh_targets(group, state);
+    return state.queue.judge(job, context_.loop.now());
+}
+
+job_ticket piece_service::add(const piece_group& group, piece_job job, job_sink sink)
+{
+    group_state& state = state_of(group);
+    const job_id id = state.queue.add(std::move(job), context_.loop.now());
+    state.sinks.emplace(id, std::move(sink));
+    pump_soon(group);
+    return {group, id};
+}
+
+void piece_service::cancel(const job_ticket& ticket)
+{
+    const auto found = groups_.find(ticket.group);
+    if (found != groups_.end())
+    {
+        found->second->queue.cancel(ticket.job);
+        found->second->sinks.erase(ticket.job);
+    }
+}
+
+void piece_service::pump_soon(const piece_group& group)
+{
+    group_state& state = *groups_.at(group);
+    if (state.pump_pending)
+    {
+        return;
+    }
+    // after the current events, so that pieces that come together go together
+    state.pump_pending = true;
+    context_.loop.after(millis(0),
+                        [this, group]
+                        {
+                            groups_.at(group)->pump_pending = false;
+                            pump(group);
+                        });
+}
+
+void piece_service::pump(const piece_group& group)
+{
+    group_state& state = state_of(group);
+    const steady_time now = context_.loop.now();
+    refresh_targets(group, state);
+    deliver(state, state.queue.expire(now));
+    while (const std::optional<piece_call> call = state.queue.next(now))
+    {
+        send(group, *call);
+    }
+    context_.loop.cancel(state.retry);
+    if (state.queue.waiting() > 0)
+    {
+        state.retry = context_.loop.after(retry_interval,
+                                          [this, group]
+                                          {
+                                              pump(group);
+                                          });
+    }
+}
+
+void piece_service::send(const piece_group& group, const piece_call& call)
+{
+    auto sent = std::make_shared<sent_call>();
+    sent->group = group;
+    sent->id = call.id;
+    sent->target = call.target.id;
+    sent->pieces = call.items.size();
+    call_events events;
+    events.on_head = [sent](const answer_head& head)
+    {
+        sent->status = head.status;
+    };
+    events.on_data = [sent](absl::string_view data)
+    {
+        sent->body.append(data.data(), data.size());
+    };
+    events.on_end = [this, sent](call_end how)
+    {
+        ended(sent, how);
+    };
+    call_options options;
+    options.connect_timeout = target_connect_timeout;
+    sent->call = context_.client.start(
+        call.target.where,
+        context_.protocol.write_piece_call(call.target.where, call.target.id, call.items),
+        options,
+        std::move(events));
+    watch_time(sent, call.overdue_after);
+    context_.metrics->add("medlar_piece_calls_total", {{"pool", group.pool.get()}});
+    context_.metrics->add("medlar_pieces_sent_total",
+                          {{"pool", group.pool.get()}},
+                          static_cast<double>(call.items.size()));
+}
+
+void piece_service::watch_time(const std::shared_ptr<sent_call>& call,
+                               millis overdue_after)
+{
+    call->overdue =
+        context_.loop.after(overdue_after,
+                            [this, call]
+                            {
+                                groups_.at(call->group)
+                                    ->queue.overdue(call->id, context_.loop.now());
+                                context_.note_target_call(call->target,
+                                                          call_result::timed_out);
+                                pump_soon(call->group);
+                            });
+    call->give_up = context_.loop.after(overdue_after * give_up_factor,
+                                        [this, call]
+                                        {
+                                            call->call->cancel();
+                                            ended(call, call_end::no_answer);
+                                        });
+}
+
+void piece_service::ended(const std::shared_ptr<sent_call>& call, call_end how)
+{
+    context_.loop.cancel(call->overdue);
+    context_.loop.cancel(call->give_up);
+    group_state& state = *groups_.at(call->group);
+    const steady_time now = context_.loop.now();
+    if (how == call_end::complete && call->status == status_ok)
+    {
+        const absl::StatusOr<std::vector<piece_result>> results =
+            context_.protocol.read_piece_answer(call->body);
+        if (results.ok() && results->size() == call->pieces)
+        {
+            const bool all_failed = std::all_of(results->begin(),
+                                                results->end(),
+                                                [](const piece_result& each)
+                                                {
+                                                    return !each.handle &&
+                                                           each.failure ==
+                                                               piece_failure::failed;
+                                                });
+            context_.note_target_call(call->target,
+                                      all_failed ? call_result::failed
+                                                 : call_result::succeeded);
+            deliver(state, state.queue.answered(call->id, *results, now));
+            pump_soon(call->group);
+            return;
+        }
+    }
+    const bool full = how == call_end::complete && call->status == status_unavailable;
+    log_event(entry_piece_call_failed,
+              {{"pool", call->group.pool.get()},
+               {"target", call->target.get()},
+               {"status", std::int64_t{call->status}},
+               {"end", to_string(how)},
+               {"pieces", static_cast<std::int64_t>(call->pieces)}});
+    if (!full)
+    {
+        context_.note_target_call(call->target, call_result::failed);
+    }
+    context_.metrics->add("medlar_piece_calls_failed_total",
+                          {{"pool", call->group.pool.get()}, {"full", full ? "1" : "0"}});
+    state.queue.failed(call->id, now, full ? full_pause : failure_pause);
+    pump_soon(call->group);
+}
+
+void piece_service::deliver(group_state& state, const std::vector<finished_piece>& finished)
+{
+    for (const finished_piece& each : finished)
+    {
+        const auto sink = state.sinks.find(each.job);
+        if (sink == state.sinks.end())
+        {
+            if (each.result.handle)
+            {
+                free({*each.result.handle});
+            }
+            continue;
+        }
+        // the sink may drop its job
+        const auto on_piece = sink->second.on_piece;
+        on_piece(each.piece, each.result);
+    }
+}
+
+void piece_service::free(const std::vector<result_handle>& handles)
+{
+    for (const result_handle& each : handles)
+    {
+        const absl::StatusOr<endpoint> holder = context_.protocol.holder_of(each);
+        if (!holder.ok())
+        {
+            log_event(entry_item_unreadable,
+                      {{"what", "result handle"}, {"why", holder.status().message()}});
+            continue;
+        }
+        to_free_[*holder].push_back(each);
+        for (auto& group : groups_)
+        {
+            group.second->queue.freed(each);
+        }
+    }
+    if (!flush_pending_ && !to_free_.empty())
+    {
+        flush_pending_ = true;
+        context_.loop.after(free_delay,
+                            [this]
+                            {
+                                flush_pending_ = false;
+                                flush_freed();
+                            });
+    }
+}
+
+void piece_service::flush_freed()
+{
+    std::map<endpoint, std::vector<result_handle>> all;
+    all.swap(to_free_);
+    call_options options;
+    options.connect_timeout = target_connect_timeout;
+    for (const auto& each : all)
+    {
+        for (std::size_t at = 0; at < each.second.size(); at += free_batch)
+        {
+            const auto begin = each.second.begin() + static_cast<std::ptrdiff_t>(at);
+            const auto end =
+                begin + static_cast<std::ptrdiff_t>(
+                            std::min(free_batch, each.second.size() - at));
+            // a result that is not freed here is dropped by its holder after its time
+            context_.client.start(each.first,
+                                  context_.protocol.write_free_call(
+                                      each.first,
+                                      std::vector<result_handle>(begin, end)),
+                                  options,
+                                  {});
+        }
+    }
+}
+
+std::pair<std::size_t, std::size_t> piece_service::load() const
+{
+    std::pair<std::size_t, std::size_t> sum{0, 0};
+    for (const auto& each : groups_)
+    {
+        sum.first += each.second->queue.waiting();
+        sum.second += each.second->queue.calls();
+    }
+    return sum;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/entry/serving_configuration.cpp
@@ -0,0 +1,54 @@
+#include <medlar/detail/entry/serving_configuration.hpp>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+void serving_configuration::index_routes()
+{
+    routes_by_host_.clear();
+    for (std::size_t i = 0; i < routes.size(); ++i)
+    {
+        routes_by_host_[absl::AsciiStrToLower(routes[i].host)].push_back(i);
+    }
+    for (auto& each : routes_by_host_)
+    {
+        std::sort(each.second.begin(),
+                  each.second.end(),
+                  [this](std::size_t a, std::size_t b)
+                  {
+                      return routes[a].prefix.size() > routes[b].prefix.size();
+                  });
+    }
+}
+
+const route* serving_configuration::find_route(absl::string_view host,
+                                               absl::string_view path) const
+{
+    const std::string name = absl::AsciiStrToLower(host.substr(0, host.find(':')));
+    const auto found = routes_by_host_.find(name);
+    if (found == routes_by_host_.end())
+    {
+        return nullptr;
+    }
+    for (const std::size_t i : found->second)
+    {
+        if (absl::StartsWith(path, routes[i].prefix))
+        {
+            return &routes[i];
+        }
+    }
+    return nullptr;
+}
+
+const pool_rule* serving_configuration::find_pool(const pool_id& name) const
+{
+    const auto found = pools.find(name);
+    return found == pools.end() ? nullptr : &found->second;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/entry/stage_pipeline.cpp
@@ -0,0 +1,327 @@
+#include <medlar/detail/entry/stage_pipeline.hpp>
+#include <medlar/detail/log/entry_events.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlar
+{
+
+namespace
+{
+
+// results are lost only with their target; a request that lost them twice is unlucky, one
+// that lost them more often has a pool that does not stand
+constexpr int max_restarts = 2;
+
+// time until a request that lost its results should come back
+constexpr millis retry_after_failure{1000};
+
+} // namespace
+
+absl::string_view to_string(pipeline_failure why)
+{
+    switch (why)
+    {
+        case pipeline_failure::refused:
+            return "refused";
+        case pipeline_failure::late:
+            return "late";
+        case pipeline_failure::failed:
+            return "failed";
+    }
+    return "unknown";
+}
+
+stage_pipeline::stage_pipeline(entry_context& context,
+                               piece_broker& broker,
+                               pipeline_request request,
+                               pipeline_sink sink)
+    : context_(context),
+      broker_(broker),
+      request_(std::move(request)),
+      sink_(std::move(sink)),
+      stages_(request_.stages.size())
+{
+    request_.pieces.resize(request_.stages.size(), 0);
+}
+
+std::shared_ptr<stage_pipeline> stage_pipeline::create(entry_context& context,
+                                                       piece_broker& broker,
+                                                       pipeline_request request,
+                                                       pipeline_sink sink)
+{
+    return std::shared_ptr<stage_pipeline>(
+        new stage_pipeline(context, broker, std::move(request), std::move(sink)));
+}
+
+void stage_pipeline::start()
+{
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        stages_[i] = stage_state{};
+        if (request_.pieces[i] <= 0)
+        {
+            stages_[i].at = progress::done;
+        }
+    }
+    advance();
+}
+
+bool stage_pipeline::restart()
+{
+    if (restarts_ >= max_restarts)
+    {
+        return false;
+    }
+    ++restarts_;
+    stop();
+    ended_ = false;
+    any_done_ = true;
+    start();
+    return true;
+}
+
+void stage_pipeline::stop()
+{
+    ended_ = true;
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (stages_[i].at == progress::running)
+        {
+            broker_.cancel(stages_[i].ticket);
+        }
+        free_stage(i);
+    }
+}
+
+void stage_pipeline::free_results()
+{
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        free_stage(i);
+    }
+}
+
+bool stage_pipeline::is_followed(std::size_t stage) const
+{
+    return std::any_of(request_.stages.begin(),
+                       request_.stages.end(),
+                       [stage](const stage_rule& each)
+                       {
+                           return std::find(each.after.begin(),
+                                            each.after.end(),
+                                            stage) != each.after.end();
+                       });
+}
+
+bool stage_pipeline::is_ready(std::size_t stage) const
+{
+    const std::vector<std::size_t>& after = request_.stages[stage].after;
+    return stages_[stage].at == progress::waiting &&
+           std::all_of(after.begin(),
+                       after.end(),
+                       [this](std::size_t each)
+                       {
+                           return each < stages_.size() &&
+                                  stages_[each].at == progress::done;
+                       });
+}
+
+void stage_pipeline::advance()
+{
+    bool all_done = true;
+    for (std::size_t i = 0; i < stages_.size() && !ended_; ++i)
+    {
+        if (is_ready(i))
+        {
+            begin(i);
+        }
+        all_done = all_done && stages_[i].at == progress::done;
+    }
+    if (!all_done || ended_)
+    {
+        return;
+    }
+    std::vector<result_handle> inputs;
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (!is_followed(i))
+        {
+            const std::vector<result_handle> results = results_of(i);
+            inputs.insert(inputs.end(), results.begin(), results.end());
+        }
+    }
+    sink_.on_done(inputs);
+}
+
+millis stage_pipeline::expected_after(std::size_t stage) const
+{
+    millis longest{0};
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        const std::vector<std::size_t>& after = request_.stages[i].after;
+        if (request_.pieces[i] <= 0 ||
+            std::find(after.begin(), after.end(), stage) == after.end())
+        {
+            continue;
+        }
+        const pool_rule* const pool =
+            context_.configuration->find_pool(request_.stages[i].pool);
+        if (pool == nullptr || !pool->pieces)
+        {
+            continue;
+        }
+        const int in_call = std::min(request_.pieces[i], pool->pieces->batch);
+        const millis own(std::lround(pool->pieces->call_ms +
+                                     pool->pieces->item_ms * in_call));
+        longest = std::max(longest, own + expected_after(i));
+    }
+    return longest;
+}
+
+void stage_pipeline::begin(std::size_t stage)
+{
+    const stage_rule& rule = request_.stages[stage];
+    stage_state& state = stages_[stage];
+    state.at = progress::running;
+    state.results.assign(static_cast<std::size_t>(request_.pieces[stage]), std::nullopt);
+    state.missing = request_.pieces[stage];
+    state.began = context_.loop.now();
+    piece_job job;
+    job.attempt = request_.attempt;
+    job.stage = stage;
+    for (int i = 0; i < request_.pieces[stage]; ++i)
+    {
+        job.pieces.push_back(i);
+    }
+    if (rule.after.empty())
+    {
+        job.key = request_.piece_key;
+    }
+    for (const std::size_t each : rule.after)
+    {
+        const std::vector<result_handle> results = results_of(each);
+        job.inputs.insert(job.inputs.end(), results.begin(), results.end());
+    }
+    job.priority = request_.priority;
+    job.aim = request_.aim - expected_after(stage);
+    job.deadline = request_.deadline - expected_after(stage);
+    job.domain = request_.domain;
+    job.result_size = rule.result_size;
+    job.is_first = !any_done_;
+    const std::weak_ptr<stage_pipeline> weak = weak_from_this();
+    broker_sink sink;
+    sink.on_refused = [weak](millis retry_after)
+    {
+        if (const auto self = weak.lock())
+        {
+            self->fail(pipeline_failure::refused, retry_after);
+        }
+    };
+    sink.on_piece = [weak, stage](int piece, const piece_result& result)
+    {
+        if (const auto self = weak.lock())
+        {
+            self->piece_done(stage, piece, result);
+        }
+    };
+    state.ticket = broker_.submit(rule.pool, std::move(job), std::move(sink));
+}
+
+void stage_pipeline::piece_done(std::size_t stage, int piece, const piece_result& result)
+{
+    stage_state& state = stages_[stage];
+    const auto index = static_cast<std::size_t>(piece);
+    if (ended_ || index >= state.results.size() || state.results[index])
+    {
+        return;
+    }
+    if (!result.handle)
+    {
+        if (result.failure == piece_failure::input_gone && restart())
+        {
+            return;
+        }
+        fail(result.failure == piece_failure::late ? pipeline_failure::late
+                                                   : pipeline_failure::failed,
+             retry_after_failure);
+        return;
+    }
+    state.results[index] = result.handle;
+    if (--state.missing == 0)
+    {
+        stage_done(stage);
+    }
+}
+
+void stage_pipeline::stage_done(std::size_t stage)
+{
+    stage_state& state = stages_[stage];
+    state.at = progress::done;
+    any_done_ = true;
+    const millis took = context_.loop.now() - state.began;
+    context_.metrics->observe("medlar_stage_ms",
+                              {{"pool", request_.stages[stage].pool.get()}},
+                              static_cast<double>(took.count()));
+    log_event(entry_stage_ended,
+              {{"attempt", request_.attempt.get()},
+               {"stage", static_cast<std::int64_t>(stage)},
+               {"pool", request_.stages[stage].pool.get()},
+               {"pieces", std::int64_t{request_.pieces[stage]}},
+               {"took_ms", took.count()}});
+    free_read_stages();
+    advance();
+}
+
+void stage_pipeline::free_read_stages()
+{
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        bool is_read = is_followed(i) && stages_[i].at == progress::done;
+        for (std::size_t next = 0; next < stages_.size(); ++next)
+        {
+            const std::vector<std::size_t>& after = request_.stages[next].after;
+            if (std::find(after.begin(), after.end(), i) != after.end())
+            {
+                is_read = is_read && stages_[next].at == progress::done;
+            }
+        }
+        if (is_read)
+        {
+            free_stage(i);
+        }
+    }
+}
+
+void stage_pipeline::free_stage(std::size_t stage)
+{
+    broker_.free(request_.stages[stage].pool, request_.domain, results_of(stage));
+    stages_[stage].results.clear();
+}
+
+std::vector<result_handle> stage_pipeline::results_of(std::size_t stage) const
+{
+    std::vector<result_handle> handles;
+    for (const std::optional<result_handle>& each : stages_[stage].results)
+    {
+        if (each)
+        {
+            handles.push_back(*each);
+        }
+    }
+    return handles;
+}
+
+void stage_pipeline::fail(pipeline_failure why, millis retry_after)
+{
+    if (ended_)
+    {
+        return;
+    }
+    const std::shared_ptr<stage_pipeline> self = shared_from_this();
+    stop();
+    sink_.on_failed(why, retry_after);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/http/body_decoder.cpp
@@ -0,0 +1,154 @@
+#include <medlar/detail/http/body_decoder.hpp>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+// hexadecimal digits of a chunk size that stays far below 2^63
+constexpr std::size_t max_size_digits = 12;
+
+// bytes of a chunk-size line or trailer line, extensions included
+constexpr std::size_t max_line_bytes = 1024;
+
+bool parse_chunk_size(absl::string_view line, std::uint64_t& size)
+{
+    const absl::string_view digits =
+        absl::StripTrailingAsciiWhitespace(line.substr(0, line.find(';')));
+    if (digits.empty() || digits.size() > max_size_digits ||
+        !std::all_of(digits.begin(), digits.end(), absl::ascii_isxdigit))
+    {
+        return false;
+    }
+    size = 0;
+    for (const char digit : digits)
+    {
+        const int value =
+            absl::ascii_isdigit(digit) ? digit - '0' : absl::ascii_tolower(digit) - 'a' + 10;
+        size = size * 16 + static_cast<std::uint64_t>(value);
+    }
+    return true;
+}
+
+} // namespace
+
+body_decoder::body_decoder(body_framing framing) : left_(framing.length)
+{
+    switch (framing.kind)
+    {
+        case body_kind::none:
+            state_ = state::done;
+            break;
+        case body_kind::length:
+            state_ = state::counted;
+            break;
+        case body_kind::chunked:
+            state_ = state::chunk_size;
+            break;
+        case body_kind::until_close:
+            state_ = state::until_close;
+            break;
+    }
+}
+
+std::size_t body_decoder::decode(absl::string_view bytes, std::string& out)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && state_ != state::done && state_ != state::failed)
+    {
+        const absl::string_view rest = bytes.substr(used);
+        const bool in_data = state_ == state::counted || state_ == state::until_close ||
+                             state_ == state::chunk_data;
+        const std::size_t step = in_data ? copy(rest, out) : decode_line(rest);
+        if (step == 0)
+        {
+            break;
+        }
+        used += step;
+    }
+    return used;
+}
+
+std::size_t body_decoder::copy(absl::string_view bytes, std::string& out)
+{
+    if (state_ == state::until_close)
+    {
+        out.append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+    const std::size_t size =
+        static_cast<std::size_t>(std::min<std::uint64_t>(left_, bytes.size()));
+    out.append(bytes.data(), size);
+    left_ -= size;
+    if (left_ == 0)
+    {
+        state_ = state_ == state::counted ? state::done : state::chunk_end;
+    }
+    return size;
+}
+
+std::size_t body_decoder::decode_line(absl::string_view bytes)
+{
+    const std::size_t feed = bytes.find('\n');
+    if (feed == absl::string_view::npos)
+    {
+        if (bytes.size() > max_line_bytes)
+        {
+            state_ = state::failed;
+        }
+        return 0;
+    }
+    if (feed == 0 || bytes[feed - 1] != '\r' || feed > max_line_bytes)
+    {
+        state_ = state::failed;
+        return 0;
+    }
+    const absl::string_view line = bytes.substr(0, feed - 1);
+    if (state_ == state::chunk_size)
+    {
+        if (!parse_chunk_size(line, left_))
+        {
+            state_ = state::failed;
+            return 0;
+        }
+        state_ = left_ == 0 ? state::trailer : state::chunk_data;
+    }
+    else if (state_ == state::chunk_end)
+    {
+        state_ = line.empty() ? state::chunk_size : state::failed;
+    }
+    else if (line.empty())
+    {
+        state_ = state::done;
+    }
+    return feed + 1;
+}
+
+void body_decoder::at_close()
+{
+    if (state_ == state::until_close)
+    {
+        state_ = state::done;
+    }
+    else if (state_ != state::done)
+    {
+        state_ = state::failed;
+    }
+}
+
+void append_chunk(std::string& out, absl::string_view data)
+{
+    if (!data.empty())
+    {
+        absl::StrAppend(&out, absl::Hex(data.size()), "\r\n", data, "\r\n");
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/loop/connection.cpp
@@ -0,0 +1,389 @@
+#include <medlar/detail/loop/connection.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace medlar
+{
+
+namespace
+{
+
+// bytes read from a socket in one turn, so that one busy peer does not hold up the rest
+constexpr int read_size = 16384;
+
+// ms without acknowledgement after which the path counts as broken; the contact time of
+// the smallest deployments is 3 s
+constexpr int user_timeout_ms = 3000;
+
+// seconds of silence before the first keep-alive probe, and between probes
+constexpr int probe_after_s = 2;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 3;
+
+// how long a closed connection waits for the peer to read the last answer
+constexpr millis linger_time{1000};
+
+// consumed input that is worth moving the rest to the front
+constexpr std::size_t compact_size = 65536;
+
+// capacity that an empty buffer may keep
+constexpr std::size_t kept_capacity = 4096;
+
+void set_options(Poco::Net::StreamSocket& socket)
+{
+    socket.setBlocking(false);
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, probe_after_s);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, probe_count);
+}
+
+void release_if_large(std::string& buffer)
+{
+    buffer.clear();
+    if (buffer.capacity() > kept_capacity)
+    {
+        std::string().swap(buffer);
+    }
+}
+
+} // namespace
+
+connection::connection(event_loop& loop,
+                       const Poco::Net::StreamSocket& socket,
+                       state initial)
+    : loop_(loop), socket_(socket), state_(initial)
+{
+}
+
+std::shared_ptr<connection> connection::accepted(event_loop& loop,
+                                                 const Poco::Net::StreamSocket& socket)
+{
+    std::shared_ptr<connection> made(new connection(loop, socket, state::open));
+    try
+    {
+        set_options(made->socket_);
+        loop.watch(made->socket_, made, true, false);
+    }
+    catch (const Poco::Exception&)
+    {
+        // the peer reset it between accept and here: as if it had never come
+        made->state_ = state::ended;
+    }
+    return made;
+}
+
+std::shared_ptr<connection>
+connection::opened(event_loop& loop, const endpoint& where, millis connect_timeout)
+{
+    std::shared_ptr<connection> made(
+        new connection(loop, Poco::Net::StreamSocket(), state::connecting));
+    connection* raw = made.get();
+    try
+    {
+        raw->socket_.connectNB(Poco::Net::SocketAddress(where.address, where.port));
+        set_options(raw->socket_);
+        raw->watching_write_ = true;
+        loop.watch(raw->socket_, made, true, true);
+    }
+    catch (const Poco::Exception&)
+    {
+        connect_timeout = millis(0);
+    }
+    const std::weak_ptr<connection> weak = made;
+    raw->timer_ = loop.after(connect_timeout,
+                             [weak]
+                             {
+                                 const std::shared_ptr<connection> self = weak.lock();
+                                 if (self && self->state_ == state::connecting)
+                                 {
+                                     self->end(connection_end::connect_failed);
+                                 }
+                             });
+    return made;
+}
+
+connection::~connection()
+{
+    loop_.cancel(timer_);
+}
+
+void connection::consume(std::size_t size)
+{
+    consumed_ += size;
+    if (consumed_ == input_.size())
+    {
+        release_if_large(input_);
+        consumed_ = 0;
+    }
+    else if (consumed_ > compact_size)
+    {
+        input_.erase(0, consumed_);
+        consumed_ = 0;
+    }
+}
+
+void connection::send(absl::string_view bytes)
+{
+    if (state_ == state::ended || state_ == state::lingering || closing_)
+    {
+        return;
+    }
+    output_.append(bytes.data(), bytes.size());
+    if (state_ == state::open && !watching_write_)
+    {
+        flush();
+    }
+}
+
+void connection::flush()
+{
+    const std::shared_ptr<connection> self = shared_from_this();
+    try
+    {
+        while (sent_ < output_.size())
+        {
+            const int sent = socket_.sendBytes(output_.data() + sent_,
+                                               static_cast<int>(output_.size() - sent_),
+                                               MSG_NOSIGNAL);
+            if (sent <= 0)
+            {
+                break;
+            }
+            has_sent_ = true;
+            sent_ += static_cast<std::size_t>(sent);
+        }
+    }
+    catch (const Poco::Exception&)
+    {
+        // what the peer sent before it reset may still be readable
+        loop_.after(millis(0),
+                    [self]
+                    {
+                        self->read_input();
+                        self->end(connection_end::reset);
+                    });
+        release_if_large(output_);
+        sent_ = 0;
+        return;
+    }
+    const bool drained = sent_ == output_.size();
+    if (drained)
+    {
+        release_if_large(output_);
+        sent_ = 0;
+    }
+    const bool was_blocked = watching_write_;
+    if (watching_write_ != !drained)
+    {
+        watching_write_ = !drained;
+        update_watch();
+    }
+    if (drained && closing_)
+    {
+        close_after_output();
+    }
+    else if (drained && was_blocked && events_ != nullptr)
+    {
+        events_->on_drained();
+    }
+}
+
+void connection::update_watch()
+{
+    if (state_ != state::ended)
+    {
+        loop_.change(socket_, watching_read_, watching_write_);
+    }
+}
+
+void connection::pause_input(bool paused)
+{
+    if (watching_read_ == paused && state_ != state::ended)
+    {
+        watching_read_ = !paused;
+        update_watch();
+    }
+}
+
+void connection::close_after_output()
+{
+    if (state_ == state::connecting)
+    {
+        close();
+        return;
+    }
+    if (state_ != state::open)
+    {
+        return;
+    }
+    events_ = nullptr;
+    closing_ = true;
+    if (unsent() > 0)
+    {
+        return;
+    }
+    state_ = state::lingering;
+    try
+    {
+        socket_.shutdownSend();
+    }
+    catch (const Poco::Exception&)
+    {
+        close();
+        return;
+    }
+    consumed_ = input_.size();
+    consume(0);
+    pause_input(false);
+    const std::shared_ptr<connection> self = shared_from_this();
+    timer_ = loop_.after(linger_time,
+                         [self]
+                         {
+                             self->close();
+                         });
+}
+
+void connection::close()
+{
+    if (state_ == state::ended)
+    {
+        return;
+    }
+    const std::shared_ptr<connection> self = shared_from_this();
+    state_ = state::ended;
+    events_ = nullptr;
+    loop_.cancel(timer_);
+    loop_.forget(socket_);
+    try
+    {
+        socket_.close();
+    }
+    catch (const Poco::Exception&)
+    {
+        // the descriptor is released in any case
+    }
+}
+
+void connection::end(connection_end how)
+{
+    if (state_ == state::ended)
+    {
+        return;
+    }
+    const std::shared_ptr<connection> self = shared_from_this();
+    connection_events* const events = events_;
+    close();
+    if (events != nullptr)
+    {
+        events->on_end(how);
+    }
+}
+
+std::string connection::peer_address() const
+{
+    try
+    {
+        return socket_.peerAddress().host().toString();
+    }
+    catch (const Poco::Exception&)
+    {
+        return {};
+    }
+}
+
+void connection::finish_connect()
+{
+    int error = 0;
+    try
+    {
+        socket_.getOption(SOL_SOCKET, SO_ERROR, error);
+    }
+    catch (const Poco::Exception&)
+    {
+        error = EIO;
+    }
+    if (error != 0)
+    {
+        end(connection_end::connect_failed);
+        return;
+    }
+    loop_.cancel(timer_);
+    state_ = state::open;
+    if (events_ != nullptr)
+    {
+        events_->on_connected();
+    }
+    if (state_ == state::open)
+    {
+        flush();
+    }
+}
+
+void connection::read_input()
+{
+    if (state_ == state::ended)
+    {
+        return;
+    }
+    std::array<char, read_size> buffer;
+    int received = -1;
+    try
+    {
+        received = socket_.receiveBytes(buffer.data(), read_size);
+    }
+    catch (const Poco::TimeoutException&)
+    {
+        return;
+    }
+    catch (const Poco::Exception&)
+    {
+        end(connection_end::reset);
+        return;
+    }
+    if (received == 0)
+    {
+        end(connection_end::closed);
+        return;
+    }
+    if (received < 0 || state_ == state::lingering)
+    {
+        return;
+    }
+    input_.append(buffer.data(), static_cast<std::size_t>(received));
+    if (events_ != nullptr)
+    {
+        events_->on_input();
+    }
+}
+
+void connection::on_ready(readiness what)
+{
+    if (state_ == state::connecting)
+    {
+        if (what.writable || what.failed)
+        {
+            finish_connect();
+        }
+        return;
+    }
+    if (what.writable && watching_write_)
+    {
+        flush();
+    }
+    // a paused connection that is ready to read was hung up
+    if (state_ != state::ended && (what.readable || what.failed))
+    {
+        read_input();
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/loop/http_client.cpp
@@ -0,0 +1,190 @@
+#include <medlar/detail/loop/http_client.hpp>
+#include <medlar/detail/loop/pooled_connection.hpp>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+// how often idle connections are looked through
+constexpr millis sweep_interval{1000};
+
+void remove_from(std::vector<std::shared_ptr<pooled_connection>>& list,
+                 const std::shared_ptr<pooled_connection>& which)
+{
+    list.erase(std::remove(list.begin(), list.end(), which), list.end());
+}
+
+} // namespace
+
+absl::string_view to_string(call_end how)
+{
+    switch (how)
+    {
+        case call_end::complete:
+            return "complete";
+        case call_end::not_sent:
+            return "not_sent";
+        case call_end::no_answer:
+            return "no_answer";
+        case call_end::broken_off:
+            return "broken_off";
+        case call_end::malformed:
+            return "malformed";
+    }
+    return "unknown";
+}
+
+void client_call::cancel()
+{
+    if (connection_ == nullptr)
+    {
+        return;
+    }
+    const std::shared_ptr<pooled_connection> held = connection_->shared_from_this();
+    connection_ = nullptr;
+    held->drop_call();
+}
+
+void client_call::pause(bool paused)
+{
+    if (connection_ != nullptr)
+    {
+        connection_->stream_->pause_input(paused);
+    }
+}
+
+bool client_call::has_sent() const
+{
+    return connection_ != nullptr &&
+           (connection_->sent_before_ || connection_->stream_->has_sent());
+}
+
+http_client::http_client(event_loop& loop, std::size_t max_head_bytes)
+    : loop_(loop), max_head_bytes_(max_head_bytes)
+{
+    sweep_timer_ = loop_.after(sweep_interval,
+                               [this]
+                               {
+                                   sweep();
+                               });
+}
+
+http_client::~http_client()
+{
+    loop_.cancel(sweep_timer_);
+    for (auto& each : pools_)
+    {
+        for (const auto& idle : each.second.idle)
+        {
+            idle->close();
+        }
+        for (const auto& busy : each.second.busy)
+        {
+            busy->close();
+        }
+    }
+}
+
+std::shared_ptr<client_call> http_client::start(const endpoint& where,
+                                                std::string request,
+                                                const call_options& options,
+                                                call_events events)
+{
+    auto call = std::make_shared<client_call>();
+    call->events_ = std::move(events);
+    call->options_ = options;
+    pool& to = pools_[where];
+    std::shared_ptr<pooled_connection> chosen;
+    // the most recently used first: the others may expire
+    for (auto each = to.idle.rbegin(); each != to.idle.rend() && !chosen; ++each)
+    {
+        if ((*each)->is_usable(loop_.now(), options.max_idle))
+        {
+            chosen = *each;
+        }
+    }
+    if (chosen)
+    {
+        remove_from(to.idle, chosen);
+    }
+    else
+    {
+        chosen = std::make_shared<pooled_connection>(*this, where);
+        chosen->open(options.connect_timeout);
+        ++opened_;
+    }
+    to.busy.push_back(chosen);
+    chosen->carry(call, request);
+    return call;
+}
+
+std::size_t http_client::busy_connections(const endpoint& where) const
+{
+    const auto found = pools_.find(where);
+    return found == pools_.end() ? 0 : found->second.busy.size();
+}
+
+void http_client::drop_idle(const endpoint& where)
+{
+    const auto found = pools_.find(where);
+    if (found == pools_.end())
+    {
+        return;
+    }
+    for (const auto& each : found->second.idle)
+    {
+        each->close();
+    }
+    found->second.idle.clear();
+}
+
+void http_client::release(const std::shared_ptr<pooled_connection>& which, bool reusable)
+{
+    pool& of = pools_[which->where()];
+    remove_from(of.busy, which);
+    remove_from(of.idle, which);
+    if (reusable)
+    {
+        of.idle.push_back(which);
+    }
+    else
+    {
+        which->close();
+    }
+}
+
+void http_client::sweep()
+{
+    for (auto each = pools_.begin(); each != pools_.end();)
+    {
+        std::vector<std::shared_ptr<pooled_connection>>& idle = each->second.idle;
+        for (const auto& one : idle)
+        {
+            if (!one->is_usable(loop_.now(), millis(INT64_MAX)))
+            {
+                one->close();
+            }
+        }
+        idle.erase(std::remove_if(idle.begin(),
+                                  idle.end(),
+                                  [this](const std::shared_ptr<pooled_connection>& one)
+                                  {
+                                      return !one->is_usable(loop_.now(),
+                                                             millis(INT64_MAX));
+                                  }),
+                   idle.end());
+        const bool empty = idle.empty() && each->second.busy.empty();
+        each = empty ? pools_.erase(each) : std::next(each);
+    }
+    sweep_timer_ = loop_.after(sweep_interval,
+                               [this]
+                               {
+                                   sweep();
+                               });
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/loop/http_server.cpp
@@ -0,0 +1,88 @@
+#include <medlar/detail/loop/caller_connection.hpp>
+#include <medlar/detail/loop/http_server.hpp>
+
+#include <vector>
+
+namespace medlar
+{
+
+http_server::http_server(event_loop& loop,
+                         const server_limits& limits,
+                         request_action on_request)
+    : loop_(loop), limits_(limits), on_request_(std::move(on_request))
+{
+}
+
+absl::StatusOr<std::unique_ptr<http_server>>
+http_server::listen(event_loop& loop,
+                    const endpoint& where,
+                    const server_limits& limits,
+                    request_action on_request)
+{
+    std::unique_ptr<http_server> made(
+        new http_server(loop, limits, std::move(on_request)));
+    http_server* const server = made.get();
+    absl::StatusOr<std::shared_ptr<listener>> opened = listener::open(
+        loop,
+        where,
+        [server](const std::shared_ptr<connection>& stream)
+        {
+            auto caller = std::make_shared<caller_connection>(*server, stream);
+            server->connections_.insert(caller);
+            caller->start();
+        },
+        [server](const std::string& why)
+        {
+            if (server->on_rejected_)
+            {
+                server->on_rejected_(0, "accept: " + why);
+            }
+        });
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    made->listener_ = *std::move(opened);
+    return made;
+}
+
+http_server::~http_server()
+{
+    if (listener_)
+    {
+        listener_->close();
+    }
+    const std::vector<std::shared_ptr<caller_connection>> open(connections_.begin(),
+                                                               connections_.end());
+    for (const std::shared_ptr<caller_connection>& each : open)
+    {
+        each->close();
+    }
+}
+
+void http_server::close_idle()
+{
+    const std::vector<std::shared_ptr<caller_connection>> open(connections_.begin(),
+                                                               connections_.end());
+    for (const std::shared_ptr<caller_connection>& each : open)
+    {
+        each->close_if_idle();
+    }
+}
+
+std::size_t http_server::open_exchanges() const
+{
+    std::size_t count = 0;
+    for (const std::shared_ptr<caller_connection>& each : connections_)
+    {
+        count += each->has_exchange() ? 1 : 0;
+    }
+    return count;
+}
+
+void http_server::forget(const std::shared_ptr<caller_connection>& which)
+{
+    connections_.erase(which);
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/loop/listener.cpp
@@ -0,0 +1,81 @@
+#include <medlar/detail/base/error.hpp>
+#include <medlar/detail/loop/listener.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace medlar
+{
+
+namespace
+{
+
+// connections that may wait to be accepted; a burst of callers comes within one turn
+constexpr int accept_backlog = 1024;
+
+} // namespace
+
+listener::listener(event_loop& loop, accept_action on_accept, error_action on_error)
+    : loop_(loop), on_accept_(std::move(on_accept)), on_error_(std::move(on_error))
+{
+}
+
+absl::StatusOr<std::shared_ptr<listener>> listener::open(event_loop& loop,
+                                                         const endpoint& where,
+                                                         accept_action on_accept,
+                                                         error_action on_error)
+{
+    std::shared_ptr<listener> made(
+        new listener(loop, std::move(on_accept), std::move(on_error)));
+    try
+    {
+        made->socket_ = Poco::Net::ServerSocket(
+            Poco::Net::SocketAddress(where.address, where.port), accept_backlog);
+        made->socket_.setBlocking(false);
+        made->open_ = true;
+        loop.watch(made->socket_, made, true, false);
+    }
+    catch (const Poco::Exception& error)
+    {
+        return make_error(
+            absl::StatusCode::kUnavailable,
+            error_number::bad_setting,
+            absl::StrCat("cannot listen at ", to_string(where), ": ", error.displayText()));
+    }
+    return made;
+}
+
+void listener::close()
+{
+    if (open_)
+    {
+        open_ = false;
+        loop_.forget(socket_);
+        socket_.close();
+    }
+}
+
+void listener::on_ready(readiness)
+{
+    if (!open_)
+    {
+        return;
+    }
+    try
+    {
+        const std::shared_ptr<connection> stream =
+            connection::accepted(loop_, socket_.acceptConnection());
+        if (stream->is_open())
+        {
+            on_accept_(stream);
+        }
+    }
+    catch (const Poco::Exception& error)
+    {
+        on_error_(error.displayText());
+    }
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/loop/pooled_connection.cpp
@@ -0,0 +1,243 @@
+#include <medlar/detail/http/head_parser.hpp>
+#include <medlar/detail/loop/pooled_connection.hpp>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+namespace medlar
+{
+
+namespace
+{
+
+// used where the other side does not say how long it keeps idle connections
+constexpr millis default_keep_alive{4000};
+
+// the other side's idle time, in tenths, that this side uses, so that a request does not
+// cross the other side's close
+constexpr int used_tenths = 7;
+
+std::optional<millis> keep_alive_of(const header_list& headers)
+{
+    for (absl::string_view part : absl::StrSplit(headers.get("keep-alive"), ','))
+    {
+        part = absl::StripAsciiWhitespace(part);
+        std::int64_t seconds = 0;
+        if (absl::ConsumePrefix(&part, "timeout=") && absl::SimpleAtoi(part, &seconds) &&
+            seconds >= 0)
+        {
+            return millis(seconds * 1000);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+pooled_connection::pooled_connection(http_client& client, endpoint where)
+    : client_(client), where_(std::move(where)), keep_alive_(default_keep_alive)
+{
+}
+
+void pooled_connection::open(millis connect_timeout)
+{
+    stream_ = connection::opened(client_.loop_, where_, connect_timeout);
+    stream_->set_events(this);
+}
+
+void pooled_connection::carry(const std::shared_ptr<client_call>& call,
+                              const std::string& request)
+{
+    call_ = call;
+    call_->connection_ = this;
+    head_.reset();
+    skipping_ = false;
+    sent_before_ = stream_->is_established();
+    stream_->send(request);
+}
+
+void pooled_connection::drop_call()
+{
+    call_ = nullptr;
+    client_.release(shared_from_this(), false);
+}
+
+void pooled_connection::close()
+{
+    if (call_)
+    {
+        call_->connection_ = nullptr;
+        call_ = nullptr;
+    }
+    stream_->close();
+}
+
+bool pooled_connection::is_usable(steady_time now, millis max_idle) const
+{
+    return stream_->is_established() && now < expires_ && now - idle_since_ <= max_idle;
+}
+
+void pooled_connection::on_input()
+{
+    const std::shared_ptr<pooled_connection> self = shared_from_this();
+    if (!call_)
+    {
+        // bytes that belong to no request
+        client_.release(self, false);
+        return;
+    }
+    while (call_ && (head_ || parse_head()))
+    {
+        parse_body();
+        if (call_ && (head_ || stream_->input().empty()))
+        {
+            return;
+        }
+    }
+}
+
+bool pooled_connection::parse_head()
+{
+    head_result<answer_head> result = parse_answer_head(
+        stream_->input(), client_.max_head_bytes_, call_->options_.to_head);
+    if (std::holds_alternative<head_error>(result))
+    {
+        fail(call_end::malformed);
+        return false;
+    }
+    auto* parsed = std::get_if<parsed_head<answer_head>>(&result);
+    if (parsed == nullptr)
+    {
+        return false;
+    }
+    // the call may be cancelled by what it is told
+    const std::shared_ptr<client_call> call = call_;
+    stream_->consume(parsed->consumed);
+    head_ = std::move(parsed->head);
+    decoder_ = body_decoder(head_->framing);
+    const bool informational = head_->status < 200;
+    skipping_ =
+        informational || (call->events_.belongs && !call->events_.belongs(*head_));
+    if (skipping_ && head_->framing.kind == body_kind::until_close)
+    {
+        fail(call_end::malformed);
+        return false;
+    }
+    if (!skipping_)
+    {
+        note_keep_alive();
+        if (call->events_.on_head)
+        {
+            call->events_.on_head(*head_);
+        }
+    }
+    return call_ != nullptr;
+}
+
+void pooled_connection::note_keep_alive()
+{
+    if (const std::optional<millis> stated = keep_alive_of(head_->headers))
+    {
+        keep_alive_ = *stated;
+    }
+}
+
+void pooled_connection::parse_body()
+{
+    const std::shared_ptr<client_call> call = call_;
+    decoded_.clear();
+    stream_->consume(decoder_.decode(stream_->input(), decoded_));
+    if (!skipping_ && !decoded_.empty() && call->events_.on_data)
+    {
+        call->events_.on_data(decoded_);
+        if (!call_)
+        {
+            return;
+        }
+    }
+    if (decoder_.failed())
+    {
+        fail(call_end::broken_off);
+    }
+    else if (decoder_.done())
+    {
+        if (skipping_)
+        {
+            head_.reset();
+        }
+        else
+        {
+            complete();
+        }
+    }
+}
+
+void pooled_connection::complete()
+{
+    const std::shared_ptr<client_call> call = std::move(call_);
+    call_ = nullptr;
+    call->connection_ = nullptr;
+    // an early answer leaves a part of the request unsent; extra bytes belong to nobody
+    const bool reusable = head_->keeps_connection() && stream_->unsent() == 0 &&
+                          stream_->input().empty() && stream_->is_open();
+    idle_since_ = client_.loop_.now();
+    expires_ = idle_since_ + keep_alive_ * used_tenths / 10;
+    head_.reset();
+    client_.release(shared_from_this(), reusable);
+    if (call->events_.on_end)
+    {
+        call->events_.on_end(call_end::complete);
+    }
+}
+
+void pooled_connection::fail(call_end how)
+{
+    const std::shared_ptr<client_call> call = std::move(call_);
+    call_ = nullptr;
+    client_.release(shared_from_this(), false);
+    if (call)
+    {
+        call->connection_ = nullptr;
+        if (call->events_.on_end)
+        {
+            call->events_.on_end(how);
+        }
+    }
+}
+
+void pooled_connection::on_end(connection_end how)
+{
+    const std::shared_ptr<pooled_connection> self = shared_from_this();
+    if (!call_)
+    {
+        client_.release(self, false);
+        return;
+    }
+    if (how == connection_end::connect_failed)
+    {
+        fail(call_end::not_sent);
+        return;
+    }
+    if (!head_ || skipping_)
+    {
+        fail(stream_->has_sent() || sent_before_ ? call_end::no_answer
+                                                 : call_end::not_sent);
+        return;
+    }
+    if (how == connection_end::closed)
+    {
+        decoder_.at_close();
+    }
+    if (decoder_.done())
+    {
+        complete();
+    }
+    else
+    {
+        fail(call_end::broken_off);
+    }
+}
+
+} // namespace medlar
