Keep the pieces of one job in one call

Cause: with room for 13 large results a target started its next call with 5 pieces, and a job that was split between two calls held the results of its first part for the whole second call. Change: a job that fits into a call is taken whole or left for the next.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -193,6 +193,10 @@
                std::size_t ahead,
                steady_time now) const;
     bool has_target_in(const failure_domain_id& domain, steady_time now) const;
+    /// pieces of a job that go into a call with so many places and so much room left
+    std::size_t pieces_to_take(const job_state& job,
+                               std::size_t places,
+                               std::int64_t room) const;
     std::optional<piece_call> fill(target_load& target,
                                    const std::vector<job_id>& ordered,
                                    steady_time now);
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -174,12 +174,28 @@
     return crowded || (spare > millis(0) && spare < full_call() * 2);
 }
 
+std::size_t piece_queue::pieces_to_take(const job_state& job,
+                                        std::size_t places,
+                                        std::int64_t room) const
+{
+    const auto batch = static_cast<std::size_t>(std::max(1, rule_.batch));
+    const std::int64_t size = std::max<std::int64_t>(1, job.job.result_size.get());
+    const auto fitting = static_cast<std::size_t>(std::max<std::int64_t>(0, room / size));
+    const std::size_t taken = std::min({job.waiting.size(), places, fitting});
+    // results of a part would take room until the rest is made
+    const bool is_part = taken < job.waiting.size();
+    return is_part && taken < batch && job.waiting.size() <= batch ? 0 : taken;
+}
+
 std::optional<piece_call> piece_queue::fill(target_load& target,
                                             const std::vector<job_id>& ordered,
                                             steady_time now)
 {
-    const auto room = static_cast<std::int64_t>(
-        used_room * static_cast<double>(rule_.room.get()));
+    const auto batch = static_cast<std::size_t>(std::max(1, rule_.batch));
+    const std::int64_t room =
+        rule_.room.get() == 0 ? INT64_MAX / 2
+                              : static_cast<std::int64_t>(
+                                    used_room * static_cast<double>(rule_.room.get()));
     piece_call call;
     call_state state;
     std::map<failure_domain_id, std::size_t> ahead;
@@ -190,14 +206,14 @@
         std::size_t& ahead_in_domain = ahead[job.job.domain];
         const bool suitable = suits(job, target, ahead_in_domain, now);
         ahead_in_domain += size < large_result_bytes ? 0 : job.waiting.size();
-        while (suitable && !job.waiting.empty() &&
-               call.items.size() < static_cast<std::size_t>(std::max(1, rule_.batch)))
+        if (!suitable)
+        {
+            continue;
+        }
+        const std::size_t count = pieces_to_take(
+            job, batch - call.items.size(), room - target.bytes - state.bytes);
+        for (std::size_t i = 0; i < count; ++i)
         {
-            if (rule_.room.get() > 0 && target.bytes + state.bytes + size > room &&
-                target.bytes + state.bytes > 0)
-            {
-                break;
-            }
             piece_item item;
             item.attempt = job.job.attempt;
             item.stage = job.job.stage;
@@ -218,8 +234,8 @@
     }
     call.id = piece_call_id(++last_id_);
     call.target = target.target;
-    call.overdue_after = millis(
-        to_ms(call_ms(call.items.size()) * overdue_factor + overdue_slack_ms));
+    call.overdue_after =
+        millis(to_ms(call_ms(call.items.size()) * overdue_factor + overdue_slack_ms));
     state.target = target.target.id;
     state.sent = now;
     ++target.calls;
@@ -267,9 +283,8 @@
     return std::nullopt;
 }
 
-std::vector<finished_piece> piece_queue::answered(piece_call_id call,
-                                                  const std::vector<piece_result>& results,
-                                                  steady_time now)
+std::vector<finished_piece> piece_queue::answered(
+    piece_call_id call, const std::vector<piece_result>& results, steady_time now)
 {
     std::vector<finished_piece> finished;
     const auto found = calls_.find(call);
