--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -7,5 +7,10 @@
 directory="${1:-build}"
 sanitizer="${2:-}"
 jobs="${MEDLAR_BUILD_JOBS:-$(nproc)}"
-cmake -G Ninja -S . -B "$directory" -DMEDLAR_SANITIZE="$sanitizer" >/dev/null
+options=(-DMEDLAR_SANITIZE="$sanitizer")
+if [ -n "$sanitizer" ]; then
+    # sanitizers need line numbers only, and are slow to build and to run without -O1
+    options+=(-DCMAKE_BUILD_TYPE=Debug "-DCMAKE_CXX_FLAGS_DEBUG=-O1 -g1")
+fi
+cmake -G Ninja -S . -B "$directory" "${options[@]}" >/dev/null
 cmake --build "$directory" -j "$jobs" ${MEDLAR_BUILD_TARGETS:+--target $MEDLAR_BUILD_TARGETS}
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -60,13 +60,14 @@
 {
 }
 
-std::shared_ptr<request_run> request_run::create(entry_context& context,
-                                                 piece_broker& broker,
-                                                 std::shared_ptr<caller_exchange> exchange,
-                                                 request_fields fields,
-                                                 configuration_ptr configuration,
-                                                 const route& on,
-                                                 std::optional<organisation_rule> of)
+std::shared_ptr<request_run>
+request_run::create(entry_context& context,
+                    piece_broker& broker,
+                    std::shared_ptr<caller_exchange> exchange,
+                    request_fields fields,
+                    configuration_ptr configuration,
+                    const route& on,
+                    std::optional<organisation_rule> of)
 {
     return std::shared_ptr<request_run>(new request_run(context,
                                                         broker,
@@ -172,7 +173,8 @@
     request.deadline = deadline_ - context_.expected_first_event(pool_);
     request.aim =
         exchange_->arrived() + route_.aim - context_.expected_first_event(pool_);
-    request.domain = planned == nullptr ? context_.settings.domain : planned->record.domain;
+    request.domain =
+        planned == nullptr ? context_.settings.domain : planned->record.domain;
     pipeline_sink sink;
     sink.on_done = [this](const std::vector<result_handle>& inputs)
     {
@@ -182,8 +184,8 @@
     {
         stages_failed(why, retry_after);
     };
-    pipeline_ = stage_pipeline::create(
-        context_, broker_, std::move(request), std::move(sink));
+    pipeline_ =
+        stage_pipeline::create(context_, broker_, std::move(request), std::move(sink));
     pipeline_->start();
 }
 
@@ -327,8 +329,8 @@
         return;
     }
     may_have_run_ = true;
-    const bool unusable = is_success(head.status) && (!answer.has_signature ||
-                                                      answer.is_encoded);
+    const bool unusable =
+        is_success(head.status) && (!answer.has_signature || answer.is_encoded);
     const bool failed = head.status >= 500;
     if (unusable || (failed && route_.may_repeat()))
     {
@@ -338,9 +340,9 @@
                    {"target", target_.get()},
                    {"status", std::int64_t{head.status}},
                    {"signed", std::int64_t{answer.has_signature}}});
-        if (unusable || (sends_ < route_.max_attempts &&
-                         context_.budget_of(pool_).may_repeat(context_.loop.now(),
-                                                              context_.hosts)))
+        if (unusable ||
+            (sends_ < route_.max_attempts &&
+             context_.budget_of(pool_).may_repeat(context_.loop.now(), context_.hosts)))
         {
             call_->cancel();
             forget_call();
@@ -400,11 +402,7 @@
 
 void request_run::after_failure(absl::string_view why)
 {
-    if (exchange_->has_begun())
-    {
-        cut(why);
-    }
-    else if (may_have_run_)
+    if (may_have_run_)
     {
         fail(status_bad_gateway, why);
     }
@@ -525,8 +523,7 @@
     }
     const std::string target = target_.get();
     const bool has_answer = head_.has_value();
-    const bool whole =
-        how == call_end::complete && has_answer && events_.rest().empty();
+    const bool whole = how == call_end::complete && has_answer && events_.rest().empty();
     if (whole)
     {
         context_.note_target_call(
@@ -590,6 +587,11 @@
 
 void request_run::refuse(millis retry_after, absl::string_view why)
 {
+    if (exchange_->has_begun())
+    {
+        cut(why);
+        return;
+    }
     // callers honour at most a third of the time that they have left; a quarter more or
     // less keeps those that are refused together from coming back together
     const millis most = left() / 3;
@@ -609,6 +611,11 @@
 
 void request_run::fail(int status, absl::string_view why)
 {
+    if (exchange_->has_begun())
+    {
+        cut(why);
+        return;
+    }
     header_list headers;
     headers.add("Content-Type", "text/plain");
     context_.protocol.add_attempt(headers, fields_.attempt);
@@ -624,18 +631,13 @@
 
 void request_run::on_timeout()
 {
-    const bool never_sent =
-        !may_have_run_ && (call_ == nullptr || !call_->has_sent());
+    const bool never_sent = !may_have_run_ && (call_ == nullptr || !call_->has_sent());
     if (call_)
     {
         call_->cancel();
         forget_call();
     }
-    if (exchange_->has_begun())
-    {
-        cut("time is over");
-    }
-    else if (never_sent)
+    if (never_sent)
     {
         refuse(retry_after_no_target, "time is over before a target could run it");
     }
@@ -682,15 +684,11 @@
                {"took_ms", took.count()},
                {"aim_ms", route_.aim.count()}});
     context_.metrics->add("medlar_requests_total", {{"status", absl::StrCat(status)}});
-    context_.metrics->observe(
-        "medlar_request_ms", {}, static_cast<double>(took.count()));
+    context_.metrics->observe("medlar_request_ms", {}, static_cast<double>(took.count()));
     exchange_->when_left(nullptr);
     exchange_->when_drained(nullptr);
     // the run ends after the event that ended it
-    context_.loop.after(millis(0),
-                        [self = std::move(self_)]
-                        {
-                        });
+    context_.loop.after(millis(0), [self = std::move(self_)] {});
 }
 
 } // namespace medlar
--- /dev/null
+++ b/test/runtime/entry/forwarding_test.cpp
@@ -0,0 +1,297 @@
+#include "support/entry/entry_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+using namespace medlar::test;
+
+using exchange_ptr = std::shared_ptr<caller_exchange>;
+
+/// an entry host with one plain target
+class forwarding_fixture : public entry_fixture
+{
+  public:
+    void open(const std::string& kind, const stand_in_target::behaviour& behaviour)
+    {
+        targets.push_back(
+            std::make_unique<stand_in_target>(loop, "i-1", "plain", behaviour));
+        publish(kind);
+    }
+
+    /// several targets with the same behaviour
+    void open_two(const std::string& kind, const stand_in_target::behaviour& behaviour)
+    {
+        for (const char* id : {"i-1", "i-2"})
+        {
+            targets.push_back(
+                std::make_unique<stand_in_target>(loop, id, "plain", behaviour));
+        }
+        publish(kind);
+    }
+
+    void publish(const std::string& kind)
+    {
+        for (const auto& each : targets)
+        {
+            store.put(each->key(), each->entry());
+        }
+        store.put("op/config", configuration_json(3, {route_json("/a/", kind, "plain")}));
+        host = start(settings_);
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return is_ready(settings_);
+            }));
+    }
+
+    got_answer ask(const std::string& request)
+    {
+        return send(settings_.callers, request);
+    }
+
+    std::size_t runs() const
+    {
+        std::size_t count = 0;
+        for (const auto& each : targets)
+        {
+            count += each->requests.size();
+        }
+        return count;
+    }
+
+    entry_settings settings_ = settings("host-1");
+    std::vector<std::unique_ptr<stand_in_target>> targets;
+    std::unique_ptr<entry_host> host;
+};
+
+void answer_signed(const exchange_ptr& exchange)
+{
+    exchange->answer(200, signed_headers(*exchange), "hello");
+}
+
+class a_request_on_its_way : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_request_on_its_way);
+    CPPUNIT_TEST(reaches_a_target_unchanged_and_brings_back_its_answer);
+    CPPUNIT_TEST(carries_the_organisation_and_never_the_key);
+    CPPUNIT_TEST(is_refused_with_401_and_404_where_they_are_true);
+    CPPUNIT_TEST(is_never_sent_twice_if_it_may_not_be);
+    CPPUNIT_TEST(goes_to_another_target_if_it_may_be_repeated);
+    CPPUNIT_TEST(goes_to_another_target_if_it_did_not_run);
+    CPPUNIT_TEST(is_refused_truly_when_all_targets_are_full);
+    CPPUNIT_TEST(brings_no_answer_without_a_signature);
+    CPPUNIT_TEST(drops_an_answer_that_belongs_to_another_request);
+    CPPUNIT_TEST(ends_at_the_timeout_of_its_route);
+    CPPUNIT_TEST(is_dropped_at_the_target_when_its_caller_leaves);
+    CPPUNIT_TEST(does_not_look_complete_when_the_target_breaks_off);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void reaches_a_target_unchanged_and_brings_back_its_answer()
+    {
+        forwarding_fixture it;
+        it.open("non_idempotent", answer_signed);
+        const got_answer got = it.ask(request_text(
+            "PUT", "/a/x?y=1", "id-1", "the body", "X-Other: kept\r\nHold: no\r\n"));
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), got.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("s.1"),
+                             std::string(got.headers.get("Response-Signature")));
+        const request_head& head = it.targets[0]->requests.at(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("PUT"), head.method);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/x?y=1"), head.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("the body"), it.targets[0]->bodies.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"),
+                             std::string(head.headers.get("X-Other")));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                             std::string(head.headers.get("Expect-Instance")));
+        CPPUNIT_ASSERT(head.headers.find("Hold") == nullptr);
+        CPPUNIT_ASSERT(std::stoi(std::string(head.headers.get("Deadline-Ms"))) <= 1500);
+    }
+
+    void carries_the_organisation_and_never_the_key()
+    {
+        forwarding_fixture it;
+        it.open("idempotent", answer_signed);
+        it.ask(request_text("GET", "/a/x", "id-1", "", "Tenant: somebody\r\n"));
+        const header_list& headers = it.targets[0]->requests.at(0).headers;
+        CPPUNIT_ASSERT_EQUAL(std::string("org-1"), std::string(headers.get("Tenant")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, headers.count("Tenant"));
+        CPPUNIT_ASSERT(headers.find("Authorization") == nullptr);
+    }
+
+    void is_refused_with_401_and_404_where_they_are_true()
+    {
+        forwarding_fixture it;
+        it.open("idempotent", answer_signed);
+        CPPUNIT_ASSERT_EQUAL(404, it.ask(request_text("GET", "/b/", "id-1")).status);
+        std::string stranger = request_text("GET", "/a/", "id-2");
+        stranger.replace(stranger.find("key-1"), 5, "key-2");
+        CPPUNIT_ASSERT_EQUAL(401, it.ask(stranger).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.runs());
+    }
+
+    void is_never_sent_twice_if_it_may_not_be()
+    {
+        forwarding_fixture it;
+        it.open_two("non_idempotent",
+                    [](const exchange_ptr& exchange)
+                    {
+                        exchange->abort();
+                    });
+        const got_answer got = it.ask(request_text("POST", "/a/x", "id-1", "b"));
+        CPPUNIT_ASSERT_EQUAL(502, got.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.runs());
+    }
+
+    void goes_to_another_target_if_it_may_be_repeated()
+    {
+        forwarding_fixture it;
+        int calls = 0;
+        it.open_two("idempotent",
+                    [&calls](const exchange_ptr& exchange)
+                    {
+                        if (++calls == 1)
+                        {
+                            exchange->answer(500, signed_headers(*exchange), "bad");
+                            return;
+                        }
+                        answer_signed(exchange);
+                    });
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(request_text("GET", "/a/x", "id-1")).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.targets[0]->requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.targets[1]->requests.size());
+    }
+
+    void goes_to_another_target_if_it_did_not_run()
+    {
+        forwarding_fixture it;
+        int calls = 0;
+        it.open_two("non_idempotent",
+                    [&calls](const exchange_ptr& exchange)
+                    {
+                        if (++calls == 1)
+                        {
+                            header_list headers;
+                            headers.add("Not-Executed", "1");
+                            exchange->answer(503, headers, "");
+                            return;
+                        }
+                        answer_signed(exchange);
+                    });
+        CPPUNIT_ASSERT_EQUAL(200,
+                             it.ask(request_text("POST", "/a/x", "id-1", "b")).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.runs());
+    }
+
+    void is_refused_truly_when_all_targets_are_full()
+    {
+        forwarding_fixture it;
+        it.open_two("non_idempotent",
+                    [](const exchange_ptr& exchange)
+                    {
+                        header_list headers;
+                        headers.add("Not-Executed", "1");
+                        exchange->answer(503, headers, "");
+                    });
+        const got_answer got = it.ask(request_text("POST", "/a/x", "id-1", "b"));
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        const double back = std::stod(std::string(got.headers.get("Retry-After")));
+        CPPUNIT_ASSERT(back > 0 && back < 0.6);
+        CPPUNIT_ASSERT(got.headers.find("Response-Signature") == nullptr);
+    }
+
+    void brings_no_answer_without_a_signature()
+    {
+        forwarding_fixture it;
+        it.open("non_idempotent",
+                [](const exchange_ptr& exchange)
+                {
+                    exchange->answer(200, {}, "not ours");
+                });
+        CPPUNIT_ASSERT_EQUAL(502,
+                             it.ask(request_text("POST", "/a/x", "id-1", "b")).status);
+    }
+
+    void drops_an_answer_that_belongs_to_another_request()
+    {
+        forwarding_fixture it;
+        it.open("non_idempotent",
+                [](const exchange_ptr& exchange)
+                {
+                    header_list headers;
+                    headers.add("Attempt-Id", "another");
+                    headers.add("Response-Signature", "s.1");
+                    exchange->answer(200, headers, "another's");
+                });
+        const got_answer got = it.ask(request_text("POST", "/a/x", "id-1", "b"));
+        CPPUNIT_ASSERT(got.status != 200);
+        CPPUNIT_ASSERT(got.body.find("another's") == std::string::npos);
+    }
+
+    void ends_at_the_timeout_of_its_route()
+    {
+        forwarding_fixture it;
+        it.open("non_idempotent", [](const exchange_ptr&) {});
+        const steady_time began = it.time.steady_now();
+        const got_answer got = it.ask(request_text("POST", "/a/x", "id-1", "b"));
+        const millis took = it.time.steady_now() - began;
+        CPPUNIT_ASSERT_EQUAL(504, got.status);
+        CPPUNIT_ASSERT(took >= millis(1450));
+    }
+
+    void is_dropped_at_the_target_when_its_caller_leaves()
+    {
+        forwarding_fixture it;
+        bool dropped = false;
+        exchange_ptr held;
+        it.open("idempotent",
+                [&](const exchange_ptr& exchange)
+                {
+                    held = exchange;
+                    exchange->when_left(
+                        [&dropped]
+                        {
+                            dropped = true;
+                        });
+                });
+        std::shared_ptr<client_call> call;
+        it.begin(it.settings_.callers, request_text("GET", "/a/x", "id-1"), &call);
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return held != nullptr;
+            }));
+        call->cancel();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return dropped;
+            }));
+    }
+
+    void does_not_look_complete_when_the_target_breaks_off()
+    {
+        forwarding_fixture it;
+        const std::string part(100000, 'x');
+        it.open("non_idempotent",
+                [&part](const exchange_ptr& exchange)
+                {
+                    exchange->begin(200,
+                                    "OK",
+                                    signed_headers(*exchange),
+                                    {body_kind::length, part.size() * 2});
+                    exchange->write(part);
+                    exchange->abort();
+                });
+        const got_answer got = it.ask(request_text("POST", "/a/x", "id-1", "b"));
+        CPPUNIT_ASSERT(got.end != call_end::complete || got.status == 502);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_request_on_its_way);
+
+} // namespace
--- /dev/null
+++ b/test/runtime/entry/host_test.cpp
@@ -0,0 +1,479 @@
+#include "support/entry/entry_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+using namespace medlar::test;
+
+using exchange_ptr = std::shared_ptr<caller_exchange>;
+
+void answer_signed(const exchange_ptr& exchange)
+{
+    exchange->answer(200, signed_headers(*exchange), "hello");
+}
+
+/// several entry hosts before one target
+class host_fixture : public entry_fixture
+{
+  public:
+    host_fixture() : target(loop, "i-1", "plain", answer_signed)
+    {
+        store.put(target.key(), target.entry());
+        store.put("op/config",
+                  configuration_json(3, {route_json("/a/", "idempotent", "plain")}));
+    }
+
+    void add_host(const std::string& name)
+    {
+        all_settings.push_back(settings(name));
+        hosts.push_back(start(all_settings.back()));
+    }
+
+    bool until_ready(std::size_t which)
+    {
+        return until(
+            [&]
+            {
+                return is_ready(all_settings[which]);
+            });
+    }
+
+    int ask(std::size_t which, const std::string& path)
+    {
+        return send(all_settings[which].callers, request_text("GET", path, "id-1"))
+            .status;
+    }
+
+    bool until_status(std::size_t which, const std::string& path, int status)
+    {
+        return until(
+            [&]
+            {
+                return ask(which, path) == status;
+            });
+    }
+
+    stand_in_target target;
+    std::vector<entry_settings> all_settings;
+    std::vector<std::unique_ptr<entry_host>> hosts;
+};
+
+class an_entry_host : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(an_entry_host);
+    CPPUNIT_TEST(is_not_ready_and_says_503_before_it_knows_a_configuration);
+    CPPUNIT_TEST(follows_new_versions_and_not_older_ones);
+    CPPUNIT_TEST(keeps_what_it_knows_while_the_store_is_down);
+    CPPUNIT_TEST(learns_from_another_host_what_the_store_does_not_tell_it);
+    CPPUNIT_TEST(starts_from_another_host_while_the_store_is_down);
+    CPPUNIT_TEST(reads_all_again_when_the_history_is_gone);
+    CPPUNIT_TEST(sends_nothing_to_a_target_that_drains);
+    CPPUNIT_TEST(does_not_use_an_entry_that_cannot_be_read);
+    CPPUNIT_TEST(finishes_what_runs_before_it_ends);
+    CPPUNIT_TEST(rejects_what_is_no_request);
+    CPPUNIT_TEST(serves_its_metrics);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void is_not_ready_and_says_503_before_it_knows_a_configuration()
+    {
+        host_fixture it;
+        it.store.set_down(true);
+        it.add_host("host-1");
+        it.run_for(millis(50));
+        CPPUNIT_ASSERT(!it.is_ready(it.all_settings[0]));
+        CPPUNIT_ASSERT_EQUAL(503, it.ask(0, "/a/x"));
+        it.store.set_down(false);
+        CPPUNIT_ASSERT(it.until_ready(0));
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(0, "/a/x"));
+    }
+
+    void follows_new_versions_and_not_older_ones()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        CPPUNIT_ASSERT_EQUAL(404, it.ask(0, "/b/x"));
+        it.store.put("op/config",
+                     configuration_json(9, {route_json("/b/", "idempotent", "plain")}));
+        CPPUNIT_ASSERT(it.until_status(0, "/b/x", 200));
+        CPPUNIT_ASSERT_EQUAL(404, it.ask(0, "/a/x"));
+        it.store.put("op/config",
+                     configuration_json(4, {route_json("/a/", "idempotent", "plain")}));
+        it.run_for(millis(400));
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(0, "/b/x"));
+    }
+
+    void keeps_what_it_knows_while_the_store_is_down()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        it.store.set_down(true);
+        it.store.remove(it.target.key());
+        it.run_for(millis(1500));
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(0, "/a/x"));
+
+        // the entry is back soon after the store: the target was never given up
+        it.store.set_down(false);
+        it.run_for(millis(1200));
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(0, "/a/x"));
+        it.store.put(it.target.key(), it.target.entry());
+        it.run_for(millis(2500));
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(0, "/a/x"));
+
+        // one that is still missing then is gone
+        it.store.set_down(true);
+        it.store.remove(it.target.key());
+        it.run_for(millis(1500));
+        it.store.set_down(false);
+        CPPUNIT_ASSERT(it.until_status(0, "/a/x", 503));
+    }
+
+    void learns_from_another_host_what_the_store_does_not_tell_it()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        it.add_host("host-2");
+        CPPUNIT_ASSERT(it.until_ready(0) && it.until_ready(1));
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.store.has_key_below("medlar/hosts/host-2");
+            }));
+        it.run_for(millis(500));
+
+        // the second host loses the store, and only it
+        entry_settings cut = it.all_settings[1];
+        cut.store = free_endpoint();
+        it.all_settings.push_back(cut);
+        it.hosts[1].reset();
+        auto host = entry_host::create(
+            it.loop,
+            it.protocol,
+            [&]
+            {
+                cut.seeds = {it.all_settings[0].link};
+                return cut;
+            }(),
+            [cut]() -> absl::StatusOr<entry_settings>
+            {
+                return cut;
+            });
+        CPPUNIT_ASSERT_MESSAGE(host.status().ToString(), host.ok());
+        CPPUNIT_ASSERT(it.until_ready(1));
+        it.store.put("op/config",
+                     configuration_json(9, {route_json("/b/", "idempotent", "plain")}));
+        CPPUNIT_ASSERT(it.until_status(1, "/b/x", 200));
+    }
+
+    void starts_from_another_host_while_the_store_is_down()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        it.store.set_down(true);
+        entry_settings second = it.settings("host-2");
+        second.seeds = {it.all_settings[0].link};
+        it.all_settings.push_back(second);
+        it.hosts.push_back(it.start(second));
+        CPPUNIT_ASSERT(it.until_ready(1));
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(1, "/a/x"));
+    }
+
+    void reads_all_again_when_the_history_is_gone()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        it.store.set_down(true);
+        it.store.put("op/config",
+                     configuration_json(9, {route_json("/b/", "idempotent", "plain")}));
+        it.store.compact();
+        it.store.set_down(false);
+        CPPUNIT_ASSERT(it.until_status(0, "/b/x", 200));
+    }
+
+    void sends_nothing_to_a_target_that_drains()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        it.store.put(it.target.key(), it.target.entry("draining"));
+        CPPUNIT_ASSERT(it.until_status(0, "/a/x", 503));
+        const std::size_t before = it.target.requests.size();
+        CPPUNIT_ASSERT_EQUAL(503, it.ask(0, "/a/x"));
+        CPPUNIT_ASSERT_EQUAL(before, it.target.requests.size());
+    }
+
+    void does_not_use_an_entry_that_cannot_be_read()
+    {
+        host_fixture it;
+        it.store.put("servers/i-8", "\x01\x02");
+        it.store.put("servers/i-9", R"({"service": 5, "address": "127.0.0.1:1"})");
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        for (int i = 0; i < 10; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, it.ask(0, "/a/x"));
+        }
+    }
+
+    void finishes_what_runs_before_it_ends()
+    {
+        host_fixture it;
+        exchange_ptr held;
+        stand_in_target slow(it.loop,
+                             "i-2",
+                             "slow",
+                             [&held](const exchange_ptr& exchange)
+                             {
+                                 held = exchange;
+                             });
+        it.store.put(slow.key(), slow.entry());
+        it.store.put(
+            "op/config",
+            configuration_json(4, {route_json("/s/", "non_idempotent", "slow")}));
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        const auto got = it.begin(it.all_settings[0].callers,
+                                  request_text("POST", "/s/x", "id-1", "b"));
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return held != nullptr;
+            }));
+        it.hosts[0]->drain();
+        CPPUNIT_ASSERT(!it.is_ready(it.all_settings[0]));
+        CPPUNIT_ASSERT(!it.hosts[0]->is_finished());
+        answer_signed(held);
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return got->ended;
+            }));
+        CPPUNIT_ASSERT_EQUAL(200, got->status);
+        CPPUNIT_ASSERT(got->headers.has_token("Connection", "close"));
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.hosts[0]->is_finished();
+            }));
+    }
+
+    void rejects_what_is_no_request()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        const endpoint at = it.all_settings[0].callers;
+        CPPUNIT_ASSERT_EQUAL(
+            400,
+            it.send(at,
+                    "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n")
+                .status);
+        CPPUNIT_ASSERT_EQUAL(
+            413,
+            it.send(at,
+                    "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 10000000\r\n\r\n")
+                .status);
+        CPPUNIT_ASSERT_EQUAL(
+            431, it.send(at, "GET / HTTP/1.1\r\nX: " + std::string(20000, 'x')).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.target.requests.size());
+    }
+
+    void serves_its_metrics()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        it.ask(0, "/a/x");
+        const got_answer got = it.send(it.all_settings[0].metrics,
+                                       "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+        CPPUNIT_ASSERT(got.body.find("medlar_requests_total{status=\"200\"} 1") !=
+                       std::string::npos);
+    }
+};
+
+class hosts_acting_together : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(hosts_acting_together);
+    CPPUNIT_TEST(fill_calls_with_pieces_of_all_of_them);
+    CPPUNIT_TEST(go_on_when_an_owner_is_lost);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void fill_calls_with_pieces_of_all_of_them()
+    {
+        staged_hosts it(4);
+        const auto answers = it.ask_each_host();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return std::all_of(answers.begin(),
+                                   answers.end(),
+                                   [](const auto& each)
+                                   {
+                                       return each->ended;
+                                   });
+            }));
+        for (const auto& each : answers)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, each->status);
+        }
+        // four requests of two pieces: the first call has some, the next all the rest
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, it.pieces);
+        CPPUNIT_ASSERT(it.calls <= 3);
+    }
+
+    void go_on_when_an_owner_is_lost()
+    {
+        staged_hosts it(3);
+        it.hold_calls = true;
+        const auto answers = it.ask_each_host();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.calls > 0;
+            }));
+        const std::string owner =
+            owners_of({pool_id("stage"), ""}, it.peers()).front().get();
+        std::size_t lost = 0;
+        for (std::size_t i = 0; i < it.all_settings.size(); ++i)
+        {
+            if (it.all_settings[i].host.get() == owner)
+            {
+                lost = i;
+            }
+        }
+        it.hold_calls = false;
+        it.hosts[lost].reset();
+        for (std::size_t i = 0; i < answers.size(); ++i)
+        {
+            if (i == lost)
+            {
+                continue;
+            }
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return answers[i]->ended;
+                }));
+            CPPUNIT_ASSERT_EQUAL(200, answers[i]->status);
+        }
+    }
+
+  private:
+    /// hosts before one target that makes pieces and one engine
+    class staged_hosts : public host_fixture
+    {
+      public:
+        explicit staged_hosts(int count)
+            : maker(loop,
+                    "i-3",
+                    "stage",
+                    [this](const exchange_ptr& exchange)
+                    {
+                        make(exchange);
+                    }),
+              engine(loop,
+                     "i-4",
+                     "engines",
+                     [](const exchange_ptr& exchange)
+                     {
+                         exchange->begin(200,
+                                         "OK",
+                                         signed_headers(*exchange),
+                                         {body_kind::chunked, 0});
+                         exchange->write("id: 1\ndata: x\n\n");
+                         exchange->finish();
+                     })
+        {
+            nlohmann::json route = route_json("/p/", "stream", "engines");
+            route["stages"] = {
+                {{"service", "stage"}, {"after", nlohmann::json::array()}, {"bytes", 9}}};
+            store.put(maker.key(), maker.entry());
+            store.put(engine.key(), engine.entry());
+            store.put("op/config", configuration_json(5, {route}));
+            for (int i = 0; i < count; ++i)
+            {
+                add_host("host-" + std::to_string(i));
+                CPPUNIT_ASSERT(until_ready(static_cast<std::size_t>(i)));
+            }
+            // all hosts know each other
+            run_for(millis(600));
+        }
+
+        std::vector<std::shared_ptr<got_answer>> ask_each_host()
+        {
+            std::vector<std::shared_ptr<got_answer>> answers;
+            for (const entry_settings& each : all_settings)
+            {
+                answers.push_back(begin(each.callers,
+                                        request_text("POST",
+                                                     "/p/x",
+                                                     "id-" + each.host.get(),
+                                                     "b",
+                                                     "Pieces: 2\r\nPiece-Key: k\r\n")));
+            }
+            return answers;
+        }
+
+        std::vector<peer_host> peers() const
+        {
+            std::vector<peer_host> known;
+            for (const entry_settings& each : all_settings)
+            {
+                known.push_back({each.host, each.domain, each.link, each.core_share});
+            }
+            return known;
+        }
+
+        void make(const exchange_ptr& exchange)
+        {
+            const nlohmann::json body = nlohmann::json::parse(exchange->body());
+            if (!body.contains("items"))
+            {
+                exchange->answer(200, {}, "{}");
+                return;
+            }
+            ++calls;
+            pieces += body["items"].size();
+            if (hold_calls)
+            {
+                held.push_back(exchange);
+                return;
+            }
+            nlohmann::json items = nlohmann::json::array();
+            for (std::size_t i = 0; i < body["items"].size(); ++i)
+            {
+                items.push_back(
+                    {{"handle",
+                      to_string(maker.where()) + "/" + std::to_string(++made)}});
+            }
+            const std::string text = nlohmann::json({{"items", items}}).dump();
+            loop.after(millis(30),
+                       [exchange, text]
+                       {
+                           exchange->answer(200, {}, text);
+                       });
+        }
+
+        std::size_t calls = 0;
+        std::size_t pieces = 0;
+        int made = 0;
+        bool hold_calls = false;
+        std::vector<exchange_ptr> held;
+        stand_in_target maker;
+        stand_in_target engine;
+    };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(an_entry_host);
+CPPUNIT_TEST_SUITE_REGISTRATION(hosts_acting_together);
+
+} // namespace
--- /dev/null
+++ b/test/runtime/platform/adapter_test.cpp
@@ -0,0 +1,245 @@
+#include "platform/adapter.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <vector>
+
+namespace
+{
+
+using namespace medlar;
+
+constexpr char settings_text[] = R"({
+  "node": "front-a-1", "zone": "a", "ip": "10.1.0.41",
+  "listen": {"front": "10.1.0.41:8625", "ready": "10.1.0.41:8621",
+             "control": "10.1.0.41:8628"},
+  "port_range": [7740, 7755], "seeds": ["10.1.0.41:8628"],
+  "limits": {"cpu_share": 0.25}, "unknown": {"x": 1},
+  "bounds": {"grace_s": 8, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56},
+  "platform": {"address": "10.200.1.7:8624"}})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+class the_settings_file : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_settings_file);
+    CPPUNIT_TEST(is_read_and_unknown_fields_are_ignored);
+    CPPUNIT_TEST(is_rejected_with_the_field_that_is_wrong);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void is_read_and_unknown_fields_are_ignored()
+    {
+        const auto settings = platform::read_settings(settings_text);
+        CPPUNIT_ASSERT_MESSAGE(settings.status().ToString(), settings.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("front-a-1"), settings->host.get());
+        CPPUNIT_ASSERT(settings->callers == (endpoint{"10.1.0.41", 8625}));
+        CPPUNIT_ASSERT(settings->link == (endpoint{"10.1.0.41", 8628}));
+        CPPUNIT_ASSERT(settings->metrics == (endpoint{"10.1.0.41", 7741}));
+        CPPUNIT_ASSERT(settings->grace == millis(8000));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(56.0, settings->repeats.slack, 0.001);
+    }
+
+    void is_rejected_with_the_field_that_is_wrong()
+    {
+        const std::string text = settings_text;
+        const std::vector<std::pair<std::string, std::string>> cases{
+            {replaced(text, R"("node")", R"("other")"), "node"},
+            {replaced(text, "10.1.0.41:8625", "somewhere"), "front"},
+            {replaced(text, "10.200.1.7:8624", "10.200.1.7"), "address"},
+            {replaced(text, "[7740, 7755]", "7740"), "port_range"},
+            {"{", "JSON"}};
+        for (const auto& each : cases)
+        {
+            const auto settings = platform::read_settings(each.first);
+            CPPUNIT_ASSERT(!settings.ok());
+            const std::string message(settings.status().message());
+            CPPUNIT_ASSERT_MESSAGE(message,
+                                   message.find(each.second) != std::string::npos);
+        }
+    }
+};
+
+class the_adapter : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_adapter);
+    CPPUNIT_TEST(reads_what_a_caller_says_of_its_request);
+    CPPUNIT_TEST(reads_a_configuration);
+    CPPUNIT_TEST(names_the_route_that_is_wrong);
+    CPPUNIT_TEST(reads_entries_of_targets_and_rejects_others);
+    CPPUNIT_TEST(reads_items_and_events_of_the_store);
+    CPPUNIT_TEST(reads_results_of_pieces);
+    CPPUNIT_TEST(is_the_only_place_with_the_names_of_the_platform);
+    CPPUNIT_TEST_SUITE_END();
+
+    platform::adapter adapter_;
+
+  public:
+    void reads_what_a_caller_says_of_its_request()
+    {
+        request_head head;
+        head.headers.add("Attempt-Id", "9c41");
+        head.headers.add("Deadline-Ms", "1500");
+        head.headers.add("Authorization", "Bearer k-1");
+        head.headers.add("Token-Counts", "1460,80");
+        head.headers.add("Prompt-Prefix", "5c1e:800,91bd:410, e440:250");
+        head.headers.add("Pieces", "2,0,16");
+        head.headers.add("Last-Event-Id", "12");
+        const request_fields fields = adapter_.read_request(head);
+        CPPUNIT_ASSERT_EQUAL(std::string("9c41"), fields.attempt.get());
+        CPPUNIT_ASSERT(fields.deadline == millis(1500));
+        CPPUNIT_ASSERT_EQUAL(std::string("k-1"), fields.access_key);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1460}, fields.prompt_tokens.get());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{80}, fields.output_tokens.get());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fields.prompt.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e440"), fields.prompt[2].id);
+        CPPUNIT_ASSERT(fields.pieces == (std::vector<int>{2, 0, 16}));
+        CPPUNIT_ASSERT_EQUAL(std::string("12"), fields.resume_after);
+    }
+
+    void reads_a_configuration()
+    {
+        const auto read = adapter_.read_configuration(R"({
+            "version": 7,
+            "routes": [{"name": "r-1", "host": "h", "prefix": "/a/", "kind": "stream",
+              "timeout_ms": 8000, "target_latency_ms": 1900, "priority": 2,
+              "backends": [{"service": "m", "weight": 90}, {"service": "n", "weight": 10}],
+              "max_attempts": 2, "resumable": true,
+              "stages": [{"service": "s", "after": [], "bytes": 8000},
+                         {"service": "s", "after": [0], "bytes": 60000}]}],
+            "services": [{"name": "s", "max_conns": 370, "pieces": {"slots": 1, "queue": 2,
+              "batch": 8, "call_ms": 150.0, "item_ms": 16.0, "headroom_mb": 36.0,
+              "handle_s": 4.0}}],
+            "tenants": [{"name": "t", "api_keys": ["k-1", "k-2"], "priority": 1}],
+            "limits": {"max_header_bytes": 9000}})");
+        CPPUNIT_ASSERT_MESSAGE(read.status().ToString(), read.ok());
+        const route& one = read->routes.at(0);
+        CPPUNIT_ASSERT(one.kind == route_kind::stream && one.may_repeat());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, one.pools.size());
+        CPPUNIT_ASSERT(one.stages.at(1).after == std::vector<std::size_t>{0});
+        const pool_rule* const pool = read->find_pool(pool_id("s"));
+        CPPUNIT_ASSERT(pool != nullptr && pool->pieces);
+        CPPUNIT_ASSERT_EQUAL(8, pool->pieces->batch);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{36000000}, pool->pieces->room.get());
+        CPPUNIT_ASSERT_EQUAL(std::string("t"),
+                             read->organisations_by_key.at("k-2").name.get());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9000}, read->limits.head_bytes);
+    }
+
+    void names_the_route_that_is_wrong()
+    {
+        const auto read = adapter_.read_configuration(R"({"version": 1, "routes": [
+            {"name": "r-1", "host": "h", "prefix": "/", "kind": "stream", "service": "m",
+             "timeout_ms": 0}]})");
+        CPPUNIT_ASSERT(!read.ok());
+        const std::string message(read.status().message());
+        CPPUNIT_ASSERT_MESSAGE(
+            message,
+            message.find("route \"r-1\": timeout_ms must be at least 1") !=
+                std::string::npos);
+    }
+
+    void reads_entries_of_targets_and_rejects_others()
+    {
+        const std::string good =
+            R"({"service": "s", "address": "10.0.0.9:80", "zone": "a",
+            "state": "draining", "slots": 4, "sequence": 9, "born": 1764800000000})";
+        const auto record = adapter_.read_target(target_id("i-1"), good);
+        CPPUNIT_ASSERT_MESSAGE(record.status().ToString(), record.ok());
+        CPPUNIT_ASSERT(record->is_draining);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1764800000000}, record->started_ms);
+        const std::vector<std::string> bad{"",
+                                           "[]",
+                                           "\xff\x01",
+                                           replaced(good, "\"s\"", "7"),
+                                           replaced(good, "draining", "asleep"),
+                                           replaced(good, "10.0.0.9:80", "10.0.0.9"),
+                                           replaced(good, "\"zone\"", "\"place\"")};
+        for (const std::string& each : bad)
+        {
+            CPPUNIT_ASSERT_MESSAGE(each,
+                                   !adapter_.read_target(target_id("i-1"), each).ok());
+        }
+    }
+
+    void reads_items_and_events_of_the_store()
+    {
+        const auto page = adapter_.read_page(
+            R"({"items": [{"key": "a", "value": "bm9kZS0x", "revision": 412, "lease": 0}],
+                "more_pages": true, "store_revision": 530})");
+        CPPUNIT_ASSERT_MESSAGE(page.status().ToString(), page.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page->items.at(0).value);
+        CPPUNIT_ASSERT(page->has_more);
+        const auto events = adapter_.read_events(
+            R"({"events": [{"key": "b", "revision": 413, "deleted": true}],
+                "store_revision": 413})");
+        CPPUNIT_ASSERT(events.ok() && events->items.at(0).is_deleted);
+        CPPUNIT_ASSERT(!adapter_.read_page("{}").ok());
+        CPPUNIT_ASSERT(!adapter_
+                            .read_page(R"({"items": [{"key": "a", "value": "?",
+                                "revision": 1}], "store_revision": 1})")
+                            .ok());
+    }
+
+    void reads_results_of_pieces()
+    {
+        const auto results = adapter_.read_piece_answer(
+            R"({"items": [{"handle": "10.1.64.7:8080/91bd"}, {"reason": "gone"},
+                {"reason": "room"}, {"reason": "late"}, {"reason": "other"}]})");
+        CPPUNIT_ASSERT(results.ok());
+        CPPUNIT_ASSERT(results->at(0).handle);
+        CPPUNIT_ASSERT(results->at(1).failure == piece_failure::input_gone);
+        CPPUNIT_ASSERT(results->at(2).failure == piece_failure::no_room);
+        CPPUNIT_ASSERT(results->at(3).failure == piece_failure::late);
+        CPPUNIT_ASSERT(results->at(4).failure == piece_failure::failed);
+        const auto holder = adapter_.holder_of(*results->at(0).handle);
+        CPPUNIT_ASSERT(holder.ok() && *holder == (endpoint{"10.1.64.7", 8080}));
+    }
+
+    void is_the_only_place_with_the_names_of_the_platform()
+    {
+        const std::vector<std::string> names{"Attempt-Id",
+                                             "Expect-Instance",
+                                             "Prompt-Prefix",
+                                             "Token-Counts",
+                                             "Response-Signature",
+                                             "Not-Executed",
+                                             "Piece-Key",
+                                             "kv-txn",
+                                             "kv-range",
+                                             "stage-run",
+                                             "op/config",
+                                             "MEDLARSCALE_NODE_FILE"};
+        for (const char* folder : {"src", "include"})
+        {
+            const std::filesystem::path root =
+                std::filesystem::path(MEDLAR_SOURCE_DIR) / folder;
+            for (const auto& file : std::filesystem::recursive_directory_iterator(root))
+            {
+                if (!file.is_regular_file())
+                {
+                    continue;
+                }
+                std::ifstream in(file.path());
+                const std::string text((std::istreambuf_iterator<char>(in)),
+                                       std::istreambuf_iterator<char>());
+                for (const std::string& each : names)
+                {
+                    CPPUNIT_ASSERT_MESSAGE(file.path().string() + ": " + each,
+                                           text.find(each) == std::string::npos);
+                }
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(the_settings_file);
+CPPUNIT_TEST_SUITE_REGISTRATION(the_adapter);
+
+} // namespace
--- /dev/null
+++ b/test/support/entry/entry_fixture.hpp
@@ -0,0 +1,282 @@
+#ifndef MEDLAR_TEST_SUPPORT_ENTRY_ENTRY_FIXTURE_HPP
+#define MEDLAR_TEST_SUPPORT_ENTRY_ENTRY_FIXTURE_HPP
+
+#include "platform/adapter.hpp"
+#include "support/entry/stand_in_store.hpp"
+
+#include <medlar/detail/entry/entry_host.hpp>
+
+#include <Poco/Net/ServerSocket.h>
+#include <cppunit/TestAssert.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace medlar::test
+{
+
+/// an address of this machine that nobody listens at
+inline endpoint free_endpoint()
+{
+    const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return {"127.0.0.1", probe.address().port()};
+}
+
+/// @brief a target as the users describe it, which answers as a test says
+class stand_in_target
+{
+  public:
+    using behaviour = std::function<void(const std::shared_ptr<caller_exchange>&)>;
+
+    stand_in_target(event_loop& loop, std::string id, std::string pool, behaviour answer)
+        : id_(std::move(id)), pool_(std::move(pool)), where_(free_endpoint())
+    {
+        auto server = http_server::listen(
+            loop,
+            where_,
+            limits_,
+            [this, answer = std::move(answer)](std::shared_ptr<caller_exchange> exchange)
+            {
+                requests.push_back(exchange->head());
+                bodies.push_back(exchange->body());
+                answer(exchange);
+            });
+        CPPUNIT_ASSERT_MESSAGE(server.status().ToString(), server.ok());
+        server_ = *std::move(server);
+    }
+
+    std::string key() const
+    {
+        return "servers/" + id_;
+    }
+
+    std::string entry(const std::string& state = "ready") const
+    {
+        return nlohmann::json({{"service", pool_},
+                               {"address", to_string(where_)},
+                               {"zone", "a"},
+                               {"version", "v1"},
+                               {"slots", 6},
+                               {"state", state},
+                               {"cold_ms", 0},
+                               {"sequence", 1},
+                               {"born", 5}})
+            .dump();
+    }
+
+    const endpoint& where() const
+    {
+        return where_;
+    }
+
+    /// the heads and bodies of what came
+    std::vector<request_head> requests;
+    std::vector<std::string> bodies;
+
+  private:
+    std::string id_;
+    std::string pool_;
+    endpoint where_;
+    server_limits limits_;
+    std::unique_ptr<http_server> server_;
+};
+
+/// @brief what a caller got
+struct got_answer
+{
+    int status = 0;
+    header_list headers;
+    std::string body;
+    bool ended = false;
+    call_end end = call_end::not_sent;
+};
+
+/// @brief One entry host, a store and targets on one loop.
+class entry_fixture
+{
+  public:
+    entry_fixture() : store_at_(free_endpoint()), store(loop, store_at_)
+    {
+    }
+
+    entry_settings settings(const std::string& name)
+    {
+        entry_settings made;
+        made.host = host_id(name);
+        made.domain = failure_domain_id("a");
+        made.callers = free_endpoint();
+        made.readiness = free_endpoint();
+        made.metrics = free_endpoint();
+        made.link = free_endpoint();
+        made.store = store_at_;
+        made.repeats = {0.2, 50, millis(10000)};
+        return made;
+    }
+
+    std::unique_ptr<entry_host> start(const entry_settings& with)
+    {
+        auto host = entry_host::create(loop,
+                                       protocol,
+                                       with,
+                                       [with]() -> absl::StatusOr<entry_settings>
+                                       {
+                                           return with;
+                                       });
+        CPPUNIT_ASSERT_MESSAGE(host.status().ToString(), host.ok());
+        return *std::move(host);
+    }
+
+    /// runs the loop until @p condition holds, at most ten seconds
+    bool until(const std::function<bool()>& condition)
+    {
+        const steady_time end = time.steady_now() + millis(10000);
+        while (!condition() && time.steady_now() < end)
+        {
+            loop.run_once(millis(5));
+        }
+        return condition();
+    }
+
+    void run_for(millis span)
+    {
+        const steady_time end = time.steady_now() + span;
+        while (time.steady_now() < end)
+        {
+            loop.run_once(millis(5));
+        }
+    }
+
+    bool is_ready(const entry_settings& host)
+    {
+        const got_answer answer =
+            send(host.readiness, "GET /-/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
+        return answer.status == 200;
+    }
+
+    /// sends a request and returns at once
+    std::shared_ptr<got_answer> begin(const endpoint& to,
+                                      const std::string& request,
+                                      std::shared_ptr<client_call>* call = nullptr)
+    {
+        auto got = std::make_shared<got_answer>();
+        call_events events;
+        events.on_head = [got](const answer_head& head)
+        {
+            got->status = head.status;
+            got->headers = head.headers;
+        };
+        events.on_data = [got](absl::string_view data)
+        {
+            got->body.append(data.data(), data.size());
+        };
+        events.on_end = [got](call_end how)
+        {
+            got->ended = true;
+            got->end = how;
+        };
+        const auto started = client.start(to, request, {}, events);
+        if (call != nullptr)
+        {
+            *call = started;
+        }
+        return got;
+    }
+
+    got_answer send(const endpoint& to, const std::string& request)
+    {
+        const std::shared_ptr<got_answer> got = begin(to, request);
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return got->ended;
+            }));
+        return *got;
+    }
+
+    medlar::clock time = medlar::clock::system();
+    event_loop loop{time};
+    platform::adapter protocol;
+    http_client client{loop, 65536};
+
+  private:
+    endpoint store_at_;
+
+  public:
+    stand_in_store store;
+};
+
+/// a route of the configuration's JSON, with what the tests need of it
+inline nlohmann::json
+route_json(const std::string& prefix, const std::string& kind, const std::string& pool)
+{
+    return {{"name", "r" + prefix},
+            {"host", "h.example"},
+            {"prefix", prefix},
+            {"kind", kind},
+            {"timeout_ms", 2000},
+            {"target_latency_ms", 500},
+            {"priority", 1},
+            {"service", pool},
+            {"max_attempts", 2},
+            {"public", false},
+            {"sticky", kind == "stream"},
+            {"resumable", kind == "stream"},
+            {"stages", nlohmann::json::array()}};
+}
+
+inline std::string configuration_json(int version,
+                                      const std::vector<nlohmann::json>& routes)
+{
+    const nlohmann::json pieces{{"slots", 1},
+                                {"queue", 2},
+                                {"batch", 8},
+                                {"call_ms", 5},
+                                {"item_ms", 1},
+                                {"headroom_mb", 36},
+                                {"handle_s", 4}};
+    const nlohmann::json services = nlohmann::json::array(
+        {{{"name", "plain"}, {"health_path", "/health"}, {"max_conns", 100}},
+         {{"name", "stage"},
+          {"health_path", "/health"},
+          {"max_conns", 100},
+          {"pieces", pieces}}});
+    return nlohmann::json({{"version", version},
+                           {"routes", routes},
+                           {"services", services},
+                           {"tenants", {{{"name", "org-1"}, {"api_keys", {"key-1"}}}}},
+                           {"limits",
+                            {{"max_header_bytes", 8192},
+                             {"max_body_bytes", 100000},
+                             {"header_timeout_ms", 2000},
+                             {"idle_timeout_ms", 20000}}}})
+        .dump();
+}
+
+inline std::string request_text(const std::string& method,
+                                const std::string& path,
+                                const std::string& attempt,
+                                const std::string& body = {},
+                                const std::string& headers = {})
+{
+    return method + " " + path +
+           " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + attempt +
+           "\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer key-1\r\n" + headers +
+           (body.empty() ? ""
+                         : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+           "\r\n" + body;
+}
+
+/// the headers of a target's answer to an exchange
+inline header_list signed_headers(const caller_exchange& exchange)
+{
+    header_list headers;
+    headers.add("Attempt-Id", std::string(exchange.head().headers.get("Attempt-Id")));
+    headers.add("Response-Signature", "s.1");
+    return headers;
+}
+
+} // namespace medlar::test
+
+#endif // MEDLAR_TEST_SUPPORT_ENTRY_ENTRY_FIXTURE_HPP
--- /dev/null
+++ b/test/support/entry/stand_in_store.hpp
@@ -0,0 +1,227 @@
+#ifndef MEDLAR_TEST_SUPPORT_ENTRY_STAND_IN_STORE_HPP
+#define MEDLAR_TEST_SUPPORT_ENTRY_STAND_IN_STORE_HPP
+
+#include <medlar/detail/loop/http_server.hpp>
+
+#include <Poco/URI.h>
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+#include <cppunit/TestAssert.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace medlar::test
+{
+
+/// @brief The users' metadata store as far as an entry host uses it: ranges, watches,
+/// leases and changes, on a test's event loop.
+class stand_in_store
+{
+  public:
+    stand_in_store(event_loop& loop, const endpoint& where) : loop_(loop)
+    {
+        auto server =
+            http_server::listen(loop,
+                                where,
+                                limits_,
+                                [this](std::shared_ptr<caller_exchange> exchange)
+                                {
+                                    serve(exchange);
+                                });
+        CPPUNIT_ASSERT_MESSAGE(server.status().ToString(), server.ok());
+        server_ = *std::move(server);
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        items_[key] = {value, ++revision_};
+        changes_.push_back({{"key", key},
+                            {"revision", revision_},
+                            {"create_revision", revision_},
+                            {"lease", 0},
+                            {"value", absl::Base64Escape(value)}});
+        wake();
+    }
+
+    void remove(const std::string& key)
+    {
+        items_.erase(key);
+        changes_.push_back({{"key", key}, {"revision", ++revision_}, {"deleted", true}});
+        wake();
+    }
+
+    /// answers 503 to everything, and cuts what waits
+    void set_down(bool down)
+    {
+        down_ = down;
+        for (const watch& each : watches_)
+        {
+            each.exchange->abort();
+        }
+        watches_.clear();
+    }
+
+    /// forgets its history: watches of older revisions get 410
+    void compact()
+    {
+        first_kept_ = revision_ + 1;
+        changes_.clear();
+    }
+
+    bool has_key_below(const std::string& prefix) const
+    {
+        const auto found = items_.lower_bound(prefix);
+        return found != items_.end() && absl::StartsWith(found->first, prefix);
+    }
+
+  private:
+    struct stored
+    {
+        std::string value;
+        std::int64_t revision = 0;
+    };
+
+    struct watch
+    {
+        std::shared_ptr<caller_exchange> exchange;
+        std::int64_t after = 0;
+    };
+
+    static void
+    reply(caller_exchange& exchange, int status, const nlohmann::json& body = {})
+    {
+        header_list headers;
+        headers.add("Content-Type", "application/json");
+        exchange.answer(status, headers, body.dump());
+    }
+
+    static std::map<std::string, std::string> query_of(const caller_exchange& exchange)
+    {
+        std::map<std::string, std::string> query;
+        for (const auto& each : Poco::URI(exchange.head().target).getQueryParameters())
+        {
+            query[each.first] = each.second;
+        }
+        return query;
+    }
+
+    void serve(const std::shared_ptr<caller_exchange>& exchange)
+    {
+        if (down_)
+        {
+            reply(*exchange, 503);
+            return;
+        }
+        const std::string path(exchange->head().path());
+        if (path == "/-/kv-range")
+        {
+            range(*exchange);
+        }
+        else if (path == "/-/kv-watch")
+        {
+            begin_watch(exchange);
+        }
+        else if (path == "/-/kv-lease")
+        {
+            reply(*exchange, 200, {{"lease", 77}, {"ttl_ms", 5000}});
+        }
+        else if (path == "/-/kv-txn")
+        {
+            for (const auto& each : nlohmann::json::parse(exchange->body())["puts"])
+            {
+                std::string value;
+                absl::Base64Unescape(each["value"].get<std::string>(), &value);
+                put(each["key"], value);
+            }
+            reply(*exchange, 200, {{"revision", revision_}});
+        }
+        else
+        {
+            reply(*exchange, 200, {{"ttl_ms", 5000}});
+        }
+    }
+
+    void range(caller_exchange& exchange)
+    {
+        const std::string prefix = query_of(exchange)["prefix"];
+        nlohmann::json items = nlohmann::json::array();
+        for (auto each = items_.lower_bound(prefix);
+             each != items_.end() && absl::StartsWith(each->first, prefix);
+             ++each)
+        {
+            items.push_back({{"key", each->first},
+                             {"value", absl::Base64Escape(each->second.value)},
+                             {"revision", each->second.revision},
+                             {"create_revision", each->second.revision},
+                             {"lease", 0}});
+        }
+        reply(exchange,
+              200,
+              {{"items", items}, {"more_pages", false}, {"store_revision", revision_}});
+    }
+
+    void begin_watch(const std::shared_ptr<caller_exchange>& exchange)
+    {
+        watch made{exchange, std::stoll(query_of(*exchange)["after"])};
+        if (made.after + 1 < first_kept_)
+        {
+            reply(*exchange, 410);
+            return;
+        }
+        if (!tell(made))
+        {
+            watches_.push_back(made);
+        }
+    }
+
+    bool tell(const watch& to)
+    {
+        nlohmann::json events = nlohmann::json::array();
+        for (const nlohmann::json& each : changes_)
+        {
+            if (each["revision"].get<std::int64_t>() > to.after)
+            {
+                events.push_back(each);
+            }
+        }
+        if (events.empty())
+        {
+            return false;
+        }
+        reply(*to.exchange, 200, {{"events", events}, {"store_revision", revision_}});
+        return true;
+    }
+
+    void wake()
+    {
+        std::vector<watch> still;
+        for (const watch& each : watches_)
+        {
+            if (!tell(each))
+            {
+                still.push_back(each);
+            }
+        }
+        watches_ = std::move(still);
+    }
+
+    event_loop& loop_;
+    server_limits limits_;
+    std::unique_ptr<http_server> server_;
+    std::map<std::string, stored> items_;
+    std::vector<nlohmann::json> changes_;
+    std::vector<watch> watches_;
+    std::int64_t revision_ = 10;
+    std::int64_t first_kept_ = 0;
+    bool down_ = false;
+};
+
+} // namespace medlar::test
+
+#endif // MEDLAR_TEST_SUPPORT_ENTRY_STAND_IN_STORE_HPP
