--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,7 +9,7 @@
 scripts/install_packages.sh || exit 1
 scripts/build.sh build || exit 1
 MEDLAR_BUILD_TARGETS="decisions_test" scripts/build.sh build-tsan thread || exit 1
-MEDLAR_BUILD_TARGETS="runtime_test" scripts/build.sh build-asan address,undefined || exit 1
+MEDLAR_BUILD_TARGETS="runtime_test entry_test" scripts/build.sh build-asan address,undefined || exit 1
 
 passed=0
 failed=0
@@ -43,6 +43,8 @@
 run_tests "decisions" build/decisions_test
 run_tests "model" build/model_test
 run_tests "decisions under ThreadSanitizer" build-tsan/decisions_test
+run_tests "entry" build/entry_test
+run_tests "entry under AddressSanitizer" build-asan/entry_test
 [ -x build/runtime_test ] && run_tests "runtime" build/runtime_test
 [ -x build-asan/runtime_test ] &&
     run_tests "runtime under AddressSanitizer" build-asan/runtime_test
--- a/test/runtime/entry/forwarding_test.cpp
+++ b/test/entry/forwarding_test.cpp
@@ -64,7 +64,7 @@
 
     entry_settings settings_ = settings("host-1");
     std::vector<std::unique_ptr<stand_in_target>> targets;
-    std::unique_ptr<entry_host> host;
+    std::shared_ptr<running_host> host;
 };
 
 void answer_signed(const exchange_ptr& exchange)
--- a/test/runtime/entry/stream_test.cpp
+++ b/test/entry/stream_test.cpp
@@ -101,7 +101,7 @@
     bool fail_pieces = false;
     std::size_t freed = 0;
     int made = 0;
-    std::unique_ptr<entry_host> host;
+    std::shared_ptr<running_host> host;
 };
 
 class a_stream : public CppUnit::TestFixture
