Decide when a request arrives whether it can be in time

Cause: in a burst of 2.7 times all requests waited until each was just too late: of 2,498 of the burst's kind 774 were in time although the pools made full calls. Change: owners say what a job of that priority will need; a request adds up its stages, and if it cannot be in time it uses only what others leave, at every stage.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -36,6 +36,8 @@
     byte_count result_size{0};
     /// whether the request has no finished work that refusing it would waste
     bool is_first = true;
+    /// whether its request can only be late: it uses what others leave
+    bool is_background = false;
 };
 
 /// @brief a target that makes pieces
@@ -73,6 +75,8 @@
     bool accepted = true;
     /// expected time until the job is done
     millis expected{0};
+    /// whether that is too late for an answer in time
+    bool is_late = false;
     /// where it is not accepted: when there will be room
     millis retry_after{0};
 };
@@ -187,6 +191,7 @@
     };
 
     bool is_late(const piece_job& job, steady_time now) const;
+    double wait_ms(const piece_job& job, bool late, steady_time now) const;
     std::vector<job_id> order(steady_time now) const;
     bool suits(const job_state& job,
                const target_load& target,
@@ -194,12 +199,10 @@
                steady_time now) const;
     bool has_target_in(const failure_domain_id& domain, steady_time now) const;
     /// pieces of a job that go into a call with so many places and so much room left
-    std::size_t pieces_to_take(const job_state& job,
-                               std::size_t places,
-                               std::int64_t room) const;
-    std::optional<piece_call> fill(target_load& target,
-                                   const std::vector<job_id>& ordered,
-                                   steady_time now);
+    std::size_t
+    pieces_to_take(const job_state& job, std::size_t places, std::int64_t room) const;
+    std::optional<piece_call>
+    fill(target_load& target, const std::vector<job_id>& ordered, steady_time now);
     void put_back(const call_state& call);
     void drop_old_results(steady_time now);
     double call_ms(std::size_t items) const;
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 
 #include <medlar/detail/dispatch/repeat_budget.hpp>
+#include <medlar/detail/dispatch/stage_forecast.hpp>
 #include <medlar/detail/dispatch/target_table.hpp>
 #include <medlar/detail/entry/entry_settings.hpp>
 #include <medlar/detail/entry/protocol.hpp>
@@ -42,6 +43,7 @@
     const entry_settings& settings;
     http_client client;
     target_table targets;
+    stage_forecast forecast;
     /// unset until the first configuration is known
     configuration_ptr configuration;
     std::unique_ptr<metrics_registry> metrics;
--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -87,10 +87,12 @@
     piece_group group_of(const pool_id& pool, const failure_domain_id& domain);
     void place(broker_ticket ticket);
     void place_here(broker_ticket ticket, open_job& open);
+    void note_verdict(const open_job& open, bool is_late, millis expected);
     void move(broker_ticket ticket);
     void piece_done(broker_ticket ticket, int piece, const piece_result& result);
     void refuse(broker_ticket ticket, millis retry_after);
-    void take_job(const std::shared_ptr<message_link>& from, const nlohmann::json& message);
+    void take_job(const std::shared_ptr<message_link>& from,
+                  const nlohmann::json& message);
     void drop_foreign(std::uint64_t key);
 
     entry_context& context_;
--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -100,7 +100,10 @@
     void free_stage(std::size_t stage);
     void fail(pipeline_failure why, millis retry_after);
     std::vector<result_handle> results_of(std::size_t stage) const;
+    millis plain_time(std::size_t stage) const;
     millis expected_after(std::size_t stage) const;
+    millis forecast_from(std::size_t stage) const;
+    millis forecast() const;
 
     entry_context& context_;
     piece_broker& broker_;
@@ -109,6 +112,7 @@
     std::vector<stage_state> stages_;
     int restarts_ = 0;
     bool any_done_ = false;
+    bool is_background_ = false;
     bool ended_ = false;
 };
 
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -22,6 +22,9 @@
 // beyond the estimate, for calls in progress whose state is not known
 constexpr std::int64_t least_retry_ms = 200;
 
+// how much longer than estimated a late job waits, since others overtake it
+constexpr double late_stretch = 2;
+
 // share of a target's room that is planned with; the rest is for results of other hosts
 constexpr double used_room = 0.9;
 
@@ -63,32 +66,24 @@
 
 bool piece_queue::is_late(const piece_job& job, steady_time now) const
 {
-    return now + millis(to_ms(call_ms(job.pieces.size()))) > job.aim;
+    return job.is_background || now + millis(to_ms(call_ms(job.pieces.size()))) > job.aim;
 }
 
-job_verdict piece_queue::judge(const piece_job& job, steady_time now) const
+double piece_queue::wait_ms(const piece_job& job, bool late, steady_time now) const
 {
     double serving = 0;
     for (const auto& each : targets_)
     {
         serving += each.second.serving ? 1.0 / std::max(1.0, each.second.slowness) : 0;
     }
-    job_verdict verdict;
-    if (serving == 0)
-    {
-        verdict.accepted = false;
-        verdict.retry_after = millis(least_retry_ms * 5);
-        return verdict;
-    }
-    const bool late = is_late(job, now);
+    const auto rank = std::make_tuple(late, job.priority, job.aim.since_origin());
     double ahead = 0;
     for (const auto& each : jobs_)
     {
         const piece_job& other = each.second.job;
-        const bool other_late = is_late(other, now);
-        const bool goes_first =
-            std::make_tuple(other_late, other.priority, other.aim.since_origin()) <=
-            std::make_tuple(late, job.priority, job.aim.since_origin());
+        const bool goes_first = std::make_tuple(is_late(other, now),
+                                                other.priority,
+                                                other.aim.since_origin()) <= rank;
         ahead += goes_first ? static_cast<double>(each.second.waiting.size()) : 0;
     }
     double running_ms = 0;
@@ -97,19 +92,51 @@
         const double done = static_cast<double>((now - each.second.sent).count());
         running_ms += std::max(0.0, call_ms(each.second.pieces.size()) - done);
     }
-    const double full = call_ms(static_cast<std::size_t>(std::max(1, rule_.batch)));
-    const double wait = (ahead / std::max(1, rule_.batch) * full + running_ms) / serving;
-    const double own = call_ms(std::min<std::size_t>(
-        job.pieces.size(), static_cast<std::size_t>(std::max(1, rule_.batch))));
+    const int batch = std::max(1, rule_.batch);
+    const double full = call_ms(static_cast<std::size_t>(batch));
+    return (ahead / batch * full + running_ms) / std::max(1.0, serving);
+}
+
+job_verdict piece_queue::judge(const piece_job& job, steady_time now) const
+{
+    job_verdict verdict;
+    const bool has_target = std::any_of(targets_.begin(),
+                                        targets_.end(),
+                                        [](const auto& each)
+                                        {
+                                            return each.second.serving;
+                                        });
+    if (!has_target)
+    {
+        verdict.accepted = false;
+        verdict.retry_after = millis(least_retry_ms * 5);
+        return verdict;
+    }
+    const auto batch = static_cast<std::size_t>(std::max(1, rule_.batch));
+    const double own = call_ms(std::min(job.pieces.size(), batch));
+    bool late = is_late(job, now);
+    double wait = wait_ms(job, late, now);
+    if (!late && now + millis(to_ms(wait + own)) > job.aim)
+    {
+        late = true;
+        wait = wait_ms(job, late, now);
+    }
+    verdict.is_late = late;
     verdict.expected = millis(to_ms(wait + own));
-    verdict.accepted = now + verdict.expected <= job.deadline || !job.is_first;
+    // jobs that are in time go before those that wait as late ones
+    const double stretch = late ? late_stretch : 1;
+    verdict.accepted =
+        !job.is_first || now + millis(to_ms(wait * stretch + own)) <= job.deadline;
     verdict.retry_after = millis(std::max(least_retry_ms, to_ms(wait / 2)));
     return verdict;
 }
 
-job_id piece_queue::add(piece_job job, steady_time)
+job_id piece_queue::add(piece_job job, steady_time now)
 {
     const job_id id(++last_id_);
+    // in time or not is decided once: with more work than capacity, those that wait
+    // longest would else all be done just too late
+    job.is_background = job.is_background || judge(job, now).is_late;
     job_state state;
     state.waiting = job.pieces;
     state.job = std::move(job);
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -40,7 +40,8 @@
             {"left_ms", (job.deadline - now).count()},
             {"domain", job.domain.get()},
             {"bytes", job.result_size.get()},
-            {"first", job.is_first}};
+            {"first", job.is_first},
+            {"background", job.is_background}};
 }
 
 piece_job read_job(const nlohmann::json& message, steady_time now)
@@ -60,11 +61,11 @@
     job.domain = failure_domain_id(message.at("domain").get<std::string>());
     job.result_size = byte_count(message.at("bytes").get<std::int64_t>());
     job.is_first = message.at("first").get<bool>();
+    job.is_background = message.at("background").get<bool>();
     return job;
 }
 
-nlohmann::json
-piece_message(std::uint64_t number, int piece, const piece_result& result)
+nlohmann::json piece_message(std::uint64_t number, int piece, const piece_result& result)
 {
     nlohmann::json message{{"type", "piece"}, {"number", number}, {"piece", piece}};
     if (result.handle)
@@ -161,6 +162,7 @@
     piece_job job = open.job;
     job.pieces.assign(open.missing.begin(), open.missing.end());
     const job_verdict verdict = service_.judge(open.group, job);
+    note_verdict(open, verdict.is_late, verdict.expected);
     if (!verdict.accepted)
     {
         // not at once: the caller of submit() does not have the ticket yet
@@ -180,6 +182,12 @@
                                }});
 }
 
+void piece_broker::note_verdict(const open_job& open, bool is_late, millis expected)
+{
+    context_.forecast.note(
+        {open.pool, open.job.priority, is_late}, expected, context_.loop.now());
+}
+
 void piece_broker::move(broker_ticket ticket)
 {
     open_job& open = open_.at(ticket);
@@ -314,6 +322,8 @@
     from->send({{"type", "verdict"},
                 {"number", number},
                 {"accepted", verdict.accepted},
+                {"late", verdict.is_late},
+                {"expected_ms", verdict.expected.count()},
                 {"retry_ms", verdict.retry_after.count()}});
     if (!verdict.accepted)
     {
@@ -325,29 +335,30 @@
     foreign.asker_key = from.get();
     foreign.number = number;
     foreign.missing.insert(job.pieces.begin(), job.pieces.end());
-    foreign.ticket = service_.add(
-        group,
-        std::move(job),
-        {[this, key, number](int piece, const piece_result& result)
-         {
-             const auto found = foreign_.find(key);
-             const auto asker =
-                 found == foreign_.end() ? nullptr : found->second.asker.lock();
-             if (!asker)
-             {
-                 if (result.handle)
-                 {
-                     service_.free({*result.handle});
-                 }
-                 return;
-             }
-             asker->send(piece_message(number, piece, result));
-             found->second.missing.erase(piece);
-             if (found->second.missing.empty())
-             {
-                 drop_foreign(key);
-             }
-         }});
+    foreign.ticket =
+        service_.add(group,
+                     std::move(job),
+                     {[this, key, number](int piece, const piece_result& result)
+                      {
+                          const auto found = foreign_.find(key);
+                          const auto asker = found == foreign_.end()
+                                                 ? nullptr
+                                                 : found->second.asker.lock();
+                          if (!asker)
+                          {
+                              if (result.handle)
+                              {
+                                  service_.free({*result.handle});
+                              }
+                              return;
+                          }
+                          asker->send(piece_message(number, piece, result));
+                          found->second.missing.erase(piece);
+                          if (found->second.missing.empty())
+                          {
+                              drop_foreign(key);
+                          }
+                      }});
     foreign_.emplace(key, std::move(foreign));
 }
 
@@ -367,8 +378,8 @@
     }
     const broker_ticket ticket(message.at("number").get<std::uint64_t>());
     const auto found = open_.find(ticket);
-    const bool is_current = found != open_.end() && !found->second.is_local &&
-                            found->second.owner == from;
+    const bool is_current =
+        found != open_.end() && !found->second.is_local && found->second.owner == from;
     if (type == "piece")
     {
         piece_done(ticket, message.at("piece").get<int>(), read_piece(message));
@@ -376,6 +387,9 @@
     else if (is_current)
     {
         context_.loop.cancel(found->second.acknowledgement);
+        note_verdict(found->second,
+                     message.at("late").get<bool>(),
+                     millis(message.at("expected_ms").get<std::int64_t>()));
         if (!message.at("accepted").get<bool>())
         {
             refuse(ticket, millis(message.at("retry_ms").get<std::int64_t>()));
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -14,6 +14,9 @@
 // that lost them more often has a pool that does not stand
 constexpr int max_restarts = 2;
 
+// a queue that is too long by its whole length is short enough after a part of it
+constexpr std::int64_t retry_divisor = 4;
+
 // time until a request that lost its results should come back
 constexpr millis retry_after_failure{1000};
 
@@ -57,6 +60,22 @@
 
 void stage_pipeline::start()
 {
+    const steady_time now = context_.loop.now();
+    is_background_ = is_background_ || now + forecast() > request_.aim;
+    if (is_background_ && !any_done_ && now + forecast() > request_.deadline)
+    {
+        // not at once: the request is still being set up
+        const std::weak_ptr<stage_pipeline> weak = weak_from_this();
+        context_.loop.after(millis(0),
+                            [weak, wait = forecast() / retry_divisor]
+                            {
+                                if (const auto self = weak.lock())
+                                {
+                                    self->fail(pipeline_failure::refused, wait);
+                                }
+                            });
+        return;
+    }
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
         stages_[i] = stage_state{};
@@ -155,27 +174,59 @@
     sink_.on_done(inputs);
 }
 
+millis stage_pipeline::plain_time(std::size_t stage) const
+{
+    const pool_rule* const pool =
+        context_.configuration->find_pool(request_.stages[stage].pool);
+    if (request_.pieces[stage] <= 0 || pool == nullptr || !pool->pieces)
+    {
+        return millis(0);
+    }
+    const int in_call = std::min(request_.pieces[stage], pool->pieces->batch);
+    return millis(std::lround(pool->pieces->call_ms + pool->pieces->item_ms * in_call));
+}
+
 millis stage_pipeline::expected_after(std::size_t stage) const
 {
     millis longest{0};
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
         const std::vector<std::size_t>& after = request_.stages[i].after;
-        if (request_.pieces[i] <= 0 ||
-            std::find(after.begin(), after.end(), stage) == after.end())
+        if (std::find(after.begin(), after.end(), stage) != after.end())
         {
-            continue;
+            longest = std::max(longest, plain_time(i) + expected_after(i));
         }
-        const pool_rule* const pool =
-            context_.configuration->find_pool(request_.stages[i].pool);
-        if (pool == nullptr || !pool->pieces)
+    }
+    return longest;
+}
+
+millis stage_pipeline::forecast_from(std::size_t stage) const
+{
+    millis longest{0};
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        const std::vector<std::size_t>& after = request_.stages[i].after;
+        if (std::find(after.begin(), after.end(), stage) != after.end())
         {
-            continue;
+            longest = std::max(longest, forecast_from(i));
         }
-        const int in_call = std::min(request_.pieces[i], pool->pieces->batch);
-        const millis own(std::lround(pool->pieces->call_ms +
-                                     pool->pieces->item_ms * in_call));
-        longest = std::max(longest, own + expected_after(i));
+    }
+    if (request_.pieces[stage] <= 0)
+    {
+        return longest;
+    }
+    const forecast_key key{
+        request_.stages[stage].pool, request_.priority, is_background_};
+    return longest +
+           context_.forecast.expected(key, plain_time(stage), context_.loop.now());
+}
+
+millis stage_pipeline::forecast() const
+{
+    millis longest{0};
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        longest = std::max(longest, forecast_from(i));
     }
     return longest;
 }
@@ -210,6 +261,7 @@
     job.domain = request_.domain;
     job.result_size = rule.result_size;
     job.is_first = !any_done_;
+    job.is_background = is_background_;
     const std::weak_ptr<stage_pipeline> weak = weak_from_this();
     broker_sink sink;
     sink.on_refused = [weak](millis retry_after)
