Refuse late jobs by what jobs in time leave of a pool

Change: an owner averages the pieces of jobs in time over 1.5 s and expects late jobs to get the rest. A watch of the store begins 400 ms after the last one instead of 150.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -191,6 +191,9 @@
     };
 
     bool is_late(const piece_job& job, steady_time now) const;
+    /// share of the pool that jobs in time leave to late ones
+    double left_share(steady_time now) const;
+    void note_timely(std::size_t pieces, steady_time now);
     double wait_ms(const piece_job& job, bool late, steady_time now) const;
     std::vector<job_id> order(steady_time now) const;
     bool suits(const job_state& job,
@@ -212,6 +215,9 @@
     std::map<job_id, job_state> jobs_;
     std::map<piece_call_id, call_state> calls_;
     std::map<result_handle, kept_result> results_;
+    /// pieces of jobs in time that were sent lately, older ones weighing less
+    double timely_pieces_ = 0;
+    steady_time timely_at_;
     std::uint64_t last_id_ = 0;
 };
 
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -158,7 +158,8 @@
     virtual absl::StatusOr<std::vector<piece_result>>
     read_piece_answer(absl::string_view body) const = 0;
     virtual std::string
-    write_free_call(const endpoint& where, const std::vector<result_handle>& handles) const = 0;
+    write_free_call(const endpoint& where,
+                    const std::vector<result_handle>& handles) const = 0;
     /// @brief the address of the target that holds a result
     virtual absl::StatusOr<endpoint> holder_of(const result_handle& handle) const = 0;
 
--- a/include/medlar/detail/entry/serving_configuration.hpp
+++ b/include/medlar/detail/entry/serving_configuration.hpp
@@ -69,7 +69,8 @@
     /// @brief whether a request may run more than once
     bool may_repeat() const
     {
-        return kind == route_kind::idempotent || (kind == route_kind::stream && resumable);
+        return kind == route_kind::idempotent ||
+               (kind == route_kind::stream && resumable);
     }
 };
 
@@ -123,7 +124,8 @@
     std::optional<int> priority;
 };
 
-/// @brief One version of the operators' configuration; it does not change once it is made.
+/// @brief One version of the operators' configuration; it does not change once it is
+/// made.
 struct serving_configuration
 {
     std::int64_t version = 0;
--- a/include/medlar/detail/http/head_parser.hpp
+++ b/include/medlar/detail/http/head_parser.hpp
@@ -36,8 +36,8 @@
 template <typename Head>
 using head_result = std::variant<head_incomplete, head_error, parsed_head<Head>>;
 
-/// @brief Parses the head of a request strictly: CR LF line ends, no folded lines, one way
-/// to frame the body.
+/// @brief Parses the head of a request strictly: CR LF line ends, no folded lines, one
+/// way to frame the body.
 /// @param max_bytes limit on the head; beyond it the error has status 431
 /// @return an error with status 400, 431, 501 or 505
 head_result<request_head> parse_request_head(absl::string_view bytes,
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -55,30 +55,18 @@
 inline constexpr event entry_piece_call_ended{
     1727, severity::info, "entry_piece_call_ended"};
 /// @brief log lines were dropped since they were not read as fast as they were written
-inline constexpr event entry_lines_dropped{1726, severity::warning, "entry_lines_dropped"};
+inline constexpr event entry_lines_dropped{
+    1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 21> entry_events{entry_started,
-                                                    entry_draining,
-                                                    entry_stopped,
-                                                    entry_settings_read,
-                                                    entry_bad_setting,
-                                                    entry_configuration_in_force,
-                                                    entry_item_unreadable,
-                                                    entry_store_lost,
-                                                    entry_store_regained,
-                                                    entry_target_changed,
-                                                    entry_target_ejected,
-                                                    entry_peer_lost,
-                                                    entry_peer_changed,
-                                                    entry_request_sent,
-                                                    entry_call_failed,
-                                                    entry_request_ended,
-                                                    entry_request_rejected,
-                                                    entry_stage_ended,
-                                                    entry_piece_call_failed,
-                                                    entry_piece_call_ended,
-                                                    entry_lines_dropped};
+inline constexpr std::array<event, 21> entry_events{
+    entry_started,           entry_draining,         entry_stopped,
+    entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
+    entry_item_unreadable,   entry_store_lost,       entry_store_regained,
+    entry_target_changed,    entry_target_ejected,   entry_peer_lost,
+    entry_peer_changed,      entry_request_sent,     entry_call_failed,
+    entry_request_ended,     entry_request_rejected, entry_stage_ended,
+    entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped};
 
 } // namespace medlar
 
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -4,9 +4,8 @@
 #include <medlar/detail/base/endpoint.hpp>
 #include <medlar/detail/loop/event_loop.hpp>
 
-#include <absl/strings/string_view.h>
-
 #include <Poco/Net/StreamSocket.h>
+#include <absl/strings/string_view.h>
 
 #include <memory>
 #include <string>
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -20,11 +20,11 @@
 /// @brief how a call ended
 enum class call_end
 {
-    complete,    ///< the whole answer came
-    not_sent,    ///< no byte of the request reached the other side
-    no_answer,   ///< sent, and no head of an answer came; it may have run
-    broken_off,  ///< the connection was lost within the answer's body
-    malformed,   ///< the bytes that came are no answer
+    complete,   ///< the whole answer came
+    not_sent,   ///< no byte of the request reached the other side
+    no_answer,  ///< sent, and no head of an answer came; it may have run
+    broken_off, ///< the connection was lost within the answer's body
+    malformed,  ///< the bytes that came are no answer
 };
 
 /// @brief the name of an end in logs, such as "broken_off"
--- a/include/medlar/detail/loop/http_server.hpp
+++ b/include/medlar/detail/loop/http_server.hpp
@@ -85,7 +85,8 @@
         return connection_ == nullptr;
     }
 
-    /// @brief Sets what is called once if the caller leaves before its answer is finished.
+    /// @brief Sets what is called once if the caller leaves before its answer is
+    /// finished.
     void when_left(std::function<void()> action)
     {
         on_left_ = std::move(action);
@@ -120,10 +121,11 @@
     /// @brief Listens at @p where.
     /// @param limits read at each request, so that they may change
     /// @return error 901 if the address cannot be used
-    static absl::StatusOr<std::unique_ptr<http_server>> listen(event_loop& loop,
-                                                               const endpoint& where,
-                                                               const server_limits& limits,
-                                                               request_action on_request);
+    static absl::StatusOr<std::unique_ptr<http_server>>
+    listen(event_loop& loop,
+           const endpoint& where,
+           const server_limits& limits,
+           request_action on_request);
 
     ~http_server();
 
--- a/include/medlar/detail/loop/listener.hpp
+++ b/include/medlar/detail/loop/listener.hpp
@@ -3,9 +3,8 @@
 
 #include <medlar/detail/loop/connection.hpp>
 
-#include <absl/status/statusor.h>
-
 #include <Poco/Net/ServerSocket.h>
+#include <absl/status/statusor.h>
 
 #include <functional>
 #include <memory>
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -22,8 +22,11 @@
 // beyond the estimate, for calls in progress whose state is not known
 constexpr std::int64_t least_retry_ms = 200;
 
-// how much longer than estimated a late job waits, since others overtake it
-constexpr double late_stretch = 2;
+// time over which the work of jobs in time is averaged: some calls of each target
+constexpr double rate_window_ms = 1500;
+
+// least share of a pool that late jobs are expected to get
+constexpr double least_left_share = 0.05;
 
 // share of a target's room that is planned with; the rest is for results of other hosts
 constexpr double used_room = 0.9;
@@ -97,6 +100,30 @@
     return (ahead / batch * full + running_ms) / std::max(1.0, serving);
 }
 
+double piece_queue::left_share(steady_time now) const
+{
+    double serving = 0;
+    for (const auto& each : targets_)
+    {
+        serving += each.second.serving ? 1 : 0;
+    }
+    const int batch = std::max(1, rule_.batch);
+    const double capacity_per_ms =
+        std::max(1.0, serving) * batch / call_ms(static_cast<std::size_t>(batch));
+    const double age = static_cast<double>((now - timely_at_).count());
+    const double timely_per_ms =
+        timely_pieces_ * std::exp(-age / rate_window_ms) / rate_window_ms;
+    return std::max(least_left_share, 1 - timely_per_ms / capacity_per_ms);
+}
+
+void piece_queue::note_timely(std::size_t pieces, steady_time now)
+{
+    const double age = static_cast<double>((now - timely_at_).count());
+    timely_pieces_ =
+        timely_pieces_ * std::exp(-age / rate_window_ms) + static_cast<double>(pieces);
+    timely_at_ = now;
+}
+
 job_verdict piece_queue::judge(const piece_job& job, steady_time now) const
 {
     job_verdict verdict;
@@ -121,12 +148,11 @@
         late = true;
         wait = wait_ms(job, late, now);
     }
-    verdict.is_late = late;
-    verdict.expected = millis(to_ms(wait + own));
     // jobs that are in time go before those that wait as late ones
-    const double stretch = late ? late_stretch : 1;
-    verdict.accepted =
-        !job.is_first || now + millis(to_ms(wait * stretch + own)) <= job.deadline;
+    const double stretch = late ? 1 / left_share(now) : 1;
+    verdict.is_late = late;
+    verdict.expected = millis(to_ms(wait * stretch + own));
+    verdict.accepted = !job.is_first || now + verdict.expected <= job.deadline;
     verdict.retry_after = millis(std::max(least_retry_ms, to_ms(wait / 2)));
     return verdict;
 }
@@ -225,6 +251,7 @@
                                     used_room * static_cast<double>(rule_.room.get()));
     piece_call call;
     call_state state;
+    std::size_t timely = 0;
     std::map<failure_domain_id, std::size_t> ahead;
     for (const job_id id : ordered)
     {
@@ -239,6 +266,7 @@
         }
         const std::size_t count = pieces_to_take(
             job, batch - call.items.size(), room - target.bytes - state.bytes);
+        timely += is_late(job.job, now) ? 0 : count;
         for (std::size_t i = 0; i < count; ++i)
         {
             piece_item item;
@@ -259,6 +287,7 @@
     {
         return std::nullopt;
     }
+    note_timely(timely, now);
     call.id = piece_call_id(++last_id_);
     call.target = target.target;
     call.overdue_after =
--- a/src/dispatch/repeat_budget.cpp
+++ b/src/dispatch/repeat_budget.cpp
@@ -11,8 +11,8 @@
 // parts of a window that are counted apart
 constexpr std::int64_t buckets_in_window = 10;
 
-// part of the bound that is used: windows of hosts are not aligned, and a host that starts
-// again has forgotten what it spent
+// part of the bound that is used: windows of hosts are not aligned, and a host that
+// starts again has forgotten what it spent
 constexpr double used_part = 0.8;
 
 } // namespace
@@ -54,9 +54,9 @@
         first += each.first;
         repeats += each.repeats;
     }
-    const double part = rule_.slack / static_cast<double>(std::max<std::size_t>(1, hosts));
-    const double allowed =
-        used_part * (rule_.ratio * static_cast<double>(first) + part);
+    const double part =
+        rule_.slack / static_cast<double>(std::max<std::size_t>(1, hosts));
+    const double allowed = used_part * (rule_.ratio * static_cast<double>(first) + part);
     return static_cast<double>(repeats) + 1 <= allowed;
 }
 
--- a/src/dispatch/target_choice.cpp
+++ b/src/dispatch/target_choice.cpp
@@ -55,7 +55,8 @@
     std::uint64_t ties = 0;
     const auto rank = [&](const target_state& target)
     {
-        return std::make_pair(busyness(target), target.record.domain == own_domain ? 0 : 1);
+        return std::make_pair(busyness(target),
+                              target.record.domain == own_domain ? 0 : 1);
     };
     for (target_state* each : usable)
     {
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -68,9 +68,8 @@
 
 bool may_call(const target_state& target, steady_time now)
 {
-    return now >= target.refused_until &&
-           (target.health.state == health_state::healthy ||
-            probe_is_due(target.health, now));
+    return now >= target.refused_until && (target.health.state == health_state::healthy ||
+                                           probe_is_due(target.health, now));
 }
 
 void note_call(target_state& target,
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -46,7 +46,8 @@
 
 void entry_context::note_first_event(const pool_id& pool, millis took)
 {
-    double& mean = first_event_ms_.try_emplace(pool, initial_first_event_ms).first->second;
+    double& mean =
+        first_event_ms_.try_emplace(pool, initial_first_event_ms).first->second;
     mean += first_event_smoothing * (static_cast<double>(took.count()) - mean);
 }
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -235,7 +235,8 @@
     }
     else if (configuration->has_organisations && !found->is_public)
     {
-        answer_directly(exchange, fields, status_unauthorised, "the access key is unknown");
+        answer_directly(
+            exchange, fields, status_unauthorised, "the access key is unknown");
         return;
     }
     if (fields.attempt.get().empty())
@@ -300,13 +301,11 @@
 void entry_host::serve_metrics(const std::shared_ptr<caller_exchange>& exchange)
 {
     const std::pair<std::size_t, std::size_t> load = pieces_.load();
-    context_.metrics->set(
-        "medlar_pieces_waiting", {}, static_cast<double>(load.first));
+    context_.metrics->set("medlar_pieces_waiting", {}, static_cast<double>(load.first));
     context_.metrics->set(
         "medlar_piece_calls_running", {}, static_cast<double>(load.second));
-    context_.metrics->set("medlar_requests_running",
-                          {},
-                          static_cast<double>(callers_->open_exchanges()));
+    context_.metrics->set(
+        "medlar_requests_running", {}, static_cast<double>(callers_->open_exchanges()));
     context_.metrics->set("medlar_target_connections_opened",
                           {},
                           static_cast<double>(context_.client.opened_connections()));
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -36,7 +36,8 @@
 {
     const pool_rule* const pool =
         context_.configuration ? context_.configuration->find_pool(group.pool) : nullptr;
-    const piece_rule rule = pool != nullptr && pool->pieces ? *pool->pieces : piece_rule{};
+    const piece_rule rule =
+        pool != nullptr && pool->pieces ? *pool->pieces : piece_rule{};
     std::unique_ptr<group_state>& state = groups_[group];
     if (!state)
     {
@@ -163,16 +164,14 @@
 void piece_service::watch_time(const std::shared_ptr<sent_call>& call,
                                millis overdue_after)
 {
-    call->overdue =
-        context_.loop.after(overdue_after,
-                            [this, call]
-                            {
-                                groups_.at(call->group)
-                                    ->queue.overdue(call->id, context_.loop.now());
-                                context_.note_target_call(call->target,
-                                                          call_result::timed_out);
-                                pump_soon(call->group);
-                            });
+    call->overdue = context_.loop.after(
+        overdue_after,
+        [this, call]
+        {
+            groups_.at(call->group)->queue.overdue(call->id, context_.loop.now());
+            context_.note_target_call(call->target, call_result::timed_out);
+            pump_soon(call->group);
+        });
     call->give_up = context_.loop.after(overdue_after * give_up_factor,
                                         [this, call]
                                         {
@@ -193,17 +192,15 @@
             context_.protocol.read_piece_answer(call->body);
         if (results.ok() && results->size() == call->pieces)
         {
-            const bool all_failed = std::all_of(results->begin(),
-                                                results->end(),
-                                                [](const piece_result& each)
-                                                {
-                                                    return !each.handle &&
-                                                           each.failure ==
-                                                               piece_failure::failed;
-                                                });
-            context_.note_target_call(call->target,
-                                      all_failed ? call_result::failed
-                                                 : call_result::succeeded);
+            const bool all_failed = std::all_of(
+                results->begin(),
+                results->end(),
+                [](const piece_result& each)
+                {
+                    return !each.handle && each.failure == piece_failure::failed;
+                });
+            context_.note_target_call(
+                call->target, all_failed ? call_result::failed : call_result::succeeded);
             log_answer(*call, *results, state.queue);
             deliver(state, state.queue.answered(call->id, *results, now));
             pump_soon(call->group);
@@ -252,7 +249,8 @@
                {"waiting", static_cast<std::int64_t>(queue.waiting())}});
 }
 
-void piece_service::deliver(group_state& state, const std::vector<finished_piece>& finished)
+void piece_service::deliver(group_state& state,
+                            const std::vector<finished_piece>& finished)
 {
     for (const finished_piece& each : finished)
     {
@@ -311,14 +309,12 @@
         for (std::size_t at = 0; at < each.second.size(); at += free_batch)
         {
             const auto begin = each.second.begin() + static_cast<std::ptrdiff_t>(at);
-            const auto end =
-                begin + static_cast<std::ptrdiff_t>(
-                            std::min(free_batch, each.second.size() - at));
+            const auto end = begin + static_cast<std::ptrdiff_t>(
+                                         std::min(free_batch, each.second.size() - at));
             // a result that is not freed here is dropped by its holder after its time
             context_.client.start(each.first,
                                   context_.protocol.write_free_call(
-                                      each.first,
-                                      std::vector<result_handle>(begin, end)),
+                                      each.first, std::vector<result_handle>(begin, end)),
                                   options,
                                   {});
         }
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -22,7 +22,7 @@
 
 // least time from one watch to the next, so that changes in quick succession come
 // together
-constexpr millis watch_pause{150};
+constexpr millis watch_pause{400};
 
 // after a call that failed
 constexpr millis retry_pause{250};
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -107,11 +107,12 @@
         keys.push_back(each.first);
         if (each.second.revision > since)
         {
-            changed.push_back({{"key", each.first},
-                               {"revision", each.second.revision},
-                               {"value", nlohmann::json::binary(std::vector<std::uint8_t>(
-                                             each.second.value.begin(),
-                                             each.second.value.end()))}});
+            changed.push_back(
+                {{"key", each.first},
+                 {"revision", each.second.revision},
+                 {"value",
+                  nlohmann::json::binary(std::vector<std::uint8_t>(
+                      each.second.value.begin(), each.second.value.end()))}});
         }
     }
     return {{"revision", revision_},
--- a/src/http/body_decoder.cpp
+++ b/src/http/body_decoder.cpp
@@ -30,8 +30,9 @@
     size = 0;
     for (const char digit : digits)
     {
-        const int value =
-            absl::ascii_isdigit(digit) ? digit - '0' : absl::ascii_tolower(digit) - 'a' + 10;
+        const int value = absl::ascii_isdigit(digit)
+                              ? digit - '0'
+                              : absl::ascii_tolower(digit) - 'a' + 10;
         size = size * 16 + static_cast<std::uint64_t>(value);
     }
     return true;
--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -60,13 +60,13 @@
 
 std::size_t header_list::count(absl::string_view name) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(fields_.begin(),
-                      fields_.end(),
-                      [&](const header_field& each)
-                      {
-                          return absl::EqualsIgnoreCase(each.name, name);
-                      }));
+    return static_cast<std::size_t>(std::count_if(fields_.begin(),
+                                                  fields_.end(),
+                                                  [&](const header_field& each)
+                                                  {
+                                                      return absl::EqualsIgnoreCase(
+                                                          each.name, name);
+                                                  }));
 }
 
 void header_list::remove(absl::string_view name)
--- a/src/http/head_parser.cpp
+++ b/src/http/head_parser.cpp
@@ -76,8 +76,8 @@
         {
             return error;
         }
-        lines = end == absl::string_view::npos ? absl::string_view()
-                                               : lines.substr(end + 2);
+        lines =
+            end == absl::string_view::npos ? absl::string_view() : lines.substr(end + 2);
     }
     return std::nullopt;
 }
--- a/src/log/bounded_log.cpp
+++ b/src/log/bounded_log.cpp
@@ -1,17 +1,17 @@
 #include <medlar/detail/log/bounded_log.hpp>
 
 #include <absl/strings/str_cat.h>
+#include <fcntl.h>
 #include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
 
-#include <fcntl.h>
 #include <memory>
 #include <sstream>
 #include <string>
-#include <unistd.h>
 
 namespace medlar
 {
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -1,10 +1,9 @@
 #include <medlar/detail/loop/caller_connection.hpp>
 
+#include <Poco/Net/HTTPResponse.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
-#include <Poco/Net/HTTPResponse.h>
-
 namespace medlar
 {
 
@@ -114,8 +113,7 @@
     }
     stream_->consume(parsed->consumed);
     const body_framing framing = parsed->head.framing;
-    if (framing.kind == body_kind::length &&
-        framing.length > server_.limits_.body_bytes)
+    if (framing.kind == body_kind::length && framing.length > server_.limits_.body_bytes)
     {
         reject(status_too_large, "the body is too large");
         return false;
@@ -205,7 +203,8 @@
                             [weak]
                             {
                                 const auto alive = weak.lock();
-                                if (alive && !alive->exchange_ && alive->stream_->is_open())
+                                if (alive && !alive->exchange_ &&
+                                    alive->stream_->is_open())
                                 {
                                     alive->parse();
                                 }
@@ -280,13 +279,15 @@
     // HTTP/1.0 knows no chunks: the body ends with the connection
     chunked_ = framing.kind == body_kind::chunked && head_.minor_version >= 1;
     const bool by_close = framing.kind == body_kind::chunked && !chunked_;
-    const bool closes = !connection_->keep_ || connection_->server_.is_draining() || by_close;
+    const bool closes =
+        !connection_->keep_ || connection_->server_.is_draining() || by_close;
     connection_->keep_ = !closes;
-    std::string out = absl::StrCat("HTTP/1.1 ",
-                                   status,
-                                   " ",
-                                   phrase.empty() ? reason_phrase(status) : std::string(phrase),
-                                   "\r\n");
+    std::string out =
+        absl::StrCat("HTTP/1.1 ",
+                     status,
+                     " ",
+                     phrase.empty() ? reason_phrase(status) : std::string(phrase),
+                     "\r\n");
     if (closes)
     {
         out += "Connection: close\r\n";
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -2,11 +2,11 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <array>
 #include <cerrno>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 namespace medlar
 {
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -1,10 +1,9 @@
 #include <medlar/detail/base/error.hpp>
 #include <medlar/detail/loop/listener.hpp>
 
-#include <absl/strings/str_cat.h>
-
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <absl/strings/str_cat.h>
 
 namespace medlar
 {
@@ -42,7 +41,8 @@
         return make_error(
             absl::StatusCode::kUnavailable,
             error_number::bad_setting,
-            absl::StrCat("cannot listen at ", to_string(where), ": ", error.displayText()));
+            absl::StrCat(
+                "cannot listen at ", to_string(where), ": ", error.displayText()));
     }
     return made;
 }
