Run a request at an engine near its large results

Change: where the results that a request needs are 1 MB or more, its engine is chosen in the failure domain that holds most of them.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -47,6 +47,10 @@
     /// @return nullptr if there is no such target
     target_state* find(const target_id& id);
 
+    /// @brief the target at an address
+    /// @return nullptr if there is none
+    const target_state* find_at(const endpoint& where) const;
+
     /// @brief the targets of a pool that are not leaving, by id
     std::vector<target_state*> serving(const pool_id& pool);
 
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -45,6 +45,7 @@
     millis left() const;
     int priority() const;
     pool_id choose_pool();
+    std::optional<failure_domain_id> inputs_domain() const;
     target_state* choose_target();
 
     // the stages before the request
--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace medlar
@@ -65,6 +66,10 @@
     /// @brief Drops what runs and frees all results; nothing more is told.
     void stop();
 
+    /// @brief the failure domain that holds most of the results that the request needs
+    /// @return unset if they are too small for their place to matter
+    std::optional<failure_domain_id> results_domain() const;
+
     /// @brief Frees the results that the request has read.
     void free_results();
 
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -222,7 +222,7 @@
         return true;
     }
     // two full calls of waiting pieces in its own domain: it would be late there
-    const bool crowded = ahead >= static_cast<std::size_t>(2 * std::max(1, rule_.batch));
+    const bool crowded = ahead >= 2 * static_cast<std::size_t>(std::max(1, rule_.batch));
     const millis spare = job.job.aim - now;
     return crowded || (spare > millis(0) && spare < full_call() * 2);
 }
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -53,6 +53,18 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+const target_state* target_table::find_at(const endpoint& where) const
+{
+    for (const auto& each : targets_)
+    {
+        if (each.second.record.where == where)
+        {
+            return &each.second;
+        }
+    }
+    return nullptr;
+}
+
 std::vector<target_state*> target_table::serving(const pool_id& pool)
 {
     std::vector<target_state*> found;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -140,10 +140,38 @@
     return route_.pools.back().pool;
 }
 
+std::optional<failure_domain_id> request_run::inputs_domain() const
+{
+    return has_inputs_ ? pipeline_->results_domain() : std::nullopt;
+}
+
 target_state* request_run::choose_target()
 {
     choice_question asked;
     asked.serving = context_.targets.serving(pool_);
+    if (const std::optional<failure_domain_id> near = inputs_domain())
+    {
+        const auto elsewhere =
+            std::stable_partition(asked.serving.begin(),
+                                  asked.serving.end(),
+                                  [&](const target_state* each)
+                                  {
+                                      return each->record.domain == *near;
+                                  });
+        const bool any_near = std::any_of(
+            asked.serving.begin(),
+            elsewhere,
+            [this](const target_state* each)
+            {
+                return may_call(*each, context_.loop.now()) &&
+                       std::find(tried_.begin(), tried_.end(), each->record.id) ==
+                           tried_.end();
+            });
+        if (any_near)
+        {
+            asked.serving.erase(elsewhere, asked.serving.end());
+        }
+    }
     asked.tried = tried_;
     asked.own_domain = context_.settings.domain;
     asked.now = context_.loop.now();
@@ -217,9 +245,10 @@
         --target->in_flight;
     }
     planned_ = target_id();
-    const bool keeps_plan = target != nullptr && !target->record.is_draining &&
-                            target->record.pool == pool_ &&
-                            may_call(*target, context_.loop.now());
+    const bool keeps_plan =
+        target != nullptr && !target->record.is_draining &&
+        target->record.pool == pool_ && may_call(*target, context_.loop.now()) &&
+        inputs_domain().value_or(target->record.domain) == target->record.domain;
     if (!keeps_plan)
     {
         target = choose_target();
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace medlar
 {
@@ -17,6 +18,10 @@
 // a queue that is too long by its whole length is short enough after a part of it
 constexpr std::int64_t retry_divisor = 4;
 
+// results that are worth an engine without the prompt's shared parts: reading 13,000
+// tokens again costs less than moving one result of 3 MB between failure domains
+constexpr std::int64_t least_bytes_to_follow = 1000000;
+
 // time until a request that lost its results should come back
 constexpr millis retry_after_failure{1000};
 
@@ -122,6 +127,39 @@
     }
 }
 
+std::optional<failure_domain_id> stage_pipeline::results_domain() const
+{
+    std::map<failure_domain_id, std::int64_t> bytes;
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (is_followed(i))
+        {
+            continue;
+        }
+        for (const result_handle& each : results_of(i))
+        {
+            const absl::StatusOr<endpoint> holder = context_.protocol.holder_of(each);
+            const target_state* const target =
+                holder.ok() ? context_.targets.find_at(*holder) : nullptr;
+            if (target != nullptr)
+            {
+                bytes[target->record.domain] += request_.stages[i].result_size.get();
+            }
+        }
+    }
+    const auto most = std::max_element(bytes.begin(),
+                                       bytes.end(),
+                                       [](const auto& a, const auto& b)
+                                       {
+                                           return a.second < b.second;
+                                       });
+    if (most == bytes.end() || most->second < least_bytes_to_follow)
+    {
+        return std::nullopt;
+    }
+    return most->first;
+}
+
 bool stage_pipeline::is_followed(std::size_t stage) const
 {
     return std::any_of(request_.stages.begin(),
