Make pieces in the failure domain of their inputs

Cause: each piece of a stage reads all results of the stage before: 16 pieces that read 8 results of 60 KB move 7.7 MB between failure domains. Change: a job of a later stage prefers the domain that holds most of its inputs, by the same rule as large results.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -31,8 +31,10 @@
     steady_time aim;
     /// when nobody waits for them any more
     steady_time deadline;
-    /// where the results are read
+    /// where a piece is made without moving bytes between failure domains
     failure_domain_id domain;
+    /// bytes that move if a piece is made elsewhere
+    byte_count moved_size{0};
     byte_count result_size{0};
     /// whether the request has no finished work that refusing it would waste
     bool is_first = true;
--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -95,6 +95,15 @@
                    pipeline_request request,
                    pipeline_sink sink);
 
+    /// where results are, and their bytes
+    struct placed_results
+    {
+        failure_domain_id domain;
+        std::int64_t bytes = 0;
+    };
+
+    /// the domain that holds most of the results of some stages
+    placed_results place_of(const std::vector<std::size_t>& stages) const;
     bool is_followed(std::size_t stage) const;
     bool is_ready(std::size_t stage) const;
     void advance();
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-// results of this size are worth a longer wait for a target in the domain that reads them
-constexpr std::int64_t large_result_bytes = 200000;
+// moved bytes that are worth a longer wait for a target in the right failure domain
+constexpr std::int64_t large_move_bytes = 200000;
 
 // a call that takes this many times as long as it should is given to other targets too
 constexpr double overdue_factor = 2.5;
@@ -216,7 +216,7 @@
                         std::size_t ahead,
                         steady_time now) const
 {
-    if (job.job.result_size.get() < large_result_bytes ||
+    if (job.job.moved_size.get() < large_move_bytes ||
         job.job.domain == target.target.domain || !has_target_in(job.job.domain, now))
     {
         return true;
@@ -259,7 +259,8 @@
         const std::int64_t size = job.job.result_size.get();
         std::size_t& ahead_in_domain = ahead[job.job.domain];
         const bool suitable = suits(job, target, ahead_in_domain, now);
-        ahead_in_domain += size < large_result_bytes ? 0 : job.waiting.size();
+        ahead_in_domain +=
+            job.job.moved_size.get() < large_move_bytes ? 0 : job.waiting.size();
         if (!suitable)
         {
             continue;
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -40,6 +40,7 @@
             {"left_ms", (job.deadline - now).count()},
             {"domain", job.domain.get()},
             {"bytes", job.result_size.get()},
+            {"moved", job.moved_size.get()},
             {"first", job.is_first},
             {"background", job.is_background}};
 }
@@ -60,6 +61,7 @@
     job.deadline = now + millis(message.at("left_ms").get<std::int64_t>());
     job.domain = failure_domain_id(message.at("domain").get<std::string>());
     job.result_size = byte_count(message.at("bytes").get<std::int64_t>());
+    job.moved_size = byte_count(message.at("moved").get<std::int64_t>());
     job.is_first = message.at("first").get<bool>();
     job.is_background = message.at("background").get<bool>();
     return job;
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -127,37 +127,48 @@
     }
 }
 
-std::optional<failure_domain_id> stage_pipeline::results_domain() const
+stage_pipeline::placed_results
+stage_pipeline::place_of(const std::vector<std::size_t>& stages) const
 {
     std::map<failure_domain_id, std::int64_t> bytes;
-    for (std::size_t i = 0; i < stages_.size(); ++i)
+    for (const std::size_t stage : stages)
     {
-        if (is_followed(i))
-        {
-            continue;
-        }
-        for (const result_handle& each : results_of(i))
+        for (const result_handle& each : results_of(stage))
         {
             const absl::StatusOr<endpoint> holder = context_.protocol.holder_of(each);
             const target_state* const target =
                 holder.ok() ? context_.targets.find_at(*holder) : nullptr;
             if (target != nullptr)
             {
-                bytes[target->record.domain] += request_.stages[i].result_size.get();
+                bytes[target->record.domain] += request_.stages[stage].result_size.get();
             }
         }
     }
-    const auto most = std::max_element(bytes.begin(),
-                                       bytes.end(),
-                                       [](const auto& a, const auto& b)
-                                       {
-                                           return a.second < b.second;
-                                       });
-    if (most == bytes.end() || most->second < least_bytes_to_follow)
+    placed_results most{request_.domain, 0};
+    for (const auto& each : bytes)
+    {
+        if (each.second > most.bytes)
+        {
+            most = {each.first, each.second};
+        }
+    }
+    return most;
+}
+
+std::optional<failure_domain_id> stage_pipeline::results_domain() const
+{
+    std::vector<std::size_t> last;
+    for (std::size_t i = 0; i < stages_.size(); ++i)
     {
-        return std::nullopt;
+        if (!is_followed(i))
+        {
+            last.push_back(i);
+        }
     }
-    return most->first;
+    const placed_results most = place_of(last);
+    return most.bytes < least_bytes_to_follow
+               ? std::nullopt
+               : std::optional<failure_domain_id>(most.domain);
 }
 
 bool stage_pipeline::is_followed(std::size_t stage) const
@@ -296,7 +307,11 @@
     job.priority = request_.priority;
     job.aim = request_.aim - expected_after(stage);
     job.deadline = request_.deadline - expected_after(stage);
-    job.domain = request_.domain;
+    // each piece reads all inputs; its result is read once
+    const placed_results inputs = place_of(rule.after);
+    const bool follows_inputs = inputs.bytes > rule.result_size.get();
+    job.domain = follows_inputs ? inputs.domain : request_.domain;
+    job.moved_size = follows_inputs ? byte_count(inputs.bytes) : rule.result_size;
     job.result_size = rule.result_size;
     job.is_first = !any_done_;
     job.is_background = is_background_;
--- a/test/decisions/dispatch/piece_queue_test.cpp
+++ b/test/decisions/dispatch/piece_queue_test.cpp
@@ -147,6 +147,7 @@
         queue_.set_targets({target("far", "b"), target("near", "a")});
         piece_job one = job("x", 2, 0, start_ + millis(5000));
         one.result_size = byte_count(large);
+        one.moved_size = byte_count(large);
         queue_.add(one, start_);
         const auto call = queue_.next(start_);
         CPPUNIT_ASSERT_EQUAL(std::string("near"), call->target.id.get());
