Write the pages of the users' platform; survive messages and ids that cannot be read

Cause of the second: a caller's key that is not UTF-8 would have ended the process when it was written as JSON, and a malformed message of another host likewise; tests of both.

--- a/include/medlar/detail/loop/message_link.hpp
+++ b/include/medlar/detail/loop/message_link.hpp
@@ -50,6 +50,9 @@
                  message_action on_message,
                  end_action on_end);
 
+    /// @return false if the message lacks what its receiver needs
+    bool deliver(const nlohmann::json& message);
+
     std::shared_ptr<connection> stream_;
     message_action on_message_;
     end_action on_end_;
--- a/scripts/proofs.sh
+++ b/scripts/proofs.sh
@@ -10,6 +10,8 @@
 
 "$directory/system_test" >>"$results" 2>&1
 "$directory/model_test" >>"$results" 2>&1
+"$directory/entry_test" >>"$results" 2>&1
+"$directory/decisions_test" >>"$results" 2>&1
 
 hold=0
 do_not=0
--- a/scripts/write_event_catalogue.sh
+++ b/scripts/write_event_catalogue.sh
@@ -7,7 +7,7 @@
 {
     echo "# Log events"
     echo
-    echo "Each line of a program's log (standard error) is one event: time, severity, program,"
+    echo "Each line of a program's log is one event: time, severity, program,"
     echo "\`event=NUMBER name=NAME\`, then named fields. Numbers are never given a new meaning."
     echo "This page is written by \`scripts/write_event_catalogue.sh\`; a test compares it with"
     echo "the code."
--- a/test/entry/host_test.cpp
+++ b/test/entry/host_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(finishes_what_runs_before_it_ends);
     CPPUNIT_TEST(rejects_what_is_no_request);
     CPPUNIT_TEST(serves_its_metrics);
+    CPPUNIT_TEST(outlives_messages_that_cannot_be_read);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -275,6 +276,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.target.requests.size());
     }
 
+    void outlives_messages_that_cannot_be_read()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        bool ended = false;
+        for (const nlohmann::json& message : {nlohmann::json({{"type", "job"}}),
+                                              nlohmann::json({{"no", "type"}}),
+                                              nlohmann::json(7)})
+        {
+            ended = false;
+            const auto link = message_link::create(
+                connection::opened(it.loop, it.all_settings[0].link, millis(1000)),
+                [](const nlohmann::json&) {},
+                [&ended]
+                {
+                    ended = true;
+                });
+            link->send(message);
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return ended;
+                }));
+        }
+        CPPUNIT_ASSERT_EQUAL(200, it.ask(0, "/a/x"));
+    }
+
     void serves_its_metrics()
     {
         host_fixture it;
--- a/test/entry/stream_test.cpp
+++ b/test/entry/stream_test.cpp
@@ -239,6 +239,7 @@
     CPPUNIT_TEST(are_done_in_order_before_it_runs);
     CPPUNIT_TEST(are_done_again_when_results_are_gone);
     CPPUNIT_TEST(are_freed_when_they_were_read);
+    CPPUNIT_TEST(carry_ids_that_are_not_text);
     CPPUNIT_TEST_SUITE_END();
 
     static void answer_stream(const exchange_ptr& exchange)
@@ -289,6 +290,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, it.calls.size());
     }
 
+    void carry_ids_that_are_not_text()
+    {
+        stream_fixture it;
+        it.open(true, true, answer_stream);
+        const got_answer got = it.ask("Pieces: 1,1\r\nPiece-Key: \xff\xfe\r\n");
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        CPPUNIT_ASSERT(it.is_ready(it.settings_));
+    }
+
     void are_freed_when_they_were_read()
     {
         stream_fixture it;
