Let a target without room rest

Ruled out: results that were not freed (335 never used). Change: a target that answers that it has no room gets no call for 120 ms. The new test was not run on the code of before.

--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -28,6 +28,9 @@
 // least share of a pool that late jobs are expected to get
 constexpr double least_left_share = 0.05;
 
+// how long a target without room gets no call: results are freed within a call's time
+constexpr millis room_pause{120};
+
 // share of a target's room that is planned with; the rest is for results of other hosts
 constexpr double used_room = 0.9;
 
@@ -385,6 +388,11 @@
         const auto again = std::find(job->second.waiting.begin(),
                                      job->second.waiting.end(),
                                      state.pieces[i].second);
+        if (!result.handle && result.failure == piece_failure::no_room &&
+            target != targets_.end())
+        {
+            target->second.paused_until = now + room_pause;
+        }
         const bool retry = !result.handle && (result.failure == piece_failure::no_room ||
                                               result.failure == piece_failure::failed);
         if (retry)
--- a/test/decisions/dispatch/piece_queue_test.cpp
+++ b/test/decisions/dispatch/piece_queue_test.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(makes_large_results_where_they_are_read);
     CPPUNIT_TEST(gives_overdue_pieces_to_another_target);
     CPPUNIT_TEST(tries_a_refused_call_again);
+    CPPUNIT_TEST(waits_for_a_target_without_room);
     CPPUNIT_TEST(fails_all_pieces_of_a_job_whose_time_is_over);
     CPPUNIT_TEST(refuses_what_cannot_be_in_time);
     CPPUNIT_TEST(gives_back_results_of_dropped_jobs);
@@ -192,6 +193,19 @@
                              queue_.next(start_ + millis(100))->items.size());
     }
 
+    /// an owner that has just begun does not know which results a target keeps
+    void waits_for_a_target_without_room()
+    {
+        queue_.set_targets({target("t", "a")});
+        queue_.add(job("x", 2, 0, start_ + millis(900)), start_);
+        const auto first = queue_.next(start_);
+        piece_result no_room;
+        no_room.failure = piece_failure::no_room;
+        queue_.answered(first->id, {no_room, no_room}, start_ + millis(5));
+        CPPUNIT_ASSERT(!queue_.next(start_ + millis(5)));
+        CPPUNIT_ASSERT(queue_.next(start_ + millis(200)));
+    }
+
     void fails_all_pieces_of_a_job_whose_time_is_over()
     {
         const piece_job one = job("x", 3, 0, start_);
