--- a/scripts/check_lint.sh
+++ b/scripts/check_lint.sh
@@ -10,7 +10,7 @@
 if [ "$#" -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files 'src/*.cpp' 'test/*.cpp')
+    mapfile -t files < <(git ls-files 'src/*.cpp' 'platform/*.cpp' 'test/*.cpp')
 fi
 printf '%s\n' "${files[@]}" |
     xargs -P "$jobs" -n 1 clang-tidy -p "$directory" --quiet 2> >(grep -v 'warnings generated' >&2)
