Wait for the handover of a leaving home before refusing what it may have run

Cause: the members that stay adopt the new view, and so close the old one, as soon as their own last grants have run out; the member that leaves adopts at its own last grant's end and hands over only then. In between the floor was that of a takeover, now plus the margin, and every request issued before it was refused with unknown/issued_before_ownership, although the home that leaves was alive and about to say what it had run.

Ruled out: requests that find no home (reason ownership_unproved, not seen), the drain of the callers (they talk to the hosts that stay).

Change: while the earlier home is not known to have stopped, the decision is to await its handover; the placer waits as long as that process is heard, then gives the same answer as before.

The test of the handover in ownership_test plays the order by hand; it does not compile on the old code, where the same decision is the refusal that refuses_what_the_old_home_may_have_accepted shows.

--- a/include/medlar/detail/membership/request_placer.hpp
+++ b/include/medlar/detail/membership/request_placer.hpp
@@ -25,6 +25,7 @@
 
     attempt try_place(const owned_request& request);
     attempt open_claim(const owned_request& request);
+    attempt by_earlier_home(const awaits_handover& found) const;
     placement by_claim(const owned_request& request, const claim& found) const;
     placement at_runner(const claim& found) const;
 
--- a/include/medlar/detail/ownership/ownership.hpp
+++ b/include/medlar/detail/ownership/ownership.hpp
@@ -67,13 +67,23 @@
     outcome otherwise;
 };
 
+/// @brief An earlier home acts no more, but has not handed over yet. While it lives its
+/// handover tells whether the request is new.
+struct awaits_handover
+{
+    incarnation earlier;
+    /// what the answer is if no handover comes
+    outcome otherwise;
+};
+
 /// @brief the request can never be accepted
 struct refuse
 {
     outcome answer;
 };
 
-using ownership_decision = std::variant<accept_run, at_home, not_settled, refuse>;
+using ownership_decision =
+    std::variant<accept_run, at_home, not_settled, awaits_handover, refuse>;
 
 /// @brief Ownership of requests at one gateway process: which view it has adopted,
 /// what it has granted to other homes, whether its own lease holds, and which requests
@@ -176,6 +186,8 @@
     {
         bool settled = false;
         wall_time floor;
+        /// the earlier home, if it may still hand over and so lower the floor
+        std::optional<incarnation> handover_from = std::nullopt;
     };
 
     std::size_t index_of(view_epoch epoch) const;
@@ -187,6 +199,7 @@
     std::vector<steady_time> grant_times() const;
     fence takeover_fence(view_epoch closed_view) const;
     fence fence_for(std::uint64_t key_hash) const;
+    ownership_decision refused_by(const fence& taken_over) const;
     fence fence_of_gain(std::size_t index) const;
     std::optional<outcome>
     refused_for_age(wall_time issued_at, bool first_attempt, wall_time wall_now) const;
--- a/src/membership/request_placer.cpp
+++ b/src/membership/request_placer.cpp
@@ -95,10 +95,23 @@
             {
                 return *waiting;
             }
+            if (const auto* awaiting = std::get_if<awaits_handover>(&decision))
+            {
+                return by_earlier_home(*awaiting);
+            }
             return open_claim(request);
         });
 }
 
+request_placer::attempt request_placer::by_earlier_home(const awaits_handover& found) const
+{
+    if (core_.peers.heard_lately(found.earlier, core_.time.steady_now()))
+    {
+        return not_settled{found.otherwise};
+    }
+    return placement(with_retry(found.otherwise));
+}
+
 request_placer::attempt request_placer::open_claim(const owned_request& request)
 {
     if (core_.stopped.load())
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 #include <functional>
 #include <set>
 
@@ -347,13 +348,23 @@
     }
     if (!first_attempt && issued_at <= taken_over.floor)
     {
-        return refuse{refusal(outcome_kind::unknown,
-                              reason::issued_before_ownership,
-                              "an earlier home may have run it")};
+        return refused_by(taken_over);
     }
     return accept_run{};
 }
 
+ownership_decision ownership::refused_by(const fence& taken_over) const
+{
+    outcome answer = refusal(outcome_kind::unknown,
+                             reason::issued_before_ownership,
+                             "an earlier home may have run it");
+    if (taken_over.handover_from)
+    {
+        return awaits_handover{*taken_over.handover_from, std::move(answer)};
+    }
+    return refuse{std::move(answer)};
+}
+
 std::optional<outcome> ownership::refused_for_age(wall_time issued_at,
                                                   bool first_attempt,
                                                   wall_time wall_now) const
@@ -394,7 +405,12 @@
         {
             return {true, received->second.at(earlier)};
         }
-        return takeover_fence(old.epoch);
+        fence closed_only = takeover_fence(old.epoch);
+        if (stopped_since_.count(earlier) == 0)
+        {
+            closed_only.handover_from = earlier;
+        }
+        return closed_only;
     }
     return takeover_fence(before(views_.front().epoch));
 }
--- a/test/decisions/ownership_test.cpp
+++ b/test/decisions/ownership_test.cpp
@@ -73,6 +73,10 @@
         {
             return waiting->otherwise.why;
         }
+        if (const auto* awaiting = std::get_if<awaits_handover>(&decision))
+        {
+            return awaiting->otherwise.why;
+        }
         return reason::none;
     }
 
@@ -295,6 +299,8 @@
 {
     CPPUNIT_TEST_SUITE(handover);
     CPPUNIT_TEST(lets_the_new_home_accept_without_a_margin);
+    CPPUNIT_TEST(is_awaited_when_the_others_moved_on_first);
+    CPPUNIT_TEST(is_not_awaited_from_a_stopped_process);
     CPPUNIT_TEST(is_not_offered_by_a_process_that_owned_nothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -316,6 +322,45 @@
         CPPUNIT_ASSERT(accepts(1, key_, before_the_change));
     }
 
+    /// The view without gateway 3 is adopted by the others, which closes the old one.
+    /// @return a moment at which the old view was settled
+    wall_time others_move_on_first()
+    {
+        settle_first_view();
+        const wall_time before_the_change = wall_;
+        propose_without_third();
+        pass(timing_.grant());
+        learn(1);
+        learn(2);
+        renew(1, {1, 2});
+        gateway(1).try_close(time_, wall_);
+        return before_the_change;
+    }
+
+    void is_awaited_when_the_others_moved_on_first()
+    {
+        const wall_time before_the_change = others_move_on_first();
+        const ownership_decision early =
+            gateway(1).decide(key_, before_the_change, false, time_, wall_);
+        const auto* awaiting = std::get_if<awaits_handover>(&early);
+        CPPUNIT_ASSERT(awaiting != nullptr);
+        CPPUNIT_ASSERT(awaiting->earlier == incarnation(3));
+        CPPUNIT_ASSERT(awaiting->otherwise.why == reason::issued_before_ownership);
+        learn(3);
+        gateway(1).on_handover(
+            {incarnation(3), view_epoch(2), *gateway(3).handover_floor()});
+        CPPUNIT_ASSERT(accepts(1, key_, before_the_change));
+    }
+
+    void is_not_awaited_from_a_stopped_process()
+    {
+        const wall_time before_the_change = others_move_on_first();
+        gateway(1).on_stopped(incarnation(3), time_);
+        const ownership_decision decision =
+            gateway(1).decide(key_, before_the_change, false, time_, wall_);
+        CPPUNIT_ASSERT(std::holds_alternative<refuse>(decision));
+    }
+
     void is_not_offered_by_a_process_that_owned_nothing()
     {
         record_ = next_record(first_record({1, 2}), members({1, 2, 4}));
