Let hosts with fast links own the groups of targets

Owners were chosen by their share of a core alone, so two thirds of the groups belonged to hosts with 10 Mbit/s and an eighth of a core, where a call of 25 kB and the wait for the next turn leave the target idle for 40 to 70 ms of each 340.

Ruled out: too few waiting pieces (350 waited at each group), the targets' own speed.

Change: a host's weight is its share of a core times its link's rate; the registration says the rate. Hosts whose registration does not say it count as 1,000 Mbit/s.

--- a/include/medlar/detail/dispatch/piece_owner.hpp
+++ b/include/medlar/detail/dispatch/piece_owner.hpp
@@ -10,6 +10,9 @@
 namespace medlar
 {
 
+/// Mbit/s of a link of which nothing is said
+constexpr double default_link_mbps = 1000;
+
 /// @brief an entry host as its peers see it
 struct peer_host
 {
@@ -18,6 +21,8 @@
     endpoint link;
     /// part of a core that it may use
     double share = 1;
+    /// what its network link carries, in Mbit/s
+    double link_mbps = default_link_mbps;
 };
 
 /// @brief the targets of one pool whose calls one host makes up
@@ -49,7 +54,8 @@
                       const std::vector<failure_domain_id>& domains);
 
 /// @brief The hosts in the order in which they own a group; all hosts that know the same
-/// peers agree. Hosts with a larger share of a core own more groups.
+/// peers agree. A host owns groups by its share of a core times its link's rate: a full
+/// call is some 25 kB with its inputs' names, and a target idles while it is on its way.
 std::vector<host_id> owners_of(const piece_group& group,
                                const std::vector<peer_host>& hosts);
 
--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/endpoint.hpp>
 #include <medlar/detail/base/ids.hpp>
+#include <medlar/detail/dispatch/piece_owner.hpp>
 #include <medlar/detail/dispatch/repeat_budget.hpp>
 
 #include <vector>
@@ -26,6 +27,8 @@
     std::vector<endpoint> seeds;
     /// part of a core that the host may use
     double core_share = 1;
+    /// what the host's network link carries, in Mbit/s
+    double link_mbps = default_link_mbps;
     /// from the request to end until the process is killed
     millis grace{8000};
     repeat_rule repeats;
--- a/src/dispatch/piece_owner.cpp
+++ b/src/dispatch/piece_owner.cpp
@@ -16,13 +16,19 @@
 // targets that one owner serves: at 300 ms a call, some 30 calls a second
 constexpr std::size_t max_group_targets = 8;
 
-/// weighted rendezvous hashing: the score of a host is -share / ln(u), u in (0, 1)
+// limits that a host does not know or states as 0 do not keep it from owning groups
+constexpr double least_share = 0.01;
+constexpr double least_link_mbps = 1;
+
+/// weighted rendezvous hashing: the score of a host is -weight / ln(u), u in (0, 1)
 double weighted_score(std::uint64_t group_hash, const peer_host& host)
 {
     constexpr double two_to_64 = 18446744073709551616.0;
     const std::uint64_t score = rendezvous_score(group_hash, target_id(host.id.get()));
     const double uniform = (static_cast<double>(score) + 0.5) / two_to_64;
-    return -std::max(0.01, host.share) / std::log(uniform);
+    const double weight =
+        std::max(least_share, host.share) * std::max(least_link_mbps, host.link_mbps);
+    return -weight / std::log(uniform);
 }
 
 } // namespace
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -35,7 +35,7 @@
 
 peer_host self_of(const entry_settings& settings)
 {
-    return {settings.host, settings.domain, settings.link, settings.core_share};
+    return {settings.host, settings.domain, settings.link, settings.core_share, settings.link_mbps};
 }
 
 std::string registration_of(const entry_settings& settings)
@@ -44,7 +44,8 @@
                            {"address", settings.link.address},
                            {"port", settings.link.port},
                            {"domain", settings.domain.get()},
-                           {"share", settings.core_share}})
+                           {"share", settings.core_share},
+                           {"link_mbps", settings.link_mbps}})
         .dump();
 }
 
@@ -70,6 +71,11 @@
     host.link = {address->get<std::string>(), port->get<std::uint16_t>()};
     host.domain = failure_domain_id(domain->get<std::string>());
     host.share = share->get<double>();
+    const auto link_mbps = value.find("link_mbps");
+    if (link_mbps != value.end() && link_mbps->is_number())
+    {
+        host.link_mbps = link_mbps->get<double>();
+    }
     return host;
 }
 
--- a/test/decisions/dispatch/target_choice_test.cpp
+++ b/test/decisions/dispatch/target_choice_test.cpp
@@ -157,6 +157,7 @@
     CPPUNIT_TEST(is_the_same_on_every_host);
     CPPUNIT_TEST(changes_only_where_a_host_is_lost);
     CPPUNIT_TEST(is_more_often_a_host_with_more_of_a_core);
+    CPPUNIT_TEST(is_nearly_always_a_host_with_a_faster_link);
     CPPUNIT_TEST(serves_a_small_pool_alone_and_a_part_of_a_large_one);
     CPPUNIT_TEST_SUITE_END();
 
@@ -213,6 +214,26 @@
         CPPUNIT_ASSERT(large > 180 && large < 280);
     }
 
+    /// Two of 20 hosts have 20 times the link and four times the core of the others.
+    void is_nearly_always_a_host_with_a_faster_link()
+    {
+        std::vector<peer_host> known = hosts(20);
+        for (std::size_t i = 2; i < known.size(); ++i)
+        {
+            known[i].share = 0.125;
+            known[i].link_mbps = 10;
+        }
+        known[0].share = known[1].share = 0.5;
+        known[0].link_mbps = known[1].link_mbps = 200;
+        int large = 0;
+        for (int i = 0; i < 400; ++i)
+        {
+            const host_id owner = owners_of(group(i), known).front();
+            large += owner == known[0].id || owner == known[1].id ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(large > 340);
+    }
+
     void serves_a_small_pool_alone_and_a_part_of_a_large_one()
     {
         const failure_domain_id a("a");
