--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -211,6 +211,7 @@
     void put_back(const call_state& call);
     void drop_old_results(steady_time now);
     double call_ms(std::size_t items) const;
+    static millis rounded_up(double ms);
 
     piece_rule rule_;
     std::map<target_id, target_load> targets_;
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -3,9 +3,9 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <utility>
 #include <functional>
 #include <set>
+#include <utility>
 
 namespace medlar
 {
