Count each result of a call by its own size

Cause: the room that a result takes was the mean of its call. Calls of the first stage mix results of 8 kB, which are kept until the second stage has read them, with some of 3 MB that an engine reads at once; each small one counted as more than a MB until it was freed.

Ruled out: the targets' own word (394 pieces without room of 231,173: the count was too high, not too low).

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -165,10 +165,18 @@
         std::size_t in_calls = 0;
     };
 
+    struct sent_piece
+    {
+        job_id job;
+        int piece = 0;
+        /// size of its result
+        std::int64_t bytes = 0;
+    };
+
     struct call_state
     {
         target_id target;
-        std::vector<std::pair<job_id, int>> pieces;
+        std::vector<sent_piece> pieces;
         std::int64_t bytes = 0;
         steady_time sent;
         bool is_overdue = false;
--- a/src/dispatch/piece_calls.cpp
+++ b/src/dispatch/piece_calls.cpp
@@ -106,7 +106,7 @@
             item.key = job.job.key;
             item.inputs = job.job.inputs;
             call.items.push_back(std::move(item));
-            state.pieces.emplace_back(id, job.waiting.front());
+            state.pieces.push_back({id, job.waiting.front(), size});
             state.bytes += size;
             ++job.in_calls;
             job.waiting.erase(job.waiting.begin());
@@ -191,16 +191,16 @@
     }
     for (std::size_t i = 0; i < state.pieces.size(); ++i)
     {
+        const sent_piece& sent = state.pieces[i];
         const piece_result result = i < results.size() ? results[i] : piece_result{};
-        const auto job = jobs_.find(state.pieces[i].first);
+        const auto job = jobs_.find(sent.job);
         if (result.handle && target != targets_.end())
         {
-            const std::int64_t size =
-                state.bytes / static_cast<std::int64_t>(state.pieces.size());
-            target->second.bytes += size;
-            results_[*result.handle] = {state.target, size, now + rule_.result_life};
+            target->second.bytes += sent.bytes;
+            results_[*result.handle] = {
+                state.target, sent.bytes, now + rule_.result_life};
         }
-        finished_piece done{job_id(0), state.pieces[i].second, result};
+        finished_piece done{job_id(0), sent.piece, result};
         if (job == jobs_.end())
         {
             finished.push_back(done);
@@ -210,9 +210,8 @@
         {
             --job->second.in_calls;
         }
-        const auto again = std::find(job->second.waiting.begin(),
-                                     job->second.waiting.end(),
-                                     state.pieces[i].second);
+        const auto again =
+            std::find(job->second.waiting.begin(), job->second.waiting.end(), sent.piece);
         if (!result.handle && result.failure == piece_failure::no_room &&
             target != targets_.end())
         {
@@ -224,7 +223,7 @@
         {
             if (again == job->second.waiting.end())
             {
-                job->second.waiting.push_back(state.pieces[i].second);
+                job->second.waiting.push_back(sent.piece);
             }
             continue;
         }
@@ -244,13 +243,13 @@
 
 void piece_queue::put_back(const call_state& call)
 {
-    for (const auto& each : call.pieces)
+    for (const sent_piece& each : call.pieces)
     {
-        const auto job = jobs_.find(each.first);
+        const auto job = jobs_.find(each.job);
         if (job != jobs_.end())
         {
             --job->second.in_calls;
-            job->second.waiting.push_back(each.second);
+            job->second.waiting.push_back(each.piece);
         }
     }
 }
--- a/test/decisions/dispatch/piece_queue_test.cpp
+++ b/test/decisions/dispatch/piece_queue_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(keeps_a_job_in_one_call);
     CPPUNIT_TEST(sends_urgent_jobs_first_and_late_ones_last);
     CPPUNIT_TEST(leaves_room_for_results);
+    CPPUNIT_TEST(counts_each_result_by_its_own_size);
     CPPUNIT_TEST(makes_large_results_where_they_are_read);
     CPPUNIT_TEST(gives_overdue_pieces_to_another_target);
     CPPUNIT_TEST(tries_a_refused_call_again);
@@ -143,6 +144,40 @@
         CPPUNIT_ASSERT(queue_.next(start_));
     }
 
+    /// Sends what waits in one call and answers it.
+    std::vector<finished_piece> make_all()
+    {
+        const auto call = queue_.next(start_);
+        CPPUNIT_ASSERT(call);
+        return queue_.answered(call->id, all_made(*call), start_);
+    }
+
+    void add_large(const std::string& name, int count)
+    {
+        piece_job added = job(name, count, 1, start_ + millis(900));
+        added.result_size = byte_count(large);
+        queue_.add(added, start_);
+    }
+
+    /// Small results stay while the large ones of the same call are read and freed.
+    void counts_each_result_by_its_own_size()
+    {
+        queue_.set_targets({target("t", "a")});
+        add_large("large", 6);
+        queue_.add(job("small", 2, 1, start_ + millis(900)), start_);
+        for (const finished_piece& each : make_all())
+        {
+            if (each.result.handle->get().find("large") == 0)
+            {
+                queue_.freed(*each.result.handle);
+            }
+        }
+        add_large("second", 8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, make_all().size());
+        add_large("third", 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, make_all().size());
+    }
+
     void makes_large_results_where_they_are_read()
     {
         queue_.set_targets({target("far", "b"), target("near", "a")});
