Expect the time of a call as full as calls are

Cause: a job was judged by the time of a call of its own pieces (16 of 96: 171 ms), but is made in a call with others (271 ms and more); over three stages the forecast was some 350 ms short, so requests were taken as in time and became just late: half of what was served.

Change: the owner keeps the mean count of pieces a call and the mean slowness of its targets and judges a job by such a call.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -219,6 +219,9 @@
     void put_back(const call_state& call);
     void drop_old_results(steady_time now);
     double call_ms(std::size_t items) const;
+    /// time of the call that a job's pieces will share with others
+    double shared_call_ms(std::size_t pieces) const;
+    double mean_slowness() const;
     static millis rounded_up(double ms);
 
     piece_rule rule_;
@@ -229,6 +232,8 @@
     /// pieces of jobs in time that were sent lately, older ones weighing less
     double timely_pieces_ = 0;
     steady_time timely_at_;
+    /// pieces of a call, averaged over the last calls
+    double pieces_per_call_ = 0;
     std::uint64_t last_id_ = 0;
 };
 
--- a/src/dispatch/piece_calls.cpp
+++ b/src/dispatch/piece_calls.cpp
@@ -19,6 +19,9 @@
 
 constexpr double slowness_smoothing = 0.3;
 
+// some calls of each of the four to eight targets of a group
+constexpr double fill_smoothing = 0.1;
+
 // how long a target without room gets no call: results are freed within a call's time
 constexpr millis room_pause{120};
 
@@ -117,6 +120,8 @@
         return std::nullopt;
     }
     note_timely(timely, now);
+    pieces_per_call_ +=
+        fill_smoothing * (static_cast<double>(call.items.size()) - pieces_per_call_);
     call.id = piece_call_id(++last_id_);
     call.target = target.target;
     call.overdue_after =
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -36,6 +36,25 @@
     return rounded_up(call_ms(static_cast<std::size_t>(std::max(1, rule_.batch))));
 }
 
+double piece_queue::mean_slowness() const
+{
+    double sum = 0;
+    std::size_t serving = 0;
+    for (const auto& each : targets_)
+    {
+        sum += each.second.serving ? each.second.slowness : 0;
+        serving += each.second.serving ? 1 : 0;
+    }
+    return serving == 0 ? 1 : std::max(1.0, sum / static_cast<double>(serving));
+}
+
+double piece_queue::shared_call_ms(std::size_t pieces) const
+{
+    const auto usual = static_cast<std::size_t>(std::lround(pieces_per_call_));
+    const auto full = static_cast<std::size_t>(std::max(1, rule_.batch));
+    return call_ms(std::min(full, std::max(pieces, usual))) * mean_slowness();
+}
+
 void piece_queue::set_targets(const std::vector<piece_target>& targets)
 {
     for (auto& each : targets_)
@@ -57,7 +76,8 @@
 
 bool piece_queue::is_late(const piece_job& job, steady_time now) const
 {
-    return job.is_background || now + rounded_up(call_ms(job.pieces.size())) > job.aim;
+    return job.is_background ||
+           now + rounded_up(shared_call_ms(job.pieces.size())) > job.aim;
 }
 
 double piece_queue::wait_ms(const piece_job& job, bool late, steady_time now) const
@@ -127,8 +147,7 @@
         verdict.retry_after = least_retry * 5;
         return verdict;
     }
-    const auto batch = static_cast<std::size_t>(std::max(1, rule_.batch));
-    const double own = call_ms(std::min(job.pieces.size(), batch));
+    const double own = shared_call_ms(job.pieces.size());
     bool late = is_late(job, now);
     double wait = wait_ms(job, late, now);
     if (!late && now + rounded_up(wait + own) > job.aim)
