--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -46,6 +46,8 @@
 /// @brief what came on a caller's connection was not a request
 inline constexpr event entry_request_rejected{
     1723, severity::info, "entry_request_rejected"};
+/// @brief whether a request with stages is expected to be in time, and from what
+inline constexpr event entry_stages_begun{1728, severity::info, "entry_stages_begun"};
 /// @brief the pieces of a stage of a request are done or given up
 inline constexpr event entry_stage_ended{1724, severity::info, "entry_stage_ended"};
 /// @brief a call for pieces to a target ended without success
@@ -59,14 +61,15 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 21> entry_events{
+inline constexpr std::array<event, 22> entry_events{
     entry_started,           entry_draining,         entry_stopped,
     entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
     entry_item_unreadable,   entry_store_lost,       entry_store_regained,
     entry_target_changed,    entry_target_ejected,   entry_peer_lost,
     entry_peer_changed,      entry_request_sent,     entry_call_failed,
     entry_request_ended,     entry_request_rejected, entry_stage_ended,
-    entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped};
+    entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped,
+    entry_stages_begun};
 
 } // namespace medlar
 
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -66,7 +66,14 @@
 void stage_pipeline::start()
 {
     const steady_time now = context_.loop.now();
-    is_background_ = is_background_ || now + forecast() > request_.aim;
+    const millis expected = forecast();
+    is_background_ = is_background_ || now + expected > request_.aim;
+    log_event(entry_stages_begun,
+              {{"attempt", request_.attempt.get()},
+               {"expected_ms", expected.count()},
+               {"until_aim_ms", (request_.aim - now).count()},
+               {"restarts", std::int64_t{restarts_}},
+               {"is_background", is_background_ ? "yes" : "no"}});
     if (is_background_ && !any_done_ && now + forecast() > request_.deadline)
     {
         // not at once: the request is still being set up
