Plan the stages of a stream until its caller leaves

The contract says when a caller leaves a stream.

Change: the configuration's longest pause is read, and the stages of a stream must be done before its caller leaves.

--- a/include/medlar/detail/entry/serving_configuration.hpp
+++ b/include/medlar/detail/entry/serving_configuration.hpp
@@ -55,6 +55,8 @@
     millis timeout{0};
     /// time within which an answer is worth most
     millis aim{0};
+    /// longest pause of a stream whose answer is in time; 0: none is stated
+    millis longest_pause{0};
     /// 0 is the highest
     int priority = 0;
     std::vector<weighted_pool> pools;
@@ -66,6 +68,10 @@
     bool sticky = false;
     bool resumable = false;
 
+    /// @brief how long a caller waits for the first event of a stream, by the contract;
+    /// for other answers, the timeout
+    millis patience() const;
+
     /// @brief whether a request may run more than once
     bool may_repeat() const
     {
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -170,7 +170,9 @@
     request.stages = route_.stages;
     request.pieces = fields_.pieces;
     request.priority = priority();
-    request.deadline = deadline_ - context_.expected_first_event(pool_);
+    // nobody is there any more to read an answer that begins later
+    request.deadline = std::min(deadline_, exchange_->arrived() + route_.patience()) -
+                       context_.expected_first_event(pool_);
     request.aim =
         exchange_->arrived() + route_.aim - context_.expected_first_event(pool_);
     request.domain =
--- a/src/entry/serving_configuration.cpp
+++ b/src/entry/serving_configuration.cpp
@@ -8,6 +8,26 @@
 namespace medlar
 {
 
+namespace
+{
+
+// a caller leaves a stream after a gap of the longest of these, also before its first event
+constexpr millis least_patience{2000};
+constexpr std::int64_t aims_of_patience = 4;
+constexpr std::int64_t pauses_of_patience = 8;
+
+} // namespace
+
+millis route::patience() const
+{
+    if (kind != route_kind::stream)
+    {
+        return timeout;
+    }
+    return std::max(
+        {least_patience, aim * aims_of_patience, longest_pause * pauses_of_patience});
+}
+
 void serving_configuration::index_routes()
 {
     routes_by_host_.clear();
