Refuse at once what the queues would make late

Change: choose_start() is a decision of its own. A request whose stages would be late because of the queues is refused at once; one that would be late with empty queues is served; one that has begun goes on.

--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -118,6 +118,8 @@
     millis expected_after(std::size_t stage) const;
     millis forecast_from(std::size_t stage) const;
     millis forecast() const;
+    /// time of the stages if nothing waited anywhere
+    millis unqueued_time() const;
 
     entry_context& context_;
     piece_broker& broker_;
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/dispatch/start_choice.hpp>
 #include <medlar/detail/entry/stage_pipeline.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
@@ -66,20 +67,26 @@
 void stage_pipeline::start()
 {
     const steady_time now = context_.loop.now();
-    const millis expected = forecast();
-    is_background_ = is_background_ || now + expected > request_.aim;
+    const start_question asked{forecast(),
+                               unqueued_time(),
+                               request_.aim - now,
+                               request_.deadline - now,
+                               any_done_};
+    const start_choice chosen = choose_start(asked);
     log_event(entry_stages_begun,
               {{"attempt", request_.attempt.get()},
-               {"expected_ms", expected.count()},
-               {"until_aim_ms", (request_.aim - now).count()},
+               {"expected_ms", asked.expected.count()},
+               {"unqueued_ms", asked.unqueued.count()},
+               {"until_aim_ms", asked.until_aim.count()},
+               {"until_deadline_ms", asked.until_deadline.count()},
                {"restarts", std::int64_t{restarts_}},
-               {"is_background", is_background_ ? "yes" : "no"}});
-    if (is_background_ && !any_done_ && now + forecast() > request_.deadline)
+               {"chosen", to_string(chosen)}});
+    if (chosen == start_choice::refused)
     {
         // not at once: the request is still being set up
         const std::weak_ptr<stage_pipeline> weak = weak_from_this();
         context_.loop.after(millis(0),
-                            [weak, wait = forecast() / retry_divisor]
+                            [weak, wait = asked.expected / retry_divisor]
                             {
                                 if (const auto self = weak.lock())
                                 {
@@ -88,6 +95,7 @@
                             });
         return;
     }
+    is_background_ = is_background_ || chosen == start_choice::late;
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
         stages_[i] = stage_state{};
@@ -256,6 +264,16 @@
     return longest;
 }
 
+millis stage_pipeline::unqueued_time() const
+{
+    millis longest{0};
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        longest = std::max(longest, plain_time(i) + expected_after(i));
+    }
+    return longest;
+}
+
 millis stage_pipeline::forecast_from(std::size_t stage) const
 {
     millis longest{0};
