One group of targets for each pool of up to 32

Cause: pools of 15 to 19 targets were four groups of four, one in each failure domain. A piece waited for the next of four targets to be free, and where a domain's target was slow or gone its group was overrun (70 pieces a call and 93 in the next) while others had places.

Change: a pool is split by failure domain only above 32 targets; a queue already prefers targets in the domain that reads a result. Results of a MB and more never leave their domain while it has a target.

--- a/src/dispatch/piece_calls.cpp
+++ b/src/dispatch/piece_calls.cpp
@@ -13,6 +13,9 @@
 // moved bytes that are worth a longer wait for a target in the right failure domain
 constexpr std::int64_t large_move_bytes = 200000;
 
+// moved bytes that are never worth another failure domain while their own has a target
+constexpr std::int64_t huge_move_bytes = 1000000;
+
 // a call that takes this many times as long as it should is given to other targets too
 constexpr double overdue_factor = 2.5;
 constexpr double overdue_slack_ms = 250;
@@ -52,6 +55,10 @@
     {
         return true;
     }
+    if (job.job.moved_size.get() >= huge_move_bytes)
+    {
+        return false;
+    }
     // two full calls of waiting pieces in its own domain: it would be late there
     const bool crowded = ahead >= 2 * static_cast<std::size_t>(std::max(1, rule_.batch));
     const millis spare = job.job.aim - now;
--- a/src/dispatch/piece_owner.cpp
+++ b/src/dispatch/piece_owner.cpp
@@ -14,7 +14,7 @@
 {
 
 // targets that one owner serves: at 300 ms a call, some 30 calls a second
-constexpr std::size_t max_group_targets = 8;
+constexpr std::size_t max_group_targets = 32;
 
 // limits that a host does not know or states as 0 do not keep it from owning groups
 constexpr double least_share = 0.01;
