Leave the failure domain of inputs only when half a call more would be late

Cause: the last stage's jobs have less than two calls left until their aim nearly always, so they took any target, and each piece reads 360 kB of inputs: 17 GB between failure domains.

--- a/src/dispatch/piece_calls.cpp
+++ b/src/dispatch/piece_calls.cpp
@@ -62,7 +62,7 @@
     // two full calls of waiting pieces in its own domain: it would be late there
     const bool crowded = ahead >= 2 * static_cast<std::size_t>(std::max(1, rule_.batch));
     const millis spare = job.job.aim - now;
-    return crowded || (spare > millis(0) && spare < full_call() * 2);
+    return crowded || (spare > millis(0) && spare < full_call() * 3 / 2);
 }
 
 std::size_t piece_queue::pieces_to_take(const job_state& job,
