--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 #define MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 
+#include <medlar/detail/dispatch/forecast_margin.hpp>
 #include <medlar/detail/dispatch/repeat_budget.hpp>
 #include <medlar/detail/dispatch/stage_forecast.hpp>
 #include <medlar/detail/dispatch/target_table.hpp>
@@ -44,6 +45,8 @@
     http_client client;
     target_table targets;
     stage_forecast forecast;
+    /// how wrong the forecasts are, on each route
+    std::map<route_name, forecast_margin> margins;
     /// unset until the first configuration is known
     configuration_ptr configuration;
     std::unique_ptr<metrics_registry> metrics;
--- a/src/dispatch/piece_calls.cpp
+++ b/src/dispatch/piece_calls.cpp
@@ -13,7 +13,7 @@
 // moved bytes that are worth a longer wait for a target in the right failure domain
 constexpr std::int64_t large_move_bytes = 200000;
 
-// moved bytes that are never worth another failure domain while their own has a target
+// moved bytes that leave their failure domain only when its targets are overrun
 constexpr std::int64_t huge_move_bytes = 1000000;
 
 // a call that takes this many times as long as it should is given to other targets too
@@ -55,14 +55,12 @@
     {
         return true;
     }
-    if (job.job.moved_size.get() >= huge_move_bytes)
-    {
-        return false;
-    }
     // two full calls of waiting pieces in its own domain: it would be late there
     const bool crowded = ahead >= 2 * static_cast<std::size_t>(std::max(1, rule_.batch));
     const millis spare = job.job.aim - now;
-    return crowded || (spare > millis(0) && spare < full_call() * 3 / 2);
+    const bool soon_late = job.job.moved_size.get() < huge_move_bytes &&
+                           spare > millis(0) && spare < full_call() * 3 / 2;
+    return crowded || soon_late;
 }
 
 std::size_t piece_queue::pieces_to_take(const job_state& job,
