--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -1,7 +1,6 @@
 #ifndef MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 #define MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 
-#include <medlar/detail/dispatch/forecast_margin.hpp>
 #include <medlar/detail/dispatch/repeat_budget.hpp>
 #include <medlar/detail/dispatch/stage_forecast.hpp>
 #include <medlar/detail/dispatch/target_table.hpp>
@@ -45,8 +44,6 @@
     http_client client;
     target_table targets;
     stage_forecast forecast;
-    /// how wrong the forecasts are, on each route
-    std::map<route_name, forecast_margin> margins;
     /// unset until the first configuration is known
     configuration_ptr configuration;
     std::unique_ptr<metrics_registry> metrics;
--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -16,7 +16,6 @@
 struct pipeline_request
 {
     attempt_id attempt;
-    route_name on;
     std::string piece_key;
     std::vector<stage_rule> stages;
     /// pieces of each stage; 0: the stage is left out
@@ -128,9 +127,6 @@
     pipeline_sink sink_;
     std::vector<stage_state> stages_;
     int restarts_ = 0;
-    steady_time began_;
-    /// time that the stages were forecast to need when they began
-    millis expected_{0};
     bool any_done_ = false;
     bool is_background_ = false;
     bool ended_ = false;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -166,7 +166,6 @@
     const target_state* const planned = context_.targets.find(planned_);
     pipeline_request request;
     request.attempt = fields_.attempt;
-    request.on = route_.name;
     request.piece_key = fields_.piece_key;
     request.stages = route_.stages;
     request.pieces = fields_.pieces;
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -67,8 +67,7 @@
 void stage_pipeline::start()
 {
     const steady_time now = context_.loop.now();
-    expected_ = forecast();
-    const start_question asked{expected_ + context_.margins[request_.on].margin(),
+    const start_question asked{forecast(),
                                unqueued_time(),
                                request_.aim - now,
                                request_.deadline - now,
@@ -77,7 +76,6 @@
     log_event(entry_stages_begun,
               {{"attempt", request_.attempt.get()},
                {"expected_ms", asked.expected.count()},
-               {"margin_ms", context_.margins[request_.on].margin().count()},
                {"unqueued_ms", asked.unqueued.count()},
                {"until_aim_ms", asked.until_aim.count()},
                {"until_deadline_ms", asked.until_deadline.count()},
@@ -98,7 +96,6 @@
         return;
     }
     is_background_ = is_background_ || chosen == start_choice::late;
-    began_ = now;
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
         stages_[i] = stage_state{};
@@ -229,10 +226,6 @@
     {
         return;
     }
-    if (!is_background_ && restarts_ == 0)
-    {
-        context_.margins[request_.on].note(context_.loop.now() - began_ - expected_);
-    }
     std::vector<result_handle> inputs;
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
