Know refused requests when they come back

They were taken for new requests and got places of those that could still be in time; themselves they can only be late. What they have in common with their first attempt is the key of their pieces (each key was seen once or, after a refusal, twice).

Change: a host that refuses tells the owner of the first stage; the owner counts the aim from the refusal when the key comes again and says so in its word on the job. choose_return() lets the request begin if it can be in time or hardly anything waits, and refuses it at once otherwise.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -81,6 +81,8 @@
     bool is_late = false;
     /// where it is not accepted: when there will be room
     millis retry_after{0};
+    /// time since its request was refused; 0 if it was not
+    millis waited{0};
 };
 
 /// @brief Makes up calls to the targets of one pool out of the pieces of many requests.
--- a/include/medlar/detail/dispatch/start_choice.hpp
+++ b/include/medlar/detail/dispatch/start_choice.hpp
@@ -46,6 +46,13 @@
 /// own, such as a very large one, is served.
 start_choice choose_start(const start_question& asked);
 
+/// @brief Decides on a request that was refused before and came back.
+///
+/// It is late already, or nearly. It begins where it takes no place from others: if it
+/// can still be in time, or hardly anything waits.
+/// @param asked with the time that its caller has waited taken off until_aim
+start_choice choose_return(const start_question& asked);
+
 } // namespace medlar
 
 #endif // MEDLAR_DETAIL_DISPATCH_START_CHOICE_HPP
--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -22,6 +22,8 @@
     /// the owner does not take the job; nothing more follows
     std::function<void(millis retry_after)> on_refused;
     std::function<void(int piece, const piece_result&)> on_piece;
+    /// the request was refused before; its caller waits since then
+    std::function<void(millis waited)> on_returned;
 };
 
 /// @brief Brings pieces of this host's requests to the hosts that make up the calls, and
@@ -41,6 +43,12 @@
     /// @brief Drops a job; nothing more is told of it.
     void cancel(broker_ticket ticket);
 
+    /// @brief Tells the owner of a pool that a request is refused, so that it is known
+    /// when it comes back.
+    void note_refused(const pool_id& pool,
+                      const failure_domain_id& domain,
+                      const std::string& key);
+
     /// @brief Frees results of a pool's targets.
     void free(const pool_id& pool,
               const failure_domain_id& domain,
@@ -88,6 +96,7 @@
     void place(broker_ticket ticket);
     void place_here(broker_ticket ticket, open_job& open);
     void note_verdict(const open_job& open, bool is_late, millis expected);
+    void tell_returned(broker_ticket ticket, millis waited);
     void move(broker_ticket ticket);
     void piece_done(broker_ticket ticket, int piece, const piece_result& result);
     void refuse(broker_ticket ticket, millis retry_after);
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/dispatch/piece_owner.hpp>
 #include <medlar/detail/dispatch/piece_queue.hpp>
+#include <medlar/detail/dispatch/refused_callers.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 
 #include <functional>
@@ -38,8 +39,12 @@
     piece_service(const piece_service&) = delete;
     piece_service& operator=(const piece_service&) = delete;
 
-    /// @brief Says whether a job can be done in time.
-    job_verdict judge(const piece_group& group, const piece_job& job);
+    /// @brief Says whether a job can be done in time. The aim of a request that was
+    /// refused before is counted from then.
+    job_verdict judge(const piece_group& group, piece_job& job);
+
+    /// @brief Notes that a request is refused which would have been this group's.
+    void note_refused(const piece_group& group, const std::string& key);
 
     /// @brief Adds a job.
     job_ticket add(const piece_group& group, piece_job job, job_sink sink);
@@ -61,6 +66,7 @@
         }
 
         piece_queue queue;
+        refused_callers callers;
         std::map<job_id, job_sink> sinks;
         bool pump_pending = false;
         timer_id retry{0};
--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_DETAIL_ENTRY_STAGE_PIPELINE_HPP
 #define MEDLAR_DETAIL_ENTRY_STAGE_PIPELINE_HPP
 
+#include <medlar/detail/dispatch/start_choice.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 
@@ -117,6 +118,9 @@
     millis plain_time(std::size_t stage) const;
     millis expected_after(std::size_t stage) const;
     millis forecast_from(std::size_t stage) const;
+    start_question question() const;
+    void came_back(millis waited);
+    void note_refused();
     millis forecast() const;
     /// time of the stages if nothing waited anywhere
     millis unqueued_time() const;
@@ -127,6 +131,7 @@
     pipeline_sink sink_;
     std::vector<stage_state> stages_;
     int restarts_ = 0;
+    bool has_come_back_ = false;
     bool any_done_ = false;
     bool is_background_ = false;
     bool ended_ = false;
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -48,6 +48,9 @@
     1723, severity::info, "entry_request_rejected"};
 /// @brief whether a request with stages is expected to be in time, and from what
 inline constexpr event entry_stages_begun{1728, severity::info, "entry_stages_begun"};
+/// @brief a request that was refused before has come back
+inline constexpr event entry_caller_returned{
+    1729, severity::info, "entry_caller_returned"};
 /// @brief the pieces of a stage of a request are done or given up
 inline constexpr event entry_stage_ended{1724, severity::info, "entry_stage_ended"};
 /// @brief a call for pieces to a target ended without success
@@ -61,7 +64,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 22> entry_events{
+inline constexpr std::array<event, 23> entry_events{
     entry_started,           entry_draining,         entry_stopped,
     entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
     entry_item_unreadable,   entry_store_lost,       entry_store_regained,
@@ -69,7 +72,7 @@
     entry_peer_changed,      entry_request_sent,     entry_call_failed,
     entry_request_ended,     entry_request_rejected, entry_stage_ended,
     entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped,
-    entry_stages_begun};
+    entry_stages_begun,      entry_caller_returned};
 
 } // namespace medlar
 
--- a/src/dispatch/start_choice.cpp
+++ b/src/dispatch/start_choice.cpp
@@ -17,6 +17,26 @@
     return "unknown";
 }
 
+namespace
+{
+
+// part of the time without queues that may be waited in them where a pool has room
+constexpr std::int64_t room_divisor = 3;
+
+} // namespace
+
+start_choice choose_return(const start_question& asked)
+{
+    if (asked.expected <= asked.until_aim)
+    {
+        return start_choice::in_time;
+    }
+    const bool has_room =
+        asked.expected <= asked.unqueued + asked.unqueued / room_divisor;
+    return has_room && asked.expected <= asked.until_deadline ? start_choice::late
+                                                              : start_choice::refused;
+}
+
 start_choice choose_start(const start_question& asked)
 {
     if (asked.expected <= asked.until_aim)
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -35,7 +35,11 @@
 
 peer_host self_of(const entry_settings& settings)
 {
-    return {settings.host, settings.domain, settings.link, settings.core_share, settings.link_mbps};
+    return {settings.host,
+            settings.domain,
+            settings.link,
+            settings.core_share,
+            settings.link_mbps};
 }
 
 std::string registration_of(const entry_settings& settings)
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -165,6 +165,15 @@
     job.pieces.assign(open.missing.begin(), open.missing.end());
     const job_verdict verdict = service_.judge(open.group, job);
     note_verdict(open, verdict.is_late, verdict.expected);
+    if (verdict.waited > millis(0))
+    {
+        // not at once: the caller of submit() does not have the ticket yet
+        context_.loop.after(millis(0),
+                            [this, ticket, waited = verdict.waited]
+                            {
+                                tell_returned(ticket, waited);
+                            });
+    }
     if (!verdict.accepted)
     {
         // not at once: the caller of submit() does not have the ticket yet
@@ -190,6 +199,37 @@
         {open.pool, open.job.priority, is_late}, expected, context_.loop.now());
 }
 
+void piece_broker::tell_returned(broker_ticket ticket, millis waited)
+{
+    const auto found = open_.find(ticket);
+    if (found != open_.end() && found->second.sink.on_returned)
+    {
+        const auto on_returned = found->second.sink.on_returned;
+        on_returned(waited);
+    }
+}
+
+void piece_broker::note_refused(const pool_id& pool,
+                                const failure_domain_id& domain,
+                                const std::string& key)
+{
+    const piece_group group = group_of(pool, domain);
+    const host_id owner = owners_of(group, peers_.live()).front();
+    if (owner == peers_.self().id)
+    {
+        service_.note_refused(group, key);
+    }
+    else
+    {
+        // one that is not heard is taken for a new request when it comes back
+        peers_.send(owner,
+                    {{"type", "refused"},
+                     {"pool", pool.get()},
+                     {"group", group.domain},
+                     {"key", key}});
+    }
+}
+
 void piece_broker::move(broker_ticket ticket)
 {
     open_job& open = open_.at(ticket);
@@ -300,6 +340,13 @@
         }
         return true;
     }
+    if (type == "refused")
+    {
+        service_.note_refused({pool_id(message.at("pool").get<std::string>()),
+                               message.at("group").get<std::string>()},
+                              message.at("key").get<std::string>());
+        return true;
+    }
     if (type == "free")
     {
         std::vector<result_handle> handles;
@@ -326,7 +373,8 @@
                 {"accepted", verdict.accepted},
                 {"late", verdict.is_late},
                 {"expected_ms", verdict.expected.count()},
-                {"retry_ms", verdict.retry_after.count()}});
+                {"retry_ms", verdict.retry_after.count()},
+                {"waited_ms", verdict.waited.count()}});
     if (!verdict.accepted)
     {
         return;
@@ -395,6 +443,13 @@
         if (!message.at("accepted").get<bool>())
         {
             refuse(ticket, millis(message.at("retry_ms").get<std::int64_t>()));
+            return true;
+        }
+        // hosts of before do not say it
+        const auto waited = message.value("waited_ms", std::int64_t{0});
+        if (waited > 0)
+        {
+            tell_returned(ticket, millis(waited));
         }
     }
     return true;
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -1,6 +1,8 @@
 #include <medlar/detail/entry/piece_service.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace medlar
@@ -30,6 +32,11 @@
 
 constexpr millis target_connect_timeout{400};
 
+std::uint64_t hash_of_key(const std::string& key)
+{
+    return XXH3_64bits(key.data(), key.size());
+}
+
 } // namespace
 
 piece_service::group_state& piece_service::state_of(const piece_group& group)
@@ -62,11 +69,25 @@
     state.queue.set_targets(targets);
 }
 
-job_verdict piece_service::judge(const piece_group& group, const piece_job& job)
+job_verdict piece_service::judge(const piece_group& group, piece_job& job)
 {
     group_state& state = state_of(group);
     refresh_targets(group, state);
-    return state.queue.judge(job, context_.loop.now());
+    const steady_time now = context_.loop.now();
+    millis waited{0};
+    if (job.is_first && !job.key.empty())
+    {
+        waited = state.callers.waited(hash_of_key(job.key), now);
+        job.aim = job.aim - waited;
+    }
+    job_verdict verdict = state.queue.judge(job, now);
+    verdict.waited = waited;
+    return verdict;
+}
+
+void piece_service::note_refused(const piece_group& group, const std::string& key)
+{
+    state_of(group).callers.refused(hash_of_key(key), context_.loop.now());
 }
 
 job_ticket piece_service::add(const piece_group& group, piece_job job, job_sink sink)
--- a/src/entry/serving_configuration.cpp
+++ b/src/entry/serving_configuration.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-// a caller leaves a stream after a gap of the longest of these, also before its first event
+// a caller leaves a stream after a gap of the longest of these, also before its first
+// event
 constexpr millis least_patience{2000};
 constexpr std::int64_t aims_of_patience = 4;
 constexpr std::int64_t pauses_of_patience = 8;
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -1,4 +1,3 @@
-#include <medlar/detail/dispatch/start_choice.hpp>
 #include <medlar/detail/entry/stage_pipeline.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
@@ -64,14 +63,57 @@
         new stage_pipeline(context, broker, std::move(request), std::move(sink)));
 }
 
-void stage_pipeline::start()
+start_question stage_pipeline::question() const
 {
     const steady_time now = context_.loop.now();
-    const start_question asked{forecast(),
-                               unqueued_time(),
-                               request_.aim - now,
-                               request_.deadline - now,
-                               any_done_};
+    return {forecast(),
+            unqueued_time(),
+            request_.aim - now,
+            request_.deadline - now,
+            any_done_};
+}
+
+void stage_pipeline::came_back(millis waited)
+{
+    if (ended_ || has_come_back_)
+    {
+        return;
+    }
+    has_come_back_ = true;
+    request_.aim = request_.aim - waited;
+    const start_question asked = question();
+    const start_choice chosen = choose_return(asked);
+    log_event(entry_caller_returned,
+              {{"attempt", request_.attempt.get()},
+               {"waited_ms", waited.count()},
+               {"expected_ms", asked.expected.count()},
+               {"unqueued_ms", asked.unqueued.count()},
+               {"until_aim_ms", asked.until_aim.count()},
+               {"chosen", to_string(chosen)}});
+    if (chosen == start_choice::refused)
+    {
+        fail(pipeline_failure::refused, asked.expected / retry_divisor);
+        return;
+    }
+    is_background_ = is_background_ || chosen == start_choice::late;
+}
+
+void stage_pipeline::note_refused()
+{
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (request_.stages[i].after.empty() && request_.pieces[i] > 0)
+        {
+            broker_.note_refused(
+                request_.stages[i].pool, request_.domain, request_.piece_key);
+            return;
+        }
+    }
+}
+
+void stage_pipeline::start()
+{
+    const start_question asked = question();
     const start_choice chosen = choose_start(asked);
     log_event(entry_stages_begun,
               {{"attempt", request_.attempt.get()},
@@ -349,6 +391,13 @@
             self->fail(pipeline_failure::refused, retry_after);
         }
     };
+    sink.on_returned = [weak](millis waited)
+    {
+        if (const auto self = weak.lock())
+        {
+            self->came_back(waited);
+        }
+    };
     sink.on_piece = [weak, stage](int piece, const piece_result& result)
     {
         if (const auto self = weak.lock())
@@ -451,6 +500,10 @@
     }
     const std::shared_ptr<stage_pipeline> self = shared_from_this();
     stop();
+    if (why == pipeline_failure::refused && !request_.piece_key.empty())
+    {
+        note_refused();
+    }
     sink_.on_failed(why, retry_after);
 }
 
