Send refused callers away for as long as refusals have lasted

Cause: callers were told to come back after a quarter of the expected time, some 350 ms, and came back within the same burst of 4 to 7 s.

--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 #define MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 
+#include <medlar/detail/dispatch/refusal_spell.hpp>
 #include <medlar/detail/dispatch/repeat_budget.hpp>
 #include <medlar/detail/dispatch/stage_forecast.hpp>
 #include <medlar/detail/dispatch/target_table.hpp>
@@ -44,6 +45,7 @@
     http_client client;
     target_table targets;
     stage_forecast forecast;
+    refusal_spell spell;
     /// unset until the first configuration is known
     configuration_ptr configuration;
     std::unique_ptr<metrics_registry> metrics;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -200,6 +200,10 @@
 
 void request_run::stages_failed(pipeline_failure why, millis retry_after)
 {
+    if (why == pipeline_failure::refused)
+    {
+        retry_after = std::max(retry_after, context_.spell.refused(context_.loop.now()));
+    }
     refuse(retry_after, absl::StrCat("stages ", to_string(why)));
 }
 
