Do not pass an error on as the end of a stream; refuse only what has not run

Cause 1: a stream that breaks off goes on at another engine. Where that one answered 500, its body was written after the events that had been passed on and the answer ended as if it were complete. Now any answer but a success is unusable there, and the stream goes on elsewhere or is cut.

Cause 2: an engine ran a staged request and broke off; the next one said that the results are gone; the stages were done again and came too late; the answer was 503, which promises that the request has not run. Now it is 504 if any target may have run it.

Ruled out: the soak's own book (the bodies hold the events and then the error's text; the logs show both sends).

With it, as found when the code was read: the sinks of finished jobs of this host's own requests stayed for ever in its piece service; a target is found by its address in a map instead of a scan; server_limits is one type; members that nobody read are gone (engine_rule, health_path, sticky, peer_address).

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -141,6 +141,12 @@
     /// @brief Notes that a result takes no room any more.
     void freed(const result_handle& handle);
 
+    /// @brief whether a job has pieces that are not finished
+    bool holds(job_id job) const
+    {
+        return jobs_.count(job) > 0;
+    }
+
     /// @brief pieces that wait
     std::size_t waiting() const;
 
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -59,7 +59,10 @@
     }
 
   private:
+    void erase(std::map<target_id, target_state>::iterator which);
+
     std::map<target_id, target_state> targets_;
+    std::map<endpoint, target_id> by_place_;
 };
 
 /// @brief Notes the end of a call at a target and ejects the target if it fails.
--- a/include/medlar/detail/entry/serving_configuration.hpp
+++ b/include/medlar/detail/entry/serving_configuration.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/ids.hpp>
+#include <medlar/detail/loop/server_limits.hpp>
 #include <medlar/detail/base/strong_type.hpp>
 
 #include <absl/strings/string_view.h>
@@ -64,8 +65,6 @@
     std::vector<stage_rule> stages;
     /// needs no access key
     bool is_public = false;
-    /// its requests share parts of prompts
-    bool sticky = false;
     bool resumable = false;
 
     /// @brief how long a caller waits for the first event of a stream, by the contract;
@@ -96,31 +95,13 @@
     millis result_life{0};
 };
 
-/// @brief how the model engines of a pool run requests
-struct engine_rule
-{
-    int slots = 1;
-    token_count memory{0};
-};
-
 /// @brief a named set of targets that do the same work
 struct pool_rule
 {
     pool_id name;
-    std::string health_path;
     /// connections that one target accepts of all hosts together
     int max_connections = 0;
     std::optional<piece_rule> pieces;
-    std::optional<engine_rule> engine;
-};
-
-/// @brief what callers may send
-struct caller_limits
-{
-    std::size_t head_bytes = 0;
-    std::size_t body_bytes = 0;
-    millis head_timeout{0};
-    millis idle_timeout{0};
 };
 
 /// @brief an organisation and its rank
@@ -140,7 +121,8 @@
     /// whether callers need access keys
     bool has_organisations = false;
     std::unordered_map<std::string, organisation_rule> organisations_by_key;
-    caller_limits limits;
+    /// what callers may send
+    server_limits limits;
 
     /// @brief Sorts the routes for find_route(); to be called once after they are set.
     void index_routes();
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -112,9 +112,6 @@
         return state_ == state::open;
     }
 
-    /// @brief the address of the peer
-    std::string peer_address() const;
-
     void on_ready(readiness what) override;
 
   private:
--- a/include/medlar/detail/loop/http_server.hpp
+++ b/include/medlar/detail/loop/http_server.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/http/head.hpp>
 #include <medlar/detail/http/head_parser.hpp>
 #include <medlar/detail/loop/listener.hpp>
+#include <medlar/detail/loop/server_limits.hpp>
 
 #include <absl/status/statusor.h>
 
@@ -16,17 +17,6 @@
 namespace medlar
 {
 
-/// @brief what a caller may send, and how long it may take
-struct server_limits
-{
-    std::size_t head_bytes = 16384;
-    std::size_t body_bytes = 1048576;
-    /// for a whole head, from its first byte
-    millis head_timeout{5000};
-    /// between requests on one connection, and between two parts of a body
-    millis idle_timeout{30000};
-};
-
 class caller_connection;
 
 /// @brief One request of a caller and the answer to it.
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -16,7 +16,9 @@
     {
         target_state fresh;
         fresh.record = record;
+        remove(record.id);
         targets_[record.id] = fresh;
+        by_place_[record.where] = record.id;
         return true;
     }
     found->second.record = record;
@@ -26,7 +28,22 @@
 
 void target_table::remove(const target_id& id)
 {
-    targets_.erase(id);
+    const auto found = targets_.find(id);
+    if (found != targets_.end())
+    {
+        erase(found);
+    }
+}
+
+void target_table::erase(std::map<target_id, target_state>::iterator which)
+{
+    // an address may be another target's by now
+    const auto place = by_place_.find(which->second.record.where);
+    if (place != by_place_.end() && place->second == which->first)
+    {
+        by_place_.erase(place);
+    }
+    targets_.erase(which);
 }
 
 void target_table::mark_lapsed(const target_id& id, steady_time until)
@@ -42,8 +59,11 @@
 {
     for (auto each = targets_.begin(); each != targets_.end();)
     {
-        const bool gone = each->second.lapses_at && *each->second.lapses_at <= now;
-        each = gone ? targets_.erase(each) : std::next(each);
+        const auto which = each++;
+        if (which->second.lapses_at && *which->second.lapses_at <= now)
+        {
+            erase(which);
+        }
     }
 }
 
@@ -55,14 +75,13 @@
 
 const target_state* target_table::find_at(const endpoint& where) const
 {
-    for (const auto& each : targets_)
+    const auto place = by_place_.find(where);
+    if (place == by_place_.end())
     {
-        if (each.second.record.where == where)
-        {
-            return &each.second;
-        }
+        return nullptr;
     }
-    return nullptr;
+    const auto found = targets_.find(place->second);
+    return found == targets_.end() ? nullptr : &found->second;
 }
 
 std::vector<target_state*> target_table::serving(const pool_id& pool)
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -372,10 +372,7 @@
     {
         return;
     }
-    caller_limits_.head_bytes = read->limits.head_bytes;
-    caller_limits_.body_bytes = read->limits.body_bytes;
-    caller_limits_.head_timeout = read->limits.head_timeout;
-    caller_limits_.idle_timeout = read->limits.idle_timeout;
+    caller_limits_ = read->limits;
     log_event(entry_configuration_in_force,
               {{"version", read->version},
                {"revision", item.revision},
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -288,6 +288,13 @@
         const auto on_piece = sink->second.on_piece;
         on_piece(each.piece, each.result);
     }
+    for (const finished_piece& each : finished)
+    {
+        if (!state.queue.holds(each.job))
+        {
+            state.sinks.erase(each.job);
+        }
+    }
 }
 
 void piece_service::free(const std::vector<result_handle>& handles)
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -154,8 +154,10 @@
         return;
     }
     may_have_run_ = true;
-    const bool unusable =
-        is_success(head.status) && (!answer.has_signature || answer.is_encoded);
+    // a stream that goes on at another target has no place for any other answer
+    const bool unusable = is_success(head.status)
+                              ? !answer.has_signature || answer.is_encoded
+                              : exchange_->has_begun();
     const bool failed = head.status >= 500;
     if (unusable || (failed && route_.may_repeat()))
     {
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -204,7 +204,14 @@
     {
         retry_after = std::max(retry_after, context_.spell.refused(context_.loop.now()));
     }
-    refuse(retry_after, absl::StrCat("stages ", to_string(why)));
+    const std::string what = absl::StrCat("stages ", to_string(why));
+    if (may_have_run_)
+    {
+        // they were done again for a repetition: no refusal would be true
+        fail(status_gateway_timeout, what);
+        return;
+    }
+    refuse(retry_after, what);
 }
 
 void request_run::free_stages()
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -288,18 +288,6 @@
     }
 }
 
-std::string connection::peer_address() const
-{
-    try
-    {
-        return socket_.peerAddress().host().toString();
-    }
-    catch (const Poco::Exception&)
-    {
-        return {};
-    }
-}
-
 void connection::finish_connect()
 {
     int error = 0;
--- a/test/decisions/dispatch/piece_queue_test.cpp
+++ b/test/decisions/dispatch/piece_queue_test.cpp
@@ -86,7 +86,8 @@
     {
         queue_.set_targets({target("t", "a")});
         queue_.add(job("x", 2, 1, start_ + millis(900)), start_);
-        queue_.add(job("y", 3, 1, start_ + millis(900)), start_);
+        const job_id last = queue_.add(job("y", 3, 1, start_ + millis(900)), start_);
+        CPPUNIT_ASSERT(queue_.holds(last));
         const auto call = queue_.next(start_);
         CPPUNIT_ASSERT(call);
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, call->items.size());
@@ -94,6 +95,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5},
                              queue_.answered(call->id, all_made(*call), start_).size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue_.jobs());
+        CPPUNIT_ASSERT(!queue_.holds(last));
     }
 
     void keeps_a_job_in_one_call()
--- a/test/entry/stream_test.cpp
+++ b/test/entry/stream_test.cpp
@@ -112,6 +112,7 @@
     CPPUNIT_TEST(is_cut_if_it_cannot_be_resumed);
     CPPUNIT_TEST(is_cut_if_its_stages_cannot_be_done_again);
     CPPUNIT_TEST(is_not_joined_where_an_event_is_missing);
+    CPPUNIT_TEST(is_cut_if_the_next_engine_answers_with_an_error);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -143,6 +144,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), resumed_after);
     }
 
+    void is_cut_if_the_next_engine_answers_with_an_error()
+    {
+        stream_fixture it;
+        int runs = 0;
+        it.open(false,
+                true,
+                [&](const exchange_ptr& exchange)
+                {
+                    if (++runs > 1)
+                    {
+                        exchange->answer(500, signed_headers(*exchange), "failed");
+                        return;
+                    }
+                    exchange->begin(
+                        200, "OK", stream_headers(*exchange), {body_kind::chunked, 0});
+                    exchange->write(event(1));
+                    exchange->abort();
+                });
+        const got_answer got = it.ask();
+        CPPUNIT_ASSERT(got.end != call_end::complete);
+        CPPUNIT_ASSERT_EQUAL(event(1), got.body);
+    }
+
     void is_cut_if_it_may_not_go_on()
     {
         stream_fixture it;
@@ -239,6 +263,7 @@
     CPPUNIT_TEST(are_done_in_order_before_it_runs);
     CPPUNIT_TEST(are_done_again_when_results_are_gone);
     CPPUNIT_TEST(are_freed_when_they_were_read);
+    CPPUNIT_TEST(are_no_reason_to_refuse_what_has_run);
     CPPUNIT_TEST(carry_ids_that_are_not_text);
     CPPUNIT_TEST_SUITE_END();
 
@@ -290,6 +315,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, it.calls.size());
     }
 
+    /// The first engine runs the request and breaks off; at the second the results are
+    /// gone, each time again.
+    void are_no_reason_to_refuse_what_has_run()
+    {
+        stream_fixture it;
+        int runs = 0;
+        it.open(true,
+                true,
+                [&](const exchange_ptr& exchange)
+                {
+                    if (++runs == 1)
+                    {
+                        exchange->abort();
+                        return;
+                    }
+                    it.fail_pieces = true;
+                    header_list headers;
+                    headers.add("Not-Executed", "1");
+                    exchange->answer(409, headers, "");
+                });
+        const got_answer got = it.ask("Pieces: 1,1\r\nPiece-Key: k\r\n");
+        CPPUNIT_ASSERT_EQUAL(504, got.status);
+    }
+
     void carry_ids_that_are_not_text()
     {
         stream_fixture it;
