--- a/test/soak/promises.cpp
+++ b/test/soak/promises.cpp
@@ -1,5 +1,6 @@
 #include "soak/promises.hpp"
 
+#include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -85,7 +86,9 @@
     }
     if (!absl::StartsWith(whole, view.body))
     {
-        broken(name_of(view) + ": events are missing, doubled or another's");
+        broken(absl::StrCat(name_of(view),
+                            ": events are missing, doubled or another's: ",
+                            absl::CEscape(view.body)));
     }
     if (view.is_complete && view.body != whole)
     {
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -66,11 +66,14 @@
 bool soak_run::until(millis longest, const std::function<bool()>& condition)
 {
     const steady_time end = time_.steady_now() + longest;
-    while (!condition() && time_.steady_now() < end)
+    // asked once a turn: a condition may have effects
+    bool holds = condition();
+    while (!holds && time_.steady_now() < end)
     {
         run_once();
+        holds = condition();
     }
-    return condition();
+    return holds;
 }
 
 void soak_run::start_targets()
