--- a/include/medlar/detail/entry/serving_configuration.hpp
+++ b/include/medlar/detail/entry/serving_configuration.hpp
@@ -3,8 +3,8 @@
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/ids.hpp>
-#include <medlar/detail/loop/server_limits.hpp>
 #include <medlar/detail/base/strong_type.hpp>
+#include <medlar/detail/loop/server_limits.hpp>
 
 #include <absl/strings/string_view.h>
 
--- a/src/membership/request_placer.cpp
+++ b/src/membership/request_placer.cpp
@@ -103,7 +103,8 @@
         });
 }
 
-request_placer::attempt request_placer::by_earlier_home(const awaits_handover& found) const
+request_placer::attempt
+request_placer::by_earlier_home(const awaits_handover& found) const
 {
     if (core_.peers.heard_lately(found.earlier, core_.time.steady_now()))
     {
