Work out the mean slowness once for all jobs that are looked at

is_late() summed the slowness of all targets again for each job that a judgement or an order looks at: jobs times targets, on the owner's hottest path. It is a parameter now.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/entry/protocol.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -208,7 +209,8 @@
         steady_time until;
     };
 
-    bool is_late(const piece_job& job, steady_time now) const;
+    /// @param slowness see mean_slowness(): once for all jobs that are looked at
+    bool is_late(const piece_job& job, double slowness, steady_time now) const;
     /// share of the pool that jobs in time leave to late ones
     double left_share(steady_time now) const;
     void note_timely(std::size_t pieces, steady_time now);
@@ -228,8 +230,14 @@
     void drop_old_results(steady_time now);
     double call_ms(std::size_t items) const;
     /// time of the call that a job's pieces will share with others
-    double shared_call_ms(std::size_t pieces) const;
+    double shared_call_ms(std::size_t pieces, double slowness) const;
+    /// time of the serving targets' calls relative to what the rule says
     double mean_slowness() const;
+    /// pieces of a full call
+    std::size_t full_count() const
+    {
+        return static_cast<std::size_t>(std::max(1, rule_.batch));
+    }
     static millis rounded_up(double ms);
 
     piece_rule rule_;
--- a/src/dispatch/piece_calls.cpp
+++ b/src/dispatch/piece_calls.cpp
@@ -56,7 +56,7 @@
         return true;
     }
     // two full calls of waiting pieces in its own domain: it would be late there
-    const bool crowded = ahead >= 2 * static_cast<std::size_t>(std::max(1, rule_.batch));
+    const bool crowded = ahead >= 2 * full_count();
     const millis spare = job.job.aim - now;
     const bool soon_late = job.job.moved_size.get() < huge_move_bytes &&
                            spare > millis(0) && spare < full_call() * 3 / 2;
@@ -67,7 +67,7 @@
                                         std::size_t places,
                                         std::int64_t room) const
 {
-    const auto batch = static_cast<std::size_t>(std::max(1, rule_.batch));
+    const std::size_t batch = full_count();
     const std::int64_t size = std::max<std::int64_t>(1, job.job.result_size.get());
     const auto fitting = static_cast<std::size_t>(std::max<std::int64_t>(0, room / size));
     const std::size_t taken = std::min({job.waiting.size(), places, fitting});
@@ -80,13 +80,14 @@
                                             const std::vector<job_id>& ordered,
                                             steady_time now)
 {
-    const auto batch = static_cast<std::size_t>(std::max(1, rule_.batch));
+    const std::size_t batch = full_count();
     const std::int64_t room =
         rule_.room.get() == 0 ? INT64_MAX / 2
                               : static_cast<std::int64_t>(
                                     used_room * static_cast<double>(rule_.room.get()));
     piece_call call;
     call_state state;
+    const double slowness = mean_slowness();
     std::size_t timely = 0;
     std::map<failure_domain_id, std::size_t> ahead;
     for (const job_id id : ordered)
@@ -103,7 +104,7 @@
         }
         const std::size_t count = pieces_to_take(
             job, batch - call.items.size(), room - target.bytes - state.bytes);
-        timely += is_late(job.job, now) ? 0 : count;
+        timely += is_late(job.job, slowness, now) ? 0 : count;
         for (std::size_t i = 0; i < count; ++i)
         {
             piece_item item;
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -33,7 +33,7 @@
 
 millis piece_queue::full_call() const
 {
-    return rounded_up(call_ms(static_cast<std::size_t>(std::max(1, rule_.batch))));
+    return rounded_up(call_ms(full_count()));
 }
 
 double piece_queue::mean_slowness() const
@@ -48,11 +48,10 @@
     return serving == 0 ? 1 : std::max(1.0, sum / static_cast<double>(serving));
 }
 
-double piece_queue::shared_call_ms(std::size_t pieces) const
+double piece_queue::shared_call_ms(std::size_t pieces, double slowness) const
 {
     const auto usual = static_cast<std::size_t>(std::lround(pieces_per_call_));
-    const auto full = static_cast<std::size_t>(std::max(1, rule_.batch));
-    return call_ms(std::min(full, std::max(pieces, usual))) * mean_slowness();
+    return call_ms(std::min(full_count(), std::max(pieces, usual))) * slowness;
 }
 
 void piece_queue::set_targets(const std::vector<piece_target>& targets)
@@ -74,10 +73,10 @@
     }
 }
 
-bool piece_queue::is_late(const piece_job& job, steady_time now) const
+bool piece_queue::is_late(const piece_job& job, double slowness, steady_time now) const
 {
     return job.is_background ||
-           now + rounded_up(shared_call_ms(job.pieces.size())) > job.aim;
+           now + rounded_up(shared_call_ms(job.pieces.size(), slowness)) > job.aim;
 }
 
 double piece_queue::wait_ms(const piece_job& job, bool late, steady_time now) const
@@ -87,12 +86,13 @@
     {
         serving += each.second.serving ? 1.0 / std::max(1.0, each.second.slowness) : 0;
     }
+    const double slowness = mean_slowness();
     const auto rank = std::make_tuple(late, job.priority, job.aim.since_origin());
     double ahead = 0;
     for (const auto& each : jobs_)
     {
         const piece_job& other = each.second.job;
-        const bool goes_first = std::make_tuple(is_late(other, now),
+        const bool goes_first = std::make_tuple(is_late(other, slowness, now),
                                                 other.priority,
                                                 other.aim.since_origin()) <= rank;
         ahead += goes_first ? static_cast<double>(each.second.waiting.size()) : 0;
@@ -103,9 +103,8 @@
         const double done = static_cast<double>((now - each.second.sent).count());
         running_ms += std::max(0.0, call_ms(each.second.pieces.size()) - done);
     }
-    const int batch = std::max(1, rule_.batch);
-    const double full = call_ms(static_cast<std::size_t>(batch));
-    return (ahead / batch * full + running_ms) / std::max(1.0, serving);
+    const double calls_ahead = ahead / static_cast<double>(full_count());
+    return (calls_ahead * call_ms(full_count()) + running_ms) / std::max(1.0, serving);
 }
 
 double piece_queue::left_share(steady_time now) const
@@ -115,9 +114,9 @@
     {
         serving += each.second.serving ? 1 : 0;
     }
-    const int batch = std::max(1, rule_.batch);
-    const double capacity_per_ms =
-        std::max(1.0, serving) * batch / call_ms(static_cast<std::size_t>(batch));
+    const double capacity_per_ms = std::max(1.0, serving) *
+                                   static_cast<double>(full_count()) /
+                                   call_ms(full_count());
     const double age = static_cast<double>((now - timely_at_).count());
     const double timely_per_ms =
         timely_pieces_ * std::exp(-age / rate_window_ms) / rate_window_ms;
@@ -147,8 +146,9 @@
         verdict.retry_after = least_retry * 5;
         return verdict;
     }
-    const double own = shared_call_ms(job.pieces.size());
-    bool late = is_late(job, now);
+    const double slowness = mean_slowness();
+    const double own = shared_call_ms(job.pieces.size(), slowness);
+    bool late = is_late(job, slowness, now);
     double wait = wait_ms(job, late, now);
     if (!late && now + rounded_up(wait + own) > job.aim)
     {
@@ -185,12 +185,13 @@
 std::vector<job_id> piece_queue::order(steady_time now) const
 {
     using key = std::tuple<bool, int, std::int64_t, job_id>;
+    const double slowness = mean_slowness();
     std::vector<key> keys;
     for (const auto& each : jobs_)
     {
         if (!each.second.waiting.empty())
         {
-            keys.emplace_back(is_late(each.second.job, now),
+            keys.emplace_back(is_late(each.second.job, slowness, now),
                               each.second.job.priority,
                               each.second.job.aim.since_origin(),
                               each.first);
