Ask once for the live hosts when an owner is looked up

Group and owner were looked up in three places by the same two calls, each with a list of all live hosts of its own, for each job, refusal and freed result. owner_for() does both with one list.

--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -92,7 +92,14 @@
         std::set<int> missing;
     };
 
-    piece_group group_of(const pool_id& pool, const failure_domain_id& domain);
+    /// a group and the host that makes up its calls now
+    struct owned_group
+    {
+        piece_group group;
+        host_id owner;
+    };
+
+    owned_group owner_for(const pool_id& pool, const failure_domain_id& domain);
     void place(broker_ticket ticket);
     void place_here(broker_ticket ticket, open_job& open);
     void note_verdict(const open_job& open, bool is_late, millis expected);
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -106,14 +106,17 @@
 {
 }
 
-piece_group piece_broker::group_of(const pool_id& pool, const failure_domain_id& domain)
+piece_broker::owned_group piece_broker::owner_for(const pool_id& pool,
+                                                  const failure_domain_id& domain)
 {
     std::vector<failure_domain_id> domains;
     for (const target_state* each : context_.targets.serving(pool))
     {
         domains.push_back(each->record.domain);
     }
-    return group_for(pool, domain, domains, targets_of_a_group(peers_.live()));
+    const std::vector<peer_host> hosts = peers_.live();
+    const piece_group group = group_for(pool, domain, domains, targets_of_a_group(hosts));
+    return {group, owners_of(group, hosts).front()};
 }
 
 broker_ticket piece_broker::submit(const pool_id& pool, piece_job job, broker_sink sink)
@@ -132,14 +135,14 @@
 void piece_broker::place(broker_ticket ticket)
 {
     open_job& open = open_.at(ticket);
-    open.group = group_of(open.pool, open.job.domain);
-    const std::vector<host_id> owners = owners_of(open.group, peers_.live());
+    const owned_group placed = owner_for(open.pool, open.job.domain);
+    open.group = placed.group;
     // nobody's while it is sent: a link that is lost meanwhile must not move it
     open.owner = host_id();
     const bool is_remote =
-        owners.front() != peers_.self().id && open.moves <= max_moves &&
+        placed.owner != peers_.self().id && open.moves <= max_moves &&
         peers_.send(
-            owners.front(),
+            placed.owner,
             job_message(
                 ticket.get(), open.group, open.job, open.missing, context_.loop.now()));
     if (!is_remote)
@@ -148,7 +151,7 @@
         return;
     }
     open.is_local = false;
-    open.owner = owners.front();
+    open.owner = placed.owner;
     open.acknowledgement = context_.loop.after(acknowledgement_timeout,
                                                [this, ticket]
                                                {
@@ -213,8 +216,7 @@
                                 const failure_domain_id& domain,
                                 const std::string& key)
 {
-    const piece_group group = group_of(pool, domain);
-    const host_id owner = owners_of(group, peers_.live()).front();
+    const auto [group, owner] = owner_for(pool, domain);
     if (owner == peers_.self().id)
     {
         service_.note_refused(group, key);
@@ -302,14 +304,14 @@
     {
         return;
     }
-    const std::vector<host_id> owners = owners_of(group_of(pool, domain), peers_.live());
+    const host_id owner = owner_for(pool, domain).owner;
     nlohmann::json names = nlohmann::json::array();
     for (const result_handle& each : handles)
     {
         names.push_back(each.get());
     }
-    if (owners.front() == peers_.self().id ||
-        !peers_.send(owners.front(), {{"type", "free"}, {"handles", std::move(names)}}))
+    if (owner == peers_.self().id ||
+        !peers_.send(owner, {{"type", "free"}, {"handles", std::move(names)}}))
     {
         service_.free(handles);
     }
