One search for the longest path of stages

expected_after(), unqueued_time() and forecast_from() walked the stages with the same recursion and different times; whether a stage reads another was written out five times. longest_path(), longest_after() and reads() are in a unit of their own, with a test.

--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -117,7 +117,8 @@
     std::vector<result_handle> results_of(std::size_t stage) const;
     millis plain_time(std::size_t stage) const;
     millis expected_after(std::size_t stage) const;
-    millis forecast_from(std::size_t stage) const;
+    /// time of a stage with the queues as they are
+    millis queued_time(std::size_t stage) const;
     start_question question() const;
     void came_back(millis waited);
     void note_refused();
--- /dev/null
+++ b/src/dispatch/stage_path.cpp
@@ -0,0 +1,38 @@
+#include <medlar/detail/dispatch/stage_path.hpp>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+bool reads(const stage_rule& stage, std::size_t other)
+{
+    return std::find(stage.after.begin(), stage.after.end(), other) != stage.after.end();
+}
+
+millis longest_after(const std::vector<stage_rule>& stages,
+                     std::size_t stage,
+                     const stage_time& time)
+{
+    millis longest{0};
+    for (std::size_t i = 0; i < stages.size(); ++i)
+    {
+        if (reads(stages[i], stage))
+        {
+            longest = std::max(longest, time(i) + longest_after(stages, i, time));
+        }
+    }
+    return longest;
+}
+
+millis longest_path(const std::vector<stage_rule>& stages, const stage_time& time)
+{
+    millis longest{0};
+    for (std::size_t i = 0; i < stages.size(); ++i)
+    {
+        longest = std::max(longest, time(i) + longest_after(stages, i, time));
+    }
+    return longest;
+}
+
+} // namespace medlar
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/dispatch/stage_path.hpp>
 #include <medlar/detail/entry/stage_pipeline.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
@@ -234,9 +235,7 @@
                        request_.stages.end(),
                        [stage](const stage_rule& each)
                        {
-                           return std::find(each.after.begin(),
-                                            each.after.end(),
-                                            stage) != each.after.end();
+                           return reads(each, stage);
                        });
 }
 
@@ -294,57 +293,41 @@
 
 millis stage_pipeline::expected_after(std::size_t stage) const
 {
-    millis longest{0};
-    for (std::size_t i = 0; i < stages_.size(); ++i)
-    {
-        const std::vector<std::size_t>& after = request_.stages[i].after;
-        if (std::find(after.begin(), after.end(), stage) != after.end())
-        {
-            longest = std::max(longest, plain_time(i) + expected_after(i));
-        }
-    }
-    return longest;
+    return longest_after(request_.stages,
+                         stage,
+                         [this](std::size_t each)
+                         {
+                             return plain_time(each);
+                         });
 }
 
 millis stage_pipeline::unqueued_time() const
 {
-    millis longest{0};
-    for (std::size_t i = 0; i < stages_.size(); ++i)
-    {
-        longest = std::max(longest, plain_time(i) + expected_after(i));
-    }
-    return longest;
+    return longest_path(request_.stages,
+                        [this](std::size_t each)
+                        {
+                            return plain_time(each);
+                        });
 }
 
-millis stage_pipeline::forecast_from(std::size_t stage) const
+millis stage_pipeline::queued_time(std::size_t stage) const
 {
-    millis longest{0};
-    for (std::size_t i = 0; i < stages_.size(); ++i)
-    {
-        const std::vector<std::size_t>& after = request_.stages[i].after;
-        if (std::find(after.begin(), after.end(), stage) != after.end())
-        {
-            longest = std::max(longest, forecast_from(i));
-        }
-    }
     if (request_.pieces[stage] <= 0)
     {
-        return longest;
+        return millis(0);
     }
     const forecast_key key{
         request_.stages[stage].pool, request_.priority, is_background_};
-    return longest +
-           context_.forecast.expected(key, plain_time(stage), context_.loop.now());
+    return context_.forecast.expected(key, plain_time(stage), context_.loop.now());
 }
 
 millis stage_pipeline::forecast() const
 {
-    millis longest{0};
-    for (std::size_t i = 0; i < stages_.size(); ++i)
-    {
-        longest = std::max(longest, forecast_from(i));
-    }
-    return longest;
+    return longest_path(request_.stages,
+                        [this](std::size_t each)
+                        {
+                            return queued_time(each);
+                        });
 }
 
 void stage_pipeline::begin(std::size_t stage)
@@ -372,8 +355,9 @@
         job.inputs.insert(job.inputs.end(), results.begin(), results.end());
     }
     job.priority = request_.priority;
-    job.aim = request_.aim - expected_after(stage);
-    job.deadline = request_.deadline - expected_after(stage);
+    const millis later = expected_after(stage);
+    job.aim = request_.aim - later;
+    job.deadline = request_.deadline - later;
     // each piece reads all inputs; its result is read once
     const placed_results inputs = place_of(rule.after);
     const bool follows_inputs = inputs.bytes > rule.result_size.get();
@@ -460,8 +444,7 @@
         bool is_read = is_followed(i) && stages_[i].at == progress::done;
         for (std::size_t next = 0; next < stages_.size(); ++next)
         {
-            const std::vector<std::size_t>& after = request_.stages[next].after;
-            if (std::find(after.begin(), after.end(), i) != after.end())
+            if (reads(request_.stages[next], i))
             {
                 is_read = is_read && stages_[next].at == progress::done;
             }
--- /dev/null
+++ b/test/decisions/dispatch/stage_path_test.cpp
@@ -0,0 +1,60 @@
+#include <medlar/detail/dispatch/stage_path.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+
+class the_path_of_stages : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_path_of_stages);
+    CPPUNIT_TEST(is_as_long_as_its_longest_branch);
+    CPPUNIT_TEST(is_counted_from_a_stage_to_the_end);
+    CPPUNIT_TEST(of_no_stages_takes_no_time);
+    CPPUNIT_TEST_SUITE_END();
+
+    static stage_rule after(const std::vector<std::size_t>& others)
+    {
+        stage_rule made;
+        made.after = others;
+        return made;
+    }
+
+    /// 0 stands alone; 2 reads 1, and 3 reads 2
+    const std::vector<stage_rule> stages_{after({}), after({}), after({1}), after({2})};
+
+    /// 400, 100, 200 and 50 ms
+    static millis time(std::size_t stage)
+    {
+        const std::vector<millis> times{
+            millis(400), millis(100), millis(200), millis(50)};
+        return times[stage];
+    }
+
+  public:
+    void is_as_long_as_its_longest_branch()
+    {
+        CPPUNIT_ASSERT(longest_path(stages_, time) == millis(400));
+        CPPUNIT_ASSERT(longest_path({stages_[1], stages_[0]}, time) == millis(400));
+        const std::vector<stage_rule> chain{after({}), after({0}), after({0, 1})};
+        CPPUNIT_ASSERT(longest_path(chain, time) == millis(700));
+    }
+
+    void is_counted_from_a_stage_to_the_end()
+    {
+        CPPUNIT_ASSERT(longest_after(stages_, 0, time) == millis(0));
+        CPPUNIT_ASSERT(longest_after(stages_, 1, time) == millis(250));
+        CPPUNIT_ASSERT(longest_after(stages_, 2, time) == millis(50));
+    }
+
+    void of_no_stages_takes_no_time()
+    {
+        CPPUNIT_ASSERT(longest_path({}, time) == millis(0));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(the_path_of_stages);
+
+} // namespace
