Refuse or fail by one rule

stages_failed() and after_failure() each chose between a refusal and a failure by may_have_run_; give_up() does it for both.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -66,6 +66,8 @@
     void target_did_not_run(const answer_head& head);
     bool try_again(bool has_run);
     void after_failure(absl::string_view why);
+    /// refuses the request, or fails it where a target may have run it
+    void give_up(int status_if_run, millis retry_after, absl::string_view why);
 
     // the answer
     void begin_answer();
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -228,14 +228,19 @@
 }
 
 void request_run::after_failure(absl::string_view why)
+{
+    give_up(status_bad_gateway, retry_after_no_target, why);
+}
+
+void request_run::give_up(int status_if_run, millis retry_after, absl::string_view why)
 {
     if (may_have_run_)
     {
-        fail(status_bad_gateway, why);
+        fail(status_if_run, why);
     }
     else
     {
-        refuse(retry_after_no_target, why);
+        refuse(retry_after, why);
     }
 }
 
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -204,14 +204,8 @@
     {
         retry_after = std::max(retry_after, context_.spell.refused(context_.loop.now()));
     }
-    const std::string what = absl::StrCat("stages ", to_string(why));
-    if (may_have_run_)
-    {
-        // they were done again for a repetition: no refusal would be true
-        fail(status_gateway_timeout, what);
-        return;
-    }
-    refuse(retry_after, what);
+    // they may have been done again for a repetition
+    give_up(status_gateway_timeout, retry_after, absl::StrCat("stages ", to_string(why)));
 }
 
 void request_run::free_stages()
