--- a/include/medlar/detail/dispatch/stage_path.hpp
+++ b/include/medlar/detail/dispatch/stage_path.hpp
@@ -22,9 +22,6 @@
                      std::size_t stage,
                      const stage_time& time);
 
-/// @brief the longest time of stages that follow one after the other
-millis longest_path(const std::vector<stage_rule>& stages, const stage_time& time);
-
 } // namespace medlar
 
 #endif // MEDLAR_DETAIL_DISPATCH_STAGE_PATH_HPP
--- a/src/config/validate.cpp
+++ b/src/config/validate.cpp
@@ -1,10 +1,12 @@
 #include <medlar/detail/base/error.hpp>
+#include <medlar/detail/base/stage_graph.hpp>
 #include <medlar/detail/config/json.hpp>
 
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace medlar
@@ -193,40 +195,21 @@
     return status;
 }
 
-/// @brief whether all stages before @p one are in @p placed
-bool can_follow(const stage& one, const std::set<std::string>& placed)
-{
-    return std::all_of(one.after.begin(),
-                       one.after.end(),
-                       [&placed](const std::string& name)
-                       {
-                           return placed.count(name) != 0;
-                       });
-}
-
 /// @brief Refuses stages that wait for each other.
 absl::Status check_cycles(const pipeline& one, const std::string& path)
 {
-    std::set<std::string> placed;
-    for (std::size_t round = 0; round < one.stages.size(); ++round)
+    const std::optional<std::size_t> at =
+        find_stage_cycle(one.stages,
+                         [&one](std::size_t stage)
+                         {
+                             return one.stages[stage].name;
+                         });
+    if (at)
     {
-        for (const stage& each : one.stages)
-        {
-            if (can_follow(each, placed))
-            {
-                placed.insert(each.name);
-            }
-        }
-    }
-    for (std::size_t at = 0; at < one.stages.size(); ++at)
-    {
-        if (placed.count(one.stages[at].name) == 0)
-        {
-            return invalid(
-                error_number::stage_cycle,
-                absl::StrCat(path, ".stages[", at, "].after"),
-                absl::StrCat("stage '", one.stages[at].name, "' waits for itself"));
-        }
+        return invalid(
+            error_number::stage_cycle,
+            absl::StrCat(path, ".stages[", *at, "].after"),
+            absl::StrCat("stage '", one.stages[*at].name, "' waits for itself"));
     }
     return absl::OkStatus();
 }
--- a/src/dispatch/stage_path.cpp
+++ b/src/dispatch/stage_path.cpp
@@ -25,14 +25,4 @@
     return longest;
 }
 
-millis longest_path(const std::vector<stage_rule>& stages, const stage_time& time)
-{
-    millis longest{0};
-    for (std::size_t i = 0; i < stages.size(); ++i)
-    {
-        longest = std::max(longest, time(i) + longest_after(stages, i, time));
-    }
-    return longest;
-}
-
 } // namespace medlar
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/base/stage_graph.hpp>
 #include <medlar/detail/dispatch/stage_path.hpp>
 #include <medlar/detail/entry/stage_pipeline.hpp>
 #include <medlar/detail/log/entry_events.hpp>
@@ -304,6 +305,7 @@
 millis stage_pipeline::unqueued_time() const
 {
     return longest_path(request_.stages,
+                        0,
                         [this](std::size_t each)
                         {
                             return plain_time(each);
@@ -324,6 +326,7 @@
 millis stage_pipeline::forecast() const
 {
     return longest_path(request_.stages,
+                        0,
                         [this](std::size_t each)
                         {
                             return queued_time(each);
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/base/stage_graph.hpp>
 #include <medlar/detail/policy/admission.hpp>
 #include <medlar/detail/policy/load_estimate.hpp>
 
@@ -53,45 +54,6 @@
     return usable_slots(pool) * underway + reserve_calls;
 }
 
-/// @brief The time from now until a stage ends, whatever the order of the stages in the
-/// pipeline.
-/// @param first stages before it are done
-/// @param ends times found so far
-template <typename WaitOf>
-double end_ms(const request_need& need,
-              std::size_t stage,
-              std::size_t first,
-              const WaitOf& wait_of,
-              std::vector<std::optional<double>>& ends)
-{
-    if (stage < first)
-    {
-        return 0;
-    }
-    if (!ends[stage])
-    {
-        double start = 0;
-        for (const std::size_t each : need.stages[stage].after)
-        {
-            start = std::max(start, end_ms(need, each, first, wait_of, ends));
-        }
-        ends[stage] = start + wait_of(need.stages[stage]) + need.stages[stage].service_ms;
-    }
-    return *ends[stage];
-}
-
-template <typename WaitOf>
-double longest_path_ms(const request_need& need, std::size_t first, const WaitOf& wait_of)
-{
-    std::vector<std::optional<double>> ends(need.stages.size());
-    double longest = 0;
-    for (std::size_t i = first; i < need.stages.size(); ++i)
-    {
-        longest = std::max(longest, end_ms(need, i, first, wait_of, ends));
-    }
-    return longest;
-}
-
 } // namespace
 
 double pool_wait_ms(const pool_outlook& pool)
@@ -119,23 +81,26 @@
 double
 expected_span_ms(const request_need& need, const pool_outlooks& pools, std::size_t first)
 {
-    return longest_path_ms(need,
-                           first,
-                           [&pools](const stage_need& stage)
-                           {
-                               const pool_outlook* pool = find(pools, stage.pool);
-                               return pool == nullptr ? 0.0 : pool_wait_ms(*pool);
-                           });
+    return longest_path(need.stages,
+                        first,
+                        [&](std::size_t stage)
+                        {
+                            const stage_need& one = need.stages[stage];
+                            const pool_outlook* pool = find(pools, one.pool);
+                            const double wait =
+                                pool == nullptr ? 0.0 : pool_wait_ms(*pool);
+                            return wait + one.service_ms;
+                        });
 }
 
 double bare_span_ms(const request_need& need, std::size_t first)
 {
-    return longest_path_ms(need,
-                           first,
-                           [](const stage_need&)
-                           {
-                               return 0.0;
-                           });
+    return longest_path(need.stages,
+                        first,
+                        [&need](std::size_t stage)
+                        {
+                            return need.stages[stage].service_ms;
+                        });
 }
 
 bool has_room(const request_need& need, const pool_outlooks& pools)
--- a/test/decisions/dispatch/stage_path_test.cpp
+++ b/test/decisions/dispatch/stage_path_test.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/base/stage_graph.hpp>
 #include <medlar/detail/dispatch/stage_path.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,6 +14,7 @@
     CPPUNIT_TEST(is_as_long_as_its_longest_branch);
     CPPUNIT_TEST(is_counted_from_a_stage_to_the_end);
     CPPUNIT_TEST(of_no_stages_takes_no_time);
+    CPPUNIT_TEST(that_returns_to_its_start_is_found);
     CPPUNIT_TEST_SUITE_END();
 
     static stage_rule after(const std::vector<std::size_t>& others)
@@ -36,10 +38,11 @@
   public:
     void is_as_long_as_its_longest_branch()
     {
-        CPPUNIT_ASSERT(longest_path(stages_, time) == millis(400));
-        CPPUNIT_ASSERT(longest_path({stages_[1], stages_[0]}, time) == millis(400));
+        CPPUNIT_ASSERT(longest_path(stages_, 0, time) == millis(400));
+        const std::vector<stage_rule> reversed{stages_[1], stages_[0]};
+        CPPUNIT_ASSERT(longest_path(reversed, 0, time) == millis(400));
         const std::vector<stage_rule> chain{after({}), after({0}), after({0, 1})};
-        CPPUNIT_ASSERT(longest_path(chain, time) == millis(700));
+        CPPUNIT_ASSERT(longest_path(chain, 0, time) == millis(700));
     }
 
     void is_counted_from_a_stage_to_the_end()
@@ -51,7 +54,21 @@
 
     void of_no_stages_takes_no_time()
     {
-        CPPUNIT_ASSERT(longest_path({}, time) == millis(0));
+        const std::vector<stage_rule> none;
+        CPPUNIT_ASSERT(longest_path(none, 0, time) == millis(0));
+    }
+
+    void that_returns_to_its_start_is_found()
+    {
+        const auto by_index = [](std::size_t stage)
+        {
+            return stage;
+        };
+        CPPUNIT_ASSERT(!find_stage_cycle(stages_, by_index));
+        const std::vector<stage_rule> own{after({}), after({1})};
+        CPPUNIT_ASSERT(find_stage_cycle(own, by_index) == std::size_t{1});
+        const std::vector<stage_rule> both{after({1}), after({0})};
+        CPPUNIT_ASSERT(find_stage_cycle(both, by_index) == std::size_t{0});
     }
 };
 
