--- a/test/entry/adapter_test.cpp
+++ b/test/entry/adapter_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(reads_what_a_caller_says_of_its_request);
     CPPUNIT_TEST(reads_a_configuration);
     CPPUNIT_TEST(names_the_route_that_is_wrong);
+    CPPUNIT_TEST(names_the_route_whose_stages_wait_for_themselves);
     CPPUNIT_TEST(reads_entries_of_targets_and_rejects_others);
     CPPUNIT_TEST(reads_items_and_events_of_the_store);
     CPPUNIT_TEST(reads_results_of_pieces);
@@ -145,6 +146,20 @@
                 std::string::npos);
     }
 
+    void names_the_route_whose_stages_wait_for_themselves()
+    {
+        const auto read = adapter_.read_configuration(R"({"version": 1, "routes": [
+            {"name": "r-1", "host": "h", "prefix": "/", "kind": "stream", "service": "m",
+             "timeout_ms": 100, "stages": [{"service": "s", "after": [1]},
+                                           {"service": "s", "after": [0]}]}]})");
+        CPPUNIT_ASSERT(!read.ok());
+        const std::string message(read.status().message());
+        CPPUNIT_ASSERT_MESSAGE(
+            message,
+            message.find("route \"r-1\": stages wait for themselves") !=
+                std::string::npos);
+    }
+
     void reads_entries_of_targets_and_rejects_others()
     {
         const std::string good =
