--- a/test/entry/stream_test.cpp
+++ b/test/entry/stream_test.cpp
@@ -23,6 +23,20 @@
     return headers;
 }
 
+void break_off_after_first_event(caller_exchange& exchange)
+{
+    exchange.begin(200, "OK", stream_headers(exchange), {body_kind::chunked, 0});
+    exchange.write(event(1));
+    exchange.abort();
+}
+
+void refuse_as_not_run(caller_exchange& exchange, int status)
+{
+    header_list headers;
+    headers.add("Not-Executed", "1");
+    exchange.answer(status, headers, "");
+}
+
 /// an entry host with two engines and a target that makes pieces
 class stream_fixture : public entry_fixture
 {
@@ -157,10 +171,7 @@
                         exchange->answer(500, signed_headers(*exchange), "failed");
                         return;
                     }
-                    exchange->begin(
-                        200, "OK", stream_headers(*exchange), {body_kind::chunked, 0});
-                    exchange->write(event(1));
-                    exchange->abort();
+                    break_off_after_first_event(*exchange);
                 });
         const got_answer got = it.ask();
         CPPUNIT_ASSERT(got.end != call_end::complete);
@@ -174,10 +185,7 @@
                 false,
                 [&](const exchange_ptr& exchange)
                 {
-                    exchange->begin(
-                        200, "OK", stream_headers(*exchange), {body_kind::chunked, 0});
-                    exchange->write(event(1));
-                    exchange->abort();
+                    break_off_after_first_event(*exchange);
                 });
         const got_answer got = it.ask();
         CPPUNIT_ASSERT(got.end != call_end::complete);
@@ -197,15 +205,10 @@
                 {
                     if (++runs > 1)
                     {
-                        header_list headers;
-                        headers.add("Not-Executed", "1");
-                        exchange->answer(503, headers, "");
+                        refuse_as_not_run(*exchange, 503);
                         return;
                     }
-                    exchange->begin(
-                        200, "OK", stream_headers(*exchange), {body_kind::chunked, 0});
-                    exchange->write(event(1));
-                    exchange->abort();
+                    break_off_after_first_event(*exchange);
                 });
         const got_answer got = it.ask();
         CPPUNIT_ASSERT(got.end != call_end::complete);
@@ -223,16 +226,11 @@
                 {
                     if (++runs > 1)
                     {
-                        header_list headers;
-                        headers.add("Not-Executed", "1");
-                        exchange->answer(409, headers, "");
+                        refuse_as_not_run(*exchange, 409);
                         it.fail_pieces = true;
                         return;
                     }
-                    exchange->begin(
-                        200, "OK", stream_headers(*exchange), {body_kind::chunked, 0});
-                    exchange->write(event(1));
-                    exchange->abort();
+                    break_off_after_first_event(*exchange);
                 });
         const got_answer got = it.ask("Pieces: 1,1\r\nPiece-Key: k\r\n");
         CPPUNIT_ASSERT(got.end != call_end::complete);
@@ -303,9 +301,7 @@
                 {
                     if (++runs == 1)
                     {
-                        header_list headers;
-                        headers.add("Not-Executed", "1");
-                        exchange->answer(409, headers, "");
+                        refuse_as_not_run(*exchange, 409);
                         return;
                     }
                     answer_stream(exchange);
@@ -331,9 +327,7 @@
                         return;
                     }
                     it.fail_pieces = true;
-                    header_list headers;
-                    headers.add("Not-Executed", "1");
-                    exchange->answer(409, headers, "");
+                    refuse_as_not_run(*exchange, 409);
                 });
         const got_answer got = it.ask("Pieces: 1,1\r\nPiece-Key: k\r\n");
         CPPUNIT_ASSERT_EQUAL(504, got.status);
--- a/test/soak/entry_process.cpp
+++ b/test/soak/entry_process.cpp
@@ -1,5 +1,7 @@
 #include "soak/entry_process.hpp"
 
+#include "platform/names.hpp"
+
 #include <absl/strings/str_cat.h>
 #include <fcntl.h>
 #include <spawn.h>
@@ -18,8 +20,6 @@
 namespace
 {
 
-constexpr char settings_variable[] = "MEDLARSCALE_NODE_FILE=";
-
 std::string words_of(int status)
 {
     return WIFSIGNALED(status) ? absl::StrCat("signal ", WTERMSIG(status))
@@ -63,7 +63,7 @@
     const int flags = O_WRONLY | O_CREAT | O_APPEND;
     posix_spawn_file_actions_addopen(&files, 1, log_path_.c_str(), flags, 0644);
     posix_spawn_file_actions_adddup2(&files, 1, 2);
-    std::string setting = settings_variable + settings_path_;
+    std::string setting = absl::StrCat(platform::settings_variable, "=", settings_path_);
     std::vector<char*> environment;
     for (char** each = environ; *each != nullptr; ++each)
     {
--- a/test/soak/fault_proxy.cpp
+++ b/test/soak/fault_proxy.cpp
@@ -74,16 +74,16 @@
 void fault_proxy::set_fault(path_fault fault)
 {
     fault_ = fault;
+    // what a silent path lost does not come back: connections of before are useless
+    if (fault != path_fault::resetting && fault != path_fault::none)
+    {
+        return;
+    }
     const auto open = passages_;
     for (const std::shared_ptr<passage>& each : open)
     {
-        // what a silent path lost does not come back: such connections are useless
-        const bool is_reset = fault == path_fault::resetting || fault == path_fault::none;
-        if (is_reset)
-        {
-            each->caller->close();
-            end(*each, true);
-        }
+        each->caller->close();
+        end(*each, true);
     }
 }
 
--- a/test/soak/promises.cpp
+++ b/test/soak/promises.cpp
@@ -1,5 +1,7 @@
 #include "soak/promises.hpp"
 
+#include <medlar/detail/http/status.hpp>
+
 #include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -12,15 +14,11 @@
 namespace
 {
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 /// statuses that promise that a request has not run and will not
 bool is_refusal(int status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return status == status_timeout || status == status_misdirected ||
+           status == status_too_many || status == status_unavailable;
 }
 
 std::string name_of(const caller_view& view)
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -1,5 +1,6 @@
 // The store, the targets, the hosts and the callers of a run.
 
+#include "platform/names.hpp"
 #include "soak/soak_run.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -176,7 +177,7 @@
 {
     for (const auto& each : hosts_)
     {
-        if (key == absl::StrCat("medlar/hosts/", each->name))
+        if (key == absl::StrCat(platform::host_prefix, each->name))
         {
             nlohmann::json registration = nlohmann::json::parse(value);
             registration["port"] = each->link_path->where().port;
