One set of status names, one way to answer for the host itself

The names of HTTP statuses stood in the sources 30 times, is_success() three times: they are in http/status.hpp. request_run::refuse(), fail() and entry_host::answer_directly() built the same head of an answer: answer_itself() does.

--- a/src/controller/gateway_feed.cpp
+++ b/src/controller/gateway_feed.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/controller/gateway_feed.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/controller_events.hpp>
 
 #include <chrono>
@@ -10,7 +11,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
 constexpr millis push_timeout{1000};
 
 std::chrono::milliseconds to_chrono(millis span)
--- a/src/controller/order_controller.cpp
+++ b/src/controller/order_controller.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/controller/order_controller.hpp>
 #include <medlar/detail/controller/store_keys.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/controller_events.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -12,8 +13,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_conflict = 409;
 // most orders to one target in one round
 constexpr int max_steps = 16;
 
--- a/src/controller/target_controller.cpp
+++ b/src/controller/target_controller.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/cluster/host_list.hpp>
 #include <medlar/detail/controller/target_controller.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/controller_events.hpp>
 #include <medlar/detail/settings/settings.hpp>
 
@@ -13,8 +14,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-
 /// @brief the addresses that can be read, without @p self
 std::vector<endpoint> peers_of(const std::vector<std::string>& addresses,
                                const endpoint& self)
--- a/src/dispatch/piece_calls.cpp
+++ b/src/dispatch/piece_calls.cpp
@@ -22,7 +22,7 @@
 
 constexpr double slowness_smoothing = 0.3;
 
-// some calls of each of the four to eight targets of a group
+// over some ten calls, a part of a second for a group of 16 targets
 constexpr double fill_smoothing = 0.1;
 
 // how long a target without room gets no call: results are freed within a call's time
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -1,5 +1,7 @@
 #include <medlar/detail/entry/entry_host.hpp>
+#include <medlar/detail/entry/own_answer.hpp>
 #include <medlar/detail/entry/request_run.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/bounded_log.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
@@ -15,12 +17,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorised = 401;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
 // the balancer asks once a second and takes a host out after two misses
 constexpr millis out_of_rotation{3000};
 
@@ -263,25 +259,22 @@
                                  int status,
                                  absl::string_view why)
 {
-    header_list headers;
-    headers.add("Content-Type", "text/plain");
+    std::vector<header_field> more;
     if (status == status_unavailable)
     {
-        const header_field field = context_.protocol.retry_after(retry_after_start);
-        headers.add(field.name, field.value);
+        more.push_back(context_.protocol.retry_after(retry_after_start));
     }
     if (status == status_unauthorised)
     {
-        headers.add("WWW-Authenticate", "Bearer");
+        more.push_back({"WWW-Authenticate", "Bearer"});
     }
-    context_.protocol.add_attempt(headers, fields.attempt);
     context_.metrics->add("medlar_requests_total", {{"status", absl::StrCat(status)}});
     log_event(entry_request_ended,
               {{"attempt", fields.attempt.get()},
                {"version", context_.configuration ? context_.configuration->version : -1},
                {"outcome", why},
                {"status", std::int64_t{status}}});
-    exchange->answer(status, headers, absl::StrCat(why, "\n"));
+    answer_itself(context_.protocol, *exchange, fields.attempt, status, more, why);
 }
 
 bool entry_host::is_ready() const
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/entry/piece_service.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <xxhash.h>
@@ -11,9 +12,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_unavailable = 503;
-
 // how long a target that was full gets no call: the least time of a call of others
 constexpr millis full_pause{100};
 
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -1,6 +1,8 @@
 // The answer to a request.
 
+#include <medlar/detail/entry/own_answer.hpp>
 #include <medlar/detail/entry/request_run.hpp>
+#include <medlar/detail/http/status.hpp>
 
 #include <absl/strings/str_cat.h>
 
@@ -12,17 +14,10 @@
 namespace
 {
 
-constexpr int status_unavailable = 503;
-
 // a body up to this size is sent on when it is whole, so that a target that breaks off
 // can still be replaced by another
 constexpr std::size_t max_kept_body = 65536;
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 void request_run::on_data(absl::string_view data)
@@ -162,12 +157,12 @@
         static_cast<std::int64_t>(static_cast<double>(retry_after.count()) * spread),
         0,
         std::max<std::int64_t>(0, most.count())));
-    header_list headers;
-    headers.add("Content-Type", "text/plain");
-    const header_field field = context_.protocol.retry_after(delay);
-    headers.add(field.name, field.value);
-    context_.protocol.add_attempt(headers, fields_.attempt);
-    exchange_->answer(status_unavailable, headers, absl::StrCat(why, "\n"));
+    answer_itself(context_.protocol,
+                  *exchange_,
+                  fields_.attempt,
+                  status_unavailable,
+                  {context_.protocol.retry_after(delay)},
+                  why);
     end(absl::StrCat("refused: ", why), status_unavailable);
 }
 
@@ -178,10 +173,7 @@
         cut(why);
         return;
     }
-    header_list headers;
-    headers.add("Content-Type", "text/plain");
-    context_.protocol.add_attempt(headers, fields_.attempt);
-    exchange_->answer(status, headers, absl::StrCat(why, "\n"));
+    answer_itself(context_.protocol, *exchange_, fields_.attempt, status, {}, why);
     end(absl::StrCat("failed: ", why), status);
 }
 
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -1,6 +1,7 @@
 // The attempts of a request at targets.
 
 #include <medlar/detail/entry/request_run.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -13,12 +14,6 @@
 namespace
 {
 
-constexpr int status_bad_gateway = 502;
-
-constexpr int status_unavailable = 503;
-
-constexpr int status_conflict = 409;
-
 // how long a target that was full gets no request
 constexpr millis full_pause{150};
 
@@ -31,11 +26,6 @@
 // prompt: three results of 3 MB take 8 ms on its link
 constexpr millis input_read_time{40};
 
-bool is_success(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 } // namespace
 
 void request_run::send()
@@ -192,7 +182,7 @@
                {"not_run", std::int64_t{1}}});
     if (target_state* const target = context_.targets.find(target_))
     {
-        if (head.status == status_unavailable || head.status == 429)
+        if (head.status == status_unavailable || head.status == status_too_many)
         {
             target->refused_until = context_.loop.now() + full_pause;
         }
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/dispatch/target_choice.hpp>
 #include <medlar/detail/entry/request_run.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -9,13 +10,6 @@
 namespace medlar
 {
 
-namespace
-{
-
-constexpr int status_gateway_timeout = 504;
-
-} // namespace
-
 request_run::request_run(entry_context& context,
                          piece_broker& broker,
                          std::shared_ptr<caller_exchange> exchange,
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/entry/store_controller.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
@@ -9,10 +10,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_gone = 410;
-
 // longest time of a call; the store answers in 4 ms, in 200 ms when it is slow
 constexpr millis call_timeout{1200};
 
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -2,6 +2,7 @@
 #include <medlar/detail/gateway/authentication.hpp>
 #include <medlar/detail/gateway/caller_server.hpp>
 #include <medlar/detail/gateway/caller_stream.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
 #include <medlar/detail/request/answer_text.hpp>
 
@@ -39,8 +40,6 @@
 using Poco::Net::HTTPServerResponse;
 
 constexpr std::int64_t us_per_ms = 1000;
-constexpr int status_ok = 200;
-constexpr int status_unavailable = 503;
 
 Poco::Timespan timespan_of(millis span)
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include <medlar/detail/gateway/filters/watch_filter.hpp>
 #include <medlar/detail/gateway/gateway.hpp>
 #include <medlar/detail/gateway/held_count.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
 
 #include <utility>
@@ -22,7 +23,6 @@
 {
 
 constexpr millis cancel_timeout{300};
-constexpr int status_not_found = 404;
 
 } // namespace
 
--- a/src/gateway/relay_server.cpp
+++ b/src/gateway/relay_server.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/gateway/relay_client.hpp>
 #include <medlar/detail/gateway/relay_server.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/request/answer_text.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -11,14 +12,6 @@
 namespace medlar
 {
 
-namespace
-{
-
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-
-} // namespace
-
 std::unique_ptr<relay_server> relay_server::create(const clock& time,
                                                    const filter_chain& chain)
 {
--- a/src/gateway/request_lookup.cpp
+++ b/src/gateway/request_lookup.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/gateway/request_lookup.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/request/answer_text.hpp>
 #include <medlar/detail/request/json_fields.hpp>
 #include <medlar/detail/request/json_text.hpp>
@@ -16,8 +17,6 @@
 
 constexpr millis ask_timeout{300};
 constexpr int max_asked = 3;
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
 
 std::string write_key(const request_key& key)
 {
--- a/src/gateway/target_poller.cpp
+++ b/src/gateway/target_poller.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/gateway/target_poller.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/request/json_fields.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -12,7 +13,6 @@
 {
 
 constexpr millis poll_timeout{250};
-constexpr int status_ok = 200;
 
 } // namespace
 
--- a/src/link/server_connection.cpp
+++ b/src/link/server_connection.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/link/link_limits.hpp>
 #include <medlar/detail/link/server_connection.hpp>
 
@@ -9,7 +10,6 @@
 namespace
 {
 
-constexpr int status_too_large = 413;
 constexpr int status_overloaded = 503;
 
 } // namespace
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/loop/caller_connection.hpp>
 
 #include <Poco/Net/HTTPResponse.h>
@@ -13,9 +14,6 @@
 // input of further requests that is kept while one request runs
 constexpr std::size_t max_input_ahead = 65536;
 
-constexpr int status_timeout = 408;
-constexpr int status_too_large = 413;
-
 std::string reason_phrase(int status)
 {
     return Poco::Net::HTTPResponse::getReasonForStatus(
--- a/src/membership/claim_sender.cpp
+++ b/src/membership/claim_sender.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/membership_events.hpp>
 #include <medlar/detail/membership/claim_sender.hpp>
 
@@ -20,7 +21,6 @@
 constexpr millis part_timeout{3000};
 constexpr std::size_t max_part_claims = 512;
 constexpr std::size_t max_part_bytes = 1024UL * 1024;
-constexpr int status_ok = 200;
 
 std::size_t size_of(const claim& one)
 {
--- a/src/membership/lease_renewer.cpp
+++ b/src/membership/lease_renewer.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/membership_events.hpp>
 #include <medlar/detail/membership/lease_renewer.hpp>
 
@@ -16,7 +17,6 @@
 constexpr millis fetch_timeout{2000};
 /// how many rounds a process without lease makes in the time of one
 constexpr std::int64_t hurried_rounds = 4;
-constexpr int status_ok = 200;
 
 /// @brief the members that grant, and those of the view before while it is not closed
 std::vector<view_member> granting_members(const ownership& state)
--- a/src/membership/message_handler.cpp
+++ b/src/membership/message_handler.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/membership_events.hpp>
 #include <medlar/detail/membership/message_handler.hpp>
 
@@ -11,8 +12,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
 constexpr absl::string_view empty_answer = "{}";
 
 } // namespace
--- a/src/programs/medlar_gateway.cpp
+++ b/src/programs/medlar_gateway.cpp
@@ -3,6 +3,7 @@
 #include <medlar/detail/gateway/caller_server.hpp>
 #include <medlar/detail/gateway/gateway.hpp>
 #include <medlar/detail/gateway/local_exchange.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
 #include <medlar/detail/settings/settings.hpp>
 
@@ -57,7 +58,6 @@
 {
 
 constexpr int exit_bad_setting = 2;
-constexpr int status_unavailable = 503;
 constexpr millis held_check{10};
 
 int end_with(const absl::Status& problem)
--- a/src/store/consul_client.cpp
+++ b/src/store/consul_client.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/base/error.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/store/consul_json.hpp>
 #include <medlar/detail/store/http_pool.hpp>
 #include <medlar/detail/store/store_client.hpp>
@@ -14,9 +15,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_server_error = 500;
 // time beyond a watch's wait in which its answer is still on the way
 constexpr std::int64_t watch_jitter_divisor = 16;
 
