Bound what a connection reads that is no answer

Interim heads, answers to other requests and trailers had no limit but the time of their call. Links tell a refused connection from a silent one.

--- a/include/medlar/detail/http/body_decoder.hpp
+++ b/include/medlar/detail/http/body_decoder.hpp
@@ -61,6 +61,7 @@
 
     state state_ = state::done;
     std::uint64_t remaining_ = 0;
+    std::size_t trailer_bytes_ = 0;
 };
 
 /// @brief Appends @p data as one chunk of a chunked body; does nothing if it is empty,
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -19,6 +19,7 @@
     closed,         ///< the peer closed its sending side (end of file)
     reset,          ///< the peer reset the connection, or the network path failed
     connect_failed, ///< the connection was never established; no byte was delivered
+    refused, ///< like connect_failed: the peer's host runs, but nothing listens there
 };
 
 /// @brief Receives the events of one connection.
--- a/include/medlar/detail/loop/message_link.hpp
+++ b/include/medlar/detail/loop/message_link.hpp
@@ -20,7 +20,7 @@
 {
   public:
     using message_action = std::function<void(const nlohmann::json&)>;
-    using end_action = std::function<void()>;
+    using end_action = std::function<void(connection_end)>;
 
     /// @brief Creates a link over an accepted or outgoing connection.
     static std::shared_ptr<message_link> create(std::shared_ptr<connection> stream,
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -68,6 +68,8 @@
     body_decoder decoder_;
     /// the current answer is informational or not for this call
     bool skipping_answer_ = false;
+    int skipped_answers_ = 0;
+    std::size_t skipped_bytes_ = 0;
     /// whether the connection was established before the current request was sent
     bool was_established_ = false;
     std::string decoded_;
--- a/src/http/body_decoder.cpp
+++ b/src/http/body_decoder.cpp
@@ -18,6 +18,9 @@
 // limit for a chunk-size line, including chunk extensions, and for a trailer line
 constexpr std::size_t max_line_bytes = 1024;
 
+// limit for all trailer lines, which are not used
+constexpr std::size_t max_trailer_bytes = 16384;
+
 bool parse_chunk_size(absl::string_view line, std::uint64_t& size)
 {
     const absl::string_view digits =
@@ -130,6 +133,15 @@
     {
         state_ = state::done;
     }
+    else
+    {
+        trailer_bytes_ += line.size();
+        if (trailer_bytes_ > max_trailer_bytes)
+        {
+            state_ = state::failed;
+            return 0;
+        }
+    }
     return line_feed + 1;
 }
 
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -303,7 +303,8 @@
     }
     if (error != 0)
     {
-        end(connection_end::connect_failed);
+        end(error == ECONNREFUSED ? connection_end::refused
+                                  : connection_end::connect_failed);
         return;
     }
     loop_.cancel(timer_);
--- a/src/loop/message_link.cpp
+++ b/src/loop/message_link.cpp
@@ -89,7 +89,7 @@
         if (length > max_message_bytes)
         {
             stream_->close();
-            on_end_();
+            on_end_(connection_end::closed);
             return;
         }
         if (stream_->input().size() < length_bytes + length)
@@ -103,16 +103,16 @@
         if (!message.is_object() || !deliver(message))
         {
             stream_->close();
-            on_end_();
+            on_end_(connection_end::closed);
             return;
         }
     }
 }
 
-void message_link::on_end(connection_end)
+void message_link::on_end(connection_end reason)
 {
     const std::shared_ptr<message_link> self = shared_from_this();
-    on_end_();
+    on_end_(reason);
 }
 
 } // namespace medlar
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -15,6 +15,11 @@
 // idle timeout assumed for a server that does not state one in "Keep-Alive"
 constexpr millis default_keep_alive{4000};
 
+// limits for what is skipped while waiting for one answer: interim heads, and answers to
+// other requests; a server that sends more does not answer
+constexpr int max_skipped_answers = 16;
+constexpr std::size_t max_skipped_bytes = 1048576;
+
 // share of the server's idle timeout, in tenths, during which a connection is reused;
 // close to its end, a request may cross the server's close of the connection
 constexpr int keep_alive_tenths = 7;
@@ -54,6 +59,8 @@
     call_->connection_ = this;
     head_.reset();
     skipping_answer_ = false;
+    skipped_answers_ = 0;
+    skipped_bytes_ = 0;
     was_established_ = stream_->is_established();
     stream_->send(request);
 }
@@ -120,7 +127,9 @@
     const bool informational = head_->status < 200;
     skipping_answer_ = informational || (call->callbacks_.accepts_head &&
                                          !call->callbacks_.accepts_head(*head_));
-    if (skipping_answer_ && head_->framing.kind == body_kind::until_close)
+    skipped_answers_ += skipping_answer_ ? 1 : 0;
+    if (skipping_answer_ && (head_->framing.kind == body_kind::until_close ||
+                             skipped_answers_ > max_skipped_answers))
     {
         fail(call_end::malformed);
         return false;
@@ -149,6 +158,12 @@
     const std::shared_ptr<client_call> call = call_;
     decoded_.clear();
     stream_->consume(decoder_.decode(stream_->input(), decoded_));
+    skipped_bytes_ += skipping_answer_ ? decoded_.size() : 0;
+    if (skipped_bytes_ > max_skipped_bytes)
+    {
+        fail(call_end::malformed);
+        return;
+    }
     if (!skipping_answer_ && !decoded_.empty() && call->callbacks_.on_data)
     {
         call->callbacks_.on_data(decoded_);
@@ -216,7 +231,7 @@
         client_.release(self, false);
         return;
     }
-    if (reason == connection_end::connect_failed)
+    if (reason == connection_end::connect_failed || reason == connection_end::refused)
     {
         fail(call_end::not_sent);
         return;
