Heed targets that leave or want a pause, and free what calls for pieces hold

Nothing read Server-Leaving or a target's Retry-After. A target that has said that it is leaving gets no more work from this host until it restarts (its start time changes), whatever the store shows; a pause is kept to its end, cut at five minutes, and hosts return spread over 200 ms. If a whole pool pauses, callers get 503 with the time of the first return.

A sent call for pieces and its callbacks kept each other alive: each call leaked its answer. The service owns its calls now. An answer that repeats a handle of an earlier one is a late second copy: it is dropped, and so are the connections that may carry its successor. Events and answers to calls for pieces have a largest size.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -6,6 +6,7 @@
 #include <medlar/detail/policy/target_health.hpp>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace medlar
@@ -20,6 +21,10 @@
     int in_flight = 0;
     /// no call is sent before this time, since it refused one as full
     steady_time refused_until;
+    /// no call is sent before this time, since it asked for a pause
+    steady_time paused_until;
+    /// it has said in an answer that it is going to stop
+    bool is_leaving = false;
     /// set if its registration expired during an outage of the store; it is removed then
     std::optional<steady_time> expires_at;
 };
@@ -49,9 +54,24 @@
     /// @brief Returns the target at an address, nullptr if there is none.
     const target_state* find_by_address(const endpoint& where) const;
 
-    /// @brief Returns the targets of a pool that are not draining, in order of id.
+    /// @brief Records that a target has said that it is going to stop. It gets no more
+    /// work until it restarts, whatever the store shows of it.
+    /// @return whether that is new
+    bool mark_leaving(const target_id& id);
+
+    /// @brief Records that a target wants no calls for some time. Too long a time is cut,
+    /// and the end is moved by @p spread so that hosts do not return together.
+    /// @return whether it is longer than what was known
+    bool mark_paused(const target_id& id, millis pause, millis spread, steady_time now);
+
+    /// @brief Returns the targets of a pool that take work, in order of id.
     std::vector<target_state*> serving(const pool_id& pool);
 
+    /// @brief Returns the time until the first target of a pool may be called again.
+    /// @return 0 if one may be called now; unset if the pool has no target that takes
+    /// work
+    std::optional<millis> time_until_callable(const pool_id& pool, steady_time now);
+
     /// @brief Returns all targets.
     const std::map<target_id, target_state>& all() const
     {
@@ -63,8 +83,14 @@
 
     std::map<target_id, target_state> targets_;
     std::map<endpoint, target_id> by_address_;
+    /// start times of the targets that are leaving; remembered when their entries lapse
+    std::map<target_id, std::int64_t> leaving_;
 };
 
+/// @brief Returns whether a target takes new work, as far as its entry and its answers
+/// say.
+bool takes_work(const target_state& target);
+
 /// @brief Records the result of a call to a target, and ejects the target if its health
 /// requires that.
 /// @param serving targets of its pool; at most half of them are ejected at once
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -41,6 +41,10 @@
     /// longer registered.
     void record_target_call(const target_id& id, call_result result);
 
+    /// @brief Records what a target says of itself in the head of an answer: that it is
+    /// going to stop, or wants no calls for a while.
+    void record_target_answer(const target_id& id, const answer_fields& answer);
+
     event_loop& loop;
     const entry_protocol& protocol;
     const entry_settings& settings;
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -6,9 +6,11 @@
 #include <medlar/detail/dispatch/refused_requests.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace medlar
@@ -79,6 +81,7 @@
         piece_group group;
         piece_call_id id;
         target_id target;
+        endpoint where;
         std::size_t pieces = 0;
         steady_time sent_at;
         int status = 0;
@@ -98,11 +101,19 @@
                     const std::vector<piece_result>& results,
                     const piece_queue& queue) const;
     void start_timers(const std::shared_ptr<sent_call>& call, millis overdue_after);
+    void append_answer(const std::shared_ptr<sent_call>& call, absl::string_view data);
+    void give_up(const std::shared_ptr<sent_call>& call, call_end how);
+    /// returns whether a target has given this answer before: each result has a handle of
+    /// its own, so a second copy belongs to an earlier call
+    bool is_copy(const target_id& target, const std::string& body);
     void deliver(group_state& state, const std::vector<finished_piece>& finished);
     void flush_frees();
 
     entry_context& context_;
     std::map<piece_group, std::unique_ptr<group_state>> groups_;
+    std::set<std::shared_ptr<sent_call>> sent_calls_;
+    /// hashes of the newest answers of each target
+    std::map<target_id, std::deque<std::uint64_t>> answers_by_target_;
     std::map<endpoint, std::vector<result_handle>> to_free_;
     bool flush_pending_ = false;
 };
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -70,6 +70,10 @@
     /// the target states that it did not run the request
     bool not_run = false;
     bool is_encoded = false;
+    /// the target is going to stop
+    bool is_leaving = false;
+    /// how long the target wants no more calls from this host; unset if it does not say
+    std::optional<millis> pause;
 };
 
 /// @brief One piece of a stage, as sent to the target that executes it.
@@ -115,6 +119,47 @@
     std::int64_t started_ms = 0;
 };
 
+/// @brief A state of the store.
+///
+/// The store may return from an old copy. It then gives out revisions again that it gave
+/// out before, and counts one era more; so revisions compare only within an era.
+struct store_version
+{
+    std::int64_t era = 0;
+    std::int64_t revision = 0;
+
+    friend bool operator==(const store_version& a, const store_version& b)
+    {
+        return a.era == b.era && a.revision == b.revision;
+    }
+
+    friend bool operator<(const store_version& a, const store_version& b)
+    {
+        return a.era != b.era ? a.era < b.era : a.revision < b.revision;
+    }
+
+    friend bool operator<=(const store_version& a, const store_version& b)
+    {
+        return !(b < a);
+    }
+};
+
+/// @brief The age of an item's content as its writer counts it; unlike a revision, it
+/// stays comparable when the store returns from an old copy.
+struct content_version
+{
+    /// the version of a configuration, or the start time of a target
+    std::int64_t generation = 0;
+    /// counts the writes of one target since its start
+    std::int64_t sequence = 0;
+
+    friend bool operator<(const content_version& a, const content_version& b)
+    {
+        return a.generation != b.generation ? a.generation < b.generation
+                                            : a.sequence < b.sequence;
+    }
+};
+
 /// @brief One item of the platform's key-value store.
 struct store_item
 {
@@ -124,14 +169,23 @@
     bool is_deleted = false;
 };
 
-/// @brief Items or change events of the store, as of one revision.
+/// @brief Items or change events of the store, as of one version.
 struct store_page
 {
     std::vector<store_item> items;
     std::int64_t revision = 0;
+    /// era of the answer that the items are from
+    std::int64_t era = 0;
     bool has_more = false;
 };
 
+/// @brief How current the items of a reading have to be.
+enum class read_mode
+{
+    linearizable, ///< all changes acknowledged before the call
+    stale,        ///< may be seconds old; cheaper, and without a limit on its rate
+};
+
 /// @brief The id of a lease in the store.
 using store_lease = strong_type<struct store_lease_tag, std::int64_t>;
 
@@ -172,12 +226,19 @@
     virtual absl::StatusOr<endpoint> holder_of(const result_handle& handle) const = 0;
 
     // the store
+    /// @brief Returns the era that an answer of the store states.
+    /// @return unset if it states none, or one that is not a whole number
+    virtual std::optional<std::int64_t> read_era(const answer_head& head) const = 0;
+    /// @brief Returns the age of an item's content; unset for items that have none.
+    virtual std::optional<content_version>
+    read_content_version(const store_item& item) const = 0;
     virtual std::string configuration_key() const = 0;
     virtual std::string target_prefix() const = 0;
     virtual std::string host_prefix() const = 0;
     /// @brief Returns the HTTP request for the items below @p prefix after @p after_key.
     virtual std::string write_range_call(absl::string_view prefix,
-                                         absl::string_view after_key) const = 0;
+                                         absl::string_view after_key,
+                                         read_mode mode) const = 0;
     /// @brief Returns the HTTP request for the changes after revision @p after; the store
     /// holds it for up to @p wait if there are none.
     virtual std::string write_watch_call(std::int64_t after, millis wait) const = 0;
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -5,6 +5,18 @@
 namespace medlar
 {
 
+namespace
+{
+
+// the longest pause that a target gets: it covers its restart or reload; a target that
+// stays away for longer leaves
+constexpr millis max_target_pause{300000};
+
+// leaving targets that are remembered: those of several releases of the largest pools
+constexpr std::size_t max_leaving_targets = 4096;
+
+} // namespace
+
 bool target_table::put(const target_record& record)
 {
     const auto found = targets_.find(record.id);
@@ -16,6 +28,15 @@
     {
         target_state added;
         added.record = record;
+        const auto leaving = leaving_.find(record.id);
+        if (leaving != leaving_.end())
+        {
+            added.is_leaving = leaving->second == record.started_ms;
+            if (!added.is_leaving)
+            {
+                leaving_.erase(leaving);
+            }
+        }
         remove(record.id);
         targets_[record.id] = added;
         by_address_[record.address] = record.id;
@@ -26,6 +47,51 @@
     return false;
 }
 
+bool target_table::mark_leaving(const target_id& id)
+{
+    target_state* const target = find(id);
+    if (target == nullptr || target->is_leaving)
+    {
+        return false;
+    }
+    target->is_leaving = true;
+    if (leaving_.size() >= max_leaving_targets)
+    {
+        // the lowest id is as good as any: ids say nothing about age
+        leaving_.erase(leaving_.begin());
+    }
+    leaving_[id] = target->record.started_ms;
+    return true;
+}
+
+bool target_table::mark_paused(const target_id& id,
+                               millis pause,
+                               millis spread,
+                               steady_time now)
+{
+    target_state* const target = find(id);
+    const steady_time until = now + std::min(pause, max_target_pause) + spread;
+    if (target == nullptr || until <= target->paused_until)
+    {
+        return false;
+    }
+    target->paused_until = until;
+    return true;
+}
+
+std::optional<millis> target_table::time_until_callable(const pool_id& pool,
+                                                        steady_time now)
+{
+    std::optional<millis> first;
+    for (const target_state* each : serving(pool))
+    {
+        const steady_time from = std::max(each->paused_until, each->refused_until);
+        const millis wait = std::max(millis(0), from - now);
+        first = first ? std::min(*first, wait) : wait;
+    }
+    return first;
+}
+
 void target_table::remove(const target_id& id)
 {
     const auto found = targets_.find(id);
@@ -89,7 +155,7 @@
     std::vector<target_state*> found;
     for (auto& each : targets_)
     {
-        if (each.second.record.pool == pool && !each.second.record.is_draining)
+        if (each.second.record.pool == pool && takes_work(each.second))
         {
             found.push_back(&each.second);
         }
@@ -97,10 +163,16 @@
     return found;
 }
 
+bool takes_work(const target_state& target)
+{
+    return !target.record.is_draining && !target.is_leaving;
+}
+
 bool may_call(const target_state& target, steady_time now)
 {
-    return now >= target.refused_until && (target.health.state == health_state::healthy ||
-                                           probe_is_due(target.health, now));
+    return now >= target.refused_until && now >= target.paused_until &&
+           (target.health.state == health_state::healthy ||
+            probe_is_due(target.health, now));
 }
 
 void record_call(target_state& target,
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -12,6 +12,9 @@
 // limit for the head of a target's answer
 constexpr std::size_t max_answer_head_bytes = 65536;
 
+// hosts that a target asked for a pause return to it within this time, not all at once
+constexpr std::uint64_t max_return_spread_ms = 200;
+
 // assumed until the first measurement: time to process a prompt of a few thousand tokens
 constexpr double initial_first_event_ms = 400;
 
@@ -52,6 +55,32 @@
     mean += first_event_smoothing * (static_cast<double>(took.count()) - mean);
 }
 
+void entry_context::record_target_answer(const target_id& id, const answer_fields& answer)
+{
+    const target_state* const target = targets.find(id);
+    if (target == nullptr)
+    {
+        return;
+    }
+    if (answer.is_leaving && targets.mark_leaving(id))
+    {
+        log_event(entry_target_leaving,
+                  {{"target", id.get()},
+                   {"pool", target->record.pool.get()},
+                   {"started_ms", target->record.started_ms}});
+        client.close_idle(target->record.address);
+    }
+    const millis spread(static_cast<std::int64_t>(random.below(max_return_spread_ms)));
+    if (answer.pause && targets.mark_paused(id, *answer.pause, spread, loop.now()))
+    {
+        log_event(entry_target_paused,
+                  {{"target", id.get()},
+                   {"pool", target->record.pool.get()},
+                   {"asked_ms", answer.pause->count()},
+                   {"until_ms", (target->paused_until - loop.now()).count()}});
+    }
+}
+
 void entry_context::record_target_call(const target_id& id, call_result result)
 {
     target_state* const target = targets.find(id);
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -22,6 +22,13 @@
 constexpr millis free_batch_delay{20};
 constexpr std::size_t max_free_batch = 48;
 
+// a free call takes the time of its answer on the wire, longer behind a call that is
+// worked on
+constexpr millis free_call_timeout{5000};
+
+// answers of a target that are compared with its next ones, see is_copy()
+constexpr std::size_t remembered_answers = 8;
+
 // how often a queue is checked while its targets are paused
 constexpr millis pump_interval{50};
 
@@ -30,6 +37,9 @@
 
 constexpr millis target_connect_timeout{400};
 
+// a full call is answered with about 6 kB; a longer answer is not one
+constexpr std::size_t max_piece_answer_bytes = 1048576;
+
 std::uint64_t hash_key(const std::string& key)
 {
     return XXH3_64bits(key.data(), key.size());
@@ -81,6 +91,13 @@
     }
     job_decision decision = state.queue.evaluate(job, now);
     decision.time_since_refusal = time_since_refusal;
+    if (!decision.accepted)
+    {
+        const std::optional<millis> callable_in =
+            context_.targets.time_until_callable(group.pool, now);
+        decision.retry_after =
+            std::max(decision.retry_after, callable_in.value_or(millis(0)));
+    }
     return decision;
 }
 
@@ -153,20 +170,35 @@
     sent->group = group;
     sent->id = call.id;
     sent->target = call.target.id;
+    sent->where = call.target.where;
     sent->pieces = call.items.size();
     sent->sent_at = context_.loop.now();
+    sent_calls_.insert(sent);
+    // the call owns its callbacks, so they must not own what owns the call
+    const std::weak_ptr<sent_call> weak = sent;
     call_callbacks events;
-    events.on_head = [sent](const answer_head& head)
+    events.on_head = [this, weak](const answer_head& head)
     {
-        sent->status = head.status;
+        if (const auto current = weak.lock())
+        {
+            current->status = head.status;
+            context_.record_target_answer(current->target,
+                                          context_.protocol.read_answer(head));
+        }
     };
-    events.on_data = [sent](absl::string_view data)
+    events.on_data = [this, weak](absl::string_view data)
     {
-        sent->body.append(data.data(), data.size());
+        if (const auto current = weak.lock())
+        {
+            append_answer(current, data);
+        }
     };
-    events.on_end = [this, sent](call_end how)
+    events.on_end = [this, weak](call_end how)
     {
-        handle_call_end(sent, how);
+        if (const auto current = weak.lock())
+        {
+            handle_call_end(current, how);
+        }
     };
     call_options options;
     options.connect_timeout = target_connect_timeout;
@@ -185,30 +217,89 @@
 void piece_service::start_timers(const std::shared_ptr<sent_call>& call,
                                  millis overdue_after)
 {
+    const std::weak_ptr<sent_call> weak = call;
     call->overdue_timer = context_.loop.after(
         overdue_after,
-        [this, call]
+        [this, weak]
         {
-            groups_.at(call->group)->queue.handle_overdue(call->id, context_.loop.now());
-            context_.record_target_call(call->target, call_result::timed_out);
-            schedule_pump(call->group);
+            const auto current = weak.lock();
+            if (!current)
+            {
+                return;
+            }
+            groups_.at(current->group)
+                ->queue.handle_overdue(current->id, context_.loop.now());
+            context_.record_target_call(current->target, call_result::timed_out);
+            schedule_pump(current->group);
         });
     call->give_up_timer =
         context_.loop.after(overdue_after * give_up_factor,
-                            [this, call]
+                            [this, weak]
                             {
-                                call->call->cancel();
-                                handle_call_end(call, call_end::no_answer);
+                                if (const auto current = weak.lock())
+                                {
+                                    give_up(current, call_end::no_answer);
+                                }
                             });
 }
 
+bool piece_service::is_copy(const target_id& target, const std::string& body)
+{
+    std::deque<std::uint64_t>& seen = answers_by_target_[target];
+    const std::uint64_t hash = hash_key(body);
+    if (std::find(seen.begin(), seen.end(), hash) != seen.end())
+    {
+        // an answer without results may be equal to an earlier one
+        const absl::StatusOr<std::vector<piece_result>> results =
+            context_.protocol.read_piece_answer(body);
+        return results.ok() && std::any_of(results->begin(),
+                                           results->end(),
+                                           [](const piece_result& each)
+                                           {
+                                               return each.handle.has_value();
+                                           });
+    }
+    seen.push_back(hash);
+    if (seen.size() > remembered_answers)
+    {
+        seen.pop_front();
+    }
+    return false;
+}
+
+void piece_service::append_answer(const std::shared_ptr<sent_call>& call,
+                                  absl::string_view data)
+{
+    call->body.append(data.data(), data.size());
+    if (call->body.size() > max_piece_answer_bytes)
+    {
+        give_up(call, call_end::malformed);
+    }
+}
+
+void piece_service::give_up(const std::shared_ptr<sent_call>& call, call_end how)
+{
+    call->call->cancel();
+    handle_call_end(call, how);
+}
+
 void piece_service::handle_call_end(const std::shared_ptr<sent_call>& call, call_end how)
 {
+    // the call may still be in one of its callbacks
+    context_.loop.after(millis(0), [ended = call->call] {});
+    sent_calls_.erase(call);
     context_.loop.cancel(call->overdue_timer);
     context_.loop.cancel(call->give_up_timer);
     group_state& state = *groups_.at(call->group);
     const steady_time now = context_.loop.now();
-    if (how == call_end::complete && call->status == status_ok)
+    const bool is_answered = how == call_end::complete && call->status == status_ok;
+    if (is_answered && is_copy(call->target, call->body))
+    {
+        how = call_end::malformed;
+        // the call's own answer would be taken for that of the next call
+        context_.client.close_idle(call->where);
+    }
+    else if (is_answered)
     {
         const absl::StatusOr<std::vector<piece_result>> results =
             context_.protocol.read_piece_answer(call->body);
@@ -335,6 +426,7 @@
     all.swap(to_free_);
     call_options options;
     options.connect_timeout = target_connect_timeout;
+    std::vector<std::shared_ptr<client_call>> calls;
     for (const auto& each : all)
     {
         for (std::size_t at = 0; at < each.second.size(); at += max_free_batch)
@@ -343,13 +435,23 @@
             const auto end = begin + static_cast<std::ptrdiff_t>(std::min(
                                          max_free_batch, each.second.size() - at));
             // if a free call fails, the holder drops the result when it expires
-            context_.client.start(each.first,
-                                  context_.protocol.write_free_call(
-                                      each.first, std::vector<result_handle>(begin, end)),
-                                  options,
-                                  {});
+            calls.push_back(context_.client.start(
+                each.first,
+                context_.protocol.write_free_call(each.first,
+                                                  std::vector<result_handle>(begin, end)),
+                options,
+                {}));
         }
     }
+    // an answer that never ends must not keep a connection
+    context_.loop.after(free_call_timeout,
+                        [calls = std::move(calls)]
+                        {
+                            for (const std::shared_ptr<client_call>& each : calls)
+                            {
+                                each->cancel();
+                            }
+                        });
 }
 
 std::pair<std::size_t, std::size_t> piece_service::load() const
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -18,6 +18,9 @@
 // retried at another target if this one fails while sending
 constexpr std::size_t max_buffered_body_bytes = 65536;
 
+// a longer event is not one; the largest ones of an engine have some hundred bytes
+constexpr std::size_t max_event_bytes = 262144;
+
 } // namespace
 
 void request_run::on_data(absl::string_view data)
@@ -29,9 +32,8 @@
     if (is_stream() && is_success(head_->status))
     {
         forward_events(data);
-        return;
     }
-    if (exchange_->has_begun())
+    else if (exchange_->has_begun())
     {
         exchange_->write(data);
     }
@@ -69,7 +71,8 @@
                         forward_event(event, id);
                     }
                 });
-    if (has_event_gap_ && call_)
+    const bool is_endless = events_.incomplete_event().size() > max_event_bytes;
+    if ((has_event_gap_ || is_endless) && call_)
     {
         const std::shared_ptr<client_call> call = call_;
         call->cancel();
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -38,8 +38,8 @@
     }
     planned_target_ = target_id();
     const bool planned_is_usable =
-        target != nullptr && !target->record.is_draining &&
-        target->record.pool == pool_ && may_call(*target, context_.loop.now()) &&
+        target != nullptr && takes_work(*target) && target->record.pool == pool_ &&
+        may_call(*target, context_.loop.now()) &&
         inputs_domain().value_or(target->record.domain) == target->record.domain;
     if (!planned_is_usable)
     {
@@ -140,6 +140,7 @@
 void request_run::on_head(const answer_head& head)
 {
     const answer_fields answer = context_.protocol.read_answer(head);
+    context_.record_target_answer(target_, answer);
     if (answer.not_run)
     {
         on_not_run(head);
@@ -222,7 +223,11 @@
 
 void request_run::on_attempts_failed(absl::string_view why)
 {
-    refuse_or_fail(status_bad_gateway, retry_after_no_target, why);
+    const std::optional<millis> callable_in =
+        context_.targets.time_until_callable(pool_, context_.loop.now());
+    refuse_or_fail(status_bad_gateway,
+                   std::max(retry_after_no_target, callable_in.value_or(millis(0))),
+                   why);
 }
 
 void request_run::refuse_or_fail(int status_if_run,
--- /dev/null
+++ b/test/decisions/dispatch/target_table_test.cpp
@@ -0,0 +1,94 @@
+#include <medlar/detail/dispatch/target_table.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+
+class a_target_table : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_target_table);
+    CPPUNIT_TEST(gives_a_leaving_target_no_work_until_it_restarts);
+    CPPUNIT_TEST(remembers_a_leaving_target_whose_entry_lapsed);
+    CPPUNIT_TEST(gives_a_paused_target_no_work_until_its_pause_ends);
+    CPPUNIT_TEST(cuts_an_absurd_pause);
+    CPPUNIT_TEST(knows_when_the_first_target_of_a_pool_is_back);
+    CPPUNIT_TEST_SUITE_END();
+
+    const steady_time now_{1000000};
+    const pool_id pool_{"p"};
+    target_table table_;
+
+    static target_record record(const std::string& id, std::int64_t started_ms = 5)
+    {
+        target_record made;
+        made.id = target_id(id);
+        made.pool = pool_id("p");
+        made.address = {"127.0.0.1", 80};
+        made.started_ms = started_ms;
+        return made;
+    }
+
+  public:
+    void gives_a_leaving_target_no_work_until_it_restarts()
+    {
+        table_.put(record("a"));
+        CPPUNIT_ASSERT(table_.mark_leaving(target_id("a")));
+        CPPUNIT_ASSERT(!table_.mark_leaving(target_id("a")));
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        // the store still shows it as ready
+        table_.put(record("a"));
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        table_.put(record("a", 6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.serving(pool_).size());
+    }
+
+    void remembers_a_leaving_target_whose_entry_lapsed()
+    {
+        table_.put(record("a"));
+        table_.mark_leaving(target_id("a"));
+        table_.remove(target_id("a"));
+        table_.put(record("a"));
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        table_.remove(target_id("a"));
+        table_.put(record("a", 6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.serving(pool_).size());
+    }
+
+    void gives_a_paused_target_no_work_until_its_pause_ends()
+    {
+        table_.put(record("a"));
+        CPPUNIT_ASSERT(
+            table_.mark_paused(target_id("a"), millis(1500), millis(40), now_));
+        const target_state& target = *table_.find(target_id("a"));
+        CPPUNIT_ASSERT(!may_call(target, now_ + millis(1500)));
+        CPPUNIT_ASSERT(may_call(target, now_ + millis(1540)));
+        // a shorter pause does not end a longer one
+        CPPUNIT_ASSERT(!table_.mark_paused(target_id("a"), millis(100), millis(0), now_));
+        CPPUNIT_ASSERT(!may_call(target, now_ + millis(1500)));
+    }
+
+    void cuts_an_absurd_pause()
+    {
+        table_.put(record("a"));
+        table_.mark_paused(target_id("a"), millis(1000000000000), millis(0), now_);
+        CPPUNIT_ASSERT(may_call(*table_.find(target_id("a")), now_ + millis(600000)));
+    }
+
+    void knows_when_the_first_target_of_a_pool_is_back()
+    {
+        CPPUNIT_ASSERT(!table_.time_until_callable(pool_, now_));
+        table_.put(record("a"));
+        table_.put(record("b"));
+        table_.mark_paused(target_id("a"), millis(3000), millis(0), now_);
+        CPPUNIT_ASSERT(table_.time_until_callable(pool_, now_) == millis(0));
+        table_.mark_paused(target_id("b"), millis(2000), millis(0), now_);
+        CPPUNIT_ASSERT(table_.time_until_callable(pool_, now_) == millis(2000));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_target_table);
+
+} // namespace
