--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -67,6 +67,7 @@
     void on_configuration_changed(const store_item& item);
     void on_target_changed(const target_id& id, const store_item& item);
     void on_host_changed(const host_id& id, const store_item& item);
+    void drop_lapsed_hosts();
     void tick();
 
     event_loop& loop_;
@@ -81,6 +82,9 @@
     store_mirror store_mirror_;
     store_controller store_controller_;
     std::map<host_id, peer_host> known_hosts_;
+    /// hosts whose registrations lapsed in an outage of the store, and until when they
+    /// are kept
+    std::map<host_id, steady_time> lapsed_hosts_;
     std::unique_ptr<http_server> caller_server_;
     std::unique_ptr<http_server> readiness_server_;
     std::unique_ptr<http_server> metrics_server_;
--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -32,6 +32,8 @@
     /// time from the termination signal until the process is killed
     millis shutdown_grace{8000};
     pool_retry_rule retry_rule;
+    /// time within which a change in the store has to be in force on this host
+    millis change_bound{2000};
 };
 
 } // namespace medlar
--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/entry/peer_network.hpp
@@ -58,6 +58,13 @@
         return others_.size() + 1;
     }
 
+    /// @brief Returns the number of other hosts that send_to_any() chooses from,
+    /// suspected ones included.
+    std::size_t reachable_count() const
+    {
+        return others_.empty() ? usable_seeds().size() : others_.size();
+    }
+
     /// @brief Marks a host that did not answer as suspected: it is not live for a while.
     void suspect(const host_id& host);
 
@@ -84,7 +91,8 @@
 
     /// @brief Sets the handler of the end of a link that this host opened; messages sent
     /// on it may be lost.
-    void set_peer_lost_handler(std::function<void(const host_id&)> handler)
+    void
+    set_peer_lost_handler(std::function<void(const host_id&, connection_end)> handler)
     {
         on_peer_lost_ = std::move(handler);
     }
@@ -96,8 +104,10 @@
     }
 
   private:
+    /// the seeds without this host's own address
+    std::vector<endpoint> usable_seeds() const;
     std::shared_ptr<message_link> link_to(const host_id& host, const endpoint& where);
-    void handle_lost(const host_id& host);
+    void handle_lost(const host_id& host, connection_end reason);
 
     event_loop& loop_;
     peer_host self_;
@@ -109,7 +119,7 @@
     std::set<std::shared_ptr<message_link>> accepted_;
     message_handler on_request_;
     std::function<void(const host_id&, const nlohmann::json&)> on_answer_;
-    std::function<void(const host_id&)> on_peer_lost_;
+    std::function<void(const host_id&, connection_end)> on_peer_lost_;
     std::function<void(const message_link*)> on_requester_lost_;
 };
 
--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -1,7 +1,10 @@
 #ifndef MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
 #define MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
 
+#include <medlar/detail/dispatch/change_source.hpp>
+#include <medlar/detail/entry/change_relay.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/peer_inquiry.hpp>
 #include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/store_mirror.hpp>
 
@@ -12,9 +15,9 @@
 namespace medlar
 {
 
-/// @brief Keeps the mirror of the store up to date: reads all items once, then watches
-/// for changes; while the store does not answer this host, polls other hosts for them.
-/// Registers this host under a lease.
+/// @brief Keeps the mirror of the store up to date: reads all items once, then gets the
+/// changes from a relay or by a watch of its own; while neither answers, polls other
+/// hosts for them. Registers this host under a lease.
 class store_controller
 {
   public:
@@ -33,55 +36,108 @@
     /// @brief Ends the registration, so that other hosts stop using this one.
     void leave();
 
-    /// @brief Handles the changes that another host sent.
+    /// @brief Handles what another host sent about the store.
     /// @return false if the message is of another type
-    bool handle_answer(const nlohmann::json& message);
+    bool handle_answer(const host_id& from, const nlohmann::json& message);
 
     /// @brief Answers a request of another host for changes.
     /// @return false if the message is of another type
     bool handle_request(const std::shared_ptr<message_link>& from,
                         const nlohmann::json& message);
 
+    /// @brief Handles the end of a link that this host opened.
+    void handle_peer_lost(const host_id& host, connection_end reason);
+
+    /// @brief Handles the end of a link that another host opened.
+    void handle_requester_lost(const message_link* link);
+
     /// @brief whether the store answered this host recently
     bool is_in_contact() const;
 
+    /// @brief whether this host has learnt from its peers what the store, if it has
+    /// returned from an old copy, does not tell it
+    bool has_asked_peers() const
+    {
+        return inquiry_.is_done(context_.loop.now());
+    }
+
   private:
     struct reply
     {
         int status = 0;
         std::string body;
+        std::int64_t era = 0;
     };
 
     using reply_action = std::function<void(const reply&)>;
 
-    /// Sends a call to the store.
+    /// Sends a call to the store. An answer of an old era counts as a failed call.
     /// @param on_reply receives status 0 if the call failed or timed out
     /// @return a function that cancels the call
     std::function<void()>
     call(std::string request, millis timeout, reply_action on_reply);
     void record_contact(bool answered);
-
-    void read_all();
-    void
-    read_page_after(std::size_t prefix, const std::string& after, store_page collected);
+    /// @return the era of an answer; the current one if it states none
+    std::int64_t record_era(const answer_head& head);
+    void begin_era(std::int64_t era);
+    void on_era_begun(store_version before);
+    /// @return time between two answers of the store above which it was away
+    millis renewal_gap() const;
+    millis next_retry_delay();
+
+    void settle();
+    void read_all(read_mode mode);
+    void read_prefixes_from(std::size_t first, read_mode mode);
+    void retry_reading(std::size_t prefix, read_mode mode);
+    void finish_reading(std::int64_t era);
+    void read_page_after(std::size_t prefix,
+                         const std::string& after,
+                         read_mode mode,
+                         store_page collected);
     void watch();
+    void handle_watch_answer(const reply& received, std::uint64_t generation);
+    void stop_watching();
     void schedule_watch(millis delay);
+    millis watch_hold_time() const;
     void register_host();
     void renew();
     void poll_peers();
 
+    // changes from a relay
+    void choose_source();
+    void apply_source(const change_source& chosen);
+    void follow(const host_id& relay);
+    void handle_news(const nlohmann::json& message);
+    void handle_current(const host_id& from, const nlohmann::json& message);
+
     entry_context& context_;
     peer_network& peers_;
     store_mirror& mirror_;
+    change_relay relay_;
+    change_source_choice source_choice_;
+    change_source source_;
+    peer_inquiry inquiry_;
     std::string registration_;
     std::vector<std::string> prefixes_;
     std::optional<store_lease> lease_;
     std::int64_t read_revision_ = 0;
     steady_time last_contact_;
+    steady_time asked_relay_at_;
+    steady_time relays_ranked_at_;
     bool is_store_lost_ = false;
     bool is_leaving_ = false;
+    bool is_settled_ = false;
+    bool is_era_missing_ = false;
+    bool is_source_timer_set_ = false;
+    millis retry_delay_{0};
+    std::uint64_t registration_number_ = 0;
     std::uint64_t read_generation_ = 0;
+    bool is_reading_ = false;
     bool is_watching_ = false;
+    bool is_watch_due_ = false;
+    std::uint64_t watch_number_ = 0;
+    /// how long the store holds the current watch
+    millis watch_hold_{0};
     std::function<void()> cancel_watch_ = [] {};
 };
 
--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -8,15 +8,27 @@
 
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace medlar
 {
 
+/// @brief What became of the changes that another host sent
+enum class delta_result
+{
+    applied,
+    older,  ///< this host knows more; nothing was changed
+    no_base ///< changes before it are missing; nothing was changed
+};
+
 /// @brief This host's copy of the store's items, from the store itself or from another
 /// host that reaches it. Has no I/O and no clock: the time is passed in.
+///
+/// The store may return from an old copy, in a new era. What the copy shows then is older
+/// than what was known: an item keeps its value, and a removed item stays removed, until
+/// its writer has written something newer, see content_version.
 class store_mirror
 {
   public:
@@ -24,10 +36,20 @@
     using change_handler = std::function<void(const store_item&)>;
     /// receives the key of an item that lapsed and may be written again by @p until
     using lapse_handler = std::function<void(const std::string& key, steady_time until)>;
+    /// returns the age of an item's content, if it has one
+    using content_reader =
+        std::function<std::optional<content_version>(const store_item&)>;
 
-    store_mirror(change_handler on_change, lapse_handler on_lapse);
+    store_mirror(change_handler on_change,
+                 lapse_handler on_lapse,
+                 content_reader read_content);
 
-    /// @brief Applies changes, in the order of the store.
+    /// @brief Starts a new era. Items of the era before stay in force until they are read
+    /// again; does nothing if @p era is not newer.
+    void begin_era(std::int64_t era, steady_time now);
+
+    /// @brief Applies changes, in the order of the store; those of an old era are
+    /// ignored.
     void apply(const store_page& events, steady_time now);
 
     /// @brief Replaces all items below one prefix by those of a complete reading.
@@ -37,33 +59,63 @@
     /// it may have lapsed meanwhile, and may be written again.
     void record_outage_end(steady_time now);
 
-    /// @brief the revision up to which all changes are applied
-    std::int64_t revision() const
+    /// @brief the version up to which all changes are applied; its revision is 0 while
+    /// the store was not read in its era
+    store_version version() const
     {
-        return revision_;
+        return version_;
     }
 
-    /// @brief whether the mirror has any state of the store
+    /// @brief whether the mirror has the state of the store in the current era
     bool is_filled() const
     {
-        return revision_ > 0;
+        return version_.revision > 0;
+    }
+
+    /// @brief whether the mirror has had the state of the store in any era
+    bool has_been_filled() const
+    {
+        return has_been_filled_;
     }
 
-    /// @brief Returns the items changed after revision @p since and all keys, for another
-    /// host that has the store as of @p since.
-    nlohmann::json delta_since(std::int64_t since) const;
+    /// @brief Returns what changed after @p since, for another host that has the store as
+    /// of that version; everything if it is from another era.
+    nlohmann::json delta_since(store_version since, steady_time now) const;
 
-    /// @brief Applies another host's delta_since(); ignored if it is not newer.
-    void apply_delta(const nlohmann::json& delta, steady_time now);
+    /// @brief Applies another host's delta_since().
+    delta_result apply_delta(const nlohmann::json& delta, steady_time now);
 
   private:
-    void put(const store_item& item);
-    void remove(const std::string& key, steady_time now);
+    struct mirrored_item
+    {
+        store_item item;
+        store_version version;
+        std::optional<content_version> content;
+        /// the store shows older content than this one, since it returned from a copy
+        bool is_held = false;
+    };
+
+    struct removed_item
+    {
+        store_version at;
+        std::optional<content_version> content;
+    };
+
+    void put(const store_item& item, std::int64_t era, bool is_held);
+    void remove(const std::string& key, store_version at, steady_time now);
+    void remove_missing(const std::vector<std::string>& keys, steady_time now);
+    void record_removal(const std::string& key, const removed_item& removed);
+    void apply_removals(const nlohmann::json& removals, steady_time now);
 
     change_handler on_change_;
     lapse_handler on_lapse_;
-    std::map<std::string, store_item> items_;
-    std::int64_t revision_ = 0;
+    content_reader read_content_;
+    std::map<std::string, mirrored_item> items_;
+    std::map<std::string, removed_item> removals_;
+    store_version version_;
+    bool has_been_filled_ = false;
+    /// removals after this revision of the era are all in removals_
+    std::int64_t removals_known_after_ = 0;
     steady_time lapse_window_end_;
 };
 
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -37,6 +37,16 @@
 inline constexpr event entry_peer_lost{1712, severity::warning, "entry_peer_lost"};
 /// @brief another entry host was registered or removed
 inline constexpr event entry_peer_changed{1713, severity::info, "entry_peer_changed"};
+/// @brief the store has returned from an old copy, or an answer of it states no era or an
+/// older one
+inline constexpr event entry_store_era_changed{
+    1714, severity::warning, "entry_store_era_changed"};
+/// @brief this host gets the store's changes from another relay, or watches it itself
+inline constexpr event entry_source_changed{1715, severity::info, "entry_source_changed"};
+/// @brief a target has said in an answer that it is going to stop
+inline constexpr event entry_target_leaving{1716, severity::info, "entry_target_leaving"};
+/// @brief a target has asked this host for a pause
+inline constexpr event entry_target_paused{1717, severity::info, "entry_target_paused"};
 /// @brief a request was sent to a target
 inline constexpr event entry_request_sent{1720, severity::info, "entry_request_sent"};
 /// @brief a call of a request to a target failed or was refused
@@ -64,7 +74,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 23> entry_events{
+inline constexpr std::array<event, 27> entry_events{
     entry_started,           entry_draining,         entry_stopped,
     entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
     entry_item_unreadable,   entry_store_lost,       entry_store_regained,
@@ -72,7 +82,8 @@
     entry_peer_changed,      entry_request_sent,     entry_call_failed,
     entry_request_ended,     entry_request_rejected, entry_stage_ended,
     entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped,
-    entry_stages_begun,      entry_caller_returned};
+    entry_stages_begun,      entry_caller_returned,  entry_store_era_changed,
+    entry_source_changed,    entry_target_leaving,   entry_target_paused};
 
 } // namespace medlar
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -103,6 +103,10 @@
           [this](const std::string& key, steady_time until)
           {
               on_item_expired(key, until);
+          },
+          [&protocol](const store_item& item)
+          {
+              return protocol.read_content_version(item);
           }),
       store_controller_(context_, peers_, store_mirror_, registration_text(settings))
 {
@@ -142,18 +146,20 @@
         {
             if (!broker_.handle_answer(from, message))
             {
-                store_controller_.handle_answer(message);
+                store_controller_.handle_answer(from, message);
             }
         });
     peers_.set_peer_lost_handler(
-        [this](const host_id& host)
+        [this](const host_id& host, connection_end reason)
         {
             broker_.handle_owner_lost(host);
+            store_controller_.handle_peer_lost(host, reason);
         });
     peers_.set_requester_lost_handler(
         [this](const message_link* link)
         {
             broker_.handle_requester_lost(link);
+            store_controller_.handle_requester_lost(link);
         });
     const absl::Status linked = peers_.listen();
     if (!linked.ok())
@@ -218,12 +224,17 @@
 void entry_host::serve(const std::shared_ptr<caller_exchange>& exchange)
 {
     const request_fields fields = context_.protocol.read_request(exchange->head());
-    if (!context_.configuration || !accepts_requests())
+    if (!accepts_requests())
+    {
+        send_error_reply(exchange, fields, status_unavailable, "this host is stopping");
+        return;
+    }
+    if (!context_.configuration || !store_controller_.has_asked_peers())
     {
         send_error_reply(exchange,
                          fields,
                          status_unavailable,
-                         context_.configuration ? "this host is stopping"
+                         context_.configuration ? "this host has not asked its peers yet"
                                                 : "this host has no configuration yet");
         return;
     }
@@ -283,7 +294,7 @@
 bool entry_host::is_ready() const
 {
     return context_.configuration != nullptr && !context_.targets.all().empty() &&
-           !drain_started_at_;
+           store_controller_.has_asked_peers() && !drain_started_at_;
 }
 
 bool entry_host::accepts_requests() const
@@ -343,10 +354,15 @@
 void entry_host::on_item_expired(const std::string& key, steady_time until)
 {
     const std::string targets = context_.protocol.target_prefix();
+    const std::string hosts = context_.protocol.host_prefix();
     if (absl::StartsWith(key, targets))
     {
         context_.targets.mark_lapsed(target_id(key.substr(targets.size())), until);
     }
+    else if (absl::StartsWith(key, hosts))
+    {
+        lapsed_hosts_[host_id(key.substr(hosts.size()))] = until;
+    }
 }
 
 void entry_host::on_configuration_changed(const store_item& item)
@@ -431,6 +447,7 @@
             return;
         }
         known_hosts_[id] = *host;
+        lapsed_hosts_.erase(id);
     }
     std::vector<peer_host> hosts;
     for (const auto& each : known_hosts_)
@@ -446,9 +463,26 @@
                {"hosts", static_cast<std::int64_t>(peers_.registered_count())}});
 }
 
+void entry_host::drop_lapsed_hosts()
+{
+    for (auto each = lapsed_hosts_.begin(); each != lapsed_hosts_.end();)
+    {
+        const auto entry = each++;
+        if (entry->second <= loop_.now())
+        {
+            store_item gone;
+            gone.is_deleted = true;
+            const host_id id = entry->first;
+            lapsed_hosts_.erase(entry);
+            on_host_changed(id, gone);
+        }
+    }
+}
+
 void entry_host::tick()
 {
     context_.targets.drop_lapsed(loop_.now());
+    drop_lapsed_hosts();
     if (const std::size_t dropped = take_dropped_lines())
     {
         log_event(entry_lines_dropped, {{"lines", static_cast<std::int64_t>(dropped)}});
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -59,7 +59,7 @@
                         on_request_(from, message);
                     }
                 },
-                [this, holder]
+                [this, holder](connection_end)
                 {
                     if (const auto from = holder->lock())
                     {
@@ -113,12 +113,14 @@
     suspected_until_[host] = loop_.now() + suspicion_time;
 }
 
-void peer_network::handle_lost(const host_id& host)
+void peer_network::handle_lost(const host_id& host, connection_end reason)
 {
     links_.erase(host);
     suspect(host);
-    log_event(entry_peer_lost, {{"host", host.get()}});
-    on_peer_lost_(host);
+    log_event(entry_peer_lost,
+              {{"host", host.get()},
+               {"refused", std::int64_t{reason == connection_end::refused}}});
+    on_peer_lost_(host, reason);
 }
 
 std::shared_ptr<message_link> peer_network::link_to(const host_id& host,
@@ -135,9 +137,9 @@
         {
             on_answer_(host, message);
         },
-        [this, host]
+        [this, host](connection_end reason)
         {
-            handle_lost(host);
+            handle_lost(host, reason);
         });
     links_[host] = link;
     return link;
@@ -159,13 +161,20 @@
     if (link->unsent() > max_unsent_bytes)
     {
         link->close();
-        handle_lost(host);
+        handle_lost(host, connection_end::reset);
         return false;
     }
     link->send(message);
     return true;
 }
 
+std::vector<endpoint> peer_network::usable_seeds() const
+{
+    std::vector<endpoint> usable = seeds_;
+    usable.erase(std::remove(usable.begin(), usable.end(), self_.link), usable.end());
+    return usable;
+}
+
 void peer_network::send_to_any(std::size_t pick, const nlohmann::json& message)
 {
     const std::vector<peer_host> hosts = live_hosts();
@@ -174,8 +183,7 @@
         send(hosts[1 + pick % (hosts.size() - 1)].id, message);
         return;
     }
-    std::vector<endpoint> usable = seeds_;
-    usable.erase(std::remove(usable.begin(), usable.end(), self_.link), usable.end());
+    const std::vector<endpoint> usable = usable_seeds();
     if (!usable.empty())
     {
         const endpoint& seed = usable[pick % usable.size()];
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -15,24 +15,57 @@
 
 // how long the store may hold a watch without changes; each watch is a priced call. A
 // lost connection is noticed earlier, by the renewal of the lease
-constexpr millis watch_hold_time{8000};
+constexpr millis direct_watch_hold{8000};
 
 // delay between a watch and the next, so that changes in quick succession come together
 constexpr millis watch_delay{400};
+constexpr millis relay_watch_delay{200};
 
-// delay after a failed call
-constexpr millis retry_delay{250};
+// delay after a failed call: doubled with each failure, so that hundreds of hosts do not
+// use up the store's rates when it returns
+constexpr millis min_retry_delay{250};
+constexpr millis max_retry_delay{1000};
 
-// lifetime of the registration, and how often it is renewed
-constexpr millis lease_ttl{5000};
+// lifetime of the registration, and how often it is renewed. A host that watches the
+// store also notices by the renewal that its watch is dead
+constexpr millis lease_ttl{6000};
 constexpr millis renew_interval{1000};
+constexpr millis follower_renew_interval{2000};
 
-// time without an answer of the store after which other hosts are polled
+// registrations in a new era are spread over this time
+constexpr std::int64_t registration_spread_ms = 500;
+
+// time without an answer of the store or a relay after which other hosts are polled
 constexpr millis contact_timeout{2200};
 
 // how often other hosts are polled
 constexpr millis poll_interval{500};
 
+// the same while this host asks its peers for the first time
+constexpr millis inquiry_interval{150};
+
+// all hosts of a deployment start within 0.3 s: after this time they know each other
+constexpr millis settle_time{500};
+
+// how often the source of changes is chosen, and the relays are ranked
+constexpr millis source_interval{200};
+constexpr millis rank_interval{1000};
+
+// share of the bound on changes, in tenths, that a host's knowledge may be old; the rest
+// is for the way to the store when its relays fail
+constexpr std::int64_t max_age_tenths = 6;
+
+// a relay proves as often as this that it is current: a fraction of the permitted age
+constexpr std::int64_t proofs_per_max_age = 3;
+
+// a range answer has at most 1 MB of values, and their encoding
+constexpr std::size_t max_answer_bytes = 8388608;
+
+millis max_age_of(millis change_bound)
+{
+    return change_bound * max_age_tenths / 10;
+}
+
 } // namespace
 
 store_controller::store_controller(entry_context& context,
@@ -42,8 +75,14 @@
     : context_(context),
       peers_(peers),
       mirror_(mirror),
+      relay_(mirror),
+      source_choice_(context.settings.host,
+                     max_age_of(context.settings.change_bound),
+                     context.loop.now()),
+      inquiry_(context.loop.now()),
       registration_(std::move(registration)),
-      last_contact_(context.loop.now())
+      last_contact_(context.loop.now()),
+      retry_delay_(min_retry_delay)
 {
     prefixes_ = {context_.protocol.configuration_key(),
                  context_.protocol.target_prefix(),
@@ -57,14 +96,35 @@
 
 void store_controller::start()
 {
-    read_all();
+    read_all(read_mode::stale);
     register_host();
-    poll_peers();
+    context_.loop.after(inquiry_interval,
+                        [this]
+                        {
+                            poll_peers();
+                        });
+    context_.loop.after(settle_time,
+                        [this]
+                        {
+                            settle();
+                        });
+}
+
+void store_controller::settle()
+{
+    is_settled_ = true;
+    if (!is_reading_)
+    {
+        // the other hosts have registered since the first reading
+        read_prefixes_from(prefixes_.size() - 1, read_mode::stale);
+    }
+    choose_source();
 }
 
 bool store_controller::is_in_contact() const
 {
-    return context_.loop.now() - last_contact_ < contact_timeout;
+    const steady_time last = std::max(last_contact_, source_choice_.current_as_of());
+    return context_.loop.now() - last < contact_timeout;
 }
 
 void store_controller::record_contact(bool answered)
@@ -72,15 +132,15 @@
     const steady_time now = context_.loop.now();
     if (answered)
     {
-        if (is_store_lost_ || now - last_contact_ > contact_timeout)
+        retry_delay_ = min_retry_delay;
+        if (is_store_lost_ || now - last_contact_ > renewal_gap())
         {
             is_store_lost_ = false;
             mirror_.record_outage_end(now);
             if (is_watching_)
             {
                 // a watch from before the outage may be dead without an error
-                cancel_watch_();
-                is_watching_ = false;
+                stop_watching();
                 schedule_watch(millis(0));
             }
             log_event(entry_store_regained, {{"away_ms", (now - last_contact_).count()}});
@@ -94,61 +154,159 @@
     }
 }
 
+millis store_controller::renewal_gap() const
+{
+    return source_.relay ? follower_renew_interval + contact_timeout : contact_timeout;
+}
+
+millis store_controller::next_retry_delay()
+{
+    const millis delay = retry_delay_;
+    retry_delay_ = std::min(max_retry_delay, retry_delay_ * 2);
+    return delay;
+}
+
+std::int64_t store_controller::record_era(const answer_head& head)
+{
+    const std::optional<std::int64_t> stated = context_.protocol.read_era(head);
+    if (!stated)
+    {
+        if (mirror_.version().era > 0 && !is_era_missing_)
+        {
+            is_era_missing_ = true;
+            log_event(entry_store_era_changed,
+                      {{"era", mirror_.version().era}, {"stated", "none"}});
+        }
+        return mirror_.version().era;
+    }
+    is_era_missing_ = false;
+    if (*stated < mirror_.version().era)
+    {
+        log_event(entry_store_era_changed,
+                  {{"era", mirror_.version().era}, {"stated", *stated}});
+    }
+    return *stated;
+}
+
+void store_controller::begin_era(std::int64_t era)
+{
+    const store_version before = mirror_.version();
+    mirror_.begin_era(era, context_.loop.now());
+    if (before.revision > 0 || before.era > 0)
+    {
+        on_era_begun(before);
+    }
+}
+
+void store_controller::on_era_begun(store_version before)
+{
+    log_event(entry_store_era_changed,
+              {{"era", mirror_.version().era},
+               {"revision", mirror_.version().revision},
+               {"era_before", before.era},
+               {"revision_before", before.revision}});
+    ++registration_number_;
+    lease_.reset();
+    const millis spread(static_cast<std::int64_t>(
+        context_.random.below(static_cast<std::uint64_t>(registration_spread_ms))));
+    context_.loop.after(spread,
+                        [this, number = registration_number_]
+                        {
+                            if (number == registration_number_)
+                            {
+                                register_host();
+                            }
+                        });
+    stop_watching();
+    if (!source_.relay)
+    {
+        read_all(read_mode::linearizable);
+    }
+}
+
 std::function<void()>
 store_controller::call(std::string request, millis timeout, reply_action on_reply)
 {
     auto result = std::make_shared<reply>();
     auto timer = std::make_shared<timer_id>(0);
+    auto sent = std::make_shared<std::weak_ptr<client_call>>();
     call_callbacks events;
-    events.on_head = [result](const answer_head& head)
+    events.on_head = [this, result](const answer_head& head)
     {
         result->status = head.status;
+        result->era = record_era(head);
     };
-    events.on_data = [result](absl::string_view data)
+    const auto give_up = [this, timer, sent, on_reply]
+    {
+        context_.loop.cancel(*timer);
+        if (const auto current = sent->lock())
+        {
+            current->cancel();
+        }
+        on_reply({});
+    };
+    events.on_data = [result, give_up](absl::string_view data)
     {
         result->body.append(data.data(), data.size());
+        if (result->body.size() > max_answer_bytes)
+        {
+            give_up();
+        }
     };
     events.on_end = [this, result, timer, on_reply](call_end how)
     {
         context_.loop.cancel(*timer);
-        if (how != call_end::complete)
+        if (how != call_end::complete || result->era < mirror_.version().era)
         {
             result->status = 0;
         }
+        else if (result->era > mirror_.version().era)
+        {
+            begin_era(result->era);
+        }
         on_reply(*result);
     };
     call_options options;
     options.connect_timeout = call_timeout;
     context_.metrics->add("medlar_store_calls_total", {});
-    const std::shared_ptr<client_call> sent = context_.client.start(
+    const std::shared_ptr<client_call> started = context_.client.start(
         context_.settings.store_endpoint, std::move(request), options, std::move(events));
-    *timer = context_.loop.after(timeout,
-                                 [sent, on_reply]
-                                 {
-                                     sent->cancel();
-                                     on_reply({});
-                                 });
+    *sent = started;
+    *timer = context_.loop.after(timeout, give_up);
     return [this, sent, timer]
     {
         context_.loop.cancel(*timer);
-        sent->cancel();
+        if (const auto current = sent->lock())
+        {
+            current->cancel();
+        }
     };
 }
 
-void store_controller::read_all()
+void store_controller::read_all(read_mode mode)
 {
-    ++read_generation_;
     read_revision_ = 0;
-    read_page_after(0, {}, {});
+    read_prefixes_from(0, mode);
+}
+
+void store_controller::read_prefixes_from(std::size_t first, read_mode mode)
+{
+    ++read_generation_;
+    is_reading_ = true;
+    is_watch_due_ = false;
+    read_page_after(first, {}, mode, {});
 }
 
 void store_controller::read_page_after(std::size_t prefix,
                                        const std::string& after,
+                                       read_mode mode,
                                        store_page collected)
 {
-    call(context_.protocol.write_range_call(prefixes_[prefix], after),
+    // keys and routes may change at any time: an old configuration is no start
+    const read_mode page_mode = prefix == 0 ? read_mode::linearizable : mode;
+    call(context_.protocol.write_range_call(prefixes_[prefix], after, page_mode),
          call_timeout,
-         [this, prefix, collected, generation = read_generation_](
+         [this, prefix, mode, collected, generation = read_generation_](
              const reply& received) mutable
          {
              const absl::StatusOr<store_page> page =
@@ -161,21 +319,19 @@
              }
              if (!usable)
              {
-                 context_.loop.after(retry_delay,
-                                     [this]
-                                     {
-                                         read_all();
-                                     });
+                 retry_reading(prefix, mode);
                  return;
              }
              // the first page's revision: the watch repeats later changes
              collected.revision =
                  collected.revision == 0 ? page->revision : collected.revision;
+             collected.era = received.era;
              collected.items.insert(
                  collected.items.end(), page->items.begin(), page->items.end());
              if (page->has_more && !page->items.empty())
              {
-                 read_page_after(prefix, page->items.back().key, std::move(collected));
+                 const std::string last_key = page->items.back().key;
+                 read_page_after(prefix, last_key, mode, std::move(collected));
                  return;
              }
              read_revision_ = read_revision_ == 0
@@ -184,83 +340,171 @@
              mirror_.replace(prefixes_[prefix], collected, context_.loop.now());
              if (prefix + 1 < prefixes_.size())
              {
-                 read_page_after(prefix + 1, {}, {});
+                 read_page_after(prefix + 1, {}, mode, {});
                  return;
              }
-             store_page reached;
-             reached.revision = read_revision_;
-             mirror_.apply(reached, context_.loop.now());
-             watch();
+             finish_reading(received.era);
          });
 }
 
+void store_controller::retry_reading(std::size_t prefix, read_mode mode)
+{
+    // from the prefix that failed: a store that refuses some calls of many is never read
+    // otherwise
+    context_.loop.after(next_retry_delay(),
+                        [this, prefix, mode, generation = read_generation_]
+                        {
+                            if (generation == read_generation_)
+                            {
+                                read_prefixes_from(prefix, mode);
+                            }
+                        });
+}
+
+void store_controller::finish_reading(std::int64_t era)
+{
+    is_reading_ = false;
+    store_page reached;
+    reached.revision = read_revision_;
+    reached.era = era;
+    mirror_.apply(reached, context_.loop.now());
+    relay_.send_changes(context_.loop.now());
+    if (peers_.reachable_count() == 0)
+    {
+        inquiry_.record_no_peers();
+    }
+    choose_source();
+}
+
 void store_controller::schedule_watch(millis delay)
 {
+    is_watch_due_ = true;
     context_.loop.after(delay,
                         [this, generation = read_generation_]
                         {
-                            if (generation == read_generation_)
+                            if (generation != read_generation_ || !is_watch_due_)
+                            {
+                                return;
+                            }
+                            is_watch_due_ = false;
+                            if (source_.watches_store)
                             {
                                 watch();
                             }
                         });
 }
 
+void store_controller::stop_watching()
+{
+    is_watch_due_ = false;
+    if (is_watching_)
+    {
+        cancel_watch_();
+        is_watching_ = false;
+    }
+}
+
+millis store_controller::watch_hold_time() const
+{
+    return relay_.followers() > 0
+               ? max_age_of(context_.settings.change_bound) / proofs_per_max_age
+               : direct_watch_hold;
+}
+
 void store_controller::watch()
 {
+    if (is_watching_ || is_reading_)
+    {
+        return;
+    }
+    if (!mirror_.is_filled())
+    {
+        read_all(read_mode::linearizable);
+        return;
+    }
     is_watching_ = true;
+    watch_hold_ = watch_hold_time();
     cancel_watch_ =
-        call(context_.protocol.write_watch_call(read_revision_, watch_hold_time),
-             watch_hold_time + call_timeout,
-             [this, generation = read_generation_](const reply& received)
+        call(context_.protocol.write_watch_call(mirror_.version().revision, watch_hold_),
+             watch_hold_ + call_timeout,
+             [this, generation = read_generation_, number = ++watch_number_](
+                 const reply& received)
              {
-                 is_watching_ = false;
-                 const absl::StatusOr<store_page> events =
-                     context_.protocol.read_events(received.body);
-                 const bool usable = received.status == status_ok && events.ok();
-                 const bool was_lost = is_store_lost_;
-                 record_contact(usable || received.status == status_gone);
-                 if (generation != read_generation_)
+                 if (number != watch_number_)
                  {
                      return;
                  }
-                 if (received.status == status_gone || (usable && was_lost))
-                 {
-                     // changes made meanwhile are not in the history, or lapsed
-                     read_all();
-                     return;
-                 }
-                 if (!usable)
-                 {
-                     schedule_watch(retry_delay);
-                     return;
-                 }
-                 read_revision_ = std::max(read_revision_, events->revision);
-                 mirror_.apply(*events, context_.loop.now());
-                 schedule_watch(watch_delay);
+                 is_watching_ = false;
+                 handle_watch_answer(received, generation);
              });
 }
 
+void store_controller::handle_watch_answer(const reply& received,
+                                           std::uint64_t generation)
+{
+    absl::StatusOr<store_page> events = context_.protocol.read_events(received.body);
+    const bool usable = received.status == status_ok && events.ok();
+    const bool was_lost = is_store_lost_;
+    record_contact(usable || received.status == status_gone);
+    if (generation != read_generation_ || is_reading_)
+    {
+        return;
+    }
+    if (!mirror_.is_filled() || received.status == status_gone ||
+        (usable && was_lost && !source_.relay))
+    {
+        // changes made meanwhile are not in the history, or lapsed
+        read_all(read_mode::linearizable);
+        return;
+    }
+    if (!usable)
+    {
+        schedule_watch(next_retry_delay());
+        return;
+    }
+    events->era = received.era;
+    mirror_.apply(*events, context_.loop.now());
+    source_choice_.record_store(context_.loop.now());
+    relay_.send_changes(context_.loop.now());
+    if (relay_.followers() > 0)
+    {
+        // the time without a watch adds to the age of what the followers know
+        schedule_watch(events->items.empty() ? millis(0) : relay_watch_delay);
+    }
+    else
+    {
+        schedule_watch(watch_delay);
+    }
+}
+
 void store_controller::register_host()
 {
     if (is_leaving_)
     {
         return;
     }
-    const auto retry_later = [this]
+    const std::uint64_t number = registration_number_;
+    const auto retry_later = [this, number]
     {
         context_.loop.after(renew_interval,
-                            [this]
+                            [this, number]
                             {
-                                register_host();
+                                if (number == registration_number_)
+                                {
+                                    register_host();
+                                }
                             });
     };
     call(context_.protocol.write_lease_call(lease_ttl),
          call_timeout,
-         [this, retry_later](const reply& received)
+         [this, retry_later, number](const reply& received)
          {
              const absl::StatusOr<store_lease> lease =
                  context_.protocol.read_lease(received.body);
+             if (number != registration_number_)
+             {
+                 return;
+             }
              if (received.status != status_ok || !lease.ok())
              {
                  retry_later();
@@ -270,8 +514,12 @@
                  context_.protocol.host_prefix() + context_.settings.host.get();
              call(context_.protocol.write_put_call(key, registration_, *lease),
                   call_timeout,
-                  [this, retry_later, lease = *lease](const reply& put)
+                  [this, retry_later, number, lease = *lease](const reply& put)
                   {
+                      if (number != registration_number_)
+                      {
+                          return;
+                      }
                       if (put.status != status_ok)
                       {
                           retry_later();
@@ -285,28 +533,34 @@
 
 void store_controller::renew()
 {
-    context_.loop.after(renew_interval,
-                        [this]
-                        {
-                            if (is_leaving_ || !lease_)
-                            {
-                                return;
-                            }
-                            call(context_.protocol.write_renew_call(*lease_),
-                                 call_timeout,
-                                 [this](const reply& received)
-                                 {
-                                     record_contact(received.status == status_ok ||
-                                                    received.status == status_not_found);
-                                     if (received.status == status_not_found)
-                                     {
-                                         lease_.reset();
-                                         register_host();
-                                         return;
-                                     }
-                                     renew();
-                                 });
-                        });
+    const auto renew_lease = [this, number = registration_number_]
+    {
+        if (is_leaving_ || !lease_ || number != registration_number_)
+        {
+            return;
+        }
+        call(context_.protocol.write_renew_call(*lease_),
+             call_timeout,
+             [this, number](const reply& received)
+             {
+                 record_contact(received.status == status_ok ||
+                                received.status == status_not_found);
+                 if (number != registration_number_)
+                 {
+                     return;
+                 }
+                 if (received.status == status_not_found)
+                 {
+                     lease_.reset();
+                     register_host();
+                     return;
+                 }
+                 renew();
+             });
+    };
+    // after a failed renewal the lease is renewed in time by the shorter interval
+    const bool is_slow = source_.relay && !is_store_lost_;
+    context_.loop.after(is_slow ? follower_renew_interval : renew_interval, renew_lease);
 }
 
 void store_controller::leave()
@@ -323,44 +577,246 @@
 
 void store_controller::poll_peers()
 {
-    context_.loop.after(poll_interval,
+    const bool is_asking = !has_asked_peers();
+    context_.loop.after(is_asking ? inquiry_interval : poll_interval,
                         [this]
                         {
                             poll_peers();
                         });
-    if (!is_store_lost_ && is_in_contact() && mirror_.is_filled())
+    if (!is_asking && !is_store_lost_ && is_in_contact() && mirror_.is_filled())
     {
         return;
     }
+    // the first question is for everything that peers know, see peer_inquiry; hosts of an
+    // older version read "since"
+    const store_version since = is_asking ? store_version{} : mirror_.version();
     peers_.send_to_any(context_.random.below(1U << 20U),
-                       {{"type", "news?"}, {"since", mirror_.revision()}});
+                       {{"type", "news?"},
+                        {"era", since.era},
+                        {"revision", since.revision},
+                        {"known_era", mirror_.version().era},
+                        {"since", since.revision}});
+}
+
+void store_controller::choose_source()
+{
+    if (!is_settled_)
+    {
+        return;
+    }
+    const steady_time now = context_.loop.now();
+    if (now - relays_ranked_at_ >= rank_interval)
+    {
+        relays_ranked_at_ = now;
+        source_choice_.set_relays(
+            relays_of(context_.settings.domain, peers_.live_hosts()));
+        relay_.drop_silent(now);
+    }
+    source_choice_.set_followed(relay_.followers() > 0);
+    apply_source(source_choice_.choose(now));
+    if (!is_source_timer_set_)
+    {
+        is_source_timer_set_ = true;
+        context_.loop.after(source_interval,
+                            [this]
+                            {
+                                is_source_timer_set_ = false;
+                                choose_source();
+                            });
+    }
+}
+
+void store_controller::apply_source(const change_source& chosen)
+{
+    const steady_time now = context_.loop.now();
+    if (chosen.relay != source_.relay || chosen.watches_store != source_.watches_store)
+    {
+        log_event(entry_source_changed,
+                  {{"relay", chosen.relay ? chosen.relay->get() : ""},
+                   {"watches_store", std::int64_t{chosen.watches_store}},
+                   {"age_ms", (now - source_choice_.current_as_of()).count()},
+                   {"followers", static_cast<std::int64_t>(relay_.followers())}});
+    }
+    if (chosen.relay != source_.relay)
+    {
+        if (source_.relay)
+        {
+            peers_.send(*source_.relay, {{"type", "unfollow"}});
+        }
+        asked_relay_at_ = steady_time();
+    }
+    source_ = chosen;
+    const millis ask_interval =
+        max_age_of(context_.settings.change_bound) / proofs_per_max_age;
+    if (source_.relay && now - asked_relay_at_ >= ask_interval)
+    {
+        follow(*source_.relay);
+    }
+    if (!source_.watches_store)
+    {
+        stop_watching();
+        return;
+    }
+    if (is_watching_ && watch_hold_time() < watch_hold_)
+    {
+        stop_watching();
+    }
+    if (!is_watch_due_)
+    {
+        watch();
+    }
+}
+
+void store_controller::follow(const host_id& relay)
+{
+    const steady_time now = context_.loop.now();
+    asked_relay_at_ = now;
+    const bool is_sent = peers_.send(relay,
+                                     {{"type", "follow"},
+                                      {"era", mirror_.version().era},
+                                      {"revision", mirror_.version().revision},
+                                      {"known_era", mirror_.version().era},
+                                      {"asked_at", now.since_origin()}});
+    if (!is_sent)
+    {
+        source_choice_.record_lost(relay, now);
+    }
 }
 
 bool store_controller::handle_request(const std::shared_ptr<message_link>& from,
                                       const nlohmann::json& message)
 {
-    if (message.at("type") != "news?")
+    const std::string type = message.at("type").get<std::string>();
+    const steady_time now = context_.loop.now();
+    const auto known_era = message.value("known_era", std::int64_t{0});
+    if (known_era > mirror_.version().era && mirror_.has_been_filled())
+    {
+        begin_era(known_era);
+    }
+    if (type == "follow")
+    {
+        relay_.answer(from, message, source_choice_.current_as_of(), now);
+        choose_source();
+        return true;
+    }
+    if (type == "unfollow")
+    {
+        relay_.drop(from.get());
+        return true;
+    }
+    if (type != "news?")
     {
         return false;
     }
-    const auto since = message.at("since").get<std::int64_t>();
-    if (mirror_.revision() > since)
+    if (!message.contains("era"))
+    {
+        // a host of an older version, which could not read the answer
+        return true;
+    }
+    const store_version since{message.at("era").get<std::int64_t>(),
+                              message.at("revision").get<std::int64_t>()};
+    const bool knows_nothing = !mirror_.has_been_filled() || !has_asked_peers();
+    if (knows_nothing)
     {
-        nlohmann::json delta = mirror_.delta_since(since);
+        from->send({{"type", "no_news"}});
+    }
+    else if (mirror_.is_filled() && since < mirror_.version())
+    {
+        nlohmann::json delta = mirror_.delta_since(since, now);
         delta["type"] = "news";
         from->send(delta);
     }
     return true;
 }
 
-bool store_controller::handle_answer(const nlohmann::json& message)
+bool store_controller::handle_answer(const host_id& from, const nlohmann::json& message)
 {
-    if (message.at("type") != "news")
+    const std::string type = message.at("type").get<std::string>();
+    if (type == "news")
     {
-        return false;
+        if (message.contains("era"))
+        {
+            handle_news(message);
+        }
+        else
+        {
+            // a host of an older version
+            inquiry_.record_ignorance(from, peers_.reachable_count());
+        }
+        return true;
     }
-    mirror_.apply_delta(message, context_.loop.now());
-    return true;
+    if (type == "current")
+    {
+        handle_current(from, message);
+        return true;
+    }
+    if (type == "no_news")
+    {
+        inquiry_.record_ignorance(from, peers_.reachable_count());
+        return true;
+    }
+    return false;
+}
+
+void store_controller::handle_news(const nlohmann::json& message)
+{
+    const store_version before = mirror_.version();
+    const steady_time now = context_.loop.now();
+    const delta_result result = mirror_.apply_delta(message, now);
+    if (result == delta_result::no_base)
+    {
+        if (source_.relay)
+        {
+            follow(*source_.relay);
+        }
+        return;
+    }
+    if (message.at("era").get<std::int64_t>() < mirror_.version().era)
+    {
+        // the peer has now heard of the era, and will know soon what differs in it
+        return;
+    }
+    inquiry_.record_knowledge();
+    if (mirror_.version().era != before.era && (before.era > 0 || before.revision > 0))
+    {
+        on_era_begun(before);
+    }
+    if (result == delta_result::applied)
+    {
+        relay_.send_changes(now);
+    }
+}
+
+void store_controller::handle_current(const host_id& from, const nlohmann::json& message)
+{
+    const store_version reached{message.at("era").get<std::int64_t>(),
+                                message.at("revision").get<std::int64_t>()};
+    if (mirror_.version() < reached || reached.era < mirror_.version().era)
+    {
+        // a change was lost on the way, or the relay has not heard of the new era
+        return;
+    }
+    const steady_time asked_at(message.at("asked_at").get<std::int64_t>());
+    const millis age(std::max<std::int64_t>(0, message.at("age_ms").get<std::int64_t>()));
+    const steady_time now = context_.loop.now();
+    if (asked_at <= now)
+    {
+        source_choice_.record_report(from, asked_at - age, now);
+    }
+}
+
+void store_controller::handle_peer_lost(const host_id& host, connection_end reason)
+{
+    source_choice_.record_lost(host, context_.loop.now());
+    if (reason == connection_end::refused)
+    {
+        inquiry_.record_ignorance(host, peers_.reachable_count());
+    }
+}
+
+void store_controller::handle_requester_lost(const message_link* link)
+{
+    relay_.drop(link);
 }
 
 } // namespace medlar
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -2,6 +2,9 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
+#include <set>
+
 namespace medlar
 {
 
@@ -12,37 +15,123 @@
 // seconds of its end; the rest is a margin for latency
 constexpr millis lapse_window{2300};
 
+// removals kept for other hosts and for the store's return from a copy: several hours of
+// targets and hosts that come and go, less than 1 MB
+constexpr std::size_t max_removals = 4096;
+
+nlohmann::json to_json(const store_version& version)
+{
+    return {{"era", version.era}, {"revision", version.revision}};
+}
+
+store_version read_version(const nlohmann::json& object)
+{
+    return {object.at("era").get<std::int64_t>(),
+            object.at("revision").get<std::int64_t>()};
+}
+
 } // namespace
 
-store_mirror::store_mirror(change_handler on_change, lapse_handler on_lapse)
-    : on_change_(std::move(on_change)), on_lapse_(std::move(on_lapse))
+store_mirror::store_mirror(change_handler on_change,
+                           lapse_handler on_lapse,
+                           content_reader read_content)
+    : on_change_(std::move(on_change)),
+      on_lapse_(std::move(on_lapse)),
+      read_content_(std::move(read_content))
 {
 }
 
+void store_mirror::begin_era(std::int64_t era, steady_time now)
+{
+    if (era <= version_.era)
+    {
+        return;
+    }
+    version_ = {era, 0};
+    removals_known_after_ = 0;
+    if (!items_.empty())
+    {
+        // what was written after the copy is written again, as after an outage
+        record_outage_end(now);
+    }
+}
+
 void store_mirror::record_outage_end(steady_time now)
 {
-    lapse_window_end_ = now + lapse_window;
+    lapse_window_end_ = std::max(lapse_window_end_, now + lapse_window);
 }
 
-void store_mirror::put(const store_item& item)
+void store_mirror::put(const store_item& item, std::int64_t era, bool is_held)
 {
+    const store_version version{era, item.revision};
+    const std::optional<content_version> content = read_content_(item);
     const auto found = items_.find(item.key);
-    if (found != items_.end() && found->second.revision >= item.revision)
+    if (found != items_.end())
     {
-        return;
+        mirrored_item& known = found->second;
+        const bool is_older_content =
+            content && known.content && *content < *known.content;
+        const bool is_newer_content =
+            content && known.content && *known.content < *content;
+        // another host may hold newer content under the revision of the old copy
+        if (version < known.version ||
+            (version == known.version && !(is_held && is_newer_content)))
+        {
+            return;
+        }
+        if (is_older_content && (known.is_held || known.version.era < era))
+        {
+            known.version = version;
+            known.is_held = true;
+            return;
+        }
     }
-    items_[item.key] = item;
+    const auto removed = removals_.find(item.key);
+    if (removed != removals_.end())
+    {
+        const bool is_from_old_copy = removed->second.at.era < era && content &&
+                                      removed->second.content &&
+                                      !(*removed->second.content < *content);
+        if (version <= removed->second.at || is_from_old_copy)
+        {
+            return;
+        }
+        removals_.erase(removed);
+    }
+    items_[item.key] = {item, version, content, is_held};
     on_change_(item);
 }
 
-void store_mirror::remove(const std::string& key, steady_time now)
+void store_mirror::record_removal(const std::string& key, const removed_item& removed)
+{
+    removals_[key] = removed;
+    if (removals_.size() <= max_removals)
+    {
+        return;
+    }
+    const auto oldest = std::min_element(removals_.begin(),
+                                         removals_.end(),
+                                         [](const auto& a, const auto& b)
+                                         {
+                                             return a.second.at < b.second.at;
+                                         });
+    if (oldest->second.at.era == version_.era)
+    {
+        removals_known_after_ =
+            std::max(removals_known_after_, oldest->second.at.revision);
+    }
+    removals_.erase(oldest);
+}
+
+void store_mirror::remove(const std::string& key, store_version at, steady_time now)
 {
     const auto found = items_.find(key);
     if (found == items_.end())
     {
         return;
     }
-    store_item removed = found->second;
+    store_item removed = std::move(found->second.item);
+    record_removal(key, {at, found->second.content});
     items_.erase(found);
     if (now < lapse_window_end_)
     {
@@ -56,77 +145,187 @@
 
 void store_mirror::apply(const store_page& events, steady_time now)
 {
+    if (events.era < version_.era)
+    {
+        return;
+    }
+    begin_era(events.era, now);
     for (const store_item& each : events.items)
     {
         if (!each.is_deleted)
         {
-            put(each);
+            put(each, events.era, false);
             continue;
         }
+        const store_version at{events.era, each.revision};
         const auto found = items_.find(each.key);
-        if (found != items_.end() && found->second.revision < each.revision)
+        if (found != items_.end() && found->second.version < at)
         {
-            remove(each.key, now);
+            remove(each.key, at, now);
         }
     }
-    revision_ = std::max(revision_, events.revision);
+    if (version_.revision == 0)
+    {
+        removals_known_after_ = events.revision;
+    }
+    version_.revision = std::max(version_.revision, events.revision);
+    has_been_filled_ = has_been_filled_ || is_filled();
 }
 
 void store_mirror::replace(absl::string_view prefix,
                            const store_page& all,
                            steady_time now)
 {
+    if (all.era < version_.era)
+    {
+        return;
+    }
+    begin_era(all.era, now);
     std::set<std::string> present;
     for (const store_item& each : all.items)
     {
         present.insert(each.key);
-        put(each);
+        put(each, all.era, false);
     }
     std::vector<std::string> missing;
+    const store_version read_at{all.era, all.revision};
     for (auto each = items_.lower_bound(std::string(prefix));
          each != items_.end() && absl::StartsWith(each->first, prefix);
          ++each)
     {
-        if (present.count(each->first) == 0 && each->second.revision <= all.revision)
+        if (present.count(each->first) == 0 && each->second.version <= read_at)
         {
             missing.push_back(each->first);
         }
     }
     for (const std::string& each : missing)
     {
-        remove(each, now);
+        remove(each, read_at, now);
     }
 }
 
-nlohmann::json store_mirror::delta_since(std::int64_t since) const
+nlohmann::json store_mirror::delta_since(store_version since, steady_time now) const
 {
+    const bool is_same_era = since.era == version_.era && since.revision > 0;
+    const store_version base = is_same_era ? since : store_version{};
     nlohmann::json changed = nlohmann::json::array();
-    nlohmann::json keys = nlohmann::json::array();
     for (const auto& each : items_)
     {
-        keys.push_back(each.first);
-        if (each.second.revision > since)
+        const mirrored_item& known = each.second;
+        if (base < known.version)
+        {
+            nlohmann::json item = to_json(known.version);
+            item["key"] = each.first;
+            item["held"] = known.is_held;
+            item["value"] = nlohmann::json::binary(std::vector<std::uint8_t>(
+                known.item.value.begin(), known.item.value.end()));
+            changed.push_back(std::move(item));
+        }
+    }
+    nlohmann::json removed = nlohmann::json::array();
+    for (const auto& each : removals_)
+    {
+        if (base < each.second.at)
         {
-            changed.push_back(
-                {{"key", each.first},
-                 {"revision", each.second.revision},
-                 {"value",
-                  nlohmann::json::binary(std::vector<std::uint8_t>(
-                      each.second.value.begin(), each.second.value.end()))}});
+            nlohmann::json item = to_json(each.second.at);
+            item["key"] = each.first;
+            if (each.second.content)
+            {
+                item["generation"] = each.second.content->generation;
+                item["sequence"] = each.second.content->sequence;
+            }
+            removed.push_back(std::move(item));
         }
     }
-    return {{"revision", revision_},
-            {"changed", std::move(changed)},
-            {"keys", std::move(keys)}};
+    nlohmann::json delta = to_json(version_);
+    delta["base"] = to_json(base);
+    delta["changed"] = std::move(changed);
+    delta["removed"] = std::move(removed);
+    delta["lapse_ms"] = std::max<std::int64_t>(0, (lapse_window_end_ - now).count());
+    if (!is_same_era || since.revision < removals_known_after_)
+    {
+        nlohmann::json keys = nlohmann::json::array();
+        for (const auto& each : items_)
+        {
+            keys.push_back(each.first);
+        }
+        delta["keys"] = std::move(keys);
+    }
+    return delta;
 }
 
-void store_mirror::apply_delta(const nlohmann::json& delta, steady_time now)
+void store_mirror::apply_removals(const nlohmann::json& removals, steady_time now)
 {
-    const auto revision = delta.at("revision").get<std::int64_t>();
-    if (revision <= revision_)
+    for (const nlohmann::json& each : removals)
     {
-        return;
+        const auto key = each.at("key").get<std::string>();
+        removed_item removed;
+        removed.at = read_version(each);
+        if (each.contains("generation"))
+        {
+            removed.content = content_version{each.at("generation").get<std::int64_t>(),
+                                              each.at("sequence").get<std::int64_t>()};
+        }
+        const auto found = items_.find(key);
+        if (found == items_.end())
+        {
+            const auto known = removals_.find(key);
+            if (known == removals_.end() || known->second.at < removed.at)
+            {
+                record_removal(key, removed);
+            }
+            continue;
+        }
+        const mirrored_item& known = found->second;
+        // this host has read the item from the old copy only
+        const bool is_from_old_copy = removed.at.era < known.version.era &&
+                                      removed.content && known.content &&
+                                      !(*removed.content < *known.content);
+        if (known.version < removed.at || is_from_old_copy)
+        {
+            remove(key, removed.at, now);
+        }
+    }
+}
+
+void store_mirror::remove_missing(const std::vector<std::string>& keys, steady_time now)
+{
+    const std::set<std::string> present(keys.begin(), keys.end());
+    std::vector<std::string> missing;
+    for (const auto& each : items_)
+    {
+        if (present.count(each.first) == 0 && each.second.version <= version_)
+        {
+            missing.push_back(each.first);
+        }
     }
+    for (const std::string& each : missing)
+    {
+        remove(each, version_, now);
+    }
+}
+
+delta_result store_mirror::apply_delta(const nlohmann::json& delta, steady_time now)
+{
+    const store_version reached = read_version(delta);
+    const store_version base = read_version(delta.at("base"));
+    if (reached.era < version_.era || reached.revision == 0)
+    {
+        return delta_result::older;
+    }
+    const bool is_complete = base == store_version{};
+    if (!is_complete && (base.era != version_.era || version_ < base))
+    {
+        return delta_result::no_base;
+    }
+    const millis lapse(delta.at("lapse_ms").get<std::int64_t>());
+    begin_era(reached.era, now);
+    if (lapse > millis(0))
+    {
+        lapse_window_end_ =
+            std::max(lapse_window_end_, now + std::min(lapse, lapse_window));
+    }
+    const bool is_newer = version_ < reached;
     for (const nlohmann::json& each : delta.at("changed"))
     {
         store_item item;
@@ -134,26 +333,28 @@
         item.revision = each.at("revision").get<std::int64_t>();
         const nlohmann::json::binary_t& value = each.at("value").get_binary();
         item.value.assign(value.begin(), value.end());
-        put(item);
+        if (!is_newer && items_.count(item.key) == 0)
+        {
+            // it may have been removed since
+            continue;
+        }
+        put(item, each.at("era").get<std::int64_t>(), each.at("held").get<bool>());
     }
-    std::set<std::string> present;
-    for (const nlohmann::json& each : delta.at("keys"))
+    apply_removals(delta.at("removed"), now);
+    if (version_.revision == 0)
     {
-        present.insert(each.get<std::string>());
+        removals_known_after_ = reached.revision;
     }
-    std::vector<std::string> missing;
-    for (const auto& each : items_)
+    if (is_newer)
     {
-        if (present.count(each.first) == 0)
+        version_ = reached;
+        has_been_filled_ = true;
+        if (delta.contains("keys"))
         {
-            missing.push_back(each.first);
+            remove_missing(delta.at("keys").get<std::vector<std::string>>(), now);
         }
     }
-    for (const std::string& each : missing)
-    {
-        remove(each, now);
-    }
-    revision_ = revision;
+    return is_newer ? delta_result::applied : delta_result::older;
 }
 
 } // namespace medlar
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -39,6 +39,8 @@
 {
     std::map<std::string, std::string> items;
     std::map<std::string, steady_time> lapsed;
+    /// the versions of items' contents by their values
+    std::map<std::string, content_version> contents;
     store_mirror mirror{[this](const store_item& changed)
                         {
                             if (changed.is_deleted)
@@ -53,6 +55,13 @@
                         [this](const std::string& key, steady_time until)
                         {
                             lapsed[key] = until;
+                        },
+                        [this](const store_item& read) -> std::optional<content_version>
+                        {
+                            const auto found = contents.find(read.value);
+                            return found == contents.end()
+                                       ? std::optional<content_version>()
+                                       : found->second;
                         }};
 };
 
@@ -76,7 +85,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), observed_.items["a"]);
         observed_.mirror.apply(page({removal("a", 8)}, 8), now_);
         CPPUNIT_ASSERT(observed_.items.empty());
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, observed_.mirror.revision());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{8}, observed_.mirror.version().revision);
     }
 
     void removes_items_missing_in_a_complete_reading()
@@ -108,23 +117,202 @@
     {
         observed_mirror other;
         other.mirror.apply(page({item("a", "1", 2), item("b", "1", 3)}, 3), now_);
-        observed_.mirror.apply_delta(other.mirror.delta_since(0), now_);
+        observed_.mirror.apply_delta(other.mirror.delta_since({}, now_), now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, observed_.items.size());
 
         other.mirror.apply(page({removal("a", 4), item("b", "2", 5)}, 5), now_);
         observed_.mirror.apply_delta(
-            other.mirror.delta_since(observed_.mirror.revision()), now_);
+            other.mirror.delta_since(observed_.mirror.version(), now_), now_);
         CPPUNIT_ASSERT(observed_.items.count("a") == 0);
         CPPUNIT_ASSERT_EQUAL(std::string("2"), observed_.items["b"]);
 
         // an older delta changes nothing
         observed_mirror behind;
         behind.mirror.apply(page({item("c", "1", 1)}, 2), now_);
-        observed_.mirror.apply_delta(behind.mirror.delta_since(0), now_);
+        observed_.mirror.apply_delta(behind.mirror.delta_since({}, now_), now_);
         CPPUNIT_ASSERT(observed_.items.count("c") == 0);
     }
 };
 
+class a_store_that_returns_from_an_old_copy : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_store_that_returns_from_an_old_copy);
+    CPPUNIT_TEST(does_not_take_back_newer_content);
+    CPPUNIT_TEST(does_not_bring_back_what_was_removed);
+    CPPUNIT_TEST(gives_out_revisions_again);
+    CPPUNIT_TEST(loses_what_is_not_written_again_in_time);
+    CPPUNIT_TEST(is_not_followed_into_an_older_era);
+    CPPUNIT_TEST(may_return_twice_in_a_row);
+    CPPUNIT_TEST(is_told_apart_by_a_host_that_has_read_only_the_copy);
+    CPPUNIT_TEST(is_told_of_by_another_host);
+    CPPUNIT_TEST_SUITE_END();
+
+    const steady_time now_{1000000};
+    const steady_time later_{1010000};
+    observed_mirror observed_;
+
+    static store_page
+    page_of(std::int64_t era, std::vector<store_item> items, std::int64_t revision)
+    {
+        store_page result = page(std::move(items), revision);
+        result.era = era;
+        return result;
+    }
+
+    /// version 9 of a configuration and a draining target; another target has left
+    void fill(observed_mirror& known) const
+    {
+        know_contents(known);
+        known.mirror.apply(page_of(1,
+                                   {item("config", "v8", 10),
+                                    item("s/a", "a ready", 11),
+                                    item("s/gone", "gone ready", 12)},
+                                   12),
+                           now_);
+        known.mirror.apply(page_of(1,
+                                   {item("config", "v9", 13),
+                                    item("s/a", "a draining", 14),
+                                    removal("s/gone", 15)},
+                                   15),
+                           now_);
+    }
+
+    static void know_contents(observed_mirror& known)
+    {
+        known.contents = {{"v8", {8, 0}},
+                          {"v9", {9, 0}},
+                          {"v10", {10, 0}},
+                          {"a ready", {500, 3}},
+                          {"a draining", {500, 7}},
+                          {"a reborn", {900, 0}},
+                          {"gone ready", {500, 4}},
+                          {"gone alive", {500, 9}}};
+    }
+
+    /// what the store shows after its return: the state of revision 12
+    void read_copy(observed_mirror& known, std::int64_t era, steady_time now) const
+    {
+        known.mirror.replace("config", page_of(era, {item("config", "v8", 10)}, 12), now);
+        known.mirror.replace(
+            "s/",
+            page_of(
+                era, {item("s/a", "a ready", 11), item("s/gone", "gone ready", 12)}, 12),
+            now);
+        known.mirror.apply(page_of(era, {}, 12), now);
+    }
+
+  public:
+    void does_not_take_back_newer_content()
+    {
+        fill(observed_);
+        read_copy(observed_, 2, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string("v9"), observed_.items["config"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a draining"), observed_.items["s/a"]);
+
+        // the operator writes again: first what it had written before
+        observed_.mirror.apply(page_of(2, {item("config", "v9", 13)}, 13), now_);
+        CPPUNIT_ASSERT_EQUAL(std::string("v9"), observed_.items["config"]);
+        observed_.mirror.apply(
+            page_of(2, {item("config", "v10", 14), item("s/a", "a reborn", 15)}, 15),
+            now_);
+        CPPUNIT_ASSERT_EQUAL(std::string("v10"), observed_.items["config"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a reborn"), observed_.items["s/a"]);
+    }
+
+    void does_not_bring_back_what_was_removed()
+    {
+        fill(observed_);
+        read_copy(observed_, 2, now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/gone") == 0);
+        observed_.mirror.apply(page_of(2, {item("s/gone", "gone alive", 13)}, 13), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/gone") == 1);
+    }
+
+    void gives_out_revisions_again()
+    {
+        fill(observed_);
+        read_copy(observed_, 2, now_);
+        CPPUNIT_ASSERT(observed_.mirror.version() == (store_version{2, 12}));
+        // an item without an age of its content is taken as the new era shows it
+        observed_.mirror.apply(page_of(2, {item("h/1", "x", 13)}, 13), now_);
+        observed_.mirror.apply(page_of(2, {removal("h/1", 14)}, 14), later_);
+        CPPUNIT_ASSERT(observed_.items.count("h/1") == 0);
+    }
+
+    void loses_what_is_not_written_again_in_time()
+    {
+        fill(observed_);
+        observed_.mirror.apply(page_of(1, {item("s/new", "n", 16)}, 16), now_);
+        read_copy(observed_, 2, now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/new") == 1);
+        CPPUNIT_ASSERT(observed_.lapsed.count("s/new") == 1);
+        CPPUNIT_ASSERT(observed_.lapsed["s/new"] >= now_ + millis(2000));
+    }
+
+    void is_not_followed_into_an_older_era()
+    {
+        fill(observed_);
+        read_copy(observed_, 2, now_);
+        observed_.mirror.apply(page_of(1, {item("config", "v10", 99)}, 99), now_);
+        observed_.mirror.replace("s/", page_of(1, {}, 99), now_);
+        CPPUNIT_ASSERT_EQUAL(std::string("v9"), observed_.items["config"]);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 1);
+        CPPUNIT_ASSERT(observed_.mirror.version() == (store_version{2, 12}));
+    }
+
+    void may_return_twice_in_a_row()
+    {
+        fill(observed_);
+        observed_.mirror.begin_era(2, now_);
+        CPPUNIT_ASSERT(!observed_.mirror.is_filled());
+        read_copy(observed_, 3, now_ + millis(300));
+        CPPUNIT_ASSERT_EQUAL(std::string("v9"), observed_.items["config"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a draining"), observed_.items["s/a"]);
+        CPPUNIT_ASSERT(observed_.items.count("s/gone") == 0);
+    }
+
+    void is_told_apart_by_a_host_that_has_read_only_the_copy()
+    {
+        observed_mirror informed;
+        fill(informed);
+        read_copy(informed, 2, now_);
+        know_contents(observed_);
+        read_copy(observed_, 2, later_);
+        CPPUNIT_ASSERT_EQUAL(std::string("v8"), observed_.items["config"]);
+        CPPUNIT_ASSERT(observed_.items.count("s/gone") == 1);
+
+        observed_.mirror.apply_delta(informed.mirror.delta_since({}, later_), later_);
+        CPPUNIT_ASSERT_EQUAL(std::string("v9"), observed_.items["config"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a draining"), observed_.items["s/a"]);
+        CPPUNIT_ASSERT(observed_.items.count("s/gone") == 0);
+    }
+
+    void is_told_of_by_another_host()
+    {
+        fill(observed_);
+        observed_mirror informed;
+        fill(informed);
+        read_copy(informed, 2, now_);
+        informed.mirror.apply(page_of(2, {item("config", "v10", 13)}, 13), now_);
+        const delta_result result = observed_.mirror.apply_delta(
+            informed.mirror.delta_since(observed_.mirror.version(), now_), now_);
+        CPPUNIT_ASSERT(result == delta_result::applied);
+        CPPUNIT_ASSERT(observed_.mirror.version() == (store_version{2, 13}));
+        CPPUNIT_ASSERT_EQUAL(std::string("v10"), observed_.items["config"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a draining"), observed_.items["s/a"]);
+        CPPUNIT_ASSERT(observed_.items.count("s/gone") == 0);
+
+        // changes in between are not skipped
+        observed_mirror ahead;
+        know_contents(ahead);
+        ahead.mirror.apply(page_of(2, {item("x", "1", 20)}, 20), now_);
+        CPPUNIT_ASSERT(
+            observed_.mirror.apply_delta(ahead.mirror.delta_since({2, 19}, now_), now_) ==
+            delta_result::no_base);
+        CPPUNIT_ASSERT(observed_.items.count("x") == 0);
+    }
+};
+
 class the_configuration : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(the_configuration);
@@ -154,6 +342,7 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(the_mirror_of_the_store);
+CPPUNIT_TEST_SUITE_REGISTRATION(a_store_that_returns_from_an_old_copy);
 CPPUNIT_TEST_SUITE_REGISTRATION(the_configuration);
 
 } // namespace
--- a/test/entry/host_test.cpp
+++ b/test/entry/host_test.cpp
@@ -293,7 +293,7 @@
                 connection::connect(
                     it.loop, it.all_settings[0].link_endpoint, millis(1000)),
                 [](const nlohmann::json&) {},
-                [&ended]
+                [&ended](connection_end)
                 {
                     ended = true;
                 });
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -53,7 +53,9 @@
         return "servers/" + id_;
     }
 
-    std::string entry(const std::string& state = "ready") const
+    std::string entry(const std::string& state = "ready",
+                      int sequence = 1,
+                      std::int64_t born = 5) const
     {
         return nlohmann::json({{"service", pool_},
                                {"address", to_string(where_)},
@@ -62,8 +64,8 @@
                                {"slots", 6},
                                {"state", state},
                                {"cold_ms", 0},
-                               {"sequence", 1},
-                               {"born", 5}})
+                               {"sequence", sequence},
+                               {"born", born}})
             .dump();
     }
 
@@ -150,6 +152,13 @@
         running_.erase(std::find(running_.begin(), running_.end(), victim));
     }
 
+    /// stops running a host, as if its process was stopped: its connections stay open
+    void freeze(const std::shared_ptr<running_host>& frozen)
+    {
+        running_.erase(std::find(running_.begin(), running_.end(), frozen));
+        frozen_.push_back(frozen);
+    }
+
     void run_once()
     {
         for (const std::shared_ptr<running_host>& each : running_)
@@ -233,6 +242,7 @@
 
   private:
     std::vector<std::shared_ptr<running_host>> running_;
+    std::vector<std::shared_ptr<running_host>> frozen_;
     endpoint store_endpoint_;
 
   public:
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -10,10 +10,12 @@
 #include <cppunit/TestAssert.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -75,6 +77,59 @@
         changes_.clear();
     }
 
+    /// Keeps a copy of the items, from which the store can return.
+    void save_copy()
+    {
+        copied_items_ = items_;
+        copied_revision_ = revision_;
+    }
+
+    /// Returns from the copy: revisions go back, and the era rises by one. Leases made
+    /// since the copy are unknown, and older watches get 410.
+    void return_from_copy()
+    {
+        set_down(true);
+        items_ = copied_items_;
+        revision_ = copied_revision_;
+        compact();
+        ++era_;
+        ++first_lease_;
+        set_down(false);
+    }
+
+    /// sets the text of the header that states the era; empty leaves it out
+    void state_era(const std::string& text)
+    {
+        stated_era_ = text;
+    }
+
+    void remove_prefix(const std::string& prefix)
+    {
+        while (has_key_with_prefix(prefix))
+        {
+            items_.erase(items_.lower_bound(prefix));
+        }
+    }
+
+    std::size_t count_with_prefix(const std::string& prefix) const
+    {
+        return static_cast<std::size_t>(std::count_if(items_.begin(),
+                                                      items_.end(),
+                                                      [&](const auto& each)
+                                                      {
+                                                          return absl::StartsWith(
+                                                              each.first, prefix);
+                                                      }));
+    }
+
+    std::size_t waiting_watches() const
+    {
+        return watches_.size();
+    }
+
+    /// number of calls received, renewals of leases left out
+    std::size_t calls = 0;
+
     /// replaces a value that a host writes, such as the address at which peers reach it
     std::function<std::string(const std::string& key, const std::string& value)> rewrite;
 
@@ -97,11 +152,16 @@
         std::int64_t after = 0;
     };
 
-    static void
-    reply(caller_exchange& exchange, int status, const nlohmann::json& body = {})
+    void
+    reply(caller_exchange& exchange, int status, const nlohmann::json& body = {}) const
     {
         header_list headers;
         headers.add("Content-Type", "application/json");
+        const std::string era = stated_era_.value_or(std::to_string(era_));
+        if (!era.empty())
+        {
+            headers.add("Store-Era", era);
+        }
         exchange.answer(status, headers, body.dump());
     }
 
@@ -123,6 +183,8 @@
             return;
         }
         const std::string path(exchange->head().path());
+        const bool is_renewal = absl::StartsWith(path, "/-/kv-keep/");
+        calls += is_renewal ? 0 : 1;
         if (path == "/-/kv-range")
         {
             range(*exchange);
@@ -133,7 +195,7 @@
         }
         else if (path == "/-/kv-lease")
         {
-            reply(*exchange, 200, {{"lease", 77}, {"ttl_ms", 5000}});
+            reply(*exchange, 200, {{"lease", first_lease_}, {"ttl_ms", 5000}});
         }
         else if (path == "/-/kv-txn")
         {
@@ -148,7 +210,8 @@
         }
         else
         {
-            reply(*exchange, 200, {{"ttl_ms", 5000}});
+            const bool is_known = path == "/-/kv-keep/" + std::to_string(first_lease_);
+            reply(*exchange, is_known ? 200 : 404, {{"ttl_ms", 5000}});
         }
     }
 
@@ -179,10 +242,46 @@
             reply(*exchange, 410);
             return;
         }
-        if (!send_events(added))
+        if (send_events(added))
+        {
+            return;
+        }
+        watches_.push_back(added);
+        exchange->set_disconnect_handler(
+            [this, left = std::weak_ptr<caller_exchange>(exchange)]
+            {
+                drop_watch(left.lock());
+            });
+        const millis wait(std::stoll(query_of(*exchange)["wait_ms"]));
+        loop_.after(wait,
+                    [this, waiting = std::weak_ptr<caller_exchange>(exchange)]
+                    {
+                        const std::shared_ptr<caller_exchange> ended = waiting.lock();
+                        if (drop_watch(ended))
+                        {
+                            reply(*ended,
+                                  200,
+                                  {{"events", nlohmann::json::array()},
+                                   {"store_revision", revision_}});
+                        }
+                    });
+    }
+
+    /// @return whether the watch was waiting
+    bool drop_watch(const std::shared_ptr<caller_exchange>& exchange)
+    {
+        const auto found = std::find_if(watches_.begin(),
+                                        watches_.end(),
+                                        [&](const watch& each)
+                                        {
+                                            return each.exchange == exchange;
+                                        });
+        if (found == watches_.end())
         {
-            watches_.push_back(added);
+            return false;
         }
+        watches_.erase(found);
+        return true;
     }
 
     /// @return false if there is no change after the watch's revision
@@ -225,6 +324,12 @@
     std::vector<watch> watches_;
     std::int64_t revision_ = 10;
     std::int64_t first_kept_revision_ = 0;
+    std::map<std::string, stored> copied_items_;
+    std::int64_t copied_revision_ = 0;
+    std::int64_t era_ = 1;
+    std::optional<std::string> stated_era_;
+    /// leases have one id for each era
+    std::int64_t first_lease_ = 77;
     bool down_ = false;
 };
 
