Play a store that returns from an old copy in the soak

A store returns every 0.5 to 3.5 s from a copy of that age; the operator and the targets write again 0.2 to 1.7 s later. Each configuration drops a route, and no undisturbed host may serve one that was dropped 4 s ago.

--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -2,6 +2,8 @@
 
 #include "soak/soak_run.hpp"
 
+#include <medlar/detail/http/status.hpp>
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -22,6 +24,10 @@
 // the requests' deadline
 constexpr millis fault_aftermath{3000};
 
+// a configuration is in force within the bound of the hosts' settings, 2 s; as much again
+// for a host whose path to the store was disturbed
+constexpr millis dropped_route_bound{4000};
+
 constexpr millis start_timeout{15000};
 constexpr millis recovery_timeout{15000};
 constexpr int recovery_probes = 20;
@@ -69,6 +75,7 @@
         start_request();
     }
     inject_fault();
+    schedule_store_return();
     run_until(settings_.fault_duration,
               []
               {
@@ -135,6 +142,7 @@
     {
         return;
     }
+    probe_dropped_route();
     soak_host& host = *hosts_[random_.below(hosts_.size())];
     switch (random_.below(7))
     {
@@ -257,6 +265,75 @@
                               target.is_failing ? " starts failing" : " stops failing"));
 }
 
+void soak_run::schedule_store_return()
+{
+    store_.save_copy();
+    const auto age = millis(500 + static_cast<std::int64_t>(return_random_.below(3000)));
+    loop_.after(age,
+                [this]
+                {
+                    if (inject_faults_)
+                    {
+                        return_store_from_copy();
+                        schedule_store_return();
+                    }
+                });
+}
+
+void soak_run::return_store_from_copy()
+{
+    record_event("the store returns from an old copy");
+    store_.return_from_copy();
+    // the operator and the targets write again what they had written since
+    const auto delay =
+        millis(200 + static_cast<std::int64_t>(return_random_.below(1500)));
+    loop_.after(delay,
+                [this]
+                {
+                    write_again();
+                });
+}
+
+void soak_run::write_again()
+{
+    write_configuration();
+    for (soak_target& each : targets_)
+    {
+        write_entry(each);
+    }
+}
+
+void soak_run::probe_dropped_route()
+{
+    soak_host& host = *hosts_[return_random_.below(hosts_.size())];
+    const auto now = time_.steady_now();
+    const auto version =
+        1 + static_cast<int>(return_random_.below(static_cast<std::uint64_t>(version_)));
+    const auto replaced = replaced_at_.find(version);
+    const bool is_dropped =
+        replaced != replaced_at_.end() && now - replaced->second > dropped_route_bound;
+    const bool is_disturbed = std::max(host.disturbed_until, all_disturbed_until_) >= now;
+    if (!is_dropped || is_disturbed)
+    {
+        return;
+    }
+    call_callbacks events;
+    events.on_head = [this, version, &host](const answer_head& head)
+    {
+        if (head.status == status_ok)
+        {
+            promises_.record_violation(absl::StrCat(
+                host.name, " served the dropped route of version ", version));
+        }
+    };
+    const std::string attempt = absl::StrCat("d", settings_.seed, "x", ++last_attempt_);
+    client_.start(
+        host.callers,
+        test::request_text("GET", absl::StrCat("/version-", version, "/x"), attempt),
+        {},
+        events);
+}
+
 void soak_run::clear_faults()
 {
     inject_faults_ = false;
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -8,6 +8,7 @@
 
 #include <medlar/detail/policy/random_source.hpp>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -76,6 +77,7 @@
         std::unique_ptr<test::stand_in_target> server;
         std::unique_ptr<fault_proxy> path;
         bool is_failing = false;
+        int sequence = 0;
     };
 
     // setup and main loop
@@ -84,6 +86,8 @@
     void start_hosts();
     std::string settings_json(const soak_host& host) const;
     void put_configuration();
+    void write_configuration();
+    void write_entry(soak_target& target);
     std::string rewrite_registration(const std::string& key,
                                      const std::string& value) const;
     bool run_until(millis timeout, const std::function<bool()>& condition);
@@ -111,6 +115,10 @@
     void inject_path_fault(fault_proxy& path, const std::string& name, soak_host* of);
     void inject_store_fault();
     void inject_target_fault();
+    void schedule_store_return();
+    void return_store_from_copy();
+    void write_again();
+    void probe_dropped_route();
     void schedule_restart(soak_host& host);
     void clear_faults();
     void record_event(const std::string& what);
@@ -118,6 +126,8 @@
 
     soak_settings settings_;
     random_source random_;
+    /// of the store's returns; apart from random_, so that older seeds play as before
+    random_source return_random_;
     medlar::clock time_ = medlar::clock::system();
     event_loop loop_{time_};
     http_client client_{loop_, 65536};
@@ -129,7 +139,9 @@
     promises promises_;
     std::vector<std::string> history_;
     steady_time started_at_;
-    int version_ = 1;
+    int version_ = 0;
+    /// when each version of the configuration was replaced by the next one
+    std::map<int, steady_time> replaced_at_;
     std::uint64_t last_attempt_ = 0;
     std::uint64_t last_handle_ = 0;
     std::set<std::string> handles_;
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -39,6 +39,7 @@
 soak_run::soak_run(const soak_settings& settings)
     : settings_(settings),
       random_(settings.seed),
+      return_random_(~settings.seed),
       store_endpoint_(test::free_endpoint()),
       store_(loop_, store_endpoint_)
 {
@@ -100,26 +101,42 @@
         });
     added.path = std::make_unique<fault_proxy>(
         loop_, test::free_endpoint(), added.server->where());
-    nlohmann::json entry = nlohmann::json::parse(added.server->entry());
-    entry["address"] = to_string(added.path->where());
-    store_.put(added.server->key(), entry.dump());
     targets_.push_back(std::move(added));
+    write_entry(targets_.back());
 }
 
-void soak_run::put_configuration()
+void soak_run::write_entry(soak_target& target)
+{
+    nlohmann::json entry =
+        nlohmann::json::parse(target.server->entry("ready", ++target.sequence));
+    entry["address"] = to_string(target.path->where());
+    store_.put(target.server->key(), entry.dump());
+}
+
+void soak_run::write_configuration()
 {
     nlohmann::json staged = test::route_json("/staged/", "stream", "plain");
     staged["stages"] = nlohmann::json::array(
         {{{"service", "stage"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}});
+    // each version drops the route of the one before
+    const std::string own_route = absl::StrCat("/version-", version_, "/");
     store_.put(
         "op/config",
-        test::configuration_json(version_++,
+        test::configuration_json(version_,
                                  {test::route_json("/idempotent/", "idempotent", "plain"),
                                   test::route_json("/once/", "non_idempotent", "plain"),
                                   test::route_json("/stream/", "stream", "plain"),
+                                  test::route_json(own_route, "idempotent", "plain"),
                                   staged}));
 }
 
+void soak_run::put_configuration()
+{
+    replaced_at_[version_] = time_.steady_now();
+    ++version_;
+    write_configuration();
+}
+
 std::string soak_run::settings_json(const soak_host& host) const
 {
     const auto text = [](const endpoint& at)
