--- a/include/medlar/detail/dispatch/change_source.hpp
+++ b/include/medlar/detail/dispatch/change_source.hpp
@@ -67,6 +67,12 @@
     /// @brief Records that the store itself has told this host all changes up to a time.
     void record_store(steady_time current_as_of);
 
+    /// @brief Returns the age of this host's knowledge above which it watches the store.
+    millis max_age() const
+    {
+        return max_age_;
+    }
+
     /// @brief Returns the time as of which this host knows the store.
     steady_time current_as_of() const
     {
--- /dev/null
+++ b/include/medlar/detail/entry/message_fields.hpp
@@ -0,0 +1,28 @@
+#ifndef MEDLAR_DETAIL_ENTRY_MESSAGE_FIELDS_HPP
+#define MEDLAR_DETAIL_ENTRY_MESSAGE_FIELDS_HPP
+
+#include <medlar/detail/base/clock.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace medlar
+{
+
+/// longest span that hosts tell each other; larger ones would overflow points in time
+constexpr millis max_message_span{86400000};
+
+/// @brief Reads a span in ms from a message of another host, cut to ±max_message_span.
+/// @throw nlohmann::json::exception if the field is missing or no number; message_link
+/// then ends the link
+inline millis read_span(const nlohmann::json& message, const char* name)
+{
+    const auto count = message.at(name).get<std::int64_t>();
+    return millis(std::clamp(count, -max_message_span.count(), max_message_span.count()));
+}
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_ENTRY_MESSAGE_FIELDS_HPP
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/entry/message_fields.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 
 #include <algorithm>
@@ -57,8 +58,8 @@
         job.inputs.emplace_back(each.get<std::string>());
     }
     job.priority = message.at("priority").get<int>();
-    job.soft_deadline = now + millis(message.at("aim_ms").get<std::int64_t>());
-    job.deadline = now + millis(message.at("left_ms").get<std::int64_t>());
+    job.soft_deadline = now + read_span(message, "aim_ms");
+    job.deadline = now + read_span(message, "left_ms");
     job.preferred_domain = failure_domain_id(message.at("domain").get<std::string>());
     job.result_size = byte_count(message.at("bytes").get<std::int64_t>());
     job.transfer_size = byte_count(message.at("moved").get<std::int64_t>());
@@ -446,10 +447,10 @@
         context_.loop.cancel(found->second.acknowledgement);
         record_expected(found->second,
                         message.at("late").get<bool>(),
-                        millis(message.at("expected_ms").get<std::int64_t>()));
+                        read_span(message, "expected_ms"));
         if (!message.at("accepted").get<bool>())
         {
-            refuse(ticket, millis(message.at("retry_ms").get<std::int64_t>()));
+            refuse(ticket, read_span(message, "retry_ms"));
             return true;
         }
         // hosts of an older version do not send waited_ms
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/entry/message_fields.hpp>
 #include <medlar/detail/entry/store_mirror.hpp>
 
 #include <absl/strings/match.h>
@@ -318,7 +319,7 @@
     {
         return delta_result::no_base;
     }
-    const millis lapse(delta.at("lapse_ms").get<std::int64_t>());
+    const millis lapse = read_span(delta, "lapse_ms");
     begin_era(reached.era, now);
     if (lapse > millis(0))
     {
--- a/test/entry/host_test.cpp
+++ b/test/entry/host_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace
 {
 
@@ -77,6 +79,8 @@
     CPPUNIT_TEST(rejects_invalid_requests);
     CPPUNIT_TEST(serves_its_metrics);
     CPPUNIT_TEST(outlives_messages_that_cannot_be_read);
+    CPPUNIT_TEST(outlives_messages_with_any_field_replaced);
+    CPPUNIT_TEST(serves_requests_that_arrive_just_after_it_was_told_to_stop);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -307,6 +311,83 @@
         CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(0, "/a/x"));
     }
 
+    void outlives_messages_with_any_field_replaced()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        const std::vector<nlohmann::json> valid{
+            {{"type", "job"},
+             {"number", 1},
+             {"pool", "plain"},
+             {"group", ""},
+             {"attempt", "a"},
+             {"stage", 0},
+             {"pieces", {0, 1}},
+             {"key", "k"},
+             {"inputs", {"h/1"}},
+             {"priority", 1},
+             {"aim_ms", 500},
+             {"left_ms", 900},
+             {"domain", "a"},
+             {"bytes", 9},
+             {"moved", 9},
+             {"first", true},
+             {"background", false}},
+            {{"type", "cancel"}, {"number", 1}},
+            {{"type", "refused"}, {"pool", "plain"}, {"group", ""}, {"key", "k"}},
+            {{"type", "free"}, {"handles", {"127.0.0.1:9/1"}}},
+            {{"type", "news?"}, {"era", 1}, {"revision", 1}, {"known_era", 1}},
+            {{"type", "follow"}, {"era", 1}, {"revision", 1}, {"asked_at", 1}},
+            {{"type", "unfollow"}}};
+        const std::vector<nlohmann::json> values{nullptr,
+                                                 -1,
+                                                 INT64_MAX,
+                                                 INT64_MIN,
+                                                 1e300,
+                                                 "text",
+                                                 nlohmann::json::array({1, "x"}),
+                                                 nlohmann::json::object(),
+                                                 nlohmann::json::binary({1, 2})};
+        for (const nlohmann::json& message : valid)
+        {
+            for (const auto& field : message.items())
+            {
+                for (const nlohmann::json& value : values)
+                {
+                    nlohmann::json changed = message;
+                    changed[field.key()] = value;
+                    const auto link = message_link::create(
+                        connection::connect(
+                            it.loop, it.all_settings[0].link_endpoint, millis(1000)),
+                        [](const nlohmann::json&) {},
+                        [](connection_end) {});
+                    link->send(changed);
+                    it.run_for(millis(2));
+                    link->close();
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(0, "/a/x"));
+    }
+
+    void serves_requests_that_arrive_just_after_it_was_told_to_stop()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        it.hosts[0]->host->drain();
+        const steady_time begin = it.time.steady_now();
+        int served = 0;
+        while (it.time.steady_now() - begin < millis(1500))
+        {
+            CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(0, "/a/x"));
+            ++served;
+        }
+        CPPUNIT_ASSERT(served > 10);
+        CPPUNIT_ASSERT(!it.is_ready(it.all_settings[0]));
+    }
+
     void serves_its_metrics()
     {
         host_fixture it;
@@ -325,6 +406,7 @@
     CPPUNIT_TEST_SUITE(several_entry_hosts);
     CPPUNIT_TEST(batch_pieces_of_all_hosts_into_calls);
     CPPUNIT_TEST(continue_when_a_piece_owner_is_lost);
+    CPPUNIT_TEST(take_no_second_copy_of_results_for_those_of_the_next_call);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -388,6 +470,29 @@
         }
     }
 
+    void take_no_second_copy_of_results_for_those_of_the_next_call()
+    {
+        staged_hosts it(1);
+        for (int i = 0; i < 3; ++i)
+        {
+            // the target sends the answer before once more, in place of the right one
+            it.repeat_last_answer = i > 0;
+            const auto answers = it.send_to_each_host();
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return answers[0]->ended;
+                }));
+            CPPUNIT_ASSERT_EQUAL(200, answers[0]->status);
+        }
+        std::set<std::string> inputs;
+        for (const request_head& each : it.engine.requests)
+        {
+            CPPUNIT_ASSERT(inputs.insert(std::string(each.headers.get("Inputs"))).second);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, inputs.size());
+    }
+
   private:
     /// hosts in front of one target that executes pieces and one engine
     class staged_hosts : public host_fixture
@@ -477,7 +582,13 @@
                                   to_string(stage_target.where()) + "/" +
                                       std::to_string(++result_count)}});
             }
-            const std::string text = nlohmann::json({{"items", items}}).dump();
+            std::string text = nlohmann::json({{"items", items}}).dump();
+            if (repeat_last_answer)
+            {
+                text = last_answer;
+                repeat_last_answer = false;
+            }
+            last_answer = text;
             loop.after(millis(30),
                        [exchange, text]
                        {
@@ -489,6 +600,8 @@
         std::size_t pieces = 0;
         int result_count = 0;
         bool hold_calls = false;
+        bool repeat_last_answer = false;
+        std::string last_answer;
         std::vector<exchange_ptr> held;
         stand_in_target stage_target;
         stand_in_target engine;
--- a/test/entry/target_contract_test.cpp
+++ b/test/entry/target_contract_test.cpp
@@ -17,8 +17,13 @@
 class raw_target : public connection_handler
 {
   public:
-    raw_target(event_loop& loop, std::string begin, std::string repeated)
-        : loop_(loop),
+    /// @param pace time between two sendings of @p repeated; 0 sends as fast as possible
+    raw_target(event_loop& loop,
+               std::string begin,
+               std::string repeated,
+               millis pace = millis(0))
+        : pace_(pace),
+          loop_(loop),
           where_(free_endpoint()),
           begin_(std::move(begin)),
           repeated_(std::move(repeated))
@@ -78,7 +83,9 @@
         // stops by itself, so that a host that reads on fails the test by its count
         constexpr std::size_t max_sent = 200000000;
         constexpr std::size_t bytes_per_turn = 65536;
-        const std::size_t end = std::min(max_sent, sent_bytes + bytes_per_turn);
+        const std::size_t per_turn =
+            pace_ > millis(0) ? repeated_.size() : bytes_per_turn;
+        const std::size_t end = std::min(max_sent, sent_bytes + per_turn);
         while (!is_closed && accepted_->unsent() == 0 && sent_bytes < end)
         {
             accepted_->send(repeated_);
@@ -86,7 +93,7 @@
         }
         if (!is_closed)
         {
-            loop_.after(millis(1),
+            loop_.after(std::max(millis(1), pace_),
                         [this]
                         {
                             send_more();
@@ -94,6 +101,7 @@
         }
     }
 
+    millis pace_;
     event_loop& loop_;
     endpoint where_;
     std::string begin_;
@@ -359,6 +367,78 @@
     }
 };
 
+class a_slow_stream : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_slow_stream);
+    CPPUNIT_TEST(is_forwarded_to_its_end);
+    CPPUNIT_TEST(ends_with_its_deadline_if_only_bytes_come_now_and_then);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void is_forwarded_to_its_end()
+    {
+        one_host_fixture it;
+        stand_in_target slow(it.loop,
+                             "i-1",
+                             "engines",
+                             [&it](const exchange_ptr& exchange)
+                             {
+                                 exchange->begin(200,
+                                                 "OK",
+                                                 signed_headers(*exchange),
+                                                 {body_kind::chunked, 0});
+                                 send_event(it, exchange, 1);
+                             });
+        it.store.put(slow.key(), slow.entry());
+        it.start_host();
+        const received_answer answer = it.fetch("/s/x");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT(answer.end == call_end::complete);
+        CPPUNIT_ASSERT(answer.body.find("id: 4\n") != std::string::npos);
+    }
+
+    void ends_with_its_deadline_if_only_bytes_come_now_and_then()
+    {
+        one_host_fixture it;
+        raw_target stalled(it.loop,
+                           "HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\n"
+                           "Response-Signature: s\r\n"
+                           "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n",
+                           ":",
+                           millis(100));
+        it.store.put("servers/i-1", stalled.entry("engines"));
+        it.start_host();
+        const steady_time begin = it.time.steady_now();
+        const received_answer answer = it.fetch("/s/x");
+        CPPUNIT_ASSERT(answer.end != call_end::complete);
+        // the request's deadline is 1,500 ms
+        CPPUNIT_ASSERT(it.time.steady_now() - begin < millis(2500));
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return stalled.is_closed;
+            }));
+    }
+
+  private:
+    static void send_event(one_host_fixture& it, const exchange_ptr& exchange, int number)
+    {
+        constexpr int last = 4;
+        exchange->write("id: " + std::to_string(number) + "\ndata: x\n\n");
+        if (number == last)
+        {
+            exchange->finish();
+            return;
+        }
+        it.loop.after(millis(350),
+                      [&it, exchange, number]
+                      {
+                          send_event(it, exchange, number + 1);
+                      });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_slow_stream);
 CPPUNIT_TEST_SUITE_REGISTRATION(a_target_that_is_leaving);
 CPPUNIT_TEST_SUITE_REGISTRATION(a_target_that_wants_a_pause);
 CPPUNIT_TEST_SUITE_REGISTRATION(bytes_without_end);
