--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -108,10 +108,10 @@
     is_settled_ = true;
     if (!is_reading_)
     {
-        // the other hosts have registered since the first reading
+        // the other hosts have registered since the first reading: the source is chosen
+        // when they are known
         read_prefixes_from(prefixes_.size() - 1, read_mode::stale);
     }
-    choose_source();
 }
 
 bool store_controller::is_in_contact() const
@@ -344,6 +344,7 @@
 {
     // from the prefix that failed: a store that refuses some calls of many is never read
     // otherwise
+    choose_source();
     context_.loop.after(next_retry_delay(),
                         [this, prefix, mode, generation = read_generation_]
                         {
@@ -366,6 +367,7 @@
     {
         inquiry_.record_no_peers();
     }
+    relays_ranked_at_ = steady_time();
     choose_source();
 }
 
--- a/test/entry/changes_test.cpp
+++ b/test/entry/changes_test.cpp
@@ -115,7 +115,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     /// changes have to be in force within this time
-    static constexpr millis bound_{2000};
+    static constexpr millis max_delay{2000};
 
     static std::size_t relay(const changing_fixture& it, std::size_t rank)
     {
@@ -143,7 +143,7 @@
         CPPUNIT_ASSERT(it.until_watches(2));
         const std::size_t calls = it.store.calls;
         it.put_configuration(4, {"/a/", "/b/"});
-        CPPUNIT_ASSERT(it.time_until_all_serve("/b/x") < bound_);
+        CPPUNIT_ASSERT(it.time_until_all_serve("/b/x") < max_delay);
         it.store.put(it.target.key(), it.target.entry("draining"));
         for (std::size_t i = 0; i < it.hosts.size(); ++i)
         {
@@ -161,7 +161,7 @@
         it.kill(it.hosts[killed]);
         it.hosts[killed].reset();
         it.put_configuration(4, {"/a/", "/b/"});
-        CPPUNIT_ASSERT(it.time_until_all_serve("/b/x") < bound_);
+        CPPUNIT_ASSERT(it.time_until_all_serve("/b/x") < max_delay);
     }
 
     void learn_of_changes_when_both_relays_are_frozen()
@@ -175,7 +175,7 @@
             it.hosts[frozen].reset();
         }
         it.put_configuration(4, {"/a/", "/b/"});
-        CPPUNIT_ASSERT(it.time_until_all_serve("/b/x") < bound_);
+        CPPUNIT_ASSERT(it.time_until_all_serve("/b/x") < max_delay);
     }
 };
 
