Ask the store for an era that a peer reports

A malformed question with a very large era made a host ignore every later answer of the store. The host now asks the store, and takes no step of more than 1000 eras from the changes of a peer. Found by replacing each field of each message between hosts and then changing the configuration.

--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -107,6 +107,8 @@
     void choose_source();
     void apply_source(const change_source& chosen);
     void follow(const host_id& relay);
+    /// asks the store for its era, after a peer has reported a newer one
+    void verify_era();
     void handle_news(const nlohmann::json& message);
     void handle_current(const host_id& from, const nlohmann::json& message);
 
@@ -128,6 +130,7 @@
     bool is_leaving_ = false;
     bool is_settled_ = false;
     bool is_era_missing_ = false;
+    bool is_verifying_era_ = false;
     bool is_source_timer_set_ = false;
     millis retry_delay_{0};
     std::uint64_t registration_number_ = 0;
--- a/src/entry/store_controller_peers.cpp
+++ b/src/entry/store_controller_peers.cpp
@@ -135,6 +135,23 @@
     }
 }
 
+void store_controller::verify_era()
+{
+    // the era counts only if the store states it, see call()
+    if (is_verifying_era_)
+    {
+        return;
+    }
+    is_verifying_era_ = true;
+    call(context_.protocol.write_range_call(
+             context_.protocol.configuration_key(), {}, read_mode::linearizable),
+         context_.settings.change_bound,
+         [this](const reply&)
+         {
+             is_verifying_era_ = false;
+         });
+}
+
 bool store_controller::handle_request(const std::shared_ptr<message_link>& from,
                                       const nlohmann::json& message)
 {
@@ -143,7 +160,7 @@
     const auto known_era = message.value("known_era", std::int64_t{0});
     if (known_era > mirror_.version().era && mirror_.has_been_filled())
     {
-        begin_era(known_era);
+        verify_era();
     }
     if (type == "follow")
     {
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -20,6 +20,10 @@
 // targets and hosts that come and go, less than 1 MB
 constexpr std::size_t max_removals = 4096;
 
+// the store returns from copies rarely: a host that reports a step of more eras than this
+// has sent a malformed message
+constexpr std::int64_t max_era_step = 1000;
+
 nlohmann::json to_json(const store_version& version)
 {
     return {{"era", version.era}, {"revision", version.revision}};
@@ -310,7 +314,9 @@
 {
     const store_version reached = read_version(delta);
     const store_version base = read_version(delta.at("base"));
-    if (reached.era < version_.era || reached.revision == 0)
+    const bool is_possible =
+        version_.era == 0 || reached.era - version_.era <= max_era_step;
+    if (reached.era < version_.era || reached.revision <= 0 || !is_possible)
     {
         return delta_result::older;
     }
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -145,6 +145,7 @@
     CPPUNIT_TEST(may_return_twice_in_a_row);
     CPPUNIT_TEST(is_told_apart_by_a_host_that_has_read_only_the_copy);
     CPPUNIT_TEST(is_told_of_by_another_host);
+    CPPUNIT_TEST(is_not_believed_in_an_impossible_era);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -287,6 +288,17 @@
         CPPUNIT_ASSERT(observed_.items.count("s/gone") == 0);
     }
 
+    void is_not_believed_in_an_impossible_era()
+    {
+        fill(observed_);
+        observed_mirror malformed;
+        know_contents(malformed);
+        malformed.mirror.apply(page_of(INT64_MAX, {item("config", "v10", 1)}, 1), now_);
+        observed_.mirror.apply_delta(malformed.mirror.delta_since({}, now_), now_);
+        CPPUNIT_ASSERT(observed_.mirror.version() == (store_version{1, 15}));
+        CPPUNIT_ASSERT_EQUAL(std::string("v9"), observed_.items["config"]);
+    }
+
     void is_told_of_by_another_host()
     {
         fill(observed_);
--- a/test/entry/host_test.cpp
+++ b/test/entry/host_test.cpp
@@ -369,6 +369,10 @@
             }
         }
         CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(0, "/a/x"));
+        // and it still follows the store
+        it.store.put("op/config",
+                     configuration_json(9, {route_json("/b/", "idempotent", "plain")}));
+        CPPUNIT_ASSERT(it.until_status(0, "/b/x", 200));
     }
 
     void serves_requests_that_arrive_just_after_it_was_told_to_stop()
