--- a/test/decisions/dispatch/change_source_test.cpp
+++ b/test/decisions/dispatch/change_source_test.cpp
@@ -95,9 +95,9 @@
     CPPUNIT_TEST(is_checked_again_after_the_host_was_paused);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr millis max_age_{1800};
+    static constexpr millis max_age{1800};
     steady_time now_{100000};
-    change_source_choice choice_{host_id("self"), max_age_, now_};
+    change_source_choice choice_{host_id("self"), max_age, now_};
 
     void follow_two_relays()
     {
@@ -147,7 +147,7 @@
         follow_two_relays();
         run_with_reports(millis(5000), millis(0));
         const auto relay = choice_.choose(now_).relay;
-        now_ = now_ + max_age_ * 8 / 10;
+        now_ = now_ + max_age * 8 / 10;
         const change_source source = choice_.choose(now_);
         CPPUNIT_ASSERT(source.relay.has_value());
         CPPUNIT_ASSERT(source.relay != relay);
@@ -172,7 +172,7 @@
             }
             CPPUNIT_ASSERT(now_ - cut < millis(3000));
         }
-        CPPUNIT_ASSERT(now_ - cut <= max_age_ + millis(200));
+        CPPUNIT_ASSERT(now_ - cut <= max_age + millis(200));
 
         // until a relay is current again
         now_ = now_ + millis(3500);
