State what an older delta still changes

The comment of delta_result::older said that nothing was changed. A host that has read only an old copy of the store takes newer content and removals from a peer at the same version; is_told_apart_by_a_host_that_has_read_only_the_copy shows it. Comment only.

--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -19,7 +19,7 @@
 enum class delta_result
 {
     applied,
-    older,  ///< this host knows more; nothing was changed
+    older,  ///< this host knows more; only newer content and removals were taken
     no_base ///< changes before it are missing; nothing was changed
 };
 
