Keep the frozen peer's connection open for both of its calls

Two calls share the connection of a frozen peer, and each has 1 s. The thread of the second one also owned the accepted socket: when its call timed out first, it closed the socket, and the first call ended as broken (802) instead of as timed out (803). The assertion then left a joinable thread. Change: the socket outlives both calls, and the errors are compared after the thread was joined.

--- a/test/runtime/link_test.cpp
+++ b/test/runtime/link_test.cpp
@@ -494,15 +494,20 @@
         const auto client = link_client::create();
         link_call outgoing = call_to(where(listening), "x");
         outgoing.timeout = millis(1000);
+        // outlives both calls, since closing it would end the other one as broken
+        Poco::Net::StreamSocket accepted;
+        int second_error = 0;
         std::thread peer(
-            [&listening, &client, &outgoing]
+            [&]
             {
-                Poco::Net::StreamSocket accepted = listening.acceptConnection();
+                accepted = listening.acceptConnection();
                 send_settings(accepted, "");
-                CPPUNIT_ASSERT_EQUAL(803, error_of(client->call(outgoing)));
+                second_error = error_of(client->call(outgoing));
             });
-        CPPUNIT_ASSERT_EQUAL(803, error_of(client->call(outgoing)));
+        const int first_error = error_of(client->call(outgoing));
         peer.join();
+        CPPUNIT_ASSERT_EQUAL(803, first_error);
+        CPPUNIT_ASSERT_EQUAL(803, second_error);
     }
 
     void that_stays_silent_is_noticed_before_the_call_times_out()
