Let starting hosts ask three peers at once, for little

Each answer of a peer that does know held everything, 1 MB for 3,000 targets. At the same time each of 295 hosts copied the list of all hosts for each one that it read, and logged a line for each host and target. Change: a host asks three peers, spread over the list, as soon as it has read the store; a peer answers with what changed since, and with everything only if it holds what a store that returned from a copy does not show. Hosts are kept in a map, the lines of the first reading are one event (entry_serving), and a host has started when it has the targets too.

--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -59,6 +59,8 @@
                           const request_fields& fields,
                           int status,
                           absl::string_view why);
+    /// whether this host knows what it needs to serve requests
+    bool has_started() const;
     bool is_ready() const;
     bool accepts_requests() const;
 
@@ -81,10 +83,11 @@
     piece_broker broker_;
     store_mirror store_mirror_;
     store_controller store_controller_;
-    std::map<host_id, peer_host> known_hosts_;
     /// hosts whose registrations lapsed in an outage of the store, and until when they
     /// are kept
     std::map<host_id, steady_time> lapsed_hosts_;
+    /// whether the start is over, and each change is logged
+    bool is_serving_ = false;
     std::unique_ptr<http_server> caller_server_;
     std::unique_ptr<http_server> readiness_server_;
     std::unique_ptr<http_server> metrics_server_;
--- a/include/medlar/detail/entry/peer_inquiry.hpp
+++ b/include/medlar/detail/entry/peer_inquiry.hpp
@@ -22,6 +22,11 @@
     {
     }
 
+    /// @brief Returns the number of peers to ask at once.
+    /// @param has_read_store whether this host has read the store, so that an answer
+    /// holds only what the store does not show; otherwise an answer holds everything
+    static std::size_t peers_to_ask(bool has_read_store);
+
     /// @brief Records a peer's answer with what it knows; the inquiry is done.
     void record_knowledge()
     {
--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/entry/peer_network.hpp
@@ -35,8 +35,11 @@
     /// @brief Starts to accept links at this host's address.
     absl::Status listen();
 
-    /// @brief Sets the registered hosts; this one is left out.
-    void set_hosts(std::vector<peer_host> others);
+    /// @brief Adds or replaces a registered host; this one is left out.
+    void put(const peer_host& host);
+
+    /// @brief Removes a host that is no longer registered.
+    void remove(const host_id& host);
 
     /// @brief Sets the addresses that are tried while no other host is live.
     void set_seeds(std::vector<endpoint> seeds)
@@ -58,9 +61,9 @@
         return others_.size() + 1;
     }
 
-    /// @brief Returns the number of other hosts that send_to_any() chooses from,
-    /// suspected ones included.
-    std::size_t reachable_count() const
+    /// @brief Returns the number of other hosts that are registered, live or not; of the
+    /// seeds if there is none.
+    std::size_t other_count() const
     {
         return others_.empty() ? usable_seeds().size() : others_.size();
     }
@@ -72,9 +75,10 @@
     /// @return false if the host is not registered or its link is congested
     bool send(const host_id& host, const nlohmann::json& message);
 
-    /// @brief Sends a message to one other live host, or to a seed if there is none.
-    /// @param pick a random number that selects the host or seed
-    void send_to_any(std::size_t pick, const nlohmann::json& message);
+    /// @brief Sends a message to some other live hosts, or to a seed if there is none.
+    /// @param pick a random number that selects the hosts or the seed
+    /// @param count number of hosts; fewer if fewer are live
+    void send_to_some(std::size_t pick, std::size_t count, const nlohmann::json& message);
 
     /// @brief Sets the handler of messages on links that other hosts opened.
     void set_request_handler(message_handler handler)
@@ -111,7 +115,7 @@
 
     event_loop& loop_;
     peer_host self_;
-    std::vector<peer_host> others_;
+    std::map<host_id, peer_host> others_;
     std::vector<endpoint> seeds_;
     std::shared_ptr<listener> listener_;
     std::map<host_id, std::shared_ptr<message_link>> links_;
--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -102,6 +102,11 @@
     void register_host();
     void renew();
     void poll_peers();
+    /// asks other hosts for what the store may not show, see peer_inquiry
+    void ask_peers();
+    void send_question(std::size_t peers, bool is_starting);
+    nlohmann::json
+    answer_question(store_version since, bool is_starting, steady_time now) const;
 
     // changes from a relay
     void choose_source();
--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -78,6 +78,10 @@
         return has_been_filled_;
     }
 
+    /// @brief Returns whether the mirror holds content or removals that a store which
+    /// returned from an old copy may not show.
+    bool knows_more_than_store() const;
+
     /// @brief Returns what changed after @p since, for another host that has the store as
     /// of that version; everything if it is from another era.
     nlohmann::json delta_since(store_version since, steady_time now) const;
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -47,6 +47,9 @@
 inline constexpr event entry_target_leaving{1716, severity::info, "entry_target_leaving"};
 /// @brief a target has asked this host for a pause
 inline constexpr event entry_target_paused{1717, severity::info, "entry_target_paused"};
+/// @brief this host knows the configuration, the targets and the other hosts, and serves
+/// requests; changes after this are logged one by one
+inline constexpr event entry_serving{1718, severity::info, "entry_serving"};
 /// @brief a request was sent to a target
 inline constexpr event entry_request_sent{1720, severity::info, "entry_request_sent"};
 /// @brief a call of a request to a target failed or was refused
@@ -74,16 +77,21 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 27> entry_events{
-    entry_started,           entry_draining,         entry_stopped,
-    entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
-    entry_item_unreadable,   entry_store_lost,       entry_store_regained,
-    entry_target_changed,    entry_target_ejected,   entry_peer_lost,
-    entry_peer_changed,      entry_request_sent,     entry_call_failed,
-    entry_request_ended,     entry_request_rejected, entry_stage_ended,
-    entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped,
-    entry_stages_begun,      entry_caller_returned,  entry_store_era_changed,
-    entry_source_changed,    entry_target_leaving,   entry_target_paused};
+inline constexpr std::array<event, 28> entry_events{
+    entry_started,           entry_draining,
+    entry_stopped,           entry_settings_read,
+    entry_bad_setting,       entry_configuration_in_force,
+    entry_item_unreadable,   entry_store_lost,
+    entry_store_regained,    entry_target_changed,
+    entry_target_ejected,    entry_peer_lost,
+    entry_peer_changed,      entry_request_sent,
+    entry_call_failed,       entry_request_ended,
+    entry_request_rejected,  entry_stage_ended,
+    entry_piece_call_failed, entry_piece_call_ended,
+    entry_lines_dropped,     entry_stages_begun,
+    entry_caller_returned,   entry_store_era_changed,
+    entry_source_changed,    entry_target_leaving,
+    entry_target_paused,     entry_serving};
 
 } // namespace medlar
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -229,7 +229,7 @@
         send_error_reply(exchange, fields, status_unavailable, "this host is stopping");
         return;
     }
-    if (!context_.configuration || !store_controller_.has_asked_peers())
+    if (!has_started())
     {
         send_error_reply(exchange,
                          fields,
@@ -291,10 +291,15 @@
     send_local_reply(context_.protocol, *exchange, fields.attempt, status, more, why);
 }
 
+bool entry_host::has_started() const
+{
+    return context_.configuration != nullptr && store_mirror_.has_been_filled() &&
+           store_controller_.has_asked_peers();
+}
+
 bool entry_host::is_ready() const
 {
-    return context_.configuration != nullptr && !context_.targets.all().empty() &&
-           store_controller_.has_asked_peers() && !drain_started_at_;
+    return has_started() && !context_.targets.all().empty() && !drain_started_at_;
 }
 
 bool entry_host::accepts_requests() const
@@ -419,7 +424,7 @@
     {
         context_.client.close_idle(record->address);
     }
-    if (is_new || was_draining != record->is_draining)
+    if (is_serving_ && (is_new || was_draining != record->is_draining))
     {
         log_event(entry_target_changed,
                   {{"target", id.get()},
@@ -435,7 +440,7 @@
 {
     if (item.is_deleted)
     {
-        known_hosts_.erase(id);
+        peers_.remove(id);
     }
     else
     {
@@ -446,21 +451,18 @@
                       {{"what", item.key}, {"why", host.status().message()}});
             return;
         }
-        known_hosts_[id] = *host;
+        peers_.put(*host);
         lapsed_hosts_.erase(id);
     }
-    std::vector<peer_host> hosts;
-    for (const auto& each : known_hosts_)
-    {
-        hosts.push_back(each.second);
-    }
-    peers_.set_hosts(std::move(hosts));
     context_.host_count =
         std::max<std::size_t>(context_.host_count, peers_.registered_count());
-    log_event(entry_peer_changed,
-              {{"host", id.get()},
-               {"state", item.is_deleted ? "gone" : "registered"},
-               {"hosts", static_cast<std::int64_t>(peers_.registered_count())}});
+    if (is_serving_)
+    {
+        log_event(entry_peer_changed,
+                  {{"host", id.get()},
+                   {"state", item.is_deleted ? "gone" : "registered"},
+                   {"hosts", static_cast<std::int64_t>(peers_.registered_count())}});
+    }
 }
 
 void entry_host::drop_lapsed_hosts()
@@ -483,6 +485,13 @@
 {
     context_.targets.drop_lapsed(loop_.now());
     drop_lapsed_hosts();
+    if (!is_serving_ && has_started())
+    {
+        is_serving_ = true;
+        log_event(entry_serving,
+                  {{"targets", static_cast<std::int64_t>(context_.targets.all().size())},
+                   {"hosts", static_cast<std::int64_t>(peers_.registered_count())}});
+    }
     if (const std::size_t dropped = take_dropped_lines())
     {
         log_event(entry_lines_dropped, {{"lines", static_cast<std::int64_t>(dropped)}});
--- a/src/entry/peer_inquiry.cpp
+++ b/src/entry/peer_inquiry.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+std::size_t peer_inquiry::peers_to_ask(bool has_read_store)
+{
+    return has_read_store ? enough_peers : 1;
+}
+
 void peer_inquiry::record_ignorance(const host_id& peer, std::size_t registered_peers)
 {
     ignorant_.insert(peer);
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -82,27 +82,28 @@
     return absl::OkStatus();
 }
 
-void peer_network::set_hosts(std::vector<peer_host> others)
+void peer_network::put(const peer_host& host)
 {
-    others.erase(std::remove_if(others.begin(),
-                                others.end(),
-                                [this](const peer_host& each)
-                                {
-                                    return each.id == self_.id;
-                                }),
-                 others.end());
-    others_ = std::move(others);
+    if (host.id != self_.id)
+    {
+        others_[host.id] = host;
+    }
+}
+
+void peer_network::remove(const host_id& host)
+{
+    others_.erase(host);
 }
 
 std::vector<peer_host> peer_network::live_hosts() const
 {
     std::vector<peer_host> hosts{self_};
-    for (const peer_host& each : others_)
+    for (const auto& each : others_)
     {
-        const auto found = suspected_until_.find(each.id);
+        const auto found = suspected_until_.find(each.first);
         if (found == suspected_until_.end() || found->second <= loop_.now())
         {
-            hosts.push_back(each);
+            hosts.push_back(each.second);
         }
     }
     return hosts;
@@ -147,17 +148,12 @@
 
 bool peer_network::send(const host_id& host, const nlohmann::json& message)
 {
-    const auto found = std::find_if(others_.begin(),
-                                    others_.end(),
-                                    [&](const peer_host& each)
-                                    {
-                                        return each.id == host;
-                                    });
+    const auto found = others_.find(host);
     if (found == others_.end())
     {
         return false;
     }
-    const std::shared_ptr<message_link> link = link_to(host, found->link);
+    const std::shared_ptr<message_link> link = link_to(host, found->second.link);
     if (link->unsent() > max_unsent_bytes)
     {
         link->close();
@@ -175,12 +171,20 @@
     return usable;
 }
 
-void peer_network::send_to_any(std::size_t pick, const nlohmann::json& message)
+void peer_network::send_to_some(std::size_t pick,
+                                std::size_t count,
+                                const nlohmann::json& message)
 {
     const std::vector<peer_host> hosts = live_hosts();
-    if (hosts.size() > 1)
+    const std::size_t others = hosts.size() - 1;
+    if (others > 0)
     {
-        send(hosts[1 + pick % (hosts.size() - 1)].id, message);
+        // hosts of one failure domain often have adjacent names
+        const std::size_t step = std::max<std::size_t>(1, others / count);
+        for (std::size_t i = 0; i < std::min(count, others); ++i)
+        {
+            send(hosts[1 + (pick + i * step) % others].id, message);
+        }
         return;
     }
     const std::vector<endpoint> usable = usable_seeds();
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -363,10 +363,14 @@
     reached.era = era;
     mirror_.apply(reached, context_.loop.now());
     relay_.send_changes(context_.loop.now());
-    if (peers_.reachable_count() == 0)
+    if (peers_.other_count() == 0)
     {
         inquiry_.record_no_peers();
     }
+    if (!has_asked_peers())
+    {
+        ask_peers();
+    }
     relays_ranked_at_ = steady_time();
     choose_source();
 }
--- a/src/entry/store_controller_peers.cpp
+++ b/src/entry/store_controller_peers.cpp
@@ -36,19 +36,33 @@
                         {
                             poll_peers();
                         });
-    if (!is_asking && !is_store_lost_ && is_in_contact() && mirror_.is_filled())
+    if (is_asking)
     {
+        ask_peers();
         return;
     }
-    // the first question is for everything that peers know, see peer_inquiry; hosts of an
-    // older version read "since"
-    const store_version since = is_asking ? store_version{} : mirror_.version();
-    peers_.send_to_any(context_.random.below(1U << 20U),
-                       {{"type", "news?"},
-                        {"era", since.era},
-                        {"revision", since.revision},
-                        {"known_era", mirror_.version().era},
-                        {"since", since.revision}});
+    if (!is_store_lost_ && is_in_contact() && mirror_.is_filled())
+    {
+        return;
+    }
+    send_question(1, false);
+}
+
+void store_controller::ask_peers()
+{
+    send_question(peer_inquiry::peers_to_ask(mirror_.is_filled()), true);
+}
+
+void store_controller::send_question(std::size_t peers, bool is_starting)
+{
+    peers_.send_to_some(context_.random.below(1U << 20U),
+                        peers,
+                        {{"type", "news?"},
+                         {"era", mirror_.version().era},
+                         {"revision", mirror_.version().revision},
+                         {"known_era", mirror_.version().era},
+                         {"since", mirror_.version().revision},
+                         {"starting", is_starting}});
 }
 
 void store_controller::choose_source()
@@ -184,20 +198,29 @@
     }
     const store_version since{message.at("era").get<std::int64_t>(),
                               message.at("revision").get<std::int64_t>()};
-    const bool knows_nothing = !mirror_.has_been_filled() || !has_asked_peers();
-    if (knows_nothing)
+    if (!mirror_.has_been_filled() || !has_asked_peers())
     {
         from->send({{"type", "no_news"}});
     }
-    else if (mirror_.is_filled() && since < mirror_.version())
+    else if (mirror_.is_filled() && since.era <= mirror_.version().era &&
+             (message.value("starting", false) || since < mirror_.version()))
     {
-        nlohmann::json delta = mirror_.delta_since(since, now);
-        delta["type"] = "news";
-        from->send(delta);
+        from->send(answer_question(since, message.value("starting", false), now));
     }
     return true;
 }
 
+nlohmann::json store_controller::answer_question(store_version since,
+                                                 bool is_starting,
+                                                 steady_time now) const
+{
+    // a host that has just read the store lacks only what the store does not show
+    const bool needs_all = is_starting && mirror_.knows_more_than_store();
+    nlohmann::json news = mirror_.delta_since(needs_all ? store_version{} : since, now);
+    news["type"] = "news";
+    return news;
+}
+
 bool store_controller::handle_answer(const host_id& from, const nlohmann::json& message)
 {
     const std::string type = message.at("type").get<std::string>();
@@ -210,7 +233,7 @@
         else
         {
             // a host of an older version
-            inquiry_.record_ignorance(from, peers_.reachable_count());
+            inquiry_.record_ignorance(from, peers_.other_count());
         }
         return true;
     }
@@ -221,7 +244,7 @@
     }
     if (type == "no_news")
     {
-        inquiry_.record_ignorance(from, peers_.reachable_count());
+        inquiry_.record_ignorance(from, peers_.other_count());
         return true;
     }
     return false;
@@ -279,7 +302,7 @@
     source_choice_.record_lost(host, context_.loop.now());
     if (reason == connection_end::refused)
     {
-        inquiry_.record_ignorance(host, peers_.reachable_count());
+        inquiry_.record_ignorance(host, peers_.other_count());
     }
 }
 
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -209,6 +209,20 @@
     }
 }
 
+bool store_mirror::knows_more_than_store() const
+{
+    const auto is_known_longer = [this](const auto& each)
+    {
+        return each.second.is_held || each.second.version.era < version_.era;
+    };
+    const auto was_removed_before = [this](const auto& each)
+    {
+        return each.second.at.era < version_.era;
+    };
+    return std::any_of(items_.begin(), items_.end(), is_known_longer) ||
+           std::any_of(removals_.begin(), removals_.end(), was_removed_before);
+}
+
 nlohmann::json store_mirror::delta_since(store_version since, steady_time now) const
 {
     const bool is_same_era = since.era == version_.era && since.revision > 0;
--- a/test/decisions/entry/peer_inquiry_test.cpp
+++ b/test/decisions/entry/peer_inquiry_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
+
 namespace
 {
 
@@ -10,6 +12,8 @@
 class the_inquiry_of_a_starting_host : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(the_inquiry_of_a_starting_host);
+    CPPUNIT_TEST(needs_one_round_when_all_hosts_have_just_started);
+    CPPUNIT_TEST(asks_one_peer_for_everything);
     CPPUNIT_TEST(ends_with_the_first_peer_that_knows_something);
     CPPUNIT_TEST(ends_when_enough_peers_know_nothing);
     CPPUNIT_TEST(ends_when_all_peers_know_nothing);
@@ -20,6 +24,22 @@
     peer_inquiry inquiry_{start_};
 
   public:
+    void needs_one_round_when_all_hosts_have_just_started()
+    {
+        const std::size_t asked = peer_inquiry::peers_to_ask(true);
+        for (std::size_t i = 0; i < asked; ++i)
+        {
+            inquiry_.record_ignorance(host_id(std::to_string(i)), 294);
+        }
+        CPPUNIT_ASSERT(inquiry_.is_done(start_));
+    }
+
+    void asks_one_peer_for_everything()
+    {
+        // an answer of 3,000 targets is 1 MB, on links of 10 Mbit/s
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peer_inquiry::peers_to_ask(false));
+    }
+
     void ends_with_the_first_peer_that_knows_something()
     {
         CPPUNIT_ASSERT(!inquiry_.is_done(start_));
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST(is_told_apart_by_a_host_that_has_read_only_the_copy);
     CPPUNIT_TEST(is_told_of_by_another_host);
     CPPUNIT_TEST(is_not_believed_in_an_impossible_era);
+    CPPUNIT_TEST(shows_less_than_is_known);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -299,6 +300,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("v9"), observed_.items["config"]);
     }
 
+    void shows_less_than_is_known()
+    {
+        fill(observed_);
+        CPPUNIT_ASSERT(!observed_.mirror.knows_more_than_store());
+        // a removal within the era is in what the store shows
+        observed_.mirror.apply(page_of(1, {removal("s/a", 30)}, 30), now_);
+        CPPUNIT_ASSERT(!observed_.mirror.knows_more_than_store());
+        // a starting host that has read the copy needs everything
+        read_copy(observed_, 2, now_);
+        CPPUNIT_ASSERT(observed_.mirror.knows_more_than_store());
+    }
+
     void is_told_of_by_another_host()
     {
         fill(observed_);
