Free results through the hosts whose calls made them

The log shows calls of 10 pieces of at most 26 while 6,000 pieces waited, and targets idle in between: each one took about its result memory in 4 s, the lifetime of a result that nobody frees. A stage may leave the planned failure domain and follow its inputs; its results were freed through the owner for the planned domain, while the owner whose call made them kept them in its books until they lapsed. The same held for results that arrived after their job had ended, or changed owner. Less room made more stages leave their domain, so that the state kept itself up. Change: the broker remembers which host's call made each result that its requests hold, and frees it there. Test: the_memory_for_results::is_used_again_when_a_stage_left_the_planned_domain fails on the code before (503 instead of 200 for the second request).

--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -49,10 +49,9 @@
                         const failure_domain_id& domain,
                         const std::string& key);
 
-    /// @brief Frees results held by a pool's targets, through the owner of their group.
-    void free(const pool_id& pool,
-              const failure_domain_id& domain,
-              const std::vector<result_handle>& handles);
+    /// @brief Frees results, through the hosts whose calls made them: these account for
+    /// the memory of the targets.
+    void free(const std::vector<result_handle>& handles);
 
     /// @brief Handles a message that another host sent on a link of its own.
     /// @return false if its type is not one of the broker's
@@ -108,7 +107,11 @@
     void record_expected(const open_job& open, bool is_late, millis expected);
     void notify_retry(broker_ticket ticket, millis time_since_refusal);
     void reassign(broker_ticket ticket);
-    void piece_done(broker_ticket ticket, int piece, const piece_result& result);
+    /// @param maker the host that called the target
+    void piece_done(broker_ticket ticket,
+                    int piece,
+                    const piece_result& result,
+                    const host_id& maker);
     void refuse(broker_ticket ticket, millis retry_after);
     void handle_job(const std::shared_ptr<message_link>& from,
                     const nlohmann::json& message);
@@ -119,6 +122,8 @@
     piece_service& service_;
     std::map<broker_ticket, open_job> open_jobs_;
     std::map<std::uint64_t, remote_job> remote_jobs_;
+    /// the hosts whose calls made the results that this host's requests hold
+    std::map<result_handle, host_id> makers_;
     std::uint64_t last_id_ = 0;
 };
 
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -197,7 +197,7 @@
                               std::move(job),
                               {[this, ticket](int piece, const piece_result& result)
                                {
-                                   piece_done(ticket, piece, result);
+                                   piece_done(ticket, piece, result, peers_.self().id);
                                }});
 }
 
@@ -261,14 +261,21 @@
     on_refused(retry_after);
 }
 
-void piece_broker::piece_done(broker_ticket ticket, int piece, const piece_result& result)
+void piece_broker::piece_done(broker_ticket ticket,
+                              int piece,
+                              const piece_result& result,
+                              const host_id& maker)
 {
+    if (result.handle)
+    {
+        makers_[*result.handle] = maker;
+    }
     const auto found = open_jobs_.find(ticket);
     if (found == open_jobs_.end() || found->second.missing.count(piece) == 0)
     {
         if (result.handle)
         {
-            service_.free({*result.handle});
+            free({*result.handle});
         }
         return;
     }
@@ -301,24 +308,31 @@
     open_jobs_.erase(found);
 }
 
-void piece_broker::free(const pool_id& pool,
-                        const failure_domain_id& domain,
-                        const std::vector<result_handle>& handles)
+void piece_broker::free(const std::vector<result_handle>& handles)
 {
-    if (handles.empty())
-    {
-        return;
-    }
-    const host_id owner = owner_for(pool, domain).owner;
-    nlohmann::json names = nlohmann::json::array();
+    std::map<host_id, std::vector<result_handle>> by_maker;
     for (const result_handle& each : handles)
     {
-        names.push_back(each.get());
+        const auto found = makers_.find(each);
+        if (found == makers_.end())
+        {
+            continue;
+        }
+        by_maker[found->second].push_back(each);
+        makers_.erase(found);
     }
-    if (owner == peers_.self().id ||
-        !peers_.send(owner, {{"type", "free"}, {"handles", std::move(names)}}))
+    for (const auto& each : by_maker)
     {
-        service_.free(handles);
+        nlohmann::json names = nlohmann::json::array();
+        for (const result_handle& handle : each.second)
+        {
+            names.push_back(handle.get());
+        }
+        if (each.first == peers_.self().id ||
+            !peers_.send(each.first, {{"type", "free"}, {"handles", std::move(names)}}))
+        {
+            service_.free(each.second);
+        }
     }
 }
 
@@ -440,7 +454,7 @@
                             found->second.owner == from;
     if (type == "piece")
     {
-        piece_done(ticket, message.at("piece").get<int>(), read_piece(message));
+        piece_done(ticket, message.at("piece").get<int>(), read_piece(message), from);
     }
     else if (is_current)
     {
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -462,7 +462,7 @@
 
 void stage_pipeline::free_stage(std::size_t stage)
 {
-    broker_.free(request_.stages[stage].pool, request_.planned_domain, results_of(stage));
+    broker_.free(results_of(stage));
     stages_[stage].results.clear();
 }
 
