Log a host when it is new, not each time it is read

Cause: a host reads the list of hosts again 0.5 s after its start, and logged all 294 others as registered once more; on a host with an eighth of a core that is some 30 ms of its first second. Change: put() says whether the host was added, and only then a line is written.

--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/entry/peer_network.hpp
@@ -36,7 +36,8 @@
     absl::Status listen();
 
     /// @brief Adds or replaces a registered host; this one is left out.
-    void put(const peer_host& host);
+    /// @return whether it was added
+    bool put(const peer_host& host);
 
     /// @brief Removes a host that is no longer registered.
     void remove(const host_id& host);
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -438,6 +438,7 @@
 
 void entry_host::on_host_changed(const host_id& id, const store_item& item)
 {
+    bool is_new = false;
     if (item.is_deleted)
     {
         peers_.remove(id);
@@ -451,12 +452,12 @@
                       {{"what", item.key}, {"why", host.status().message()}});
             return;
         }
-        peers_.put(*host);
+        is_new = peers_.put(*host);
         lapsed_hosts_.erase(id);
     }
     context_.host_count =
         std::max<std::size_t>(context_.host_count, peers_.registered_count());
-    if (is_serving_)
+    if (is_serving_ && (is_new || item.is_deleted))
     {
         log_event(entry_peer_changed,
                   {{"host", id.get()},
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -82,12 +82,9 @@
     return absl::OkStatus();
 }
 
-void peer_network::put(const peer_host& host)
+bool peer_network::put(const peer_host& host)
 {
-    if (host.id != self_.id)
-    {
-        others_[host.id] = host;
-    }
+    return host.id != self_.id && others_.insert_or_assign(host.id, host).second;
 }
 
 void peer_network::remove(const host_id& host)
