--- a/test/entry/changes_test.cpp
+++ b/test/entry/changes_test.cpp
@@ -33,10 +33,14 @@
         }
     }
 
-    void add_host(const std::string& name, std::vector<endpoint> seeds = {})
+    void add_host(const std::string& name,
+                  std::vector<endpoint> seeds = {},
+                  const std::optional<endpoint>& store_address = std::nullopt)
     {
         all_settings.push_back(settings(name));
         all_settings.back().seeds = std::move(seeds);
+        all_settings.back().store_endpoint =
+            store_address.value_or(all_settings.back().store_endpoint);
         hosts.push_back(start(all_settings.back()));
     }
 
@@ -188,6 +192,7 @@
     CPPUNIT_TEST(is_followed_in_its_new_revisions);
     CPPUNIT_TEST(is_known_to_a_host_that_starts_afterwards);
     CPPUNIT_TEST(states_no_era_or_an_older_one);
+    CPPUNIT_TEST(brings_nothing_back_on_hosts_that_were_cut_off);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -279,6 +284,34 @@
         CPPUNIT_ASSERT_EQUAL(404, it.fetch_status(2, "/old/x"));
     }
 
+    void brings_nothing_back_on_hosts_that_were_cut_off()
+    {
+        changing_fixture it(2);
+        const endpoint second = free_endpoint();
+        it.store.add_address(second);
+        it.add_host("host-2", {}, second);
+        it.add_host("host-3", {}, second);
+        CPPUNIT_ASSERT(it.until_ready(2) && it.until_ready(3));
+        it.store.save_copy();
+        it.put_configuration(4, {"/a/"});
+        for (std::size_t i = 0; i < 4; ++i)
+        {
+            CPPUNIT_ASSERT(it.until_status(i, "/old/x", 404));
+        }
+        it.store.set_second_cut(true);
+        it.store.return_from_copy();
+        it.run_for(millis(1500));
+        it.store.set_second_cut(false);
+        it.run_for(millis(1500));
+        for (std::size_t i = 0; i < 4; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(404, it.fetch_status(i, "/old/x"));
+            CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(i, "/a/x"));
+        }
+        it.put_configuration(5, {"/a/", "/b/"});
+        it.time_until_all_serve("/b/x");
+    }
+
     void states_no_era_or_an_older_one()
     {
         changing_fixture it(2);
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -29,16 +29,43 @@
   public:
     stand_in_store(event_loop& loop, const endpoint& where) : loop_(loop)
     {
-        auto server =
-            http_server::listen(loop,
-                                where,
-                                limits_,
-                                [this](std::shared_ptr<caller_exchange> exchange)
+        server_ = listen(where,
+                         [this](const std::shared_ptr<caller_exchange>& exchange)
+                         {
+                             serve(exchange);
+                         });
+    }
+
+    /// Serves at a second address too, whose hosts can be cut off from the store.
+    void add_address(const endpoint& where)
+    {
+        second_server_ = listen(where,
+                                [this](const std::shared_ptr<caller_exchange>& exchange)
                                 {
+                                    second_exchanges_.push_back(exchange);
+                                    if (is_second_cut_)
+                                    {
+                                        exchange->abort();
+                                        return;
+                                    }
                                     serve(exchange);
                                 });
-        CPPUNIT_ASSERT_MESSAGE(server.status().ToString(), server.ok());
-        server_ = *std::move(server);
+    }
+
+    /// Cuts off the hosts that use the second address, or ends the cut.
+    void set_second_cut(bool cut)
+    {
+        is_second_cut_ = cut;
+        for (const std::weak_ptr<caller_exchange>& each : second_exchanges_)
+        {
+            const std::shared_ptr<caller_exchange> open = each.lock();
+            if (open && !open->is_disconnected())
+            {
+                drop_watch(open);
+                open->abort();
+            }
+        }
+        second_exchanges_.clear();
     }
 
     void put(const std::string& key, const std::string& value)
@@ -140,6 +167,14 @@
     }
 
   private:
+    std::unique_ptr<http_server> listen(const endpoint& where,
+                                        http_server::request_action on_request)
+    {
+        auto server = http_server::listen(loop_, where, limits_, std::move(on_request));
+        CPPUNIT_ASSERT_MESSAGE(server.status().ToString(), server.ok());
+        return *std::move(server);
+    }
+
     struct stored
     {
         std::string value;
@@ -319,6 +354,9 @@
     event_loop& loop_;
     server_limits limits_;
     std::unique_ptr<http_server> server_;
+    std::unique_ptr<http_server> second_server_;
+    std::vector<std::weak_ptr<caller_exchange>> second_exchanges_;
+    bool is_second_cut_ = false;
     std::map<std::string, stored> items_;
     std::vector<nlohmann::json> changes_;
     std::vector<watch> watches_;
