--- a/src/entry/store_controller_peers.cpp
+++ b/src/entry/store_controller_peers.cpp
@@ -55,6 +55,7 @@
 
 void store_controller::send_question(std::size_t peers, bool is_starting)
 {
+    // hosts of a version without eras read "since"
     peers_.send_to_some(context_.random.below(1U << 20U),
                         peers,
                         {{"type", "news?"},
