--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -27,6 +28,16 @@
 // its link.
 constexpr millis input_fetch_time{40};
 
+std::string join_part_ids(const std::vector<prompt_part>& prompt)
+{
+    return absl::StrJoin(prompt,
+                         ",",
+                         [](std::string* out, const prompt_part& each)
+                         {
+                             out->append(each.id);
+                         });
+}
+
 } // namespace
 
 void request_run::send()
@@ -104,7 +115,8 @@
                {"send", std::int64_t{send_count_}},
                {"in_flight", std::int64_t{target->in_flight}},
                {"left_ms", additions.remaining.count()},
-               {"after_event", last_event_id_.value_or(-1)}});
+               {"after_event", last_event_id_.value_or(-1)},
+               {"parts", join_part_ids(fields_.prompt)}});
     if (has_inputs_)
     {
         const std::weak_ptr<request_run> weak = weak_from_this();
