--- a/test/entry/stream_test.cpp
+++ b/test/entry/stream_test.cpp
@@ -266,6 +266,7 @@
     CPPUNIT_TEST(have_their_results_freed_once_the_engine_has_read_them);
     CPPUNIT_TEST(are_no_reason_to_refuse_what_has_run);
     CPPUNIT_TEST(accept_keys_that_are_not_utf_8);
+    CPPUNIT_TEST(are_not_done_again_beyond_the_retry_budget);
     CPPUNIT_TEST_SUITE_END();
 
     static void answer_stream(const exchange_ptr& exchange)
@@ -347,6 +348,27 @@
         CPPUNIT_ASSERT(it.is_ready(it.settings_));
     }
 
+    void are_not_done_again_beyond_the_retry_budget()
+    {
+        stream_fixture it;
+        it.settings_.retry_rule = {0.2, 5, millis(10000)};
+        int arrivals = 0;
+        it.open(true,
+                true,
+                [&](const exchange_ptr& exchange)
+                {
+                    ++arrivals;
+                    refuse_as_not_run(*exchange, 409);
+                });
+        constexpr int requests = 20;
+        for (int i = 0; i < requests; ++i)
+        {
+            it.fetch("Pieces: 1,1\r\nPiece-Key: k\r\n");
+        }
+        CPPUNIT_ASSERT(arrivals >= requests);
+        CPPUNIT_ASSERT(arrivals - requests <= requests / 5 + 5);
+    }
+
     void have_their_results_freed_once_the_engine_has_read_them()
     {
         stream_fixture it;
