Count sends after lost stage results as retries

Cause: an engine that lacks a stage result answers 409; the stages run again and the request is sent again, but only retry() looked at the retry budget and recorded what it sent. A request whose engine crashed met this each time: its results are freed 40 ms after it was sent, so its repeat was always refused with 409 and sent a third time.

Change: a send after a 409 takes from the budget. A repeat whose results were freed runs the stages first, which saves the send that is refused.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -68,6 +68,12 @@
     void release_call();
     void on_not_run(const answer_head& head);
     bool retry(bool has_run);
+    /// runs the stages again, and sends the request again after them
+    /// @return false if that is not possible, or beyond the retry budget
+    bool repeat_stages();
+    bool has_retry_budget();
+    /// records that the request is going to reach a target once more
+    void record_retry();
     void on_attempts_failed(absl::string_view why);
     /// refuses the request, or fails it with @p status_if_run if a target may have run it
     void refuse_or_fail(int status_if_run, millis retry_after, absl::string_view why);
@@ -98,6 +104,7 @@
     std::shared_ptr<stage_pipeline> pipeline_;
     std::vector<result_handle> inputs_;
     bool has_inputs_ = false;
+    bool are_results_freed_ = false;
     target_id planned_target_;
 
     std::shared_ptr<client_call> call_;
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -206,7 +206,7 @@
     context_.record_target_call(target_, call_result::refused);
     call_->cancel();
     release_call();
-    if (head.status == status_conflict && pipeline_ && pipeline_->restart())
+    if (head.status == status_conflict && pipeline_ && repeat_stages())
     {
         tried_targets_.clear();
         return;
@@ -220,19 +220,46 @@
 bool request_run::retry(bool has_run)
 {
     const bool is_allowed = (!has_run && !may_have_run_) || route_.may_retry();
-    pool_retry_budget& budget = context_.budget_for(pool_);
-    const steady_time now = context_.loop.now();
-    if (!is_allowed || send_count_ >= route_.max_attempts ||
-        remaining_time() <= millis(0) || !budget.may_retry(now, context_.host_count))
+    if (!is_allowed || send_count_ >= route_.max_attempts)
     {
         return false;
     }
-    budget.record_retry(now);
-    context_.metrics->add("medlar_repeats_total", {{"pool", pool_.get()}});
+    if (are_results_freed_)
+    {
+        // an engine would refuse the request, since its inputs are gone
+        return repeat_stages();
+    }
+    if (!has_retry_budget())
+    {
+        return false;
+    }
+    record_retry();
     send();
     return true;
 }
 
+bool request_run::repeat_stages()
+{
+    if (!has_retry_budget() || !pipeline_->restart())
+    {
+        return false;
+    }
+    record_retry();
+    return true;
+}
+
+bool request_run::has_retry_budget()
+{
+    return remaining_time() > millis(0) &&
+           context_.budget_for(pool_).may_retry(context_.loop.now(), context_.host_count);
+}
+
+void request_run::record_retry()
+{
+    context_.budget_for(pool_).record_retry(context_.loop.now());
+    context_.metrics->add("medlar_repeats_total", {{"pool", pool_.get()}});
+}
+
 void request_run::on_attempts_failed(absl::string_view why)
 {
     const std::optional<millis> callable_in =
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -191,6 +191,7 @@
 {
     inputs_ = inputs;
     has_inputs_ = true;
+    are_results_freed_ = false;
     send();
 }
 
@@ -211,6 +212,7 @@
     if (pipeline_)
     {
         pipeline_->free_results();
+        are_results_freed_ = true;
     }
 }
 
