Log the limit that a target states

A target in need states in its answers how many requests a second it takes from all hosts. The host reads it and logs each change (event 1719); nothing decides on it yet. A value that cannot be read changes nothing. The hosts of the crash tests move to entry_group, for the tests of limits.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -23,6 +23,8 @@
     steady_time refused_until;
     /// no call is sent before this time, since it asked for a pause
     steady_time paused_until;
+    /// requests per second that it takes from all hosts; unset if it has no limit
+    std::optional<double> rate_limit;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
     /// set if its registration expired during an outage of the store; it is removed then
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -74,6 +74,10 @@
     bool is_leaving = false;
     /// how long the target wants no more calls from this host; unset if it does not say
     std::optional<millis> pause;
+    /// requests per second that the target takes from all hosts; unset if it has no limit
+    std::optional<double> rate_limit;
+    /// the target states a limit that cannot be read
+    bool is_rate_limit_malformed = false;
 };
 
 /// @brief One piece of a stage, as sent to the target that executes it.
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -47,6 +47,8 @@
 inline constexpr event entry_target_leaving{1716, severity::info, "entry_target_leaving"};
 /// @brief a target has asked this host for a pause
 inline constexpr event entry_target_paused{1717, severity::info, "entry_target_paused"};
+/// @brief a target has stated how many requests a second it takes, or no longer does
+inline constexpr event entry_target_limited{1719, severity::info, "entry_target_limited"};
 /// @brief this host knows the configuration, the targets and the other hosts, and serves
 /// requests; changes after this are logged one by one
 inline constexpr event entry_serving{1718, severity::info, "entry_serving"};
@@ -84,7 +86,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 31> entry_events{
+inline constexpr std::array<event, 32> entry_events{
     entry_started,           entry_draining,
     entry_stopped,           entry_settings_read,
     entry_bad_setting,       entry_configuration_in_force,
@@ -100,7 +102,7 @@
     entry_source_changed,    entry_target_leaving,
     entry_target_paused,     entry_serving,
     entry_target_crashed,    entry_part_blocked,
-    entry_part_unblocked};
+    entry_part_unblocked,    entry_target_limited};
 
 } // namespace medlar
 
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -1,6 +1,8 @@
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
+#include <absl/strings/str_cat.h>
+
 #include <cmath>
 
 namespace medlar
@@ -57,7 +59,7 @@
 
 void entry_context::record_target_answer(const target_id& id, const answer_fields& answer)
 {
-    const target_state* const target = targets.find(id);
+    target_state* const target = targets.find(id);
     if (target == nullptr)
     {
         return;
@@ -70,6 +72,14 @@
                    {"started_ms", target->record.started_ms}});
         client.close_idle(target->record.address);
     }
+    if (!answer.is_rate_limit_malformed && target->rate_limit != answer.rate_limit)
+    {
+        target->rate_limit = answer.rate_limit;
+        log_event(entry_target_limited,
+                  {{"target", id.get()},
+                   {"pool", target->record.pool.get()},
+                   {"per_s", answer.rate_limit ? absl::StrCat(*answer.rate_limit) : ""}});
+    }
     const millis spread(static_cast<std::int64_t>(random.below(max_return_spread_ms)));
     if (answer.pause && targets.mark_paused(id, *answer.pause, spread, loop.now()))
     {
--- a/test/support/entry/crashing_pool.hpp
+++ b/test/support/entry/crashing_pool.hpp
@@ -1,10 +1,7 @@
 #ifndef MEDLAR_TEST_SUPPORT_ENTRY_CRASHING_POOL_HPP
 #define MEDLAR_TEST_SUPPORT_ENTRY_CRASHING_POOL_HPP
 
-#include "support/entry/entry_fixture.hpp"
-
-#include <absl/strings/match.h>
-#include <absl/strings/str_cat.h>
+#include "support/entry/entry_group.hpp"
 
 #include <memory>
 #include <set>
@@ -16,7 +13,7 @@
 
 /// @brief Entry hosts in front of model engines that crash when they begin to answer a
 /// request with certain prompt parts, and start again under new ids.
-class crashing_pool : public entry_fixture
+class crashing_pool : public entry_group
 {
   public:
     using exchange_ptr = std::shared_ptr<caller_exchange>;
@@ -30,34 +27,7 @@
         }
         nlohmann::json route = route_json("/a/", "stream", "plain");
         store.put("op/config", configuration_json(3, {route}));
-        for (int i = 0; i < host_count; ++i)
-        {
-            all_settings.push_back(settings(absl::StrCat("host-", i)));
-            hosts.push_back(start(all_settings.back()));
-        }
-        for (const entry_settings& each : all_settings)
-        {
-            expect_ready(each);
-        }
-        expect_acquainted();
-    }
-
-    /// Starts one more host.
-    void add_host(const std::string& name)
-    {
-        all_settings.push_back(settings(name));
-        hosts.push_back(start(all_settings.back()));
-        expect_ready(all_settings.back());
-        expect_acquainted();
-    }
-
-    /// Kills a host; those after it move up.
-    void kill_host(std::size_t which)
-    {
-        const auto at = static_cast<std::ptrdiff_t>(which);
-        kill(hosts.at(which));
-        hosts.erase(hosts.begin() + at);
-        all_settings.erase(all_settings.begin() + at);
+        start_hosts(host_count);
     }
 
     /// Sends a request with the given prompt to a host.
@@ -124,8 +94,6 @@
         waiting_.clear();
     }
 
-    std::vector<entry_settings> all_settings;
-    std::vector<std::shared_ptr<running_host>> hosts;
     /// prompt parts under which engines crash
     std::set<std::string> crashing_parts;
     /// whether engines answer requests, or leave them waiting
@@ -140,34 +108,6 @@
     static constexpr int max_crashes = 5;
     static constexpr millis contact_time{3000};
 
-    void expect_ready(const entry_settings& host)
-    {
-        CPPUNIT_ASSERT(until(
-            [&]
-            {
-                return is_ready(host);
-            }));
-    }
-
-    /// waits until all hosts know each other
-    void expect_acquainted()
-    {
-        const std::string live =
-            absl::StrCat("medlar_entry_hosts_live ", all_settings.size(), "\n");
-        for (const entry_settings& each : all_settings)
-        {
-            CPPUNIT_ASSERT(until(
-                [&]
-                {
-                    const std::string metrics =
-                        send(each.metrics_endpoint,
-                             "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
-                            .body;
-                    return absl::StrContains(metrics, live);
-                }));
-        }
-    }
-
     void start_engine(std::size_t which)
     {
         std::unique_ptr<stand_in_target>& engine = engines_.at(which);
