Keep to the limits that targets state, by permits

Cause: no host read the header; and a limit on all hosts together cannot be kept by each alone, as a host does not know what the others send.

Change: for each target, all hosts choose alike one host that gives out permits from a token bucket (rate_allowance); the others ask it before each request to a target with a limit. A denied request goes to another target, or is refused with the time of the next permit. The host that first hears of a limit tells it to all; the end of a limit is told to the host that gives out the permits, which answers requests for one that it is over. The owner of a group of stage targets takes from its own bucket, as only it calls them; results at a target with a limit are left to expire.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -25,6 +25,10 @@
     steady_time paused_until;
     /// requests per second that it takes from all hosts; unset if it has no limit
     std::optional<double> rate_limit;
+    /// when it last stated its limit
+    steady_time limit_stated_at;
+    /// no call is sent before this time, since the hosts have used up its limit
+    steady_time limited_until;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
     /// set if its registration expired during an outage of the store; it is removed then
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -13,6 +13,7 @@
 #include <medlar/detail/metrics/registry.hpp>
 #include <medlar/detail/policy/random_source.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -43,7 +44,7 @@
     void record_target_call(const target_id& id, call_result result);
 
     /// @brief Records what a target says of itself in the head of an answer: that it is
-    /// going to stop, or wants no calls for a while.
+    /// going to stop, wants no calls for a while, or takes no more than some a second.
     void record_target_answer(const target_id& id, const answer_fields& answer);
 
     event_loop& loop;
@@ -59,10 +60,14 @@
     random_source random;
     /// number of entry hosts; limits of the whole system are divided by it
     std::size_t host_count = 1;
+    /// called when a target has stated its first limit, or none any more; may be empty
+    std::function<void(const target_id&)> on_limit_changed;
     /// the requests in progress; they end with the host
     std::set<std::shared_ptr<void>> running_requests;
 
   private:
+    void record_rate_limit(target_state& target, std::optional<double> per_s);
+
     std::map<pool_id, pool_retry_budget> budgets_;
     std::map<pool_id, double> first_event_ms_;
 };
--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/entry/crash_controller.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/limit_controller.hpp>
 #include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
@@ -80,6 +81,7 @@
     server_limits inner_limits_;
     entry_context context_;
     peer_network peers_;
+    limit_controller limit_controller_;
     piece_service piece_service_;
     piece_broker broker_;
     store_mirror store_mirror_;
--- /dev/null
+++ b/include/medlar/detail/entry/limit_controller.hpp
@@ -0,0 +1,102 @@
+#ifndef MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
+#define MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
+
+#include <medlar/detail/dispatch/rate_allowance.hpp>
+#include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/peer_network.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace medlar
+{
+
+/// @brief Shares the requests that a target with a limit takes among all hosts.
+///
+/// All hosts choose alike which host gives out the permits for a target; the others ask
+/// it before each request to that target. The host that first hears of a limit tells it
+/// to all others.
+class limit_controller
+{
+  public:
+    using permit_action = std::function<void(bool is_granted)>;
+
+    limit_controller(entry_context& context, peer_network& peers);
+
+    limit_controller(const limit_controller&) = delete;
+    limit_controller& operator=(const limit_controller&) = delete;
+
+    /// @brief Asks for a permit to send one request to a target with a limit. If it is not
+    /// granted, the target may not be called until a permit can be had.
+    /// @param on_answer called once, also before this function returns
+    void request_permit(const target_id& target, permit_action on_answer);
+
+    /// @brief Takes the permit for a call to a target to which only this host sends calls.
+    void take_permit(target_state& target);
+
+    /// @brief Handles a message that another host sent on a link of its own.
+    /// @return false if its type is not one of this controller's
+    bool handle_request(const std::shared_ptr<message_link>& from,
+                        const nlohmann::json& message);
+
+    /// @brief Handles the answer to a request for a permit.
+    /// @return false if its type is not one of this controller's
+    bool handle_answer(const nlohmann::json& message);
+
+    /// @brief Asks another host for the permits that a lost one was asked for.
+    void handle_peer_lost(const host_id& host);
+
+  private:
+    /// the permits that this host gives out for one target
+    struct issued_permits
+    {
+        std::int64_t started_ms;
+        rate_allowance allowance;
+        /// when the target last stated the limit, and that it has none any more
+        steady_time stated_at;
+        std::optional<steady_time> ended_at;
+    };
+
+    struct permit
+    {
+        bool is_granted = false;
+        millis wait{0};
+        /// the target no longer has a limit
+        bool has_ended = false;
+    };
+
+    struct pending_request
+    {
+        target_id target;
+        host_id issuer;
+        permit_action on_answer;
+        timer_id timeout{0};
+        int attempts = 0;
+    };
+
+    host_id issuer_of(const target_id& target) const;
+    void handle_limit_changed(const target_id& target);
+    permit issue(const target_id& target,
+                 std::int64_t started_ms,
+                 double per_s,
+                 steady_time stated_at);
+    void record_end(const target_id& target, std::int64_t started_ms);
+    void ask(std::uint64_t number);
+    void apply(std::uint64_t number, const permit& answer);
+    void handle_silence(std::uint64_t number);
+
+    entry_context& context_;
+    peer_network& peers_;
+    std::map<target_id, issued_permits> issued_;
+    std::map<std::uint64_t, pending_request> pending_;
+    std::uint64_t last_number_ = 0;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/dispatch/piece_queue.hpp>
 #include <medlar/detail/dispatch/refused_requests.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/limit_controller.hpp>
 
 #include <deque>
 #include <functional>
@@ -34,7 +35,8 @@
 class piece_service
 {
   public:
-    explicit piece_service(entry_context& context) : context_(context)
+    piece_service(entry_context& context, limit_controller& limits)
+        : context_(context), limits_(limits)
     {
     }
 
@@ -110,6 +112,7 @@
     void flush_frees();
 
     entry_context& context_;
+    limit_controller& limits_;
     std::map<piece_group, std::unique_ptr<group_state>> groups_;
     std::set<std::shared_ptr<sent_call>> sent_calls_;
     /// hashes of the newest answers of each target
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/entry/crash_controller.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/limit_controller.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/stage_pipeline.hpp>
 #include <medlar/detail/http/event_stream.hpp>
@@ -27,6 +28,7 @@
     create(entry_context& context,
            piece_broker& broker,
            crash_controller& crashes,
+           limit_controller& limits,
            std::shared_ptr<caller_exchange> exchange,
            request_fields fields,
            configuration_ptr configuration,
@@ -44,6 +46,7 @@
     request_run(entry_context& context,
                 piece_broker& broker,
                 crash_controller& crashes,
+                limit_controller& limits,
                 std::shared_ptr<caller_exchange> exchange,
                 request_fields fields,
                 configuration_ptr configuration,
@@ -65,6 +68,10 @@
 
     // attempts
     void send();
+    void send_to(target_state& target);
+    /// sends the request to a target with a limit if the hosts have not used that up, or
+    /// else to another target
+    void send_with_permit(const target_id& id);
     /// refuses or fails the request if a part of its prompt crashes targets
     /// @return whether it did
     bool end_if_blocked();
@@ -99,6 +106,7 @@
     entry_context& context_;
     piece_broker& broker_;
     crash_controller& crashes_;
+    limit_controller& limits_;
     std::shared_ptr<caller_exchange> exchange_;
     request_fields fields_;
     configuration_ptr configuration_;
--- a/include/medlar/detail/policy/target_health.hpp
+++ b/include/medlar/detail/policy/target_health.hpp
@@ -63,6 +63,9 @@
 /// @brief Returns the health while a probe is in flight.
 target_health start_probe(const target_health& health);
 
+/// @brief Returns the health of a target whose probe was not sent: it is due again.
+target_health cancel_probe(const target_health& health);
+
 /// @brief Returns whether a result counts as a failure of the target.
 bool is_target_failure(call_result result);
 
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -85,7 +85,8 @@
     std::optional<millis> first;
     for (const target_state* each : serving(pool))
     {
-        const steady_time from = std::max(each->paused_until, each->refused_until);
+        const steady_time from =
+            std::max({each->paused_until, each->refused_until, each->limited_until});
         const millis wait = std::max(millis(0), from - now);
         first = first ? std::min(*first, wait) : wait;
     }
@@ -171,6 +172,7 @@
 bool may_call(const target_state& target, steady_time now)
 {
     return now >= target.refused_until && now >= target.paused_until &&
+           now >= target.limited_until &&
            (target.health.state == health_state::healthy ||
             probe_is_due(target.health, now));
 }
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -72,13 +72,9 @@
                    {"started_ms", target->record.started_ms}});
         client.close_idle(target->record.address);
     }
-    if (!answer.is_rate_limit_malformed && target->rate_limit != answer.rate_limit)
+    if (!answer.is_rate_limit_malformed)
     {
-        target->rate_limit = answer.rate_limit;
-        log_event(entry_target_limited,
-                  {{"target", id.get()},
-                   {"pool", target->record.pool.get()},
-                   {"per_s", answer.rate_limit ? absl::StrCat(*answer.rate_limit) : ""}});
+        record_rate_limit(*target, answer.rate_limit);
     }
     const millis spread(static_cast<std::int64_t>(random.below(max_return_spread_ms)));
     if (answer.pause && targets.mark_paused(id, *answer.pause, spread, loop.now()))
@@ -91,6 +87,32 @@
     }
 }
 
+void entry_context::record_rate_limit(target_state& target, std::optional<double> per_s)
+{
+    if (per_s)
+    {
+        target.limit_stated_at = loop.now();
+    }
+    if (target.rate_limit == per_s)
+    {
+        return;
+    }
+    const bool is_first_or_end = target.rate_limit.has_value() != per_s.has_value();
+    target.rate_limit = per_s;
+    if (!per_s)
+    {
+        target.limited_until = steady_time();
+    }
+    log_event(entry_target_limited,
+              {{"target", target.record.id.get()},
+               {"pool", target.record.pool.get()},
+               {"per_s", per_s ? absl::StrCat(*per_s) : ""}});
+    if (is_first_or_end && on_limit_changed)
+    {
+        on_limit_changed(target.record.id);
+    }
+}
+
 void entry_context::record_target_call(const target_id& id, call_result result)
 {
     target_state* const target = targets.find(id);
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -93,7 +93,8 @@
       read_settings_(std::move(read_settings)),
       context_(loop, protocol, settings_, std::random_device{}()),
       peers_(loop, own_peer_host(settings)),
-      piece_service_(context_),
+      limit_controller_(context_, peers_),
+      piece_service_(context_, limit_controller_),
       broker_(context_, peers_, piece_service_),
       store_mirror_(
           [this](const store_item& item)
@@ -138,7 +139,8 @@
         [this](const std::shared_ptr<message_link>& from, const nlohmann::json& message)
         {
             if (!broker_.handle_request(from, message) &&
-                !crash_controller_.handle_request(from, message))
+                !crash_controller_.handle_request(from, message) &&
+                !limit_controller_.handle_request(from, message))
             {
                 store_controller_.handle_request(from, message);
             }
@@ -147,7 +149,8 @@
         [this](const host_id& from, const nlohmann::json& message)
         {
             if (!broker_.handle_answer(from, message) &&
-                !crash_controller_.handle_answer(message))
+                !crash_controller_.handle_answer(message) &&
+                !limit_controller_.handle_answer(message))
             {
                 store_controller_.handle_answer(from, message);
             }
@@ -158,6 +161,7 @@
             broker_.handle_owner_lost(host);
             store_controller_.handle_peer_lost(host, reason);
             crash_controller_.handle_peer_lost();
+            limit_controller_.handle_peer_lost(host);
         });
     peers_.set_requester_lost_handler(
         [this](const message_link* link)
@@ -270,6 +274,7 @@
     request_run::create(context_,
                         broker_,
                         crash_controller_,
+                        limit_controller_,
                         exchange,
                         fields,
                         configuration,
--- /dev/null
+++ b/src/entry/limit_controller.cpp
@@ -0,0 +1,279 @@
+#include <medlar/detail/entry/limit_controller.hpp>
+#include <medlar/detail/entry/message_fields.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace medlar
+{
+
+namespace
+{
+
+// placement of the permits: different from that of any pool's pieces
+constexpr char permit_group_name[] = "permits of targets";
+
+// a host that does not answer in this time is down or frozen
+constexpr millis answer_timeout{300};
+
+// hosts that are asked for one permit, one after the other
+constexpr int max_attempts = 2;
+
+// a target for which no permit can be had is not asked for again in this time
+constexpr millis min_wait{50};
+
+// targets with a limit that are remembered; those that are gone are dropped first
+constexpr std::size_t max_issued = 1024;
+
+} // namespace
+
+limit_controller::limit_controller(entry_context& context, peer_network& peers)
+    : context_(context), peers_(peers)
+{
+    context_.on_limit_changed = [this](const target_id& target)
+    {
+        handle_limit_changed(target);
+    };
+}
+
+host_id limit_controller::issuer_of(const target_id& target) const
+{
+    return rank_owners({pool_id(permit_group_name), target.get()}, peers_.live_hosts())
+        .front();
+}
+
+void limit_controller::handle_limit_changed(const target_id& target)
+{
+    const target_state* const state = context_.targets.find(target);
+    nlohmann::json message{{"target", target.get()},
+                           {"started_ms", state->record.started_ms}};
+    if (state->rate_limit)
+    {
+        message["type"] = "limit";
+        message["per_s"] = *state->rate_limit;
+        for (const peer_host& each : peers_.live_hosts())
+        {
+            peers_.send(each.id, message);
+        }
+        return;
+    }
+    const host_id issuer = issuer_of(target);
+    if (issuer == peers_.self().id)
+    {
+        record_end(target, state->record.started_ms);
+        return;
+    }
+    message["type"] = "limit_ended";
+    peers_.send(issuer, message);
+}
+
+void limit_controller::record_end(const target_id& target, std::int64_t started_ms)
+{
+    const auto found = issued_.find(target);
+    if (found != issued_.end() && found->second.started_ms == started_ms)
+    {
+        found->second.ended_at = context_.loop.now();
+    }
+}
+
+limit_controller::permit limit_controller::issue(const target_id& target,
+                                                 std::int64_t started_ms,
+                                                 double per_s,
+                                                 steady_time stated_at)
+{
+    const steady_time now = context_.loop.now();
+    auto found = issued_.find(target);
+    if (found != issued_.end() && found->second.started_ms != started_ms)
+    {
+        issued_.erase(found);
+        found = issued_.end();
+    }
+    if (found == issued_.end())
+    {
+        if (issued_.size() >= max_issued)
+        {
+            for (auto each = issued_.begin(); each != issued_.end();)
+            {
+                const bool is_gone = context_.targets.find(each->first) == nullptr;
+                each = is_gone ? issued_.erase(each) : std::next(each);
+            }
+        }
+        found = issued_
+                    .emplace(target,
+                             issued_permits{started_ms,
+                                            rate_allowance(per_s, now),
+                                            stated_at,
+                                            std::nullopt})
+                    .first;
+    }
+    issued_permits& issued = found->second;
+    if (issued.ended_at && stated_at <= *issued.ended_at)
+    {
+        return {true, millis(0), true};
+    }
+    if (issued.stated_at < stated_at)
+    {
+        issued.stated_at = stated_at;
+        issued.ended_at.reset();
+        issued.allowance.set_rate(per_s, now);
+    }
+    const bool is_granted = issued.allowance.take(now);
+    return {is_granted, issued.allowance.time_until_next(now), false};
+}
+
+void limit_controller::take_permit(target_state& target)
+{
+    const permit taken = issue(target.record.id,
+                               target.record.started_ms,
+                               *target.rate_limit,
+                               target.limit_stated_at);
+    target.limited_until = context_.loop.now() + taken.wait;
+}
+
+void limit_controller::request_permit(const target_id& target, permit_action on_answer)
+{
+    const std::uint64_t number = ++last_number_;
+    pending_request& added = pending_[number];
+    added.target = target;
+    added.on_answer = std::move(on_answer);
+    ask(number);
+}
+
+void limit_controller::ask(std::uint64_t number)
+{
+    pending_request& request = pending_.at(number);
+    const target_state* const target = context_.targets.find(request.target);
+    if (target == nullptr || !target->rate_limit || ++request.attempts > max_attempts)
+    {
+        const bool has_ended = target != nullptr && !target->rate_limit;
+        apply(number, {has_ended, answer_timeout, has_ended});
+        return;
+    }
+    request.issuer = issuer_of(request.target);
+    if (request.issuer == peers_.self().id)
+    {
+        apply(number,
+              issue(request.target,
+                    target->record.started_ms,
+                    *target->rate_limit,
+                    target->limit_stated_at));
+        return;
+    }
+    request.timeout = context_.loop.after(answer_timeout,
+                                          [this, number]
+                                          {
+                                              handle_silence(number);
+                                          });
+    const millis age = context_.loop.now() - target->limit_stated_at;
+    // a failed send is a lost peer, which is handled
+    peers_.send(request.issuer,
+                {{"type", "permit?"},
+                 {"number", number},
+                 {"target", request.target.get()},
+                 {"started_ms", target->record.started_ms},
+                 {"per_s", *target->rate_limit},
+                 {"age_ms", age.count()}});
+}
+
+void limit_controller::handle_silence(std::uint64_t number)
+{
+    peers_.suspect(pending_.at(number).issuer);
+    ask(number);
+}
+
+void limit_controller::handle_peer_lost(const host_id& host)
+{
+    std::vector<std::uint64_t> affected;
+    for (const auto& each : pending_)
+    {
+        if (each.second.issuer == host)
+        {
+            affected.push_back(each.first);
+        }
+    }
+    for (const std::uint64_t each : affected)
+    {
+        const auto found = pending_.find(each);
+        if (found != pending_.end())
+        {
+            context_.loop.cancel(found->second.timeout);
+            ask(each);
+        }
+    }
+}
+
+void limit_controller::apply(std::uint64_t number, const permit& answer)
+{
+    const auto found = pending_.find(number);
+    if (found == pending_.end())
+    {
+        return;
+    }
+    const pending_request request = std::move(found->second);
+    pending_.erase(found);
+    context_.loop.cancel(request.timeout);
+    target_state* const target = context_.targets.find(request.target);
+    if (target != nullptr && answer.has_ended)
+    {
+        target->rate_limit.reset();
+    }
+    else if (target != nullptr && !answer.is_granted)
+    {
+        target->limited_until = context_.loop.now() + std::max(min_wait, answer.wait);
+    }
+    request.on_answer(answer.is_granted);
+}
+
+bool limit_controller::handle_request(const std::shared_ptr<message_link>& from,
+                                      const nlohmann::json& message)
+{
+    const std::string type = message.at("type").get<std::string>();
+    if (type != "permit?" && type != "limit" && type != "limit_ended")
+    {
+        return false;
+    }
+    const target_id id(message.at("target").get<std::string>());
+    const auto started_ms = message.at("started_ms").get<std::int64_t>();
+    const steady_time now = context_.loop.now();
+    if (type == "limit_ended")
+    {
+        record_end(id, started_ms);
+        return true;
+    }
+    const auto per_s = message.at("per_s").get<double>();
+    if (type == "limit")
+    {
+        target_state* const target = context_.targets.find(id);
+        if (target != nullptr && target->record.started_ms == started_ms &&
+            !target->rate_limit)
+        {
+            target->rate_limit = per_s;
+            target->limit_stated_at = now;
+        }
+        return true;
+    }
+    const millis age = std::max(millis(0), read_span(message, "age_ms"));
+    const permit issued = issue(id, started_ms, per_s, now - age);
+    from->send({{"type", "permit"},
+                {"number", message.at("number").get<std::uint64_t>()},
+                {"granted", issued.is_granted},
+                {"wait_ms", issued.wait.count()},
+                {"ended", issued.has_ended}});
+    return true;
+}
+
+bool limit_controller::handle_answer(const nlohmann::json& message)
+{
+    if (message.at("type").get<std::string>() != "permit")
+    {
+        return false;
+    }
+    apply(message.at("number").get<std::uint64_t>(),
+          {message.at("granted").get<bool>(),
+           std::max(millis(0), read_span(message, "wait_ms")),
+           message.at("ended").get<bool>()});
+    return true;
+}
+
+} // namespace medlar
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -152,6 +152,12 @@
     while (const std::optional<piece_call> call = state.queue.next_call(now))
     {
         send(group, *call);
+        const target_state* const target = context_.targets.find(call->target.id);
+        if (target != nullptr && !may_call(*target, now))
+        {
+            // it has used up its limit
+            refresh_targets(group, state);
+        }
     }
     context_.loop.cancel(state.retry_timer);
     if (state.queue.waiting_pieces() > 0)
@@ -166,6 +172,11 @@
 
 void piece_service::send(const piece_group& group, const piece_call& call)
 {
+    target_state* const target = context_.targets.find(call.target.id);
+    if (target != nullptr && target->rate_limit)
+    {
+        limits_.take_permit(*target);
+    }
     auto sent = std::make_shared<sent_call>();
     sent->group = group;
     sent->id = call.id;
@@ -429,6 +440,12 @@
     std::vector<std::shared_ptr<client_call>> calls;
     for (const auto& each : all)
     {
+        const target_state* const holder = context_.targets.find_by_address(each.first);
+        if (holder != nullptr && holder->rate_limit)
+        {
+            // it drops the results when they expire; its calls are left for pieces
+            continue;
+        }
         for (std::size_t at = 0; at < each.second.size(); at += max_free_batch)
         {
             const auto begin = each.second.begin() + static_cast<std::ptrdiff_t>(at);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -78,9 +78,45 @@
         on_attempts_failed("no target can be called");
         return;
     }
-    target_ = target->record.id;
+    if (target->rate_limit)
+    {
+        send_with_permit(target->record.id);
+        return;
+    }
+    send_to(*target);
+}
+
+void request_run::send_with_permit(const target_id& id)
+{
+    const std::weak_ptr<request_run> weak = weak_from_this();
+    limits_.request_permit(id,
+                           [weak, id](bool is_granted)
+                           {
+                               const auto self = weak.lock();
+                               if (!self || self->ended_)
+                               {
+                                   return;
+                               }
+                               target_state* const target =
+                                   self->context_.targets.find(id);
+                               if (is_granted && target != nullptr && takes_work(*target))
+                               {
+                                   self->send_to(*target);
+                                   return;
+                               }
+                               if (target != nullptr)
+                               {
+                                   target->health = cancel_probe(target->health);
+                               }
+                               self->send();
+                           });
+}
+
+void request_run::send_to(target_state& target)
+{
+    target_ = target.record.id;
     tried_targets_.push_back(target_);
-    ++target->in_flight;
+    ++target.in_flight;
     call_additions additions;
     additions.remaining = remaining_time();
     additions.expected_target = target_;
@@ -131,7 +167,7 @@
                {"target", target_.get()},
                {"pool", pool_.get()},
                {"send", std::int64_t{send_count_}},
-               {"in_flight", std::int64_t{target->in_flight}},
+               {"in_flight", std::int64_t{target.in_flight}},
                {"left_ms", additions.remaining.count()},
                {"after_event", last_event_id_.value_or(-1)},
                {"parts", join_part_ids(fields_.prompt)}});
@@ -150,9 +186,9 @@
                             });
     }
     call_ = context_.client.start(
-        target->record.address,
+        target.record.address,
         context_.protocol.write_call(
-            exchange_->head(), exchange_->body(), target->record.address, additions),
+            exchange_->head(), exchange_->body(), target.record.address, additions),
         options,
         std::move(events));
 }
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -119,4 +119,14 @@
     return out;
 }
 
+target_health cancel_probe(const target_health& health)
+{
+    target_health out = health;
+    if (out.state == health_state::probing)
+    {
+        out.state = health_state::ejected;
+    }
+    return out;
+}
+
 } // namespace medlar
