--- a/include/medlar/detail/dispatch/rate_allowance.hpp
+++ b/include/medlar/detail/dispatch/rate_allowance.hpp
@@ -9,9 +9,9 @@
 /// @brief Token bucket of the requests that a target with a limit takes from all hosts.
 ///
 /// Answers bursts and pools that are limited as a whole: what comes evenly is let through
-/// at the full rate, and a burst of a quarter of a second at once. Two hosts that give out
-/// permits for one target for a while, since they disagree on who does, stay below the
-/// users' bound of one and a half times the limit and five requests in 4 s together.
+/// at the full rate, and a burst of a quarter of a second at once. Two hosts that give
+/// out permits for one target for a while, since they disagree on who does, stay below
+/// the users' bound of one and a half times the limit and five requests in 4 s together.
 class rate_allowance
 {
   public:
--- a/include/medlar/detail/entry/crash_check.hpp
+++ b/include/medlar/detail/entry/crash_check.hpp
@@ -9,8 +9,8 @@
 namespace medlar
 {
 
-/// @brief Finds out whether a target that broke off its calls has crashed: nothing listens
-/// at its address then. A target that resets single connections accepts new ones.
+/// @brief Finds out whether a target that broke off its calls has crashed: nothing
+/// listens at its address then. A target that resets single connections accepts new ones.
 class crash_check : public connection_handler
 {
   public:
--- a/include/medlar/detail/entry/limit_controller.hpp
+++ b/include/medlar/detail/entry/limit_controller.hpp
@@ -31,12 +31,13 @@
     limit_controller(const limit_controller&) = delete;
     limit_controller& operator=(const limit_controller&) = delete;
 
-    /// @brief Asks for a permit to send one request to a target with a limit. If it is not
-    /// granted, the target may not be called until a permit can be had.
+    /// @brief Asks for a permit to send one request to a target with a limit. If it is
+    /// not granted, the target may not be called until a permit can be had.
     /// @param on_answer called once, also before this function returns
     void request_permit(const target_id& target, permit_action on_answer);
 
-    /// @brief Takes the permit for a call to a target to which only this host sends calls.
+    /// @brief Takes the permit for a call to a target to which only this host sends
+    /// calls.
     void take_permit(target_state& target);
 
     /// @brief Handles a message that another host sent on a link of its own.
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -87,21 +87,16 @@
 
 /// @brief all events of this area
 inline constexpr std::array<event, 32> entry_events{
-    entry_started,           entry_draining,
-    entry_stopped,           entry_settings_read,
-    entry_bad_setting,       entry_configuration_in_force,
-    entry_item_unreadable,   entry_store_lost,
-    entry_store_regained,    entry_target_changed,
-    entry_target_ejected,    entry_peer_lost,
-    entry_peer_changed,      entry_request_sent,
-    entry_call_failed,       entry_request_ended,
-    entry_request_rejected,  entry_stage_ended,
-    entry_piece_call_failed, entry_piece_call_ended,
-    entry_lines_dropped,     entry_stages_begun,
-    entry_caller_returned,   entry_store_era_changed,
-    entry_source_changed,    entry_target_leaving,
-    entry_target_paused,     entry_serving,
-    entry_target_crashed,    entry_part_blocked,
+    entry_started,           entry_draining,         entry_stopped,
+    entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
+    entry_item_unreadable,   entry_store_lost,       entry_store_regained,
+    entry_target_changed,    entry_target_ejected,   entry_peer_lost,
+    entry_peer_changed,      entry_request_sent,     entry_call_failed,
+    entry_request_ended,     entry_request_rejected, entry_stage_ended,
+    entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped,
+    entry_stages_begun,      entry_caller_returned,  entry_store_era_changed,
+    entry_source_changed,    entry_target_leaving,   entry_target_paused,
+    entry_serving,           entry_target_crashed,   entry_part_blocked,
     entry_part_unblocked,    entry_target_limited};
 
 } // namespace medlar
--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -154,8 +154,7 @@
             const auto found = std::find(prompt.begin(), prompt.end(), part);
             if (found != prompt.end())
             {
-                depth = std::max(depth,
-                                 static_cast<std::size_t>(found - prompt.begin()));
+                depth = std::max(depth, static_cast<std::size_t>(found - prompt.begin()));
             }
         }
     }
--- a/src/dispatch/rate_allowance.cpp
+++ b/src/dispatch/rate_allowance.cpp
@@ -38,7 +38,8 @@
 void rate_allowance::refill(steady_time now)
 {
     const auto elapsed_ms = static_cast<double>((now - filled_at_).count());
-    tokens_ = std::min(capacity(), tokens_ + std::max(0.0, elapsed_ms) * per_s_ / ms_per_s);
+    tokens_ =
+        std::min(capacity(), tokens_ + std::max(0.0, elapsed_ms) * per_s_ / ms_per_s);
     filled_at_ = std::max(filled_at_, now);
 }
 
--- a/src/entry/crash_check.cpp
+++ b/src/entry/crash_check.cpp
@@ -24,8 +24,7 @@
     timer_ = loop_.after(settle_time,
                          [this, where]
                          {
-                             stream_ =
-                                 connection::connect(loop_, where, connect_timeout);
+                             stream_ = connection::connect(loop_, where, connect_timeout);
                              stream_->set_handler(this);
                          });
 }
--- a/src/entry/crash_controller.cpp
+++ b/src/entry/crash_controller.cpp
@@ -272,7 +272,8 @@
     for (const nlohmann::json& each : message.at("parts"))
     {
         const auto found = begun_at_.find(read_part(each));
-        if (found != begun_at_.end() && now - found->second <= read_span(each, "since_ms"))
+        if (found != begun_at_.end() &&
+            now - found->second <= read_span(each, "since_ms"))
         {
             begun.push_back({{"part", found->first.get()},
                              {"age_ms", (now - found->second).count()}});
@@ -313,9 +314,8 @@
 void crash_controller::block(prompt_part_key part)
 {
     record_blocked(part, context_.loop.now() + block_time);
-    send_to_all({{"type", "blocked"},
-                 {"part", part.get()},
-                 {"left_ms", block_time.count()}});
+    send_to_all(
+        {{"type", "blocked"}, {"part", part.get()}, {"left_ms", block_time.count()}});
     write_item(part);
 }
 
@@ -452,8 +452,9 @@
     const std::string hex = key.substr(context_.protocol.blocked_part_prefix().size());
     if (!absl::SimpleHexAtoi(hex, &part))
     {
-        log_event(entry_item_unreadable,
-                  {{"what", key}, {"why", "the key does not end in a hexadecimal number"}});
+        log_event(
+            entry_item_unreadable,
+            {{"what", key}, {"why", "the key does not end in a hexadecimal number"}});
         return std::nullopt;
     }
     return prompt_part_key(part);
--- a/test/soak/fault_proxy.hpp
+++ b/test/soak/fault_proxy.hpp
@@ -40,6 +40,13 @@
 
     void set_fault(path_fault fault);
 
+    /// @brief Closes all connections and refuses new ones, as if the process behind the
+    /// address had ended.
+    void stop();
+
+    /// @brief Accepts connections again after stop().
+    void resume();
+
   private:
     struct proxied_connection;
 
@@ -74,6 +81,7 @@
         bool is_closed = false;
     };
 
+    void listen();
     void accept(std::shared_ptr<connection> caller);
     void forward(proxied_connection& pair, bool from_caller);
     void close_both(proxied_connection& pair, bool from_caller);
--- a/test/soak/medlar_soak.cpp
+++ b/test/soak/medlar_soak.cpp
@@ -21,6 +21,7 @@
 DEFINE_bool(check_times,
             true,
             "check request durations; disable on a machine with other load");
+DEFINE_bool(crash_targets, false, "targets crash under a prompt part, and state limits");
 DEFINE_string(keep, "", "directory in which settings and logs of failed runs are kept");
 
 namespace
@@ -52,6 +53,7 @@
     soak::soak_settings settings;
     settings.seed = seed;
     settings.program = FLAGS_entry;
+    settings.crash_targets = FLAGS_crash_targets;
     const std::string parent_directory =
         FLAGS_keep.empty() ? std::filesystem::temp_directory_path().string() : FLAGS_keep;
     settings.directory =
--- /dev/null
+++ b/test/soak/soak_crashes.cpp
@@ -0,0 +1,121 @@
+// Targets that crash under a part of the prompt, and targets that state limits.
+
+#include "soak/soak_run.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace medlar::soak
+{
+
+namespace
+{
+
+constexpr millis request_interval{300};
+
+// time from a crash until the target is back
+constexpr millis restart_time{1500};
+
+// bound of the time in which hosts tell each other, and the requests that may still reach
+// targets later
+constexpr millis contact_time{3000};
+constexpr std::ptrdiff_t max_late_arrivals = 3;
+constexpr int crashes_to_know = 5;
+
+// time without faults in which requests with the part are refused
+constexpr millis calm_time{6000};
+
+} // namespace
+
+void soak_run::schedule_crashing_request()
+{
+    if (!inject_faults_)
+    {
+        return;
+    }
+    soak_target& limited = targets_[crash_random_.below(targets_.size())];
+    limited.limit = crash_random_.below(2) == 0 ? "" : "2";
+    send_crashing_request();
+    loop_.after(request_interval,
+                [this]
+                {
+                    schedule_crashing_request();
+                });
+}
+
+void soak_run::send_crashing_request()
+{
+    const soak_host& to = *hosts_[crash_random_.below(hosts_.size())];
+    const std::string attempt = absl::StrCat("c", settings_.seed, "x", ++last_attempt_);
+    const std::string prompt = absl::StrCat(
+        "Prompt-Prefix: shared:10,", crashing_part, ":10,own-", attempt, ":5\r\n");
+    client_.start(to.callers,
+                  test::request_text("POST", "/stream/x", attempt, "b", prompt),
+                  {},
+                  {});
+}
+
+void soak_run::crash_target(std::size_t which)
+{
+    soak_target& target = targets_[which];
+    crashing_arrivals_.push_back(time_.steady_now());
+    if (target.has_crashed)
+    {
+        return;
+    }
+    target.has_crashed = true;
+    if (++crashes_ == crashes_to_know)
+    {
+        fifth_crash_at_ = time_.steady_now();
+    }
+    record_event(target.server->key() + " crashes");
+    all_disturbed_until_ =
+        std::max(all_disturbed_until_, time_.steady_now() + restart_time + contact_time);
+    // the target is in the middle of a request
+    loop_.after(millis(0),
+                [&target]
+                {
+                    target.path->stop();
+                });
+    loop_.after(restart_time,
+                [this, &target]
+                {
+                    target.path->resume();
+                    target.has_crashed = false;
+                    ++target.born;
+                    write_entry(target);
+                });
+}
+
+void soak_run::check_crashes()
+{
+    const steady_time calm_from = time_.steady_now();
+    while (time_.steady_now() < calm_from + calm_time)
+    {
+        send_crashing_request();
+        const steady_time next = time_.steady_now() + request_interval;
+        while (time_.steady_now() < next)
+        {
+            run_once();
+        }
+    }
+    if (crashes_ < crashes_to_know)
+    {
+        return;
+    }
+    const steady_time known_from = std::max(calm_from, fifth_crash_at_) + contact_time;
+    const std::ptrdiff_t late = std::count_if(crashing_arrivals_.begin(),
+                                              crashing_arrivals_.end(),
+                                              [known_from](steady_time each)
+                                              {
+                                                  return known_from < each;
+                                              });
+    if (late > max_late_arrivals)
+    {
+        promises_.record_violation(absl::StrCat(
+            late, " requests with a part that crashes targets reached them late"));
+    }
+}
+
+} // namespace medlar::soak
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -76,6 +76,10 @@
     }
     inject_fault();
     schedule_store_return();
+    if (settings_.crash_targets)
+    {
+        schedule_crashing_request();
+    }
     run_until(settings_.fault_duration,
               []
               {
@@ -83,6 +87,10 @@
               });
     clear_faults();
     check_recovery();
+    if (settings_.crash_targets)
+    {
+        check_crashes();
+    }
     callers_active_ = false;
     run_until(recovery_timeout,
               [this]
@@ -343,6 +351,7 @@
     for (soak_target& each : targets_)
     {
         each.is_failing = false;
+        each.limit.clear();
         each.path->set_fault(path_fault::none);
     }
     for (const auto& each : hosts_)
