Close the stand-ins' descriptors in the soak's processes

Trace: the hosts' processes had inherited the listening sockets of the stand-ins, so a port that the soak had closed still accepted, and the targets had not crashed for the hosts.

--- a/test/soak/entry_process.cpp
+++ b/test/soak/entry_process.cpp
@@ -63,6 +63,8 @@
     const int flags = O_WRONLY | O_CREAT | O_APPEND;
     posix_spawn_file_actions_addopen(&files, 1, log_path_.c_str(), flags, 0644);
     posix_spawn_file_actions_adddup2(&files, 1, 2);
+    // an inherited listener would still accept when the stand-in has closed it
+    posix_spawn_file_actions_addclosefrom_np(&files, 3);
     std::string setting = absl::StrCat(platform::settings_variable, "=", settings_path_);
     std::vector<char*> environment;
     for (char** each = environ; *each != nullptr; ++each)
