--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -2,7 +2,7 @@
 #define MEDLAR_TEST_SOAK_SOAK_RUN_HPP
 
 #include "soak/entry_process.hpp"
-#include "soak/fault_proxy.hpp"
+#include "support/fault_proxy.hpp"
 #include "soak/promises.hpp"
 #include "support/entry/entry_fixture.hpp"
 
@@ -17,6 +17,9 @@
 namespace medlar::soak
 {
 
+using test::fault_proxy;
+using test::path_fault;
+
 /// prompt part under which the targets crash
 constexpr char crashing_part[] = "crashing";
 
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -21,17 +21,46 @@
 namespace medlar::test
 {
 
+/// @brief Reserves a port for a server of this process.
+/// @return false if it is reserved, or another socket listens there
+inline bool reserve_port(const endpoint& where)
+{
+    static std::set<std::uint16_t> used_ports;
+    try
+    {
+        open_listening_socket(where, 1);
+    }
+    catch (const Poco::Exception&)
+    {
+        return false;
+    }
+    return used_ports.insert(where.port).second;
+}
+
 /// @brief Returns a loopback address with a free port, each only once: nothing may listen
 /// there yet when the next one is chosen.
 inline endpoint free_endpoint()
 {
-    static std::set<std::uint16_t> used_ports;
-    std::uint16_t port = 0;
+    endpoint found{"127.0.0.1", 0};
     do
     {
-        port = open_listening_socket({"127.0.0.1", 0}, 1).address().port();
-    } while (!used_ports.insert(port).second);
-    return {"127.0.0.1", port};
+        found.port = open_listening_socket({"127.0.0.1", 0}, 1).address().port();
+    } while (!reserve_port(found));
+    return found;
+}
+
+/// @brief Returns a loopback address like free_endpoint() whose next port is free, too.
+inline endpoint free_endpoint_pair()
+{
+    for (;;)
+    {
+        const endpoint first = free_endpoint();
+        const endpoint next{first.address, static_cast<std::uint16_t>(first.port + 1)};
+        if (next.port != 0 && reserve_port(next))
+        {
+            return first;
+        }
+    }
 }
 
 /// @brief A target whose answers are given by the test. It refuses what is sent to
@@ -192,7 +221,7 @@
     {
         auto running = std::make_shared<running_host>(time);
         auto host = entry_host::create(running->loop,
-                                       protocol,
+                                       protocol_of(host_settings.host),
                                        host_settings,
                                        [host_settings]() -> absl::StatusOr<entry_settings>
                                        {
@@ -299,6 +328,15 @@
     platform::adapter protocol;
     http_client client{loop, 65536};
 
+  protected:
+    ~entry_fixture() = default;
+
+    /// the protocol of a host
+    virtual const entry_protocol& protocol_of(const host_id& /*host*/)
+    {
+        return protocol;
+    }
+
   private:
     std::vector<std::shared_ptr<running_host>> running_;
     std::vector<std::shared_ptr<running_host>> frozen_;
--- a/test/soak/fault_proxy.cpp
+++ b/test/support/fault_proxy.cpp
@@ -1,8 +1,12 @@
-#include "soak/fault_proxy.hpp"
+#include "support/fault_proxy.hpp"
+
+#include <medlar/detail/loop/listening_socket.hpp>
+
+#include <Poco/Net/SocketAddress.h>
 
 #include <stdexcept>
 
-namespace medlar::soak
+namespace medlar::test
 {
 
 namespace
@@ -60,8 +64,34 @@
     }
 }
 
+void fault_proxy::refuse_new()
+{
+    listener_->close();
+    listener_.reset();
+}
+
+void fault_proxy::hang()
+{
+    refuse_new();
+    fault_ = path_fault::silent;
+    full_ = open_listening_socket(where_, 1);
+    // the kernel drops further attempts to connect once the queue is full
+    constexpr int queue_size = 2;
+    for (int i = 0; i < queue_size; ++i)
+    {
+        queued_.emplace_back();
+        queued_.back().connectNB(Poco::Net::SocketAddress(where_.address, where_.port));
+    }
+}
+
 void fault_proxy::resume()
 {
+    if (!queued_.empty())
+    {
+        queued_.clear();
+        full_.close();
+        set_fault(path_fault::none);
+    }
     listen();
 }
 
@@ -165,4 +195,4 @@
     loop_.after(millis(0), [self] {});
 }
 
-} // namespace medlar::soak
+} // namespace medlar::test
--- a/test/soak/fault_proxy.hpp
+++ b/test/support/fault_proxy.hpp
@@ -1,13 +1,16 @@
-#ifndef MEDLAR_TEST_SOAK_FAULT_PROXY_HPP
-#define MEDLAR_TEST_SOAK_FAULT_PROXY_HPP
+#ifndef MEDLAR_TEST_SUPPORT_FAULT_PROXY_HPP
+#define MEDLAR_TEST_SUPPORT_FAULT_PROXY_HPP
 
 #include <medlar/detail/loop/listener.hpp>
 
+#include <Poco/Net/ServerSocket.h>
+
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
-namespace medlar::soak
+namespace medlar::test
 {
 
 /// @brief fault that a proxy applies to the bytes it forwards
@@ -44,7 +47,14 @@
     /// address had ended.
     void stop();
 
-    /// @brief Accepts connections again after stop().
+    /// @brief Lets open connections hang, and new ones too: they are never established,
+    /// as if the path to the address was cut.
+    void hang();
+
+    /// @brief Refuses new connections; open ones go on.
+    void refuse_new();
+
+    /// @brief Accepts connections again, after one of the functions above.
     void resume();
 
   private:
@@ -91,11 +101,14 @@
     endpoint upstream_;
     path_fault fault_ = path_fault::none;
     std::shared_ptr<listener> listener_;
+    /// accepts nothing; its queue is full
+    Poco::Net::ServerSocket full_;
+    std::vector<Poco::Net::StreamSocket> queued_;
     std::set<std::shared_ptr<proxied_connection>> connections_;
     // set to false by the destructor; timers that are still pending check it
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-} // namespace medlar::soak
+} // namespace medlar::test
 
-#endif // MEDLAR_TEST_SOAK_FAULT_PROXY_HPP
+#endif // MEDLAR_TEST_SUPPORT_FAULT_PROXY_HPP
