Ask other hosts before a refused connection counts as a crash

Cause: a target that breaks off its calls and then refuses a connection counted as crashed; a host whose connections are refused on the way sees the same of each target. Change: the host asks up to eight others whether they can connect; one that can refutes the crash (event 1742). A target that has ended refuses them too, so a real crash is reported some ms later, or after 250 ms if a host that was asked is silent.

--- a/include/medlar/detail/entry/crash_controller.hpp
+++ b/include/medlar/detail/entry/crash_controller.hpp
@@ -2,7 +2,7 @@
 #define MEDLAR_DETAIL_ENTRY_CRASH_CONTROLLER_HPP
 
 #include <medlar/detail/dispatch/crash_evidence.hpp>
-#include <medlar/detail/entry/crash_check.hpp>
+#include <medlar/detail/entry/connection_probe.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/store_controller.hpp>
@@ -94,13 +94,22 @@
     {
         target_crash crash;
         pool_id pool;
-        std::unique_ptr<crash_check> check;
+        std::unique_ptr<connection_probe> probe;
+        /// other hosts that have not answered whether they reach the target
+        std::size_t open_answers = 0;
+        timer_id timeout{0};
     };
 
     /// the two hosts that collect the reports
     std::vector<host_id> judges() const;
     bool is_judge() const;
     void send_to_all(const nlohmann::json& message);
+    /// asks other hosts about a target that this one cannot connect to: it has not
+    /// crashed if one of them reaches it
+    void ask_whether_reached(const target_id& target);
+    void answer_whether_reached(const std::shared_ptr<message_link>& from,
+                                const nlohmann::json& message);
+    void handle_whether_reached(const nlohmann::json& message);
     void end_check(const target_id& target, bool has_crashed);
     void report_crashes();
     void drop_old_crashes();
@@ -127,6 +136,9 @@
     store_controller& store_;
     steady_time may_judge_from_;
     std::map<target_id, pending_check> checks_;
+    /// probes for questions of other hosts
+    std::map<std::uint64_t, std::unique_ptr<connection_probe>> asked_probes_;
+    std::uint64_t last_probe_ = 0;
     /// crashes that this host has seen, the latest last
     std::deque<target_crash> own_crashes_;
     /// when a suspect was last seen to be harmless at this host
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -96,12 +96,23 @@
 /// @brief another target has answered at the address of a target
 inline constexpr event entry_target_replaced{
     1737, severity::info, "entry_target_replaced"};
+/// @brief this host has no network path to the targets of a pool
+inline constexpr event entry_path_lost{1738, severity::warning, "entry_path_lost"};
+/// @brief this host has a network path to the targets of a pool again
+inline constexpr event entry_path_regained{1739, severity::info, "entry_path_regained"};
+/// @brief a request was sent to another host, since this one has no path to its targets
+inline constexpr event entry_request_forwarded{
+    1740, severity::info, "entry_request_forwarded"};
+/// @brief another host has not taken a forwarded request, or its answer broke off
+inline constexpr event entry_forward_failed{1741, severity::info, "entry_forward_failed"};
+/// @brief a target that this host could not connect to runs: another host reaches it
+inline constexpr event entry_crash_refuted{1742, severity::info, "entry_crash_refuted"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 37> entry_events{
+inline constexpr std::array<event, 42> entry_events{
     entry_started,           entry_draining,         entry_stopped,
     entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
     entry_item_unreadable,   entry_store_lost,       entry_store_regained,
@@ -114,7 +125,8 @@
     entry_serving,           entry_target_crashed,   entry_suspect_blocked,
     entry_suspect_unblocked, entry_target_limited,   entry_origin_found,
     entry_version_appeared,  entry_shares_set,       entry_origins_saved,
-    entry_target_replaced};
+    entry_target_replaced,   entry_path_lost,        entry_path_regained,
+    entry_request_forwarded, entry_forward_failed,   entry_crash_refuted};
 
 } // namespace medlar
 
--- a/src/entry/crash_controller.cpp
+++ b/src/entry/crash_controller.cpp
@@ -20,6 +20,13 @@
 // placement of the judges: different from that of any pool's pieces
 constexpr char judge_group_name[] = "crashes of targets";
 
+// the other calls to a target that crashes end within this time, and its listener closes
+constexpr millis settle_time{10};
+
+// other hosts that are asked whether they reach a target: of so many, one has a path if
+// half of all hosts have
+constexpr std::size_t max_asked_hosts = 8;
+
 // time for all hosts to answer a question; they are some ms apart
 constexpr millis question_time{250};
 
@@ -146,12 +153,23 @@
         pending.crash.address = target.address;
         pending.crash.at = context_.loop.now();
         pending.pool = target.pool;
-        pending.check = std::make_unique<crash_check>(context_.loop,
-                                                      target.address,
-                                                      [this, id = target.id](bool crashed)
-                                                      {
-                                                          end_check(id, crashed);
-                                                      });
+        pending.probe =
+            std::make_unique<connection_probe>(context_.loop,
+                                               target.address,
+                                               settle_time,
+                                               [this, id = target.id](probe_result result)
+                                               {
+                                                   // a target that resets single
+                                                   // connections accepts new ones
+                                                   if (result == probe_result::refused)
+                                                   {
+                                                       ask_whether_reached(id);
+                                                   }
+                                                   else
+                                                   {
+                                                       end_check(id, false);
+                                                   }
+                                               });
     }
     if (pending.crash.requests.size() >= max_requests_per_crash)
     {
@@ -168,11 +186,85 @@
     }
 }
 
+void crash_controller::ask_whether_reached(const target_id& target)
+{
+    pending_check& pending = checks_.at(target);
+    std::vector<peer_host> others = peers_.live_hosts();
+    others.erase(others.begin());
+    const std::size_t asked = std::min(others.size(), max_asked_hosts);
+    if (asked == 0)
+    {
+        end_check(target, true);
+        return;
+    }
+    pending.open_answers = asked;
+    pending.timeout = context_.loop.after(question_time,
+                                          [this, target]
+                                          {
+                                              end_check(target, true);
+                                          });
+    const endpoint where = pending.crash.address;
+    const std::uint64_t first = context_.random.next();
+    for (std::size_t i = 0; i < asked; ++i)
+    {
+        // a host that cannot be told does not answer, which the timeout handles
+        peers_.send(others[(first + i) % others.size()].id,
+                    {{"type", "reached?"},
+                     {"target", target.get()},
+                     {"address", where.address},
+                     {"port", where.port}});
+    }
+}
+
+void crash_controller::answer_whether_reached(const std::shared_ptr<message_link>& from,
+                                              const nlohmann::json& message)
+{
+    const endpoint where{message.at("address").get<std::string>(),
+                         message.at("port").get<std::uint16_t>()};
+    const std::uint64_t number = ++last_probe_;
+    asked_probes_[number] = std::make_unique<connection_probe>(
+        context_.loop,
+        where,
+        millis(0),
+        [this, number, from, target = message.at("target").get<std::string>()](
+            probe_result result)
+        {
+            from->send({{"type", "reached"},
+                        {"target", target},
+                        {"is_reached", result == probe_result::connected}});
+            asked_probes_.erase(number);
+        });
+}
+
+void crash_controller::handle_whether_reached(const nlohmann::json& message)
+{
+    const target_id target(message.at("target").get<std::string>());
+    const auto found = checks_.find(target);
+    if (found == checks_.end() || found->second.open_answers == 0)
+    {
+        return;
+    }
+    --found->second.open_answers;
+    if (message.at("is_reached").get<bool>())
+    {
+        log_event(entry_crash_refuted,
+                  {{"target", target.get()},
+                   {"pool", found->second.pool.get()},
+                   {"address", to_string(found->second.crash.address)}});
+        end_check(target, false);
+    }
+    else if (found->second.open_answers == 0)
+    {
+        end_check(target, true);
+    }
+}
+
 void crash_controller::end_check(const target_id& target, bool has_crashed)
 {
     const auto found = checks_.find(target);
     const target_crash crash = std::move(found->second.crash);
     const pool_id pool = found->second.pool;
+    context_.loop.cancel(found->second.timeout);
     checks_.erase(found);
     if (!has_crashed)
     {
@@ -455,6 +547,11 @@
         handle_reports(message);
         return true;
     }
+    if (type == "reached?")
+    {
+        answer_whether_reached(from, message);
+        return true;
+    }
     if (type == "harmless?")
     {
         answer_question(from, message);
@@ -476,6 +573,11 @@
 
 bool crash_controller::handle_answer(const nlohmann::json& message)
 {
+    if (message.at("type").get<std::string>() == "reached")
+    {
+        handle_whether_reached(message);
+        return true;
+    }
     if (message.at("type").get<std::string>() != "harmless_since")
     {
         return false;
