Let hosts with a path run the requests and pieces of hosts without one

Cause, class: an owner and an entry point were chosen by membership alone; a host that is a member and reaches nobody fails all that comes to it, and all that others hand to it. A host that is asked for pieces without a path says so, and gives back jobs that it has accepted; rank_owners() sees hosts with a path only. - request_forward has another host run a request, over HTTP at an address of its own. That host handles it like its own callers' requests, so retries, permits, versions, keys and refusals are decided and counted there, once; the deadline is what is left; a caller that leaves ends it. Forwarded requests are not forwarded again. - A host that has an older configuration than the sender's does not take the request. - What failed without a path says nothing of targets: their health is reset when it is back. The piece keys of the fixture differ now: with one key, requests counted as retries of those refused in the cut.

--- a/include/medlar/detail/dispatch/piece_owner.hpp
+++ b/include/medlar/detail/dispatch/piece_owner.hpp
@@ -24,6 +24,8 @@
     double cpu_share = 1;
     /// rate of its network link, in Mbit/s
     double link_mbps = default_link_mbps;
+    /// address to which its peers forward requests; port 0 if it accepts none
+    endpoint forward = {};
 };
 
 /// @brief Targets of one pool whose batched calls are built by one host, the owner
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -70,6 +70,10 @@
     /// @return whether it is longer than what was known
     bool mark_paused(const target_id& id, millis pause, millis spread, steady_time now);
 
+    /// @brief Makes all targets of a pool healthy, since the calls that failed did not
+    /// reach them.
+    void reset_health(const pool_id& pool);
+
     /// @brief Returns the targets of a pool that take work, in order of id.
     std::vector<target_state*> serving(const pool_id& pool);
 
--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -4,9 +4,11 @@
 #include <medlar/detail/entry/crash_controller.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/limit_controller.hpp>
+#include <medlar/detail/entry/path_controller.hpp>
 #include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
+#include <medlar/detail/entry/request_run.hpp>
 #include <medlar/detail/entry/store_controller.hpp>
 #include <medlar/detail/entry/store_mirror.hpp>
 #include <medlar/detail/entry/stream_origins.hpp>
@@ -55,7 +57,12 @@
                settings_reader read_settings);
 
     absl::Status listen();
-    void serve(const std::shared_ptr<caller_exchange>& exchange);
+    void serve(const std::shared_ptr<caller_exchange>& exchange, bool is_forwarded);
+    /// why this host does not take a request that another host forwarded; empty if it
+    /// does
+    std::string reason_not_to_take(const caller_exchange& exchange) const;
+    /// whether this host has lost the path to a pool of a route
+    bool lacks_path(const route& wanted) const;
     void serve_readiness(const std::shared_ptr<caller_exchange>& exchange) const;
     void serve_metrics(const std::shared_ptr<caller_exchange>& exchange);
     void send_error_reply(const std::shared_ptr<caller_exchange>& exchange,
@@ -82,6 +89,7 @@
     server_limits inner_limits_;
     entry_context context_;
     peer_network peers_;
+    path_controller path_controller_;
     limit_controller limit_controller_;
     piece_service piece_service_;
     piece_broker broker_;
@@ -95,6 +103,8 @@
     /// whether the start is over, and each change is logged
     bool is_serving_ = false;
     std::unique_ptr<http_server> caller_server_;
+    /// for requests that other hosts forward
+    std::unique_ptr<http_server> forward_server_;
     std::unique_ptr<http_server> readiness_server_;
     std::unique_ptr<http_server> metrics_server_;
     std::optional<steady_time> drain_started_at_;
--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -26,6 +26,8 @@
     endpoint metrics_endpoint;
     /// where this host accepts links of other entry hosts
     endpoint link_endpoint;
+    /// where this host accepts requests that other entry hosts forward
+    endpoint forward_endpoint;
     endpoint store_endpoint;
     /// largest value that the store takes, in bytes
     std::size_t store_value_bytes = default_store_value_bytes;
--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -32,7 +32,10 @@
 class piece_broker
 {
   public:
-    piece_broker(entry_context& context, peer_network& peers, piece_service& service);
+    piece_broker(entry_context& context,
+                 peer_network& peers,
+                 piece_service& service,
+                 path_controller& paths);
 
     piece_broker(const piece_broker&) = delete;
     piece_broker& operator=(const piece_broker&) = delete;
@@ -65,6 +68,10 @@
     /// @brief Reassigns the jobs of an owner whose link ended.
     void handle_owner_lost(const host_id& owner);
 
+    /// @brief Gives up the jobs of a pool to which this host has lost the path: they are
+    /// reassigned by the hosts that they belong to.
+    void handle_path_lost(const pool_id& pool);
+
     /// @brief Cancels the jobs of a requesting host whose link ended.
     void handle_requester_lost(const message_link* link);
 
@@ -82,6 +89,8 @@
         job_ticket local;
         timer_id acknowledgement{0};
         int reassignments = 0;
+        /// hosts that did not take it, since they have no path to the targets
+        int rejections = 0;
     };
 
     /// a job of another host, executed by this one
@@ -120,6 +129,7 @@
     entry_context& context_;
     peer_network& peers_;
     piece_service& service_;
+    path_controller& paths_;
     std::map<broker_ticket, open_job> open_jobs_;
     std::map<std::uint64_t, remote_job> remote_jobs_;
     /// the hosts whose calls made the results that this host's requests hold
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -6,6 +6,7 @@
 #include <medlar/detail/dispatch/refused_requests.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/limit_controller.hpp>
+#include <medlar/detail/entry/path_controller.hpp>
 
 #include <deque>
 #include <functional>
@@ -35,8 +36,10 @@
 class piece_service
 {
   public:
-    piece_service(entry_context& context, limit_controller& limits)
-        : context_(context), limits_(limits)
+    piece_service(entry_context& context,
+                  limit_controller& limits,
+                  path_controller& paths)
+        : context_(context), limits_(limits), paths_(paths)
     {
     }
 
@@ -113,6 +116,7 @@
 
     entry_context& context_;
     limit_controller& limits_;
+    path_controller& paths_;
     std::map<piece_group, std::unique_ptr<group_state>> groups_;
     std::set<std::shared_ptr<sent_call>> sent_calls_;
     /// hashes of the newest answers of each target
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -216,6 +216,14 @@
                                    absl::string_view body,
                                    const endpoint& where,
                                    const call_additions& additions) const = 0;
+    /// @brief Returns the HTTP request that has another entry host handle a caller's
+    /// request, which stays as it is but for its deadline.
+    /// @param remaining time until the deadline
+    /// @param additions headers that are added
+    virtual std::string write_forward(const request_head& head,
+                                      absl::string_view body,
+                                      millis remaining,
+                                      const header_list& additions) const = 0;
     virtual answer_fields read_answer(const answer_head& head) const = 0;
     virtual std::string readiness_path() const = 0;
     /// @brief Returns the header that tells a caller when to retry.
--- /dev/null
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -0,0 +1,88 @@
+#ifndef MEDLAR_DETAIL_ENTRY_REQUEST_FORWARD_HPP
+#define MEDLAR_DETAIL_ENTRY_REQUEST_FORWARD_HPP
+
+#include <medlar/detail/dispatch/piece_owner.hpp>
+#include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/loop/http_server.hpp>
+
+#include <absl/strings/string_view.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace medlar
+{
+
+/// @brief header of a forwarded request: the version of the configuration that the
+/// sender has in force
+inline constexpr char forward_version_header[] = "Medlar-Configuration-Version";
+
+/// @brief header of a refusal of a host that has not taken a forwarded request; its value
+/// says why
+inline constexpr char forward_not_taken_header[] = "Medlar-Not-Taken";
+
+/// @brief value of that header if the host has no path to the targets either
+inline constexpr char forward_no_path[] = "no path";
+
+/// @brief Callbacks for the outcome of a forwarded request. One of them is called, once;
+/// it may destroy the request_forward.
+struct forward_callbacks
+{
+    /// the other host has not run the request, nor will it
+    std::function<void(absl::string_view why)> on_not_taken;
+    /// the answer was passed on completely
+    std::function<void(int status)> on_answered;
+    /// there is no complete answer, and the request may have run; a part of the answer
+    /// may have been passed on
+    std::function<void()> on_broken_off;
+};
+
+/// @brief Has another host run a request, and passes its answer on to the caller.
+///
+/// The other host handles it like a request of its own callers, but never forwards it
+/// again, so all that it promises of a request holds for the answer.
+class request_forward
+{
+  public:
+    /// @param to a host that has a forward address
+    /// @param remaining time until the deadline of the request
+    request_forward(entry_context& context,
+                    const peer_host& to,
+                    std::shared_ptr<caller_exchange> exchange,
+                    millis remaining,
+                    std::int64_t configuration_version,
+                    forward_callbacks callbacks);
+    ~request_forward();
+
+    request_forward(const request_forward&) = delete;
+    request_forward& operator=(const request_forward&) = delete;
+
+    const host_id& to() const
+    {
+        return to_;
+    }
+
+    /// @brief Returns whether any byte of the request may have been sent.
+    bool has_sent() const
+    {
+        return call_->has_sent();
+    }
+
+  private:
+    void on_head(const answer_head& head);
+    void on_data(absl::string_view data);
+    void on_end(call_end how);
+
+    entry_context& context_;
+    host_id to_;
+    std::shared_ptr<caller_exchange> exchange_;
+    forward_callbacks callbacks_;
+    std::optional<answer_head> head_;
+    std::shared_ptr<client_call> call_;
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_ENTRY_REQUEST_FORWARD_HPP
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -6,7 +6,9 @@
 #include <medlar/detail/entry/crash_controller.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/limit_controller.hpp>
+#include <medlar/detail/entry/path_controller.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
+#include <medlar/detail/entry/request_forward.hpp>
 #include <medlar/detail/entry/stage_pipeline.hpp>
 #include <medlar/detail/entry/stream_origins.hpp>
 #include <medlar/detail/http/event_stream.hpp>
@@ -14,12 +16,23 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace medlar
 {
 
+/// @brief The components of an entry host that its requests use.
+struct run_services
+{
+    piece_broker& broker;
+    crash_controller& crashes;
+    limit_controller& limits;
+    stream_origins& origins;
+    path_controller& paths;
+};
+
 /// @brief Processes one request of a caller, from its arrival to the end of its answer:
 /// runs its stages, forwards it to a target with retries, and forwards the answer.
 class request_run : public std::enable_shared_from_this<request_run>
@@ -27,17 +40,16 @@
   public:
     /// @brief Creates the run of a request that is routed and authorised.
     /// @param configuration owns @p matched_route
+    /// @param is_forwarded whether another host has forwarded it; it stays here then
     static std::shared_ptr<request_run>
     create(entry_context& context,
-           piece_broker& broker,
-           crash_controller& crashes,
-           limit_controller& limits,
-           stream_origins& origins,
+           const run_services& services,
            std::shared_ptr<caller_exchange> exchange,
            request_fields fields,
            configuration_ptr configuration,
            const route& matched_route,
-           std::optional<organisation_rule> organisation);
+           std::optional<organisation_rule> organisation,
+           bool is_forwarded);
 
     /// @brief Starts the run, which keeps itself alive until its answer has ended.
     void start();
@@ -48,15 +60,13 @@
     static constexpr millis retry_after_no_target{400};
 
     request_run(entry_context& context,
-                piece_broker& broker,
-                crash_controller& crashes,
-                limit_controller& limits,
-                stream_origins& origins,
+                const run_services& services,
                 std::shared_ptr<caller_exchange> exchange,
                 request_fields fields,
                 configuration_ptr configuration,
                 const route& matched_route,
-                std::optional<organisation_rule> organisation);
+                std::optional<organisation_rule> organisation,
+                bool is_forwarded);
 
     request_key make_key() const;
     bool is_stream() const;
@@ -112,6 +122,17 @@
     /// refuses the request, or fails it with @p status_if_run if a target may have run it
     void refuse_or_fail(int status_if_run, millis retry_after, absl::string_view why);
 
+    // another host in place of the targets
+    /// has another host run the request if this one has no path to its pool, and another
+    /// one may have
+    /// @return whether it did
+    bool forward_if_no_path();
+    /// @return false if no other host is left that may have a path
+    bool forward();
+    void on_forward_not_taken(absl::string_view why);
+    void on_forward_broken_off();
+    void release_forward();
+
     // the answer
     void begin_answer();
     void forward_events(absl::string_view data);
@@ -129,6 +150,7 @@
     crash_controller& crashes_;
     limit_controller& limits_;
     stream_origins& origins_;
+    path_controller& paths_;
     std::shared_ptr<caller_exchange> exchange_;
     request_fields fields_;
     configuration_ptr configuration_;
@@ -153,6 +175,10 @@
     int send_count_ = 0;
     bool may_have_run_ = false;
 
+    bool is_forwarded_;
+    std::unique_ptr<request_forward> forward_;
+    std::set<host_id> tried_hosts_;
+
     std::optional<answer_head> head_;
     std::string buffered_body_;
     event_splitter events_;
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -151,6 +151,17 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+void target_table::reset_health(const pool_id& pool)
+{
+    for (auto& each : targets_)
+    {
+        if (each.second.record.pool == pool)
+        {
+            each.second.health = target_health();
+        }
+    }
+}
+
 std::vector<target_state*> target_table::serving(const pool_id& pool)
 {
     std::vector<target_state*> found;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -6,6 +6,7 @@
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -37,7 +38,8 @@
             settings.domain,
             settings.link_endpoint,
             settings.core_share,
-            settings.link_mbps};
+            settings.link_mbps,
+            settings.forward_endpoint};
 }
 
 std::string registration_text(const entry_settings& settings)
@@ -45,6 +47,7 @@
     return nlohmann::json({{"link", to_string(settings.link_endpoint)},
                            {"address", settings.link_endpoint.address},
                            {"port", settings.link_endpoint.port},
+                           {"forward_port", settings.forward_endpoint.port},
                            {"domain", settings.domain.get()},
                            {"share", settings.core_share},
                            {"link_mbps", settings.link_mbps}})
@@ -74,6 +77,12 @@
     host.link = {address->get<std::string>(), port->get<std::uint16_t>()};
     host.domain = failure_domain_id(domain->get<std::string>());
     host.cpu_share = share->get<double>();
+    // hosts of an older version do not state it
+    const auto forward_port = value.find("forward_port");
+    if (forward_port != value.end() && forward_port->is_number_unsigned())
+    {
+        host.forward = {host.link.address, forward_port->get<std::uint16_t>()};
+    }
     const auto link_mbps = value.find("link_mbps");
     if (link_mbps != value.end() && link_mbps->is_number())
     {
@@ -93,9 +102,10 @@
       read_settings_(std::move(read_settings)),
       context_(loop, protocol, settings_, std::random_device{}()),
       peers_(loop, own_peer_host(settings)),
+      path_controller_(context_, peers_),
       limit_controller_(context_, peers_),
-      piece_service_(context_, limit_controller_),
-      broker_(context_, peers_, piece_service_),
+      piece_service_(context_, limit_controller_, path_controller_),
+      broker_(context_, peers_, piece_service_, path_controller_),
       store_mirror_(
           [this](const store_item& item)
           {
@@ -113,6 +123,11 @@
       crash_controller_(context_, peers_, store_controller_),
       stream_origins_(context_, peers_, store_controller_)
 {
+    path_controller_.set_lost_handler(
+        [this](const pool_id& pool)
+        {
+            broker_.handle_path_lost(pool);
+        });
 }
 
 absl::StatusOr<std::unique_ptr<entry_host>>
@@ -140,6 +155,7 @@
         [this](const std::shared_ptr<message_link>& from, const nlohmann::json& message)
         {
             if (!broker_.handle_request(from, message) &&
+                !path_controller_.handle_message(message) &&
                 !crash_controller_.handle_request(from, message) &&
                 !limit_controller_.handle_request(from, message) &&
                 !stream_origins_.handle_request(from, message))
@@ -206,9 +222,20 @@
         caller_limits_,
         [this](const std::shared_ptr<caller_exchange>& exchange)
         {
-            serve(exchange);
+            serve(exchange, false);
         },
         caller_server_);
+    if (status.ok() && settings_.forward_endpoint.port != 0)
+    {
+        status = open(
+            settings_.forward_endpoint,
+            caller_limits_,
+            [this](const std::shared_ptr<caller_exchange>& exchange)
+            {
+                serve(exchange, true);
+            },
+            forward_server_);
+    }
     if (status.ok())
     {
         status = open(
@@ -234,9 +261,48 @@
     return status;
 }
 
-void entry_host::serve(const std::shared_ptr<caller_exchange>& exchange)
+std::string entry_host::reason_not_to_take(const caller_exchange& exchange) const
+{
+    if (!accepts_requests() || !has_started())
+    {
+        return "not serving";
+    }
+    std::int64_t version = 0;
+    const bool is_newer =
+        absl::SimpleAtoi(exchange.head().headers.get(forward_version_header), &version) &&
+        version > context_.configuration->version;
+    return is_newer ? "older configuration" : "";
+}
+
+bool entry_host::lacks_path(const route& wanted) const
+{
+    return std::any_of(wanted.pools.begin(),
+                       wanted.pools.end(),
+                       [this](const weighted_pool& each)
+                       {
+                           return !path_controller_.has_path(each.pool);
+                       });
+}
+
+void entry_host::serve(const std::shared_ptr<caller_exchange>& exchange,
+                       bool is_forwarded)
 {
     const request_fields fields = context_.protocol.read_request(exchange->head());
+    const auto refuse_to_take = [&](const std::string& why)
+    {
+        send_local_reply(context_.protocol,
+                         *exchange,
+                         fields.attempt,
+                         status_unavailable,
+                         {{forward_not_taken_header, why}},
+                         why);
+    };
+    const std::string reason = is_forwarded ? reason_not_to_take(*exchange) : "";
+    if (!reason.empty())
+    {
+        refuse_to_take(reason);
+        return;
+    }
     if (!accepts_requests())
     {
         send_error_reply(exchange, fields, status_unavailable, "this host is stopping");
@@ -259,6 +325,11 @@
         send_error_reply(exchange, fields, status_not_found, "no route matches");
         return;
     }
+    if (is_forwarded && lacks_path(*found))
+    {
+        refuse_to_take(forward_no_path);
+        return;
+    }
     std::optional<organisation_rule> organisation;
     const auto known = configuration->organisations_by_key.find(fields.access_key);
     if (known != configuration->organisations_by_key.end())
@@ -277,15 +348,17 @@
         return;
     }
     request_run::create(context_,
-                        broker_,
-                        crash_controller_,
-                        limit_controller_,
-                        stream_origins_,
+                        {broker_,
+                         crash_controller_,
+                         limit_controller_,
+                         stream_origins_,
+                         path_controller_},
                         exchange,
                         fields,
                         configuration,
                         *found,
-                        organisation)
+                        organisation,
+                        is_forwarded)
         ->start();
 }
 
@@ -536,6 +609,7 @@
 {
     context_.targets.drop_lapsed(loop_.now());
     drop_lapsed_hosts();
+    path_controller_.tick();
     if (!is_serving_ && has_started())
     {
         is_serving_ = true;
@@ -551,6 +625,10 @@
     if (drain_started_at_ && !accepts_requests())
     {
         caller_server_->close_idle();
+        if (forward_server_)
+        {
+            forward_server_->close_idle();
+        }
     }
     loop_.after(tick_interval,
                 [this]
@@ -569,6 +647,10 @@
     log_event(entry_draining,
               {{"open", static_cast<std::int64_t>(caller_server_->open_exchanges())}});
     caller_server_->set_draining();
+    if (forward_server_)
+    {
+        forward_server_->set_draining();
+    }
     store_controller_.leave();
 }
 
@@ -597,7 +679,9 @@
     }
     const millis since = loop_.now() - *drain_started_at_;
     const std::pair<std::size_t, std::size_t> load = piece_service_.load();
-    const bool idle = caller_server_->open_exchanges() == 0 &&
+    const bool is_forward_idle =
+        forward_server_ == nullptr || forward_server_->open_exchanges() == 0;
+    const bool idle = is_forward_idle && caller_server_->open_exchanges() == 0 &&
                       caller_server_->connections() == 0 && load.first == 0 &&
                       load.second == 0;
     return (since > rotation_delay && idle) ||
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -16,6 +16,10 @@
 // reassignments to other owners before this host executes the job itself
 constexpr int max_reassignments = 2;
 
+// hosts without a path that are asked to own a job before this host executes it itself:
+// most learn sooner which of the others have one
+constexpr int max_rejections = 8;
+
 nlohmann::json job_message(std::uint64_t number,
                            const piece_group& group,
                            const piece_job& job,
@@ -102,8 +106,9 @@
 
 piece_broker::piece_broker(entry_context& context,
                            peer_network& peers,
-                           piece_service& service)
-    : context_(context), peers_(peers), service_(service)
+                           piece_service& service,
+                           path_controller& paths)
+    : context_(context), peers_(peers), service_(service), paths_(paths)
 {
 }
 
@@ -115,10 +120,9 @@
     {
         domains.push_back(each->record.domain);
     }
-    const std::vector<peer_host> hosts = peers_.live_hosts();
     const piece_group group =
-        select_group(pool, domain, domains, max_targets_per_group(hosts));
-    return {group, rank_owners(group, hosts).front()};
+        select_group(pool, domain, domains, max_targets_per_group(peers_.live_hosts()));
+    return {group, rank_owners(group, paths_.hosts_with_path(pool)).front()};
 }
 
 broker_ticket
@@ -144,6 +148,7 @@
     open.owner = host_id();
     const bool is_remote =
         placed.owner != peers_.self().id && open.reassignments <= max_reassignments &&
+        open.rejections <= max_rejections &&
         peers_.send(
             placed.owner,
             job_message(
@@ -388,6 +393,11 @@
     const auto number = message.at("number").get<std::uint64_t>();
     const piece_group group{pool_id(message.at("pool").get<std::string>()),
                             message.at("group").get<std::string>()};
+    if (!paths_.has_path(group.pool) && paths_.is_reached_by_another(group.pool))
+    {
+        from->send({{"type", "no_path"}, {"number", number}, {"accepted", false}});
+        return;
+    }
     piece_job job = read_job(message, context_.loop.now());
     const job_decision decision = service_.evaluate(group, job);
     from->send({{"type", "verdict"},
@@ -444,7 +454,7 @@
 bool piece_broker::handle_answer(const host_id& from, const nlohmann::json& message)
 {
     const std::string type = message.at("type").get<std::string>();
-    if (type != "verdict" && type != "piece")
+    if (type != "verdict" && type != "piece" && type != "no_path")
     {
         return false;
     }
@@ -456,7 +466,18 @@
     {
         piece_done(ticket, message.at("piece").get<int>(), read_piece(message), from);
     }
-    else if (is_current)
+    else if (type == "no_path" && is_current)
+    {
+        open_job& open = found->second;
+        context_.loop.cancel(open.acknowledgement);
+        paths_.record_lost(from, open.pool);
+        ++open.rejections;
+        // a job in progress was accepted before
+        open.job.is_refusable =
+            open.job.is_refusable && !message.at("accepted").get<bool>();
+        dispatch(ticket);
+    }
+    else if (type == "verdict" && is_current)
     {
         context_.loop.cancel(found->second.acknowledgement);
         record_expected(found->second,
@@ -496,6 +517,48 @@
     }
 }
 
+void piece_broker::handle_path_lost(const pool_id& pool)
+{
+    if (!paths_.is_reached_by_another(pool))
+    {
+        return;
+    }
+    std::vector<std::uint64_t> remote;
+    for (const auto& each : remote_jobs_)
+    {
+        if (each.second.ticket.group.pool == pool)
+        {
+            remote.push_back(each.first);
+        }
+    }
+    for (const std::uint64_t each : remote)
+    {
+        const remote_job& job = remote_jobs_.at(each);
+        if (const auto requester = job.requester.lock())
+        {
+            requester->send(
+                {{"type", "no_path"}, {"number", job.number}, {"accepted", true}});
+        }
+        drop_remote(each);
+    }
+    std::vector<broker_ticket> local;
+    for (const auto& each : open_jobs_)
+    {
+        if (each.second.is_local && each.second.pool == pool)
+        {
+            local.push_back(each.first);
+        }
+    }
+    for (const broker_ticket each : local)
+    {
+        if (open_jobs_.count(each) != 0)
+        {
+            service_.cancel(open_jobs_.at(each).local);
+            reassign(each);
+        }
+    }
+}
+
 void piece_broker::handle_requester_lost(const message_link* link)
 {
     std::vector<std::uint64_t> affected;
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -193,6 +193,7 @@
         if (const auto current = weak.lock())
         {
             current->status = head.status;
+            paths_.record_contact(current->group.pool);
             context_.record_target_answer(current->target,
                                           context_.protocol.read_answer(head));
         }
@@ -211,6 +212,7 @@
             handle_call_end(current, how);
         }
     };
+    paths_.record_call(group.pool);
     call_options options;
     options.connect_timeout = target_connect_timeout;
     sent->call = context_.client.start(
@@ -342,6 +344,10 @@
     {
         context_.record_target_call(call->target, call_result::failed);
     }
+    if (call->status == 0)
+    {
+        paths_.record_failure(call->group.pool, call->target, how != call_end::not_sent);
+    }
     context_.metrics->add("medlar_piece_calls_failed_total",
                           {{"pool", call->group.pool.get()}, {"full", full ? "1" : "0"}});
     state.queue.handle_failure(
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -29,6 +29,7 @@
     {
         return;
     }
+    paths_.record_contact(pool_);
     if (is_stream() && is_success(head_->status))
     {
         forward_events(data);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -68,7 +68,7 @@
 
 void request_run::send()
 {
-    if (end_if_blocked())
+    if (end_if_blocked() || forward_if_no_path())
     {
         return;
     }
@@ -198,6 +198,7 @@
         on_call_end(how);
     };
     sent_at_ = context_.loop.now();
+    paths_.record_call(pool_);
     head_.reset();
     buffered_body_.clear();
     events_.discard_incomplete_event();
@@ -255,6 +256,7 @@
 void request_run::on_head(const answer_head& head)
 {
     const answer_fields answer = context_.protocol.read_answer(head);
+    paths_.record_contact(pool_);
     context_.record_target_answer(target_, answer);
     if (answer.not_run)
     {
@@ -410,6 +412,10 @@
         return;
     }
     const bool not_sent = how == call_end::not_sent;
+    if (!has_answer)
+    {
+        paths_.record_failure(pool_, target_, !not_sent);
+    }
     const bool may_have_crashed =
         how == call_end::no_answer || how == call_end::broken_off;
     const target_state* const state = context_.targets.find(target_);
@@ -434,7 +440,11 @@
             send();
             return;
         }
-        on_attempts_failed("no target can be reached");
+        // new connections fail, also if those of other requests go on
+        if (is_forwarded_ || exchange_->has_begun() || !forward())
+        {
+            on_attempts_failed("no target can be reached");
+        }
         return;
     }
     may_have_run_ = true;
--- /dev/null
+++ b/src/entry/request_forward.cpp
@@ -0,0 +1,128 @@
+#include <medlar/detail/entry/request_forward.hpp>
+#include <medlar/detail/http/status.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+// the latency between hosts is a few ms; a host that does not accept in this time is down
+// or frozen
+constexpr millis host_connect_timeout{250};
+
+/// whether an answer is a refusal by the host itself that another host may not give: it
+/// has not taken the request, or does not know its route or key
+bool is_not_taken(const answer_head& head, bool has_signature)
+{
+    return head.headers.find(forward_not_taken_header) != nullptr ||
+           (!has_signature &&
+            (head.status == status_unauthorised || head.status == status_not_found));
+}
+
+} // namespace
+
+request_forward::request_forward(entry_context& context,
+                                 const peer_host& to,
+                                 std::shared_ptr<caller_exchange> exchange,
+                                 millis remaining,
+                                 std::int64_t configuration_version,
+                                 forward_callbacks callbacks)
+    : context_(context),
+      to_(to.id),
+      exchange_(std::move(exchange)),
+      callbacks_(std::move(callbacks))
+{
+    call_options options;
+    options.is_head_request = exchange_->head().method == "HEAD";
+    options.connect_timeout = host_connect_timeout;
+    call_callbacks events;
+    events.on_head = [this](const answer_head& head)
+    {
+        on_head(head);
+    };
+    events.on_data = [this](absl::string_view data)
+    {
+        on_data(data);
+    };
+    events.on_end = [this](call_end how)
+    {
+        on_end(how);
+    };
+    header_list additions;
+    additions.add(forward_version_header, absl::StrCat(configuration_version));
+    call_ = context_.client.start(
+        to.forward,
+        context_.protocol.write_forward(
+            exchange_->head(), exchange_->body(), remaining, additions),
+        options,
+        std::move(events));
+}
+
+request_forward::~request_forward()
+{
+    exchange_->set_drain_handler(nullptr);
+    call_->cancel();
+}
+
+void request_forward::on_head(const answer_head& head)
+{
+    if (is_not_taken(head, context_.protocol.read_answer(head).has_signature))
+    {
+        const std::string why(head.headers.get(forward_not_taken_header));
+        call_->cancel();
+        // the callback destroys this object
+        const auto on_not_taken = std::move(callbacks_.on_not_taken);
+        on_not_taken(why);
+        return;
+    }
+    head_ = head;
+    header_list headers = head.headers;
+    remove_hop_by_hop(headers);
+    headers.remove("content-length");
+    body_framing framing = head.framing;
+    if (framing.kind == body_kind::until_close)
+    {
+        framing = {body_kind::chunked, 0};
+    }
+    exchange_->begin(head.status, head.reason_phrase, headers, framing);
+}
+
+void request_forward::on_data(absl::string_view data)
+{
+    exchange_->write(data);
+    if (exchange_->is_congested())
+    {
+        call_->set_paused(true);
+        exchange_->set_drain_handler(
+            [call = call_]
+            {
+                call->set_paused(false);
+            });
+    }
+}
+
+void request_forward::on_end(call_end how)
+{
+    // the callbacks destroy this object
+    const forward_callbacks callbacks = std::move(callbacks_);
+    if (how == call_end::complete && head_)
+    {
+        exchange_->finish();
+        callbacks.on_answered(head_->status);
+    }
+    else if (how == call_end::not_sent)
+    {
+        callbacks.on_not_taken("it cannot be reached");
+    }
+    else
+    {
+        callbacks.on_broken_off();
+    }
+}
+
+} // namespace medlar
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -11,52 +11,48 @@
 {
 
 request_run::request_run(entry_context& context,
-                         piece_broker& broker,
-                         crash_controller& crashes,
-                         limit_controller& limits,
-                         stream_origins& origins,
+                         const run_services& services,
                          std::shared_ptr<caller_exchange> exchange,
                          request_fields fields,
                          configuration_ptr configuration,
                          const route& matched_route,
-                         std::optional<organisation_rule> organisation)
+                         std::optional<organisation_rule> organisation,
+                         bool is_forwarded)
     : context_(context),
-      broker_(broker),
-      crashes_(crashes),
-      limits_(limits),
-      origins_(origins),
+      broker_(services.broker),
+      crashes_(services.crashes),
+      limits_(services.limits),
+      origins_(services.origins),
+      paths_(services.paths),
       exchange_(std::move(exchange)),
       fields_(std::move(fields)),
       configuration_(std::move(configuration)),
       route_(matched_route),
       organisation_(std::move(organisation)),
       key_(make_key()),
-      suspects_(suspects_of(key_, fields_.prompt))
+      suspects_(suspects_of(key_, fields_.prompt)),
+      is_forwarded_(is_forwarded)
 {
 }
 
 std::shared_ptr<request_run>
 request_run::create(entry_context& context,
-                    piece_broker& broker,
-                    crash_controller& crashes,
-                    limit_controller& limits,
-                    stream_origins& origins,
+                    const run_services& services,
                     std::shared_ptr<caller_exchange> exchange,
                     request_fields fields,
                     configuration_ptr configuration,
                     const route& matched_route,
-                    std::optional<organisation_rule> organisation)
+                    std::optional<organisation_rule> organisation,
+                    bool is_forwarded)
 {
     return std::shared_ptr<request_run>(new request_run(context,
-                                                        broker,
-                                                        crashes,
-                                                        limits,
-                                                        origins,
+                                                        services,
                                                         std::move(exchange),
                                                         std::move(fields),
                                                         std::move(configuration),
                                                         matched_route,
-                                                        std::move(organisation)));
+                                                        std::move(organisation),
+                                                        is_forwarded));
 }
 
 request_key request_run::make_key() const
@@ -105,12 +101,16 @@
     {
         return;
     }
+    pool_ = choose_pool();
+    if (forward_if_no_path())
+    {
+        return;
+    }
     if (is_resumption())
     {
         find_origin();
         return;
     }
-    pool_ = choose_pool();
     begin_work();
 }
 
@@ -376,12 +376,14 @@
 
 void request_run::on_timeout()
 {
-    const bool never_sent = !may_have_run_ && (call_ == nullptr || !call_->has_sent());
+    const bool never_sent = !may_have_run_ && (call_ == nullptr || !call_->has_sent()) &&
+                            (forward_ == nullptr || !forward_->has_sent());
     if (call_)
     {
         call_->cancel();
         release_call();
     }
+    release_forward();
     if (never_sent)
     {
         refuse(retry_after_no_target, "time is over before a target could run it");
@@ -399,6 +401,7 @@
         call_->cancel();
         release_call();
     }
+    release_forward();
     end_run("caller left", 0);
 }
 
--- a/test/entry/path_test.cpp
+++ b/test/entry/path_test.cpp
@@ -8,8 +8,6 @@
 using namespace medlar;
 using namespace medlar::test;
 
-constexpr char staged_headers[] = "Pieces: 2\r\nPiece-Key: k\r\n";
-
 // time for the hosts to notice a cut and to tell each other
 constexpr millis contact_time{3000};
 
@@ -17,10 +15,9 @@
 void cut_some(partitioned_group& group,
               const std::vector<std::size_t>& hosts,
               path_cut how,
-              const std::string& path,
-              const std::string& headers = {})
+              const std::string& path)
 {
-    group.served_in_turn(path, 8, headers);
+    group.served_in_turn(path, 8);
     for (const std::size_t each : hosts)
     {
         group.cut(each, how);
@@ -30,7 +27,7 @@
     {
         for (std::size_t host = 0; host < group.hosts.size(); ++host)
         {
-            group.begin_at(host, path, headers);
+            group.begin_at(host, path);
         }
         group.run_for(millis(250));
     }
@@ -41,7 +38,12 @@
     CPPUNIT_TEST_SUITE(hosts_without_a_path);
     CPPUNIT_TEST(are_served_by_others_if_their_connections_are_refused);
     CPPUNIT_TEST(are_served_by_others_if_their_connections_hang);
+    CPPUNIT_TEST(are_served_by_others_if_only_new_connections_are_refused);
     CPPUNIT_TEST(are_served_by_the_only_host_with_a_path);
+    CPPUNIT_TEST(run_requests_once_at_most_if_the_other_host_is_killed);
+    CPPUNIT_TEST(pass_on_a_refusal_that_is_true);
+    CPPUNIT_TEST(end_the_request_of_a_caller_that_leaves);
+    CPPUNIT_TEST(refuse_if_no_host_has_a_path_and_serve_once_one_is_back);
     CPPUNIT_TEST(leave_the_pieces_of_others_to_hosts_with_a_path);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,11 +65,90 @@
         CPPUNIT_ASSERT_EQUAL(20, it.served_in_turn("/e/x", 20));
     }
 
+    void are_served_by_others_if_only_new_connections_are_refused()
+    {
+        partitioned_group it(3, 5, 0);
+        it.served_in_turn("/i/x", 3);
+        it.cut(0, path_cut::new_refused);
+        it.is_holding = true;
+        for (int i = 0; i < 6; ++i)
+        {
+            it.begin_at(0, "/i/x");
+        }
+        it.run_for(millis(200));
+        it.is_holding = false;
+        CPPUNIT_ASSERT_EQUAL(20, it.served_in_turn("/n/x", 20));
+    }
+
+    void run_requests_once_at_most_if_the_other_host_is_killed()
+    {
+        partitioned_group it(2, 5, 0);
+        cut_some(it, {0}, path_cut::hanging, "/i/x");
+        it.is_holding = true;
+        const auto got = it.begin_at(0, "/n/once");
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.arrivals("/n/once") == 1;
+            }));
+        it.restore(0);
+        it.kill_host(1);
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return got->ended;
+            }));
+        CPPUNIT_ASSERT_EQUAL(502, got->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.arrivals("/n/once"));
+    }
+
+    void pass_on_a_refusal_that_is_true()
+    {
+        partitioned_group it(2, 5, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        it.refusal = "0.2";
+        const received_answer got = it.send_at(0, "/n/x");
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(!got.headers.get("Retry-After").empty());
+    }
+
+    void end_the_request_of_a_caller_that_leaves()
+    {
+        partitioned_group it(2, 5, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        it.is_holding = true;
+        std::shared_ptr<client_call> call;
+        it.begin_at(0, "/i/left", {}, &call);
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.arrivals("/i/left") == 1;
+            }));
+        call->cancel();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.held.back()->is_disconnected();
+            }));
+    }
+
+    void refuse_if_no_host_has_a_path_and_serve_once_one_is_back()
+    {
+        partitioned_group it(3, 5, 0);
+        cut_some(it, {0, 1, 2}, path_cut::refused, "/i/x");
+        const received_answer got = it.send_at(0, "/n/x");
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT(!got.headers.get("Retry-After").empty());
+        it.restore(1);
+        it.run_for(millis(1000));
+        CPPUNIT_ASSERT_EQUAL(12, it.served_in_turn("/n/x", 12));
+    }
+
     void are_served_by_the_only_host_with_a_path()
     {
         partitioned_group it(4, 5, 3);
-        cut_some(it, {0, 1, 3}, path_cut::hanging, "/s/x", staged_headers);
-        CPPUNIT_ASSERT_EQUAL(20, it.served_in_turn("/s/x", 20, staged_headers));
+        cut_some(it, {0, 1, 3}, path_cut::hanging, "/s/x");
+        CPPUNIT_ASSERT_EQUAL(20, it.served_in_turn("/s/x", 20));
     }
 
     void leave_the_pieces_of_others_to_hosts_with_a_path()
@@ -78,8 +159,8 @@
             for (std::size_t host = 0; host < 2; ++host)
             {
                 partitioned_group it(2, 5, 3);
-                cut_some(it, {host}, how, "/s/x", staged_headers);
-                CPPUNIT_ASSERT_EQUAL(12, it.served_in_turn("/s/x", 12, staged_headers));
+                cut_some(it, {host}, how, "/s/x");
+                CPPUNIT_ASSERT_EQUAL(12, it.served_in_turn("/s/x", 12));
             }
         }
     }
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -182,7 +182,8 @@
         added->name = absl::StrCat("host-", i);
         added->callers = test::free_endpoint();
         added->readiness = test::free_endpoint();
-        added->metrics = test::free_endpoint();
+        // the next port takes the requests that other hosts forward
+        added->metrics = test::free_endpoint_pair();
         added->link = test::free_endpoint();
         added->link_path =
             std::make_unique<fault_proxy>(loop_, test::free_endpoint(), added->link);
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -200,6 +200,7 @@
         result.readiness_endpoint = free_endpoint();
         result.metrics_endpoint = free_endpoint();
         result.link_endpoint = free_endpoint();
+        result.forward_endpoint = free_endpoint();
         result.store_endpoint = store_endpoint_;
         result.store_value_bytes = store.max_value_bytes;
         result.retry_rule = {0.2, 50, millis(10000)};
--- a/test/support/entry/partitioned_group.hpp
+++ b/test/support/entry/partitioned_group.hpp
@@ -122,10 +122,17 @@
              const std::string& headers = {},
              std::shared_ptr<client_call>* call = nullptr)
     {
-        return begin(
-            all_settings.at(host).caller_endpoint,
-            request_text("POST", path, absl::StrCat("id-", ++sent_), "b", headers),
-            call);
+        ++sent_;
+        // a key that was refused before would make the request a retry
+        const std::string pieces =
+            absl::StrCat("Pieces: 2\r\nPiece-Key: k-", sent_, "\r\n");
+        return begin(all_settings.at(host).caller_endpoint,
+                     request_text("POST",
+                                  path,
+                                  absl::StrCat("id-", sent_),
+                                  "b",
+                                  absl::StrCat(headers, pieces)),
+                     call);
     }
 
     /// Sends a request to a host, and waits for the answer.
