Keep refusals of a target below what it says it bears

Cause of the fault: a host paused a full target for 150 ms, for itself alone, so refusals grew with the number of hosts. Change: the limit is read from all answers. A refusal by such a target pauses it for 1.5 times the interval at which it bears one (3 s at most), and the host tells all others, which pause it too; a host that does not know the limit yet learns it then. A host sends such a target no more than its share of 1.5 times the slots. pause_after_refusal() and has_used_share() decide, without a network. Why not the permits of Server-Limit: they count requests a second, and what is bounded here are refusals, which depend on the room; permits would bound the wrong sum, and cost a hop for each request.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -29,6 +29,9 @@
     steady_time limit_stated_at;
     /// no call is sent before this time, since the hosts have used up its limit
     steady_time limited_until;
+    /// refusals per second, of all hosts together, above which it breaks down; unset if
+    /// it bears any number
+    std::optional<double> refusal_limit;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
     /// set if its registration expired during an outage of the store; it is removed then
@@ -109,6 +112,15 @@
                  const std::vector<target_state*>& serving,
                  steady_time now);
 
+/// @brief Returns how long no host sends a call to a target after it refused one for
+/// lack of room.
+/// @param refusal_limit see target_state::refusal_limit
+millis pause_after_refusal(std::optional<double> refusal_limit);
+
+/// @brief Returns whether this host uses up its share of the slots of a target that
+/// bears few refusals: the hosts together then have few more requests there than slots.
+bool has_used_share(const target_state& target, std::size_t host_count);
+
 /// @brief Returns whether a call may be sent to a target now.
 bool may_call(const target_state& target, steady_time now);
 
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -43,6 +43,9 @@
     /// longer registered.
     void record_target_call(const target_id& id, call_result result);
 
+    /// @brief Records that a target refused a call for lack of room.
+    void record_refusal(const target_id& id);
+
     /// @brief Records what a target says of itself in the head of an answer: that it is
     /// going to stop, wants no calls for a while, or takes no more than some a second.
     void record_target_answer(const target_id& id, const answer_fields& answer);
@@ -62,11 +65,14 @@
     std::size_t host_count = 1;
     /// called when a target has stated its first limit, or none any more; may be empty
     std::function<void(const target_id&)> on_limit_changed;
+    /// called when a target that bears few refusals has refused a call; may be empty
+    std::function<void(const target_state&)> on_refused;
     /// the requests in progress; they end with the host
     std::set<std::shared_ptr<void>> running_requests;
 
   private:
     void record_rate_limit(target_state& target, std::optional<double> per_s);
+    static void record_refusal_limit(target_state& target, std::optional<double> per_s);
 
     std::map<pool_id, pool_retry_budget> budgets_;
     std::map<pool_id, double> first_event_ms_;
--- a/include/medlar/detail/entry/limit_controller.hpp
+++ b/include/medlar/detail/entry/limit_controller.hpp
@@ -86,6 +86,9 @@
                  std::int64_t started_ms,
                  double per_s,
                  steady_time stated_at);
+    /// tells all hosts that a target that bears few refusals has refused a call
+    void tell_refused(const target_state& target);
+    void handle_refused(const nlohmann::json& message);
     void record_end(const target_id& target, std::int64_t started_ms);
     void ask(std::uint64_t number);
     void apply(std::uint64_t number, const permit& answer);
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -84,6 +84,9 @@
     std::optional<millis> pause;
     /// requests per second that the target takes from all hosts; unset if it has no limit
     std::optional<double> rate_limit;
+    /// refusals per second, of all hosts together, above which the target breaks down;
+    /// unset if it does not say
+    std::optional<double> refusal_limit;
     /// the target states a limit that cannot be read
     bool is_rate_limit_malformed = false;
 };
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -107,26 +107,57 @@
 inline constexpr event entry_forward_failed{1741, severity::info, "entry_forward_failed"};
 /// @brief a target that this host could not connect to runs: another host reaches it
 inline constexpr event entry_crash_refuted{1742, severity::info, "entry_crash_refuted"};
+/// @brief a target states how many refusals a second it bears, or does so no longer
+inline constexpr event entry_target_refusals_limited{
+    1743, severity::info, "entry_target_refusals_limited"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 42> entry_events{
-    entry_started,           entry_draining,         entry_stopped,
-    entry_settings_read,     entry_bad_setting,      entry_configuration_in_force,
-    entry_item_unreadable,   entry_store_lost,       entry_store_regained,
-    entry_target_changed,    entry_target_ejected,   entry_peer_lost,
-    entry_peer_changed,      entry_request_sent,     entry_call_failed,
-    entry_request_ended,     entry_request_rejected, entry_stage_ended,
-    entry_piece_call_failed, entry_piece_call_ended, entry_lines_dropped,
-    entry_stages_begun,      entry_caller_returned,  entry_store_era_changed,
-    entry_source_changed,    entry_target_leaving,   entry_target_paused,
-    entry_serving,           entry_target_crashed,   entry_suspect_blocked,
-    entry_suspect_unblocked, entry_target_limited,   entry_origin_found,
-    entry_version_appeared,  entry_shares_set,       entry_origins_saved,
-    entry_target_replaced,   entry_path_lost,        entry_path_regained,
-    entry_request_forwarded, entry_forward_failed,   entry_crash_refuted};
+inline constexpr std::array<event, 43> entry_events{entry_started,
+                                                    entry_draining,
+                                                    entry_stopped,
+                                                    entry_settings_read,
+                                                    entry_bad_setting,
+                                                    entry_configuration_in_force,
+                                                    entry_item_unreadable,
+                                                    entry_store_lost,
+                                                    entry_store_regained,
+                                                    entry_target_changed,
+                                                    entry_target_ejected,
+                                                    entry_peer_lost,
+                                                    entry_peer_changed,
+                                                    entry_request_sent,
+                                                    entry_call_failed,
+                                                    entry_request_ended,
+                                                    entry_request_rejected,
+                                                    entry_stage_ended,
+                                                    entry_piece_call_failed,
+                                                    entry_piece_call_ended,
+                                                    entry_lines_dropped,
+                                                    entry_stages_begun,
+                                                    entry_caller_returned,
+                                                    entry_store_era_changed,
+                                                    entry_source_changed,
+                                                    entry_target_leaving,
+                                                    entry_target_paused,
+                                                    entry_serving,
+                                                    entry_target_crashed,
+                                                    entry_suspect_blocked,
+                                                    entry_suspect_unblocked,
+                                                    entry_target_limited,
+                                                    entry_origin_found,
+                                                    entry_version_appeared,
+                                                    entry_shares_set,
+                                                    entry_origins_saved,
+                                                    entry_target_replaced,
+                                                    entry_path_lost,
+                                                    entry_path_regained,
+                                                    entry_request_forwarded,
+                                                    entry_forward_failed,
+                                                    entry_crash_refuted,
+                                                    entry_target_refusals_limited};
 
 } // namespace medlar
 
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -15,6 +15,20 @@
 // leaving targets that are remembered: those of several releases of the largest pools
 constexpr std::size_t max_leaving_targets = 4096;
 
+// how long a target that refused a call for lack of room gets no call of this host
+constexpr millis full_target_pause{150};
+
+// Hosts return to such a target together, and some call it before they hear of the next
+// refusal. The pause is this many times the interval at which it bears refusals.
+constexpr double refusal_pause_factor = 1.5;
+
+// pause of a target that bears hardly any refusals
+constexpr millis max_refusal_pause{3000};
+
+// requests of all hosts at a target, by its slots, that has_used_share() allows: hosts
+// have unequal load
+constexpr double share_factor = 1.5;
+
 } // namespace
 
 bool target_table::put(const target_record& record)
@@ -180,6 +194,27 @@
     return !target.record.is_draining && !target.is_leaving;
 }
 
+millis pause_after_refusal(std::optional<double> refusal_limit)
+{
+    constexpr double ms_per_s = 1000;
+    if (!refusal_limit)
+    {
+        return full_target_pause;
+    }
+    const auto longest = static_cast<double>(max_refusal_pause.count());
+    const double pause_ms = *refusal_limit * longest > refusal_pause_factor * ms_per_s
+                                ? refusal_pause_factor * ms_per_s / *refusal_limit
+                                : longest;
+    return std::max(full_target_pause, millis(static_cast<std::int64_t>(pause_ms)));
+}
+
+bool has_used_share(const target_state& target, std::size_t host_count)
+{
+    const double share = share_factor * target.record.slots /
+                         static_cast<double>(std::max<std::size_t>(1, host_count));
+    return target.refusal_limit && target.in_flight >= std::max(1.0, share);
+}
+
 bool may_call(const target_state& target, steady_time now)
 {
     return now >= target.refused_until && now >= target.paused_until &&
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -91,6 +91,7 @@
     {
         record_rate_limit(*target, answer.rate_limit);
     }
+    record_refusal_limit(*target, answer.refusal_limit);
     const millis spread(static_cast<std::int64_t>(random.below(max_return_spread_ms)));
     if (answer.pause && targets.mark_paused(id, *answer.pause, spread, loop.now()))
     {
@@ -102,6 +103,33 @@
     }
 }
 
+void entry_context::record_refusal(const target_id& id)
+{
+    target_state* const target = targets.find(id);
+    if (target == nullptr)
+    {
+        return;
+    }
+    target->refused_until = loop.now() + pause_after_refusal(target->refusal_limit);
+    if (target->refusal_limit && on_refused)
+    {
+        on_refused(*target);
+    }
+}
+
+void entry_context::record_refusal_limit(target_state& target,
+                                         std::optional<double> per_s)
+{
+    if (target.refusal_limit != per_s)
+    {
+        target.refusal_limit = per_s;
+        log_event(entry_target_refusals_limited,
+                  {{"target", target.record.id.get()},
+                   {"pool", target.record.pool.get()},
+                   {"per_s", per_s ? absl::StrCat(*per_s) : ""}});
+    }
+}
+
 void entry_context::record_rate_limit(target_state& target, std::optional<double> per_s)
 {
     if (per_s)
--- a/src/entry/limit_controller.cpp
+++ b/src/entry/limit_controller.cpp
@@ -35,6 +35,10 @@
     {
         handle_limit_changed(target);
     };
+    context_.on_refused = [this](const target_state& target)
+    {
+        tell_refused(target);
+    };
 }
 
 host_id limit_controller::issuer_of(const target_id& target) const
@@ -68,6 +72,36 @@
     peers_.send(issuer, message);
 }
 
+void limit_controller::tell_refused(const target_state& target)
+{
+    const nlohmann::json message{
+        {"type", "full"},
+        {"target", target.record.id.get()},
+        {"started_ms", target.record.started_ms},
+        {"per_s", *target.refusal_limit},
+        {"pause_ms", (target.refused_until - context_.loop.now()).count()}};
+    for (const peer_host& each : peers_.live_hosts())
+    {
+        peers_.send(each.id, message);
+    }
+}
+
+void limit_controller::handle_refused(const nlohmann::json& message)
+{
+    target_state* const target =
+        context_.targets.find(target_id(message.at("target").get<std::string>()));
+    if (target == nullptr ||
+        target->record.started_ms != message.at("started_ms").get<std::int64_t>())
+    {
+        return;
+    }
+    target->refusal_limit = message.at("per_s").get<double>();
+    target->refused_until = std::max(
+        target->refused_until,
+        context_.loop.now() + std::min(read_span(message, "pause_ms"),
+                                       pause_after_refusal(target->refusal_limit)));
+}
+
 void limit_controller::record_end(const target_id& target, std::int64_t started_ms)
 {
     const auto found = issued_.find(target);
@@ -229,6 +263,11 @@
                                       const nlohmann::json& message)
 {
     const std::string type = message.at("type").get<std::string>();
+    if (type == "full")
+    {
+        handle_refused(message);
+        return true;
+    }
     if (type != "permit?" && type != "limit" && type != "limit_ended")
     {
         return false;
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -344,6 +344,11 @@
     {
         context_.record_target_call(call->target, call_result::failed);
     }
+    const target_state* const target = context_.targets.find(call->target);
+    if (full && target != nullptr && target->refusal_limit)
+    {
+        context_.record_refusal(call->target);
+    }
     if (call->status == 0)
     {
         paths_.record_failure(call->group.pool, call->target, how != call_end::not_sent);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -15,9 +15,6 @@
 namespace
 {
 
-// how long a target that refused a request for lack of capacity gets no request
-constexpr millis full_target_pause{150};
-
 // limit for sends that did not reach a target; they do not count as attempts
 constexpr int max_unsent_sends = 4;
 
@@ -301,12 +298,9 @@
                {"target", target_.get()},
                {"status", std::int64_t{head.status}},
                {"not_run", std::int64_t{1}}});
-    if (target_state* const target = context_.targets.find(target_))
+    if (head.status == status_unavailable || head.status == status_too_many)
     {
-        if (head.status == status_unavailable || head.status == status_too_many)
-        {
-            target->refused_until = context_.loop.now() + full_target_pause;
-        }
+        context_.record_refusal(target_);
     }
     context_.record_target_call(target_, call_result::refused);
     call_->cancel();
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -233,7 +233,9 @@
                                           input.candidates.end(),
                                           [this](const target_state* each)
                                           {
-                                              return !may_run_at(*each);
+                                              return !may_run_at(*each) ||
+                                                     has_used_share(*each,
+                                                                    context_.host_count);
                                           }),
                            input.candidates.end());
     prefer_version_of_stream(input);
