--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -2,9 +2,9 @@
 #define MEDLAR_TEST_SOAK_SOAK_RUN_HPP
 
 #include "soak/entry_process.hpp"
-#include "support/fault_proxy.hpp"
 #include "soak/promises.hpp"
 #include "support/entry/entry_fixture.hpp"
+#include "support/fault_proxy.hpp"
 
 #include <medlar/detail/policy/random_source.hpp>
 
