--- a/test/decisions/dispatch/path_evidence_test.cpp
+++ b/test/decisions/dispatch/path_evidence_test.cpp
@@ -109,9 +109,9 @@
         }
         CPPUNIT_ASSERT(path.update_lost(4));
         fail_probes(path, path.start_probes(targets(4), 0, at(0)));
-        for (int second = 1; second < 30; ++second)
+        for (std::int64_t ms = 1000; ms < 30000; ms += 1000)
         {
-            const auto probed = path.start_probes(targets(4), 0, at(second * 1000));
+            const auto probed = path.start_probes(targets(4), 0, at(ms));
             CPPUNIT_ASSERT(!probed.empty());
             fail_probes(path, probed);
             CPPUNIT_ASSERT(path.update_lost(4));
