--- a/test/entry/resumption_test.cpp
+++ b/test/entry/resumption_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(does_not_go_on_at_a_newer_engine_whose_entry_the_host_cannot_read);
     CPPUNIT_TEST(does_not_go_on_at_a_newer_engine_that_took_over_an_address);
     CPPUNIT_TEST(does_not_begin_at_an_engine_without_a_version);
+    CPPUNIT_TEST(does_not_go_on_at_another_version_at_hosts_that_stood_still);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -267,6 +268,36 @@
         CPPUNIT_ASSERT_EQUAL(0, it.joined);
     }
 
+    void does_not_go_on_at_another_version_at_hosts_that_stood_still()
+    {
+        for (const millis pause : {millis(600), millis(3000)})
+        {
+            versioned_pool it(3);
+            it.run_for(share_time);
+            it.freeze(it.hosts[1]);
+            it.freeze(it.hosts[2]);
+            it.start_engine("i-3", "v2");
+            it.start_engine("i-4", "v2");
+            it.run_for(pause);
+            std::vector<versioned_pool::caller_stream> streams;
+            for (int i = 0; i < 16; ++i)
+            {
+                streams.push_back(it.begin_stream(0));
+            }
+            // the keepers may be among those that have missed the version
+            it.freeze(it.hosts[0]);
+            it.thaw(it.hosts[1]);
+            it.thaw(it.hosts[2]);
+            std::vector<std::shared_ptr<received_answer>> answers;
+            for (std::size_t i = 0; i < streams.size(); ++i)
+            {
+                answers.push_back(it.begin_take_up(1 + i % 2, streams[i]));
+            }
+            it.run_for(millis(1500));
+            CPPUNIT_ASSERT_EQUAL(0, it.joined);
+        }
+    }
+
     void does_not_begin_at_an_engine_without_a_version()
     {
         versioned_pool it(1, {{"i-1", "v1"}, {"i-2", nullptr}, {"i-3", 2}});
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -248,6 +248,13 @@
         frozen_.push_back(frozen);
     }
 
+    /// runs a stopped host again
+    void thaw(const std::shared_ptr<running_host>& frozen)
+    {
+        frozen_.erase(std::find(frozen_.begin(), frozen_.end(), frozen));
+        running_.push_back(frozen);
+    }
+
     void run_once()
     {
         for (const std::shared_ptr<running_host>& each : running_)
