--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -105,6 +105,56 @@
     remove_locked(key);
 }
 
+void store::lose_next_write(const std::string& key, milliseconds executed_after)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    lost_writes_[key] = executed_after;
+}
+
+bool store::has(const std::string& key)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    drop_ended_leases();
+    return items_.count(key) > 0;
+}
+
+bool store::is_lost(const nlohmann::json& wanted)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const nlohmann::json& each : wanted.value("puts", nlohmann::json::array()))
+    {
+        const auto lost = lost_writes_.find(each.at("key"));
+        if (lost == lost_writes_.end())
+        {
+            continue;
+        }
+        const std::string key = lost->first;
+        const milliseconds delay = lost->second;
+        lost_writes_.erase(lost);
+        if (on_event)
+        {
+            on_event("the store answers nothing to a write of " + key);
+        }
+        std::thread(
+            [this, wanted, key, delay]
+            {
+                std::this_thread::sleep_for(delay);
+                const std::lock_guard<std::mutex> late(mutex_);
+                drop_ended_leases();
+                int status = 200;
+                answer_change(wanted, status);
+                if (on_event)
+                {
+                    on_event("the store executes that write of " + key + ": " +
+                             std::to_string(status));
+                }
+            })
+            .detach();
+        return true;
+    }
+    return false;
+}
+
 void store::put_locked(const std::string& key,
                        const std::string& value,
                        std::int64_t lease)
@@ -298,6 +348,12 @@
                    const rewriter& rewrite)
 {
     std::this_thread::sleep_for(answer_time);
+    if (request.path() == "/-/kv-txn" && is_lost(nlohmann::json::parse(request.body)))
+    {
+        // a connection on which an answer is lost returns nothing further
+        connection.has_event(milliseconds(60000));
+        return false;
+    }
     int status = 200;
     nlohmann::json answer;
     if (request.path() == "/-/kv-watch")
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -36,6 +36,15 @@
     std::string open_view(std::function<std::string(const std::string& key,
                                                     const std::string& value)> rewrite);
 
+    /// @brief Loses the answer to the next write of a key, and executes it later.
+    void lose_next_write(const std::string& key, milliseconds executed_after);
+
+    /// @brief Returns whether a key exists.
+    bool has(const std::string& key);
+
+    /// what the store has done besides its calls; unset: nothing is told
+    std::function<void(const std::string&)> on_event;
+
     /// @brief Removes an item.
     void remove(const std::string& key);
 
@@ -73,6 +82,8 @@
     nlohmann::json answer_watch(const http_message& request, const rewriter& rewrite);
     nlohmann::json answer_change(const nlohmann::json& wanted, int& status);
     nlohmann::json answer_lease(const http_message& request, int& status);
+    /// whether the answer to a write is to be lost; if so, executes it later
+    bool is_lost(const nlohmann::json& wanted);
     void put_locked(const std::string& key, const std::string& value, std::int64_t lease);
     void remove_locked(const std::string& key);
     void drop_ended_leases();
@@ -84,6 +95,7 @@
     std::map<std::string, item> items_;
     std::map<std::int64_t, lease> leases_;
     std::vector<change> history_;
+    std::map<std::string, milliseconds> lost_writes_;
     std::int64_t revision_ = 100;
     std::int64_t last_lease_ = 0;
     std::vector<std::unique_ptr<http_server>> views_;
