--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -111,6 +111,13 @@
     lost_writes_[key] = executed_after;
 }
 
+void store::set_down(bool is_down)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_down_ = is_down;
+    changed_.notify_all();
+}
+
 bool store::has(const std::string& key)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -269,7 +276,7 @@
                                                   {"deleted", true}}
                                  : to_json(each.key, each.now, rewrite));
         }
-        return !events.empty();
+        return !events.empty() || is_down_;
     };
     changed_.wait_until(lock, end, collect);
     return {{"events", events}, {"store_revision", revision_}};
@@ -348,6 +355,14 @@
                    const rewriter& rewrite)
 {
     std::this_thread::sleep_for(answer_time);
+    const std::string refusal = answer_text(503, {{"Store-Era", "1"}}, "");
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (is_down_)
+        {
+            return connection.write(refusal);
+        }
+    }
     if (request.path() == "/-/kv-txn" && is_lost(nlohmann::json::parse(request.body)))
     {
         // a connection on which an answer is lost returns nothing further
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -39,6 +39,9 @@
     /// @brief Loses the answer to the next write of a key, and executes it later.
     void lose_next_write(const std::string& key, milliseconds executed_after);
 
+    /// @brief Answers 503 to all calls, or serves them again.
+    void set_down(bool is_down);
+
     /// @brief Returns whether a key exists.
     bool has(const std::string& key);
 
@@ -96,6 +99,7 @@
     std::map<std::int64_t, lease> leases_;
     std::vector<change> history_;
     std::map<std::string, milliseconds> lost_writes_;
+    bool is_down_ = false;
     std::int64_t revision_ = 100;
     std::int64_t last_lease_ = 0;
     std::vector<std::unique_ptr<http_server>> views_;
