--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -136,7 +136,7 @@
     return is_part;
 }
 
-[[noreturn]] void run()
+void run()
 {
     recorder record("review/1/record.txt");
     const std::string directory = temporary_folder();
@@ -197,5 +197,5 @@
 
 int main()
 {
-    run();
+    return run_case(run);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -244,7 +244,7 @@
                     (answer.is_complete ? "" : ", not complete"));
 }
 
-[[noreturn]] void run()
+void run()
 {
     recorder record("review/2/record.txt");
     const std::string directory = temporary_folder();
@@ -330,5 +330,5 @@
 
 int main()
 {
-    run();
+    return run_case(run);
 }
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -1,8 +1,9 @@
 #include "support/deployment.hpp"
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -148,22 +149,25 @@
 
 void machine::start()
 {
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
     constexpr mode_t mode = 0644;
-    posix_spawn_file_actions_addopen(
-        &files, STDOUT_FILENO, log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
-    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    const int log =
+        open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, mode);
     std::string setting = "MEDLARSCALE_NODE_FILE=" + settings_path_;
     std::string path = "PATH=/usr/bin:/bin";
     char* const environment[] = {setting.data(), path.data(), nullptr};
     std::string name(program);
     char* const arguments[] = {name.data(), nullptr};
-    if (posix_spawn(&process_, program, &files, nullptr, arguments, environment) != 0)
+    process_ = fork();
+    if (process_ == 0)
     {
-        process_ = 0;
+        // it must not outlive the case, also if that is killed
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        dup2(log, STDOUT_FILENO);
+        dup2(log, STDERR_FILENO);
+        execve(program, arguments, environment);
+        _exit(could_not_run);
     }
-    posix_spawn_file_actions_destroy(&files);
+    close(log);
 }
 
 void machine::signal(int number) const
@@ -298,6 +302,19 @@
                       });
 }
 
+int run_case(const std::function<void()>& run)
+{
+    try
+    {
+        run();
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << error.what() << '\n';
+    }
+    std::_Exit(could_not_run);
+}
+
 void end_case(std::vector<std::unique_ptr<machine>>& machines, int result)
 {
     machines.clear();
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -122,6 +122,9 @@
 /// @brief Whether a condition holds within some time.
 bool wait_until(milliseconds timeout, const std::function<bool()>& condition);
 
+/// @brief Runs a case that ends with end_case(); exits if it throws.
+int run_case(const std::function<void()>& run);
+
 /// @brief Kills the machines and exits; threads of the stand-ins may still run.
 [[noreturn]] void end_case(std::vector<std::unique_ptr<machine>>& machines, int result);
 
