--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -77,22 +77,11 @@
     : server_(
           [this](const http_message& request, http_connection& connection)
           {
-              return handle(request, connection, {});
+              return handle(request, connection);
           })
 {
 }
 
-std::string store::open_view(rewriter rewrite)
-{
-    views_.push_back(std::make_unique<http_server>(
-        [this, rewrite = std::move(rewrite)](const http_message& request,
-                                             http_connection& connection)
-        {
-            return handle(request, connection, rewrite);
-        }));
-    return views_.back()->address();
-}
-
 void store::put(const std::string& key, const nlohmann::json& value)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -111,13 +100,6 @@
     lost_writes_[key] = executed_after;
 }
 
-void store::set_down(bool is_down)
-{
-    const std::lock_guard<std::mutex> lock(mutex_);
-    is_down_ = is_down;
-    changed_.notify_all();
-}
-
 bool store::has(const std::string& key)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -214,18 +196,16 @@
     }
 }
 
-nlohmann::json
-store::to_json(const std::string& key, const item& from, const rewriter& rewrite)
+nlohmann::json store::to_json(const std::string& key, const item& from)
 {
     return {{"key", key},
-            {"value", to_base64(rewrite ? rewrite(key, from.value) : from.value)},
+            {"value", to_base64(from.value)},
             {"revision", from.revision},
             {"create_revision", from.created},
             {"lease", from.lease}};
 }
 
-nlohmann::json
-store::answer_get(const http_message& request, const rewriter& rewrite, int& status)
+nlohmann::json store::answer_get(const http_message& request, int& status)
 {
     const std::string key = request.query("key");
     const auto found = items_.find(key);
@@ -234,12 +214,12 @@
         status = 404;
         return {{"store_revision", revision_}};
     }
-    nlohmann::json answer = to_json(key, found->second, rewrite);
+    nlohmann::json answer = to_json(key, found->second);
     answer["store_revision"] = revision_;
     return answer;
 }
 
-nlohmann::json store::answer_range(const http_message& request, const rewriter& rewrite)
+nlohmann::json store::answer_range(const http_message& request)
 {
     const std::string prefix = request.query("prefix");
     const std::string after = request.query("after");
@@ -248,13 +228,13 @@
     {
         if (begins_with(each.first, prefix) && each.first > after)
         {
-            items.push_back(to_json(each.first, each.second, rewrite));
+            items.push_back(to_json(each.first, each.second));
         }
     }
     return {{"items", items}, {"more_pages", false}, {"store_revision", revision_}};
 }
 
-nlohmann::json store::answer_watch(const http_message& request, const rewriter& rewrite)
+nlohmann::json store::answer_watch(const http_message& request)
 {
     const std::string prefix = request.query("prefix");
     const std::int64_t after = to_number(request.query("after"));
@@ -274,9 +254,9 @@
                                  ? nlohmann::json{{"key", each.key},
                                                   {"revision", each.now.revision},
                                                   {"deleted", true}}
-                                 : to_json(each.key, each.now, rewrite));
+                                 : to_json(each.key, each.now));
         }
-        return !events.empty() || is_down_;
+        return !events.empty();
     };
     changed_.wait_until(lock, end, collect);
     return {{"events", events}, {"store_revision", revision_}};
@@ -295,7 +275,7 @@
         holds = holds && revision == each.at("revision").get<std::int64_t>();
         if (found != items_.end())
         {
-            current.push_back(to_json(key, found->second, {}));
+            current.push_back(to_json(key, found->second));
         }
     }
     if (!holds)
@@ -350,19 +330,9 @@
     return {{"lease", id}};
 }
 
-bool store::handle(const http_message& request,
-                   http_connection& connection,
-                   const rewriter& rewrite)
+bool store::handle(const http_message& request, http_connection& connection)
 {
     std::this_thread::sleep_for(answer_time);
-    const std::string refusal = answer_text(503, {{"Store-Era", "1"}}, "");
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        if (is_down_)
-        {
-            return connection.write(refusal);
-        }
-    }
     if (request.path() == "/-/kv-txn" && is_lost(nlohmann::json::parse(request.body)))
     {
         // a connection on which an answer is lost returns nothing further
@@ -373,7 +343,7 @@
     nlohmann::json answer;
     if (request.path() == "/-/kv-watch")
     {
-        answer = answer_watch(request, rewrite);
+        answer = answer_watch(request);
     }
     else
     {
@@ -381,11 +351,11 @@
         drop_ended_leases();
         if (request.path() == "/-/kv-key")
         {
-            answer = answer_get(request, rewrite, status);
+            answer = answer_get(request, status);
         }
         else if (request.path() == "/-/kv-range")
         {
-            answer = answer_range(request, rewrite);
+            answer = answer_range(request);
         }
         else if (request.path() == "/-/kv-txn")
         {
--- a/review/support/store.hpp
+++ b/review/support/store.hpp
@@ -8,7 +8,6 @@
 #include <condition_variable>
 #include <functional>
 #include <map>
-#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -31,17 +30,9 @@
     /// @brief Writes an item as the operator or a server would.
     void put(const std::string& key, const nlohmann::json& value);
 
-    /// @brief Opens one more address, at which the values of items are rewritten; so a
-    /// machine can be told addresses of its own for the servers.
-    std::string open_view(std::function<std::string(const std::string& key,
-                                                    const std::string& value)> rewrite);
-
     /// @brief Loses the answer to the next write of a key, and executes it later.
     void lose_next_write(const std::string& key, milliseconds executed_after);
 
-    /// @brief Answers 503 to all calls, or serves them again.
-    void set_down(bool is_down);
-
     /// @brief Returns whether a key exists.
     bool has(const std::string& key);
 
@@ -73,16 +64,10 @@
         bool is_deleted = false;
     };
 
-    using rewriter =
-        std::function<std::string(const std::string& key, const std::string& value)>;
-
-    bool handle(const http_message& request,
-                http_connection& connection,
-                const rewriter& rewrite);
-    nlohmann::json
-    answer_get(const http_message& request, const rewriter& rewrite, int& status);
-    nlohmann::json answer_range(const http_message& request, const rewriter& rewrite);
-    nlohmann::json answer_watch(const http_message& request, const rewriter& rewrite);
+    bool handle(const http_message& request, http_connection& connection);
+    nlohmann::json answer_get(const http_message& request, int& status);
+    nlohmann::json answer_range(const http_message& request);
+    nlohmann::json answer_watch(const http_message& request);
     nlohmann::json answer_change(const nlohmann::json& wanted, int& status);
     nlohmann::json answer_lease(const http_message& request, int& status);
     /// whether the answer to a write is to be lost; if so, executes it later
@@ -90,8 +75,7 @@
     void put_locked(const std::string& key, const std::string& value, std::int64_t lease);
     void remove_locked(const std::string& key);
     void drop_ended_leases();
-    static nlohmann::json
-    to_json(const std::string& key, const item& from, const rewriter& rewrite);
+    static nlohmann::json to_json(const std::string& key, const item& from);
 
     std::mutex mutex_;
     std::condition_variable changed_;
@@ -99,10 +83,8 @@
     std::map<std::int64_t, lease> leases_;
     std::vector<change> history_;
     std::map<std::string, milliseconds> lost_writes_;
-    bool is_down_ = false;
     std::int64_t revision_ = 100;
     std::int64_t last_lease_ = 0;
-    std::vector<std::unique_ptr<http_server>> views_;
     http_server server_;
 };
 
