Refuse what a stopping host cannot have answered before its grace period ends

Cause: the process ended 500 ms before the end of the grace period, whatever was open. Nothing told requests how much time the host had left.

Change: shutdown_plan decides what a host does from the SIGTERM to the end of its grace period. A request that no target has is refused as soon as the service time of its remaining stages and the usual time of an answer (answer_time, as TCP estimates its retransmission timeout) no longer fit; new requests and their stages are planned against the same end. What a target still has at the end gets an answer of the host (504, or its stream is broken off) before the process ends. A request that another host has forwarded is handed back as not taken, so that its host chooses another one.

--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -1,8 +1,10 @@
 #ifndef MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 #define MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 
+#include <medlar/detail/dispatch/answer_time.hpp>
 #include <medlar/detail/dispatch/pool_retry_budget.hpp>
 #include <medlar/detail/dispatch/refusal_backoff.hpp>
+#include <medlar/detail/dispatch/shutdown_plan.hpp>
 #include <medlar/detail/dispatch/stage_forecast.hpp>
 #include <medlar/detail/dispatch/target_table.hpp>
 #include <medlar/detail/entry/entry_settings.hpp>
@@ -16,11 +18,22 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace medlar
 {
 
+/// @brief Request in progress, as seen by its host
+class running_request
+{
+  public:
+    virtual ~running_request() = default;
+
+    /// @brief Refuses or ends the request if its host stops before it can be answered.
+    virtual void apply(const shutdown_plan& plan) = 0;
+};
+
 /// @brief State shared by the components of an entry process. Used by one thread only.
 struct entry_context
 {
@@ -39,6 +52,12 @@
     /// @brief Records the measured time until an engine's first event.
     void record_first_event_delay(const pool_id& pool, millis took);
 
+    /// @brief Returns the time in which targets of a pool complete nearly all answers.
+    millis expected_answer_time(const pool_id& pool) const;
+
+    /// @brief Records the time from sending a request to the end of its answer.
+    void record_answer_time(const pool_id& pool, millis took);
+
     /// @brief Records the result of a call to a target; does nothing if the target is no
     /// longer registered.
     void record_target_call(const target_id& id, call_result result);
@@ -68,7 +87,9 @@
     /// called when a target that bears few refusals has refused a call; may be empty
     std::function<void(const target_state&)> on_refused;
     /// the requests in progress; they end with the host
-    std::set<std::shared_ptr<void>> running_requests;
+    std::set<std::shared_ptr<running_request>> running_requests;
+    /// set once the host was told to stop
+    std::optional<shutdown_plan> shutdown;
 
   private:
     void record_rate_limit(target_state& target, std::optional<double> per_s);
@@ -76,6 +97,7 @@
 
     std::map<pool_id, pool_retry_budget> budgets_;
     std::map<pool_id, double> first_event_ms_;
+    std::map<pool_id, answer_time> answer_times_;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -81,6 +81,8 @@
     void on_host_changed(const host_id& id, const store_item& item);
     void drop_lapsed_hosts();
     void tick();
+    /// ends requests that cannot be answered before the host stops
+    void continue_shutdown();
 
     event_loop& loop_;
     entry_settings settings_;
@@ -107,7 +109,6 @@
     std::unique_ptr<http_server> forward_server_;
     std::unique_ptr<http_server> readiness_server_;
     std::unique_ptr<http_server> metrics_server_;
-    std::optional<steady_time> drain_started_at_;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -35,7 +35,8 @@
 
 /// @brief Processes one request of a caller, from its arrival to the end of its answer:
 /// runs its stages, forwards it to a target with retries, and forwards the answer.
-class request_run : public std::enable_shared_from_this<request_run>
+class request_run : public running_request,
+                    public std::enable_shared_from_this<request_run>
 {
   public:
     /// @brief Creates the run of a request that is routed and authorised.
@@ -54,6 +55,8 @@
     /// @brief Starts the run, which keeps itself alive until its answer has ended.
     void start();
 
+    void apply(const shutdown_plan& plan) override;
+
   private:
     /// retry delay of a caller if no target could accept the request: some of the calls
     /// in progress end within this time
@@ -71,6 +74,12 @@
     request_key make_key() const;
     bool is_stream() const;
     millis remaining_time() const;
+    /// whether no target can have run the request
+    bool has_not_run() const;
+    /// time that the request still takes at least until its answer is complete
+    millis needed_time() const;
+    /// whether its host stops before a target can answer it
+    bool is_cut_by_shutdown() const;
     int priority() const;
     /// whether the caller resumes a stream that it has received a part of
     bool is_resumption() const;
@@ -142,6 +151,9 @@
     void fail(int status, absl::string_view why);
     void abort_answer(absl::string_view why);
     void end_run(absl::string_view outcome, int status);
+    void refuse_for_shutdown();
+    /// ends the request without waiting for a target any longer
+    void end_without_target(absl::string_view why_refused, absl::string_view why_failed);
     void on_timeout();
     void on_caller_left();
 
--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -72,6 +72,9 @@
     /// more.
     void stop();
 
+    /// @brief Returns the time that the stages still take at least, with empty queues.
+    millis remaining_service_time() const;
+
     /// @brief Returns the failure domain that holds most bytes of the results that the
     /// request reads; unset if they are too small for their location to matter.
     std::optional<failure_domain_id> results_domain() const;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -61,6 +61,18 @@
     mean += first_event_smoothing * (static_cast<double>(took.count()) - mean);
 }
 
+millis entry_context::expected_answer_time(const pool_id& pool) const
+{
+    const auto found = answer_times_.find(pool);
+    return found == answer_times_.end() ? answer_time().estimate()
+                                        : found->second.estimate();
+}
+
+void entry_context::record_answer_time(const pool_id& pool, millis took)
+{
+    answer_times_[pool].record(took);
+}
+
 void entry_context::record_target_answer(const target_id& id, const answer_fields& answer)
 {
     target_state* const target = targets.find(id);
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -18,13 +18,6 @@
 namespace
 {
 
-// The load balancer polls readiness once a second and removes a host after two failures;
-// until then a draining host still accepts requests.
-constexpr millis rotation_delay{3000};
-
-// a draining process ends this long before it would be killed
-constexpr millis kill_margin{500};
-
 // retry delay of callers while the host has no configuration: about the time to read it
 constexpr millis retry_after_start{300};
 
@@ -393,12 +386,12 @@
 
 bool entry_host::is_ready() const
 {
-    return has_started() && !context_.targets.all().empty() && !drain_started_at_;
+    return has_started() && !context_.targets.all().empty() && !context_.shutdown;
 }
 
 bool entry_host::accepts_requests() const
 {
-    return !drain_started_at_ || loop_.now() < *drain_started_at_ + rotation_delay;
+    return !context_.shutdown || context_.shutdown->accepts_requests(loop_.now());
 }
 
 void entry_host::serve_readiness(const std::shared_ptr<caller_exchange>& exchange) const
@@ -622,13 +615,9 @@
         log_event(entry_lines_dropped, {{"lines", static_cast<std::int64_t>(dropped)}});
     }
     write_buffered_lines();
-    if (drain_started_at_ && !accepts_requests())
+    if (context_.shutdown)
     {
-        caller_server_->close_idle();
-        if (forward_server_)
-        {
-            forward_server_->close_idle();
-        }
+        continue_shutdown();
     }
     loop_.after(tick_interval,
                 [this]
@@ -637,13 +626,30 @@
                 });
 }
 
+void entry_host::continue_shutdown()
+{
+    const std::set<std::shared_ptr<running_request>> requests = context_.running_requests;
+    for (const std::shared_ptr<running_request>& each : requests)
+    {
+        each->apply(*context_.shutdown);
+    }
+    if (!accepts_requests())
+    {
+        caller_server_->close_idle();
+        if (forward_server_)
+        {
+            forward_server_->close_idle();
+        }
+    }
+}
+
 void entry_host::drain()
 {
-    if (drain_started_at_)
+    if (context_.shutdown)
     {
         return;
     }
-    drain_started_at_ = loop_.now();
+    context_.shutdown = shutdown_plan::create(loop_.now(), settings_.shutdown_grace);
     log_event(entry_draining,
               {{"open", static_cast<std::int64_t>(caller_server_->open_exchanges())}});
     caller_server_->set_draining();
@@ -652,6 +658,7 @@
         forward_server_->set_draining();
     }
     store_controller_.leave();
+    continue_shutdown();
 }
 
 void entry_host::reload()
@@ -673,19 +680,17 @@
 
 bool entry_host::is_finished() const
 {
-    if (!drain_started_at_)
+    if (!context_.shutdown)
     {
         return false;
     }
-    const millis since = loop_.now() - *drain_started_at_;
     const std::pair<std::size_t, std::size_t> load = piece_service_.load();
     const bool is_forward_idle =
         forward_server_ == nullptr || forward_server_->open_exchanges() == 0;
     const bool idle = is_forward_idle && caller_server_->open_exchanges() == 0 &&
                       caller_server_->connections() == 0 && load.first == 0 &&
                       load.second == 0;
-    return (since > rotation_delay && idle) ||
-           since > settings_.shutdown_grace - kill_margin;
+    return (!accepts_requests() && idle) || context_.shutdown->is_over(loop_.now());
 }
 
 } // namespace medlar
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -135,6 +135,7 @@
 void request_run::finish_answer()
 {
     free_stage_results();
+    context_.record_answer_time(pool_, context_.loop.now() - sent_at_);
     const int status = head_->status;
     if (!exchange_->has_begun())
     {
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -69,6 +69,11 @@
     {
         return;
     }
+    if (!exchange_->has_begun() && has_not_run() && is_cut_by_shutdown())
+    {
+        refuse_for_shutdown();
+        return;
+    }
     target_state* target = context_.targets.find(planned_target_);
     if (target != nullptr)
     {
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/dispatch/target_choice.hpp>
+#include <medlar/detail/entry/local_reply.hpp>
 #include <medlar/detail/entry/request_run.hpp>
 #include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
@@ -75,6 +76,24 @@
     return deadline_ - context_.loop.now();
 }
 
+bool request_run::has_not_run() const
+{
+    return !may_have_run_ && (call_ == nullptr || !call_->has_sent()) &&
+           (forward_ == nullptr || !forward_->has_sent());
+}
+
+millis request_run::needed_time() const
+{
+    const millis stages = pipeline_ ? pipeline_->remaining_service_time() : millis(0);
+    return stages + context_.expected_answer_time(pool_);
+}
+
+bool request_run::is_cut_by_shutdown() const
+{
+    return context_.shutdown &&
+           !context_.shutdown->is_answerable(context_.loop.now(), needed_time());
+}
+
 int request_run::priority() const
 {
     return organisation_ && organisation_->priority ? *organisation_->priority
@@ -333,6 +352,13 @@
                             context_.expected_first_event_delay(pool_);
     request.planned_domain =
         planned == nullptr ? context_.settings.domain : planned->record.domain;
+    if (context_.shutdown)
+    {
+        request.deadline = std::min(request.deadline,
+                                    context_.shutdown->last_answer_at() -
+                                        context_.expected_answer_time(pool_));
+        request.soft_deadline = std::min(request.soft_deadline, request.deadline);
+    }
     pipeline_callbacks callbacks;
     callbacks.on_done = [this](const std::vector<result_handle>& inputs)
     {
@@ -376,23 +402,61 @@
     }
 }
 
+void request_run::apply(const shutdown_plan& plan)
+{
+    const bool is_waiting = has_not_run() && call_ == nullptr && forward_ == nullptr;
+    if (is_waiting && is_cut_by_shutdown())
+    {
+        refuse_for_shutdown();
+    }
+    else if (context_.loop.now() >= plan.last_answer_at())
+    {
+        end_without_target("this host is stopping",
+                           "this host stopped before the target had answered");
+    }
+}
+
+void request_run::refuse_for_shutdown()
+{
+    constexpr absl::string_view why = "this host is stopping";
+    if (!is_forwarded_)
+    {
+        refuse(retry_after_no_target, why);
+        return;
+    }
+    // the host that has forwarded the request chooses another one
+    send_local_reply(context_.protocol,
+                     *exchange_,
+                     fields_.attempt,
+                     status_unavailable,
+                     {{forward_not_taken_header, std::string(why)}},
+                     why);
+    end_run(absl::StrCat("refused: ", why), status_unavailable);
+}
+
 void request_run::on_timeout()
 {
-    const bool never_sent = !may_have_run_ && (call_ == nullptr || !call_->has_sent()) &&
-                            (forward_ == nullptr || !forward_->has_sent());
+    end_without_target("time is over before a target could run it",
+                       "the target did not answer in time");
+}
+
+void request_run::end_without_target(absl::string_view why_refused,
+                                     absl::string_view why_failed)
+{
+    const bool is_refused = has_not_run();
     if (call_)
     {
         call_->cancel();
         release_call();
     }
     release_forward();
-    if (never_sent)
+    if (is_refused)
     {
-        refuse(retry_after_no_target, "time is over before a target could run it");
+        refuse(retry_after_no_target, why_refused);
     }
     else
     {
-        fail(status_gateway_timeout, "the target did not answer in time");
+        fail(status_gateway_timeout, why_failed);
     }
 }
 
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -314,6 +314,18 @@
                         });
 }
 
+millis stage_pipeline::remaining_service_time() const
+{
+    return longest_path(request_.stages,
+                        0,
+                        [this](std::size_t each)
+                        {
+                            return stages_[each].status == stage_status::done
+                                       ? millis(0)
+                                       : service_time(each);
+                        });
+}
+
 millis stage_pipeline::expected_time(std::size_t stage) const
 {
     if (request_.pieces[stage] <= 0)
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -204,6 +204,7 @@
         result.store_endpoint = store_endpoint_;
         result.store_value_bytes = store.max_value_bytes;
         result.retry_rule = {0.2, 50, millis(10000)};
+        result.shutdown_grace = shutdown_grace;
         return result;
     }
 
@@ -333,6 +334,8 @@
 
     medlar::clock time = medlar::clock::system();
     event_loop loop{time};
+    /// grace period of the hosts that are started from now on
+    millis shutdown_grace{8000};
     platform::adapter protocol;
     http_client client{loop, 65536};
 
--- a/test/support/entry/partitioned_group.hpp
+++ b/test/support/entry/partitioned_group.hpp
@@ -47,8 +47,12 @@
   public:
     using exchange_ptr = std::shared_ptr<caller_exchange>;
 
-    partitioned_group(int host_count, int plain_count, int stage_count)
+    partitioned_group(int host_count,
+                      int plain_count,
+                      int stage_count,
+                      millis shutdown_grace = millis(8000))
     {
+        this->shutdown_grace = shutdown_grace;
         for (int i = 0; i < plain_count + stage_count; ++i)
         {
             const bool is_plain = i < plain_count;
@@ -173,6 +177,18 @@
         return served;
     }
 
+    /// Answers the calls with pieces that were left without an answer.
+    void release_pieces()
+    {
+        is_holding_pieces = false;
+        std::vector<exchange_ptr> calls;
+        calls.swap(held);
+        for (const exchange_ptr& each : calls)
+        {
+            execute_pieces(each);
+        }
+    }
+
     /// Returns how often the targets got a request of a path.
     std::size_t arrivals(const std::string& path) const
     {
@@ -191,6 +207,8 @@
     /// whether targets leave requests without an answer
     bool is_holding = false;
     std::vector<exchange_ptr> held;
+    /// whether targets leave pieces without an answer
+    bool is_holding_pieces = false;
     /// the refusal of each request, if not empty: seconds to wait
     std::string refusal;
 
@@ -228,6 +246,11 @@
 
     void execute_pieces(const exchange_ptr& exchange)
     {
+        if (is_holding_pieces)
+        {
+            held.push_back(exchange);
+            return;
+        }
         const nlohmann::json body = nlohmann::json::parse(exchange->body());
         nlohmann::json items = nlohmann::json::array();
         for (std::size_t i = 0; body.contains("items") && i < body["items"].size(); ++i)
