Leave the queues of a stopping host to the next owner

A host that stops ends its registration at once, so that its peers choose other owners, but it kept counting itself: it went on building calls from the queue that it had, and sent the stages of its own requests to itself.

Change: peer_network::leave() leaves a host out of its own list of live hosts while another one is live, as its peers do; with that, owners, issuers of permits, judges and keepers are computed alike on both sides.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -155,6 +155,9 @@
         return jobs_.count(job) > 0;
     }
 
+    /// @brief Returns whether all unfinished pieces of a job are queued.
+    bool is_waiting(job_id job) const;
+
     /// @brief Returns the number of queued pieces.
     std::size_t waiting_pieces() const;
 
--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/entry/peer_network.hpp
@@ -53,9 +53,21 @@
         return self_;
     }
 
-    /// @brief this host, first, and the other registered hosts that are not suspected
+    /// @brief Returns this host and the other registered hosts that are not suspected. A
+    /// host that leaves is left out, as by its peers, while another one is live.
     std::vector<peer_host> live_hosts() const;
 
+    /// @brief Leaves the duties of this host to its peers.
+    void leave()
+    {
+        is_leaving_ = true;
+    }
+
+    bool is_leaving() const
+    {
+        return is_leaving_;
+    }
+
     /// @brief number of registered hosts, including this one
     std::size_t registered_count() const
     {
@@ -109,6 +121,8 @@
     }
 
   private:
+    /// the other registered hosts that are not suspected
+    std::vector<peer_host> live_peers() const;
     /// the seeds without this host's own address
     std::vector<endpoint> usable_seeds() const;
     std::shared_ptr<message_link> link_to(const host_id& host, const endpoint& where);
@@ -116,6 +130,7 @@
 
     event_loop& loop_;
     peer_host self_;
+    bool is_leaving_ = false;
     std::map<host_id, peer_host> others_;
     std::vector<endpoint> seeds_;
     std::shared_ptr<listener> listener_;
--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -72,6 +72,10 @@
     /// reassigned by the hosts that they belong to.
     void handle_path_lost(const pool_id& pool);
 
+    /// @brief Gives up the jobs that wait here, since this host leaves: those whose
+    /// pieces are at a target are kept until they return.
+    void hand_over_waiting();
+
     /// @brief Cancels the jobs of a requesting host whose link ended.
     void handle_requester_lost(const message_link* link);
 
@@ -125,6 +129,10 @@
     void handle_job(const std::shared_ptr<message_link>& from,
                     const nlohmann::json& message);
     void drop_remote(std::uint64_t key);
+    /// whether another host should own the jobs of a pool
+    bool is_left_to_others(const pool_id& pool) const;
+    /// has the jobs that this host executes, and that are selected, executed by others
+    void hand_over(const std::function<bool(const job_ticket&)>& is_selected);
 
     entry_context& context_;
     peer_network& peers_;
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -60,6 +60,9 @@
     /// @brief Cancels a job; none of its callbacks is called any more.
     void cancel(const job_ticket& ticket);
 
+    /// @brief Returns whether all unfinished pieces of a job are queued.
+    bool is_waiting(const job_ticket& ticket) const;
+
     /// @brief Frees results at the targets that hold them.
     void free(const std::vector<result_handle>& handles);
 
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -263,6 +263,13 @@
     }
 }
 
+bool piece_queue::is_waiting(job_id job) const
+{
+    const auto found = jobs_.find(job);
+    return found != jobs_.end() && found->second.in_calls == 0 &&
+           !found->second.waiting.empty();
+}
+
 std::size_t piece_queue::waiting_pieces() const
 {
     std::size_t count = 0;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -628,6 +628,7 @@
 
 void entry_host::continue_shutdown()
 {
+    broker_.hand_over_waiting();
     const std::set<std::shared_ptr<running_request>> requests = context_.running_requests;
     for (const std::shared_ptr<running_request>& each : requests)
     {
@@ -657,6 +658,7 @@
     {
         forward_server_->set_draining();
     }
+    peers_.leave();
     store_controller_.leave();
     continue_shutdown();
 }
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -92,9 +92,9 @@
     others_.erase(host);
 }
 
-std::vector<peer_host> peer_network::live_hosts() const
+std::vector<peer_host> peer_network::live_peers() const
 {
-    std::vector<peer_host> hosts{self_};
+    std::vector<peer_host> hosts;
     for (const auto& each : others_)
     {
         const auto found = suspected_until_.find(each.first);
@@ -106,6 +106,16 @@
     return hosts;
 }
 
+std::vector<peer_host> peer_network::live_hosts() const
+{
+    std::vector<peer_host> hosts = live_peers();
+    if (!is_leaving_ || hosts.empty())
+    {
+        hosts.insert(hosts.begin(), self_);
+    }
+    return hosts;
+}
+
 void peer_network::suspect(const host_id& host)
 {
     suspected_until_[host] = loop_.now() + suspicion_time;
@@ -172,15 +182,15 @@
                                 std::size_t count,
                                 const nlohmann::json& message)
 {
-    const std::vector<peer_host> hosts = live_hosts();
-    const std::size_t others = hosts.size() - 1;
+    const std::vector<peer_host> hosts = live_peers();
+    const std::size_t others = hosts.size();
     if (others > 0)
     {
         // hosts of one failure domain often have adjacent names
         const std::size_t step = std::max<std::size_t>(1, others / count);
         for (std::size_t i = 0; i < std::min(count, others); ++i)
         {
-            send(hosts[1 + (pick + i * step) % others].id, message);
+            send(hosts[(pick + i * step) % others].id, message);
         }
         return;
     }
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -393,7 +393,7 @@
     const auto number = message.at("number").get<std::uint64_t>();
     const piece_group group{pool_id(message.at("pool").get<std::string>()),
                             message.at("group").get<std::string>()};
-    if (!paths_.has_path(group.pool) && paths_.is_reached_by_another(group.pool))
+    if (is_left_to_others(group.pool))
     {
         from->send({{"type", "no_path"}, {"number", number}, {"accepted", false}});
         return;
@@ -517,16 +517,37 @@
     }
 }
 
+bool piece_broker::is_left_to_others(const pool_id& pool) const
+{
+    return (peers_.is_leaving() || !paths_.has_path(pool)) &&
+           paths_.is_reached_by_another(pool);
+}
+
 void piece_broker::handle_path_lost(const pool_id& pool)
 {
-    if (!paths_.is_reached_by_another(pool))
-    {
-        return;
-    }
+    hand_over(
+        [&](const job_ticket& ticket)
+        {
+            return ticket.group.pool == pool;
+        });
+}
+
+void piece_broker::hand_over_waiting()
+{
+    hand_over(
+        [this](const job_ticket& ticket)
+        {
+            return service_.is_waiting(ticket);
+        });
+}
+
+void piece_broker::hand_over(const std::function<bool(const job_ticket&)>& is_selected)
+{
     std::vector<std::uint64_t> remote;
     for (const auto& each : remote_jobs_)
     {
-        if (each.second.ticket.group.pool == pool)
+        const job_ticket& ticket = each.second.ticket;
+        if (is_left_to_others(ticket.group.pool) && is_selected(ticket))
         {
             remote.push_back(each.first);
         }
@@ -544,7 +565,9 @@
     std::vector<broker_ticket> local;
     for (const auto& each : open_jobs_)
     {
-        if (each.second.is_local && each.second.pool == pool)
+        const open_job& open = each.second;
+        if (open.is_local && open.reassignments < max_reassignments &&
+            is_left_to_others(open.pool) && is_selected(open.local))
         {
             local.push_back(each.first);
         }
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -126,6 +126,12 @@
     }
 }
 
+bool piece_service::is_waiting(const job_ticket& ticket) const
+{
+    const auto found = groups_.find(ticket.group);
+    return found != groups_.end() && found->second->queue.is_waiting(ticket.job);
+}
+
 void piece_service::schedule_pump(const piece_group& group)
 {
     group_state& state = *groups_.at(group);
--- a/test/entry/shutdown_test.cpp
+++ b/test/entry/shutdown_test.cpp
@@ -61,6 +61,17 @@
         run_for(millis(50));
     }
 
+    /// Returns how many pieces wait at a host.
+    double waiting_pieces(std::size_t host)
+    {
+        const std::string page = send(all_settings.at(host).metrics_endpoint,
+                                      "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+                                     .body;
+        const std::string name = "medlar_pieces_waiting ";
+        const std::size_t at = page.find(name);
+        return at == std::string::npos ? 0 : std::stod(page.substr(at + name.size()));
+    }
+
   private:
     int begun_ = 0;
 };
@@ -71,6 +82,7 @@
     CPPUNIT_TEST(closes_no_connection_of_a_request_that_waits_for_a_stage);
     CPPUNIT_TEST(closes_no_connection_of_a_request_that_its_target_has);
     CPPUNIT_TEST(leaves_requests_that_others_forwarded_to_another_host);
+    CPPUNIT_TEST(leaves_pieces_that_wait_to_the_next_owner);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -129,6 +141,33 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each->body, 200, each->status);
         }
     }
+
+    // guards against LOST of review/1: each host that stopped kept a queue of its own
+    void leaves_pieces_that_wait_to_the_next_owner()
+    {
+        stopping_group it(2, 1, 1, millis(8000));
+        it.is_holding_pieces = true;
+        for (const std::size_t host : {std::size_t{0}, std::size_t{1}})
+        {
+            for (int i = 0; i < 12; ++i)
+            {
+                it.begin_patiently(host, "/s/x");
+            }
+        }
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.waiting_pieces(0) + it.waiting_pieces(1) > 20;
+            }));
+        const std::size_t owner = it.waiting_pieces(0) > 0 ? 0 : 1;
+        it.hosts.at(owner)->host->drain();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.waiting_pieces(1 - owner) > 20;
+            }));
+        CPPUNIT_ASSERT_EQUAL(0.0, it.waiting_pieces(owner));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_host_that_stops);
