Take no time-out of TCP for the end of an answer

Callers got a part of an answer as the whole: status 200, the target's signature, and the bytes that had come before the connection fell silent.

Cause: when TCP gives a connection up, reading fails with ETIMEDOUT. POCO throws a TimeoutException for it, which connection::read_input() took for "nothing to read". The kernel reports an error once: the next read finds a regular end, and an answer that ends with its connection is then complete. The same happens without a time-out if a write is the first to find a connection reset: it takes the error, and the next read finds an end.

Change: receive_some() tells the four ends of a read apart by their error numbers; only the end of the peer's own sending side is closed. After a failed write a connection ends as reset, once all received bytes are read.

--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/base/endpoint.hpp>
 #include <medlar/detail/loop/event_loop.hpp>
+#include <medlar/detail/loop/socket_io.hpp>
 
 #include <Poco/Net/StreamSocket.h>
 #include <absl/strings/string_view.h>
@@ -16,8 +17,8 @@
 /// @brief Reason for the end of a connection.
 enum class connection_end
 {
-    closed,         ///< the peer closed its sending side (end of file)
-    reset,          ///< the peer reset the connection, or the network path failed
+    closed,         ///< the peer closed its sending side after its last byte
+    reset,          ///< the peer reset the connection, or TCP has given it up
     connect_failed, ///< the connection was never established; no byte was delivered
     refused, ///< like connect_failed: the peer's host runs, but nothing listens there
 };
@@ -133,7 +134,9 @@
     connection(event_loop& loop, const Poco::Net::StreamSocket& socket, state initial);
 
     void finish_connect();
-    void read_input();
+    io_status read_input();
+    /// reads what is left after a failed write, and ends the connection
+    void end_after_input();
     void flush();
     void update_watch();
     void end(connection_end reason);
@@ -147,6 +150,8 @@
     std::string output_;
     std::size_t sent_ = 0;
     bool has_sent_ = false;
+    /// a failed write takes the error from the socket, which then reports a regular end
+    bool has_write_failed_ = false;
     bool closing_ = false;
     bool watching_read_ = true;
     bool watching_write_ = false;
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -166,12 +166,11 @@
     }
     catch (const Poco::Exception&)
     {
-        // bytes that the peer sent before the reset may still be readable
+        has_write_failed_ = true;
         loop_.after(millis(0),
                     [self]
                     {
-                        self->read_input();
-                        self->end(connection_end::reset);
+                        self->end_after_input();
                     });
         clear_and_shrink(output_);
         sent_ = 0;
@@ -331,41 +330,28 @@
     }
 }
 
-void connection::read_input()
+io_status connection::read_input()
 {
-    if (state_ == state::ended)
-    {
-        return;
-    }
     std::array<char, max_read_bytes> buffer;
-    int received = -1;
-    try
-    {
-        received = socket_.receiveBytes(buffer.data(), max_read_bytes);
-    }
-    catch (const Poco::TimeoutException&)
-    {
-        return;
-    }
-    catch (const Poco::Exception&)
-    {
-        end(connection_end::reset);
-        return;
-    }
-    if (received == 0)
+    const io_result received = receive_some(socket_, buffer.data(), max_read_bytes);
+    if (received.status == io_status::done && state_ != state::lingering)
     {
-        end(connection_end::closed);
-        return;
-    }
-    if (received < 0 || state_ == state::lingering)
-    {
-        return;
+        input_.append(buffer.data(), received.bytes);
+        if (handler_ != nullptr)
+        {
+            handler_->on_input();
+        }
     }
-    input_.append(buffer.data(), static_cast<std::size_t>(received));
-    if (handler_ != nullptr)
+    return received.status;
+}
+
+void connection::end_after_input()
+{
+    // bytes that the peer sent before the connection failed may still be readable
+    while (state_ != state::ended && read_input() == io_status::done)
     {
-        handler_->on_input();
     }
+    end(connection_end::reset);
 }
 
 void connection::on_ready(readiness ready)
@@ -386,7 +372,15 @@
     // occurred
     if (state_ != state::ended && (ready.readable || ready.failed))
     {
-        read_input();
+        const io_status status = read_input();
+        if (status == io_status::closed && !has_write_failed_)
+        {
+            end(connection_end::closed);
+        }
+        else if (status == io_status::closed || status == io_status::failed)
+        {
+            end(connection_end::reset);
+        }
     }
 }
 
