--- a/test/entry/unframed_answer_test.cpp
+++ b/test/entry/unframed_answer_test.cpp
@@ -52,16 +52,16 @@
     std::shared_ptr<received_answer> begin_unread(const std::string& path)
     {
         const std::string body(40000, 'x');
-        const auto got = begin(
-            host_settings.caller_endpoint,
-            absl::StrCat("POST ",
-                         path,
-                         " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n"
-                         "Deadline-Ms: 15000\r\nAuthorization: Bearer key-1\r\n"
-                         "Content-Length: ",
-                         body.size(),
-                         "\r\n\r\n",
-                         body));
+        const auto got =
+            begin(host_settings.caller_endpoint,
+                  absl::StrCat("POST ",
+                               path,
+                               " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-1\r\n"
+                               "Deadline-Ms: 15000\r\nAuthorization: Bearer key-1\r\n"
+                               "Content-Length: ",
+                               body.size(),
+                               "\r\n\r\n",
+                               body));
         CPPUNIT_ASSERT(until(
             [&]
             {
