Wait for callers that read slowly

Cause: a write that would block fails with EAGAIN, POCO throws for it, and connection::flush() took each exception for a reset. Nothing that waits for a peer to read had ever run. stream_channel, between gateways, made the same call.

Change: send_some() tells "would block" from a failure by the error number, for both. What can be reached now was read again: a connection to a target that was paused when its answer ended is resumed before it is used again; a connection whose answer is not sent yet is neither idle, for its timer or for a stop, nor does a stopping process end before it.

--- a/include/medlar/detail/loop/caller_connection.hpp
+++ b/include/medlar/detail/loop/caller_connection.hpp
@@ -42,6 +42,7 @@
     void reject(int status, const std::string& message);
     void deliver_request();
     void finish_exchange();
+    void close_after_answer();
     void arm_timer(millis delay);
     void on_timeout();
     void detach();
--- a/include/medlar/detail/loop/http_server.hpp
+++ b/include/medlar/detail/loop/http_server.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace medlar
 {
@@ -142,11 +143,8 @@
     /// @brief Returns the number of requests whose answer is not finished.
     std::size_t open_exchanges() const;
 
-    /// @brief Returns the number of open connections.
-    std::size_t connections() const
-    {
-        return connections_.size();
-    }
+    /// @brief Returns the number of connections that are open or have unsent output.
+    std::size_t connections() const;
 
     /// @brief Sets the function that is called for each rejected input.
     ///
@@ -164,6 +162,8 @@
     http_server(event_loop& loop, const server_limits& limits, request_action on_request);
 
     void remove(const std::shared_ptr<caller_connection>& ended);
+    /// counts a connection until its output is sent
+    void add_closing(const std::shared_ptr<connection>& stream);
 
     event_loop& loop_;
     const server_limits& limits_;
@@ -171,6 +171,7 @@
     std::function<void(int, const std::string&)> on_rejected_;
     std::shared_ptr<listener> listener_;
     std::set<std::shared_ptr<caller_connection>> connections_;
+    std::vector<std::weak_ptr<connection>> closing_;
     bool draining_ = false;
 };
 
--- a/include/medlar/detail/loop/socket_io.hpp
+++ b/include/medlar/detail/loop/socket_io.hpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstddef>
 
@@ -27,11 +28,18 @@
     std::size_t bytes = 0;
 };
 
-/// @brief Reads from a non-blocking socket.
+/// @brief Returns whether a call on a non-blocking socket has failed or would block.
 ///
 /// POCO throws a TimeoutException for ETIMEDOUT, when TCP has given the connection up,
 /// and another exception where a call would block, depending on the call: the error
 /// number tells them apart.
+inline io_status status_of(const Poco::Exception& error)
+{
+    const bool is_blocked = error.code() == EAGAIN || error.code() == EWOULDBLOCK;
+    return is_blocked ? io_status::blocked : io_status::failed;
+}
+
+/// @brief Reads from a non-blocking socket.
 inline io_result receive_some(Poco::Net::StreamSocket& socket, void* buffer, int size)
 {
     try
@@ -46,8 +54,22 @@
     }
     catch (const Poco::Exception& error)
     {
-        const bool is_blocked = error.code() == EAGAIN || error.code() == EWOULDBLOCK;
-        return {is_blocked ? io_status::blocked : io_status::failed, 0};
+        return {status_of(error), 0};
+    }
+}
+
+/// @brief Writes as much to a non-blocking socket as it has room for.
+inline io_result send_some(Poco::Net::StreamSocket& socket, const void* bytes, int size)
+{
+    try
+    {
+        const int sent = socket.sendBytes(bytes, size, MSG_NOSIGNAL);
+        return {sent > 0 ? io_status::done : io_status::blocked,
+                static_cast<std::size_t>(std::max(0, sent))};
+    }
+    catch (const Poco::Exception& error)
+    {
+        return {status_of(error), 0};
     }
 }
 
--- a/src/link/stream_channel.cpp
+++ b/src/link/stream_channel.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/link/link_limits.hpp>
 #include <medlar/detail/link/stream_channel.hpp>
+#include <medlar/detail/loop/socket_io.hpp>
 
 #include <Poco/Exception.h>
 #include <absl/strings/str_cat.h>
@@ -160,14 +161,15 @@
         {
             break;
         }
-        const int sent = socket_.sendBytes(
-            unsent_.data(), static_cast<int>(unsent_.size()), MSG_NOSIGNAL);
-        if (sent <= 0)
+        const io_result sent =
+            send_some(socket_, unsent_.data(), static_cast<int>(unsent_.size()));
+        if (sent.status != io_status::done)
         {
-            return channel_end::open;
+            return sent.status == io_status::blocked ? channel_end::open
+                                                     : channel_end::broken;
         }
-        traffic_ += sent;
-        unsent_.erase(0, sent);
+        traffic_ += static_cast<std::int64_t>(sent.bytes);
+        unsent_.erase(0, sent.bytes);
     }
     const bool finished = nghttp2_session_want_read(session_) == 0 &&
                           nghttp2_session_want_write(session_) == 0;
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -54,6 +54,12 @@
     {
         return;
     }
+    if (stream_->unsent() > 0 && !head_begun_)
+    {
+        // the caller has not read the last answer yet; TCP gives up one that is gone
+        arm_timer(server_.limits_.idle_timeout);
+        return;
+    }
     if (head_begun_)
     {
         reject(status_timeout, "the request did not arrive in time");
@@ -176,8 +182,7 @@
                                "\r\n\r\n",
                                message,
                                "\n"));
-    detach();
-    stream_->close_after_output();
+    close_after_answer();
 }
 
 void caller_connection::finish_exchange()
@@ -188,8 +193,7 @@
     head_begun_ = false;
     if (!keep_alive_ || server_.draining_)
     {
-        detach();
-        stream_->close_after_output();
+        close_after_answer();
         return;
     }
     stream_->set_input_paused(false);
@@ -211,13 +215,27 @@
     }
 }
 
+void caller_connection::close_after_answer()
+{
+    const std::shared_ptr<caller_connection> self = shared_from_this();
+    detach();
+    server_.add_closing(stream_);
+    stream_->close_after_output();
+}
+
 void caller_connection::close_if_idle()
 {
-    if (!exchange_ && !incoming_ && !head_begun_)
+    if (exchange_ || incoming_ || head_begun_)
     {
-        detach();
-        stream_->close();
+        return;
     }
+    if (stream_->unsent() > 0)
+    {
+        close_after_answer();
+        return;
+    }
+    detach();
+    stream_->close();
 }
 
 void caller_connection::close()
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -149,22 +149,15 @@
 void connection::flush()
 {
     const std::shared_ptr<connection> self = shared_from_this();
-    try
+    io_result result{io_status::done, 0};
+    while (sent_ < output_.size() && result.status == io_status::done)
     {
-        while (sent_ < output_.size())
-        {
-            const int sent = socket_.sendBytes(output_.data() + sent_,
-                                               static_cast<int>(output_.size() - sent_),
-                                               MSG_NOSIGNAL);
-            if (sent <= 0)
-            {
-                break;
-            }
-            has_sent_ = true;
-            sent_ += static_cast<std::size_t>(sent);
-        }
+        result = send_some(
+            socket_, output_.data() + sent_, static_cast<int>(output_.size() - sent_));
+        has_sent_ = has_sent_ || result.bytes > 0;
+        sent_ += result.bytes;
     }
-    catch (const Poco::Exception&)
+    if (result.status == io_status::failed)
     {
         has_write_failed_ = true;
         loop_.after(millis(0),
--- a/src/loop/http_server.cpp
+++ b/src/loop/http_server.cpp
@@ -1,6 +1,7 @@
 #include <medlar/detail/loop/caller_connection.hpp>
 #include <medlar/detail/loop/http_server.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace medlar
@@ -80,6 +81,31 @@
     return count;
 }
 
+std::size_t http_server::connections() const
+{
+    const auto with_output =
+        std::count_if(closing_.begin(),
+                      closing_.end(),
+                      [](const std::weak_ptr<connection>& each)
+                      {
+                          const auto stream = each.lock();
+                          return stream && stream->is_open() && stream->unsent() > 0;
+                      });
+    return connections_.size() + static_cast<std::size_t>(with_output);
+}
+
+void http_server::add_closing(const std::shared_ptr<connection>& stream)
+{
+    closing_.erase(std::remove_if(closing_.begin(),
+                                  closing_.end(),
+                                  [](const std::weak_ptr<connection>& each)
+                                  {
+                                      return each.expired();
+                                  }),
+                   closing_.end());
+    closing_.push_back(stream);
+}
+
 void http_server::remove(const std::shared_ptr<caller_connection>& ended)
 {
     connections_.erase(ended);
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -200,6 +200,8 @@
     // with unsolicited input
     const bool reusable = head_->keeps_connection() && stream_->unsent() == 0 &&
                           stream_->input().empty() && stream_->is_open();
+    // the caller may have been slower than the target
+    stream_->set_input_paused(false);
     idle_since_ = client_.loop_.now();
     expires_ = idle_since_ + keep_alive_ * keep_alive_tenths / 10;
     head_.reset();
