Keep no connection to a stage's target after an answer without results

Cause: answers to calls with pieces are matched by their place on the connection. Only the copy of an answer with results closed it. The copy of a refusal was taken for the answer of the next call, and from there on each answer belonged to the call before; where the number of pieces was the same, its results went to another request.

Change: after any answer that does not bring the results of its call, the idle connections to the target are closed, the one just used among them. A refused call costs a new connection; stages' targets refuse few calls of owners.

Test: a_refusal_of_a_stage_that_is_written_once_more::gives_no_request_the_results_of_another_one; with the code of request id-1 gets inputs of id-0.

--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -315,8 +315,6 @@
     if (is_answered && is_copy(call->target, call->body))
     {
         how = call_end::malformed;
-        // the call's own answer would be taken for that of the next call
-        context_.client.close_idle(call->where);
     }
     else if (is_answered)
     {
@@ -339,6 +337,9 @@
             return;
         }
     }
+    // the answer may be the copy of an earlier one: the call's own would then be taken
+    // for that of the next call
+    context_.client.close_idle(call->where);
     const bool full = how == call_end::complete && call->status == status_unavailable;
     log_event(entry_piece_call_failed,
               {{"pool", call->group.pool.get()},
