Register again when the own entry has gone from the store

Cause: a registration without an answer was written again under a new lease. The late write moved the entry back to the first lease, which nobody renewed. The host renewed its second lease and never looked at its own entry, so that its peers chose owners, judges and issuers without it while it chose them with itself.

Change: the registration is written again under the same lease while that can be alive; a late write then changes nothing. A host that sees its own entry go registers again. One that is told to stop while it registers ends that lease.

--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -9,6 +9,7 @@
 #include <medlar/detail/entry/store_mirror.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,10 @@
     bool handle_request(const std::shared_ptr<message_link>& from,
                         const nlohmann::json& message);
 
+    /// @brief Registers this host again after the store has dropped its entry although
+    /// its lease may live.
+    void handle_registration_gone();
+
     /// @brief Handles the end of a link that this host opened.
     void handle_peer_lost(const host_id& host, connection_end reason);
 
@@ -137,6 +142,11 @@
     void schedule_watch(millis delay);
     millis watch_hold_time() const;
     void register_host();
+    /// @param asked_at when the lease was asked for
+    void write_registration(store_lease lease, steady_time asked_at);
+    /// tries again after a failed call
+    /// @param lease granted before; unset if none is usable
+    void retry_registration(std::optional<store_lease> lease, steady_time asked_at);
     void renew();
     void poll_peers();
     /// asks other hosts for what the store may not show, see peer_inquiry
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -551,6 +551,10 @@
 void entry_host::on_host_changed(const host_id& id, const store_item& item)
 {
     bool is_new = false;
+    if (item.is_deleted && id == settings_.host)
+    {
+        store_controller_.handle_registration_gone();
+    }
     if (item.is_deleted)
     {
         peers_.remove(id);
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -493,21 +493,10 @@
     {
         return;
     }
-    const std::uint64_t number = registration_number_;
-    const auto retry_later = [this, number]
-    {
-        context_.loop.after(renew_interval,
-                            [this, number]
-                            {
-                                if (number == registration_number_)
-                                {
-                                    register_host();
-                                }
-                            });
-    };
+    const steady_time asked_at = context_.loop.now();
     call(context_.protocol.write_lease_call(lease_ttl),
          call_timeout,
-         [this, retry_later, number](const reply& received)
+         [this, asked_at, number = registration_number_](const reply& received)
          {
              const absl::StatusOr<store_lease> lease =
                  context_.protocol.read_lease(received.body);
@@ -517,30 +506,78 @@
              }
              if (received.status != status_ok || !lease.ok())
              {
-                 retry_later();
+                 retry_registration(std::nullopt, asked_at);
                  return;
              }
-             const std::string key =
-                 context_.protocol.host_prefix() + context_.settings.host.get();
-             call(context_.protocol.write_put_call(key, registration_, *lease),
-                  call_timeout,
-                  [this, retry_later, number, lease = *lease](const reply& put)
-                  {
-                      if (number != registration_number_)
-                      {
-                          return;
-                      }
-                      if (put.status != status_ok)
-                      {
-                          retry_later();
-                          return;
-                      }
-                      lease_ = lease;
-                      renew();
-                  });
+             write_registration(*lease, asked_at);
+         });
+}
+
+void store_controller::write_registration(store_lease lease, steady_time asked_at)
+{
+    const std::string key =
+        context_.protocol.host_prefix() + context_.settings.host.get();
+    call(context_.protocol.write_put_call(key, registration_, lease),
+         call_timeout,
+         [this, lease, asked_at, number = registration_number_](const reply& put)
+         {
+             if (number != registration_number_)
+             {
+                 return;
+             }
+             if (put.status != status_ok)
+             {
+                 const bool is_known = put.status != status_not_found;
+                 retry_registration(is_known ? std::optional<store_lease>(lease)
+                                             : std::nullopt,
+                                    asked_at);
+                 return;
+             }
+             lease_ = lease;
+             if (is_leaving_)
+             {
+                 leave();
+                 return;
+             }
+             renew();
          });
 }
 
+void store_controller::retry_registration(std::optional<store_lease> lease,
+                                          steady_time asked_at)
+{
+    context_.loop.after(renew_interval,
+                        [this, lease, asked_at, number = registration_number_]
+                        {
+                            if (number != registration_number_)
+                            {
+                                return;
+                            }
+                            // a write without an answer may be executed later: under
+                            // another lease, it would take the registration with it when
+                            // its own lease ends
+                            if (lease && context_.loop.now() < asked_at + lease_ttl)
+                            {
+                                write_registration(*lease, asked_at);
+                            }
+                            else
+                            {
+                                register_host();
+                            }
+                        });
+}
+
+void store_controller::handle_registration_gone()
+{
+    if (is_leaving_ || !lease_)
+    {
+        return;
+    }
+    ++registration_number_;
+    lease_.reset();
+    register_host();
+}
+
 void store_controller::renew()
 {
     const auto renew_lease = [this, number = registration_number_]
