Reset the connection of an HTTP/1.0 caller whose answer broke off

An answer to HTTP/1.0 has neither chunks nor, for a stream, a length: the end of the connection ends it. When a target broke off, the host closed the connection, and the caller saw a regular end after a part of the answer (MIXED: "an answer that ends early must not look complete").

Test: a_caller_of_http_1_0::sees_that_its_answer_broke_off; with the code of the caller sees a regular end.

--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -106,6 +106,9 @@
     /// @brief Closes at once; the peer sees a reset if input was unread.
     void close();
 
+    /// @brief Closes at once, so that the peer sees a reset and no regular end.
+    void reset();
+
     bool is_open() const
     {
         return state_ != state::ended;
--- a/include/medlar/detail/loop/http_server.hpp
+++ b/include/medlar/detail/loop/http_server.hpp
@@ -100,6 +100,8 @@
     caller_connection* connection_ = nullptr;
     bool head_sent_ = false;
     bool chunked_ = false;
+    /// whether only the end of the connection ends the body
+    bool ends_with_connection_ = false;
     std::uint64_t remaining_length_ = 0;
     std::function<void()> on_disconnect_;
     std::function<void()> on_drained_;
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -242,6 +242,11 @@
 {
     const std::shared_ptr<caller_exchange> exchange = exchange_;
     detach();
+    if (exchange && exchange->ends_with_connection_)
+    {
+        // a regular end would make the part look whole
+        stream_->reset();
+    }
     stream_->close();
     if (exchange)
     {
@@ -299,6 +304,7 @@
     const bool closes =
         !connection_->keep_alive_ || connection_->server_.is_draining() || by_close;
     connection_->keep_alive_ = !closes;
+    ends_with_connection_ = by_close || framing.kind == body_kind::until_close;
     std::string out =
         absl::StrCat("HTTP/1.1 ",
                      status,
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -267,6 +267,23 @@
     }
 }
 
+void connection::reset()
+{
+    if (state_ == state::ended)
+    {
+        return;
+    }
+    try
+    {
+        socket_.setLinger(true, 0);
+    }
+    catch (const Poco::Exception&)
+    {
+        // the peer has reset the connection already
+    }
+    close();
+}
+
 void connection::end(connection_end reason)
 {
     if (state_ == state::ended)
--- a/test/entry/slow_reader_test.cpp
+++ b/test/entry/slow_reader_test.cpp
@@ -183,4 +183,47 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_caller_that_reads_slowly);
 
+class a_caller_of_http_1_0 : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_caller_of_http_1_0);
+    CPPUNIT_TEST(sees_that_its_answer_broke_off);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    // guards against MIXED: without chunks, a regular end makes a part look whole
+    void sees_that_its_answer_broke_off()
+    {
+        long_answer_fixture it;
+        it.is_holding = true;
+        slow_caller caller(it.host_settings.caller_endpoint);
+        caller.write(it.request("/s/x", "1.0"));
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.held != nullptr;
+            }));
+        it.held->begin(200, "OK", signed_headers(*it.held), {body_kind::chunked, 0});
+        it.held->write("id: 1\ndata: x\n\n");
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                caller.read(1000);
+                return absl::StrContains(caller.received, "id: 1");
+            }));
+        // no other target is left for the stream
+        it.store.remove("servers/i-1");
+        it.run_for(millis(600));
+        it.held->abort();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                caller.read(1000);
+                return caller.has_ended;
+            }));
+        CPPUNIT_ASSERT(caller.was_reset);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_caller_of_http_1_0);
+
 } // namespace
