Ask all peers of a leaving host whether they reach a target

Found while the users of live_hosts() were read again: crash_controller took the first live host for its own and left it out. Since "Leave the queues of a stopping host to the next owner" a leaving host is not in that list, so that it asked one peer less.

--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/entry/peer_network.hpp
@@ -57,6 +57,9 @@
     /// host that leaves is left out, as by its peers, while another one is live.
     std::vector<peer_host> live_hosts() const;
 
+    /// @brief Returns the other registered hosts that are not suspected.
+    std::vector<peer_host> live_peers() const;
+
     /// @brief Leaves the duties of this host to its peers.
     void leave()
     {
@@ -121,8 +124,6 @@
     }
 
   private:
-    /// the other registered hosts that are not suspected
-    std::vector<peer_host> live_peers() const;
     /// the seeds without this host's own address
     std::vector<endpoint> usable_seeds() const;
     std::shared_ptr<message_link> link_to(const host_id& host, const endpoint& where);
--- a/src/entry/crash_controller.cpp
+++ b/src/entry/crash_controller.cpp
@@ -189,8 +189,7 @@
 void crash_controller::ask_whether_reached(const target_id& target)
 {
     pending_check& pending = checks_.at(target);
-    std::vector<peer_host> others = peers_.live_hosts();
-    others.erase(others.begin());
+    const std::vector<peer_host> others = peers_.live_peers();
     const std::size_t asked = std::min(others.size(), max_asked_hosts);
     if (asked == 0)
     {
