Give servers of tests ports that no outgoing connection takes

While a stopped host does not listen, any connection on the machine may get its port and keep it for as long as it lives.

free_endpoint() now chooses from the larger of the two ranges beside that of outgoing connections, in a header of its own, and the soak prints the last line that a failed host has logged.

--- a/test/soak/entry_process.cpp
+++ b/test/soak/entry_process.cpp
@@ -31,6 +31,17 @@
     return WIFSIGNALED(status) ? WTERMSIG(status) == SIGKILL : WEXITSTATUS(status) == 0;
 }
 
+std::string last_line(const std::string& path)
+{
+    std::ifstream lines(path);
+    std::string result;
+    for (std::string line; std::getline(lines, line);)
+    {
+        result = line;
+    }
+    return result;
+}
+
 } // namespace
 
 entry_process::entry_process(std::string program, std::string directory, std::string name)
@@ -110,6 +121,10 @@
     {
         pid_ = 0;
         last_exit_ = describe_exit(status);
+        if (!is_clean_exit(status))
+        {
+            absl::StrAppend(&last_exit_, ", last logged: ", last_line(log_path_));
+        }
         exited_unexpectedly_ =
             exited_unexpectedly_ || !exit_expected_ || !is_clean_exit(status);
     }
--- a/test/soak/entry_process.hpp
+++ b/test/soak/entry_process.hpp
@@ -39,7 +39,8 @@
         return exited_unexpectedly_;
     }
 
-    /// @brief description of the last exit status, such as "signal 9"
+    /// @brief description of the last exit, such as "signal 9"; after a failure with the
+    /// last line of the log
     const std::string& last_exit() const
     {
         return last_exit_;
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -3,10 +3,10 @@
 
 #include "platform/adapter.hpp"
 #include "support/entry/stand_in_store.hpp"
+#include "support/free_endpoint.hpp"
 
 #include <medlar/detail/entry/entry_host.hpp>
 #include <medlar/detail/http/status.hpp>
-#include <medlar/detail/loop/listening_socket.hpp>
 
 #include <cppunit/TestAssert.h>
 
@@ -14,55 +14,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace medlar::test
 {
 
-/// @brief Reserves a port for a server of this process.
-/// @return false if it is reserved, or another socket listens there
-inline bool reserve_port(const endpoint& where)
-{
-    static std::set<std::uint16_t> used_ports;
-    try
-    {
-        open_listening_socket(where, 1);
-    }
-    catch (const Poco::Exception&)
-    {
-        return false;
-    }
-    return used_ports.insert(where.port).second;
-}
-
-/// @brief Returns a loopback address with a free port, each only once: nothing may listen
-/// there yet when the next one is chosen.
-inline endpoint free_endpoint()
-{
-    endpoint found{"127.0.0.1", 0};
-    do
-    {
-        found.port = open_listening_socket({"127.0.0.1", 0}, 1).address().port();
-    } while (!reserve_port(found));
-    return found;
-}
-
-/// @brief Returns a loopback address like free_endpoint() whose next port is free, too.
-inline endpoint free_endpoint_pair()
-{
-    for (;;)
-    {
-        const endpoint first = free_endpoint();
-        const endpoint next{first.address, static_cast<std::uint16_t>(first.port + 1)};
-        if (next.port != 0 && reserve_port(next))
-        {
-            return first;
-        }
-    }
-}
-
 /// @brief A target whose answers are given by the test. It refuses what is sent to
 /// another target by its id.
 class stand_in_target
