Count the targets of a forwarded request over all hosts that run it

Cause: each host counted its own sends. A host whose forwarded request broke off had the next host run it without looking at max_attempts, and no host told the next one how many targets the request had reached.

Change: attempt_limit counts for all hosts. A host lends the next one the sends that are left (header Medlar-Max-Sends) and gets them back only from a host that has sent the request to no target; so a refusal that is not passed on because the request may have run before is told apart from "not taken". One send is kept back for an idempotent request if two can be lent beside it.

Cost: with max_attempts 1 or 2 such a request is not run again when the host that runs it is killed; its caller gets 502.

--- a/include/medlar/detail/entry/request_forward.hpp
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -19,6 +19,9 @@
 /// sender has in force
 inline constexpr char forward_version_header[] = "Medlar-Configuration-Version";
 
+/// @brief header of a forwarded request: how many targets the other host may send it to
+inline constexpr char forward_sends_header[] = "Medlar-Max-Sends";
+
 /// @brief header of a refusal of a host that has not taken a forwarded request; its value
 /// says why
 inline constexpr char forward_not_taken_header[] = "Medlar-Not-Taken";
@@ -30,8 +33,11 @@
 /// it may destroy the request_forward.
 struct forward_callbacks
 {
-    /// the other host has not run the request, nor will it
+    /// the other host has sent the request to no target, nor will it
     std::function<void(absl::string_view why)> on_not_taken;
+    /// the other host has not run the request, but may have sent it to targets that
+    /// refused it
+    std::function<void()> on_refused;
     /// the answer was passed on completely
     std::function<void(int status)> on_answered;
     /// there is no complete answer, and the request may have run; a part of the answer
@@ -39,6 +45,12 @@
     std::function<void()> on_broken_off;
 };
 
+/// @brief Returns how many targets a request may be sent to that another host has
+/// forwarded.
+/// @param max_attempts what its route permits; a host of a version without this header
+/// leaves it at that
+int max_sends_of_forwarded(const request_head& head, int max_attempts);
+
 /// @brief Has another host run a request, and passes its answer on to the caller.
 ///
 /// The other host handles it like a request of its own callers, but never forwards it
@@ -48,12 +60,14 @@
   public:
     /// @param to a host that has a forward address
     /// @param remaining time until the deadline of the request
+    /// @param max_sends how many targets the other host may send the request to
     /// @param may_have_run whether a target may have run it before; a refusal by the
     /// other host is not passed on then, since it would not be true
     request_forward(entry_context& context,
                     const peer_host& to,
                     std::shared_ptr<caller_exchange> exchange,
                     millis remaining,
+                    int max_sends,
                     std::int64_t configuration_version,
                     bool may_have_run,
                     forward_callbacks callbacks);
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_DETAIL_ENTRY_REQUEST_RUN_HPP
 #define MEDLAR_DETAIL_ENTRY_REQUEST_RUN_HPP
 
+#include <medlar/detail/dispatch/attempt_limit.hpp>
 #include <medlar/detail/dispatch/request_key.hpp>
 #include <medlar/detail/dispatch/target_choice.hpp>
 #include <medlar/detail/entry/crash_controller.hpp>
@@ -139,6 +140,9 @@
     /// @return false if no other host is left that may have a path
     bool forward();
     void on_forward_not_taken(absl::string_view why);
+    void on_forward_refused();
+    void forward_to_next_host();
+    void record_forward_failed(absl::string_view why) const;
     void on_forward_broken_off();
     void release_forward();
 
@@ -184,7 +188,7 @@
     target_id target_;
     steady_time sent_at_;
     std::vector<target_id> tried_targets_;
-    int send_count_ = 0;
+    attempt_limit attempts_;
     bool may_have_run_ = false;
 
     bool is_forwarded_;
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -206,8 +206,8 @@
     events_.discard_incomplete_event();
     has_event_gap_ = false;
     has_call_begun_ = false;
-    ++send_count_;
-    if (send_count_ == 1)
+    attempts_.record_send();
+    if (attempts_.sends() == 1)
     {
         context_.budget_for(pool_).record_first_try(context_.loop.now());
     }
@@ -215,7 +215,7 @@
               {{"attempt", fields_.attempt.get()},
                {"target", target_.get()},
                {"pool", pool_.get()},
-               {"send", std::int64_t{send_count_}},
+               {"send", std::int64_t{attempts_.sends()}},
                {"in_flight", std::int64_t{target.in_flight}},
                {"left_ms", additions.remaining.count()},
                {"after_event", last_event_id_.value_or(-1)},
@@ -227,11 +227,11 @@
     {
         const std::weak_ptr<request_run> weak = weak_from_this();
         context_.loop.after(input_fetch_time,
-                            [weak, send_number = send_count_]
+                            [weak, send_number = attempts_.sends()]
                             {
                                 const auto self = weak.lock();
                                 if (self && self->call_ &&
-                                    self->send_count_ == send_number)
+                                    self->attempts_.sends() == send_number)
                                 {
                                     self->free_stage_results();
                                 }
@@ -280,9 +280,9 @@
                    {"target", target_.get()},
                    {"status", std::int64_t{head.status}},
                    {"signed", std::int64_t{answer.has_signature}}});
-        if (unusable || (send_count_ < route_.max_attempts &&
-                         context_.budget_for(pool_).may_retry(context_.loop.now(),
-                                                              context_.host_count)))
+        if (unusable ||
+            (!attempts_.is_used_up() && context_.budget_for(pool_).may_retry(
+                                            context_.loop.now(), context_.host_count)))
         {
             call_->cancel();
             release_call();
@@ -324,7 +324,7 @@
 bool request_run::retry(bool has_run)
 {
     const bool is_allowed = (!has_run && !may_have_run_) || route_.may_retry();
-    if (!is_allowed || send_count_ >= route_.max_attempts || !has_target_of_origin())
+    if (!is_allowed || attempts_.is_used_up() || !has_target_of_origin())
     {
         return false;
     }
@@ -433,7 +433,7 @@
     if (not_sent)
     {
         // nothing reached the target, so this send does not count as an attempt
-        --send_count_;
+        attempts_.record_unsent();
         if (tried_targets_.size() <= max_unsent_sends && remaining_time() > millis(0))
         {
             send();
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -1,8 +1,10 @@
 #include <medlar/detail/entry/request_forward.hpp>
 #include <medlar/detail/http/status.hpp>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace medlar
@@ -33,10 +35,19 @@
 
 } // namespace
 
+int max_sends_of_forwarded(const request_head& head, int max_attempts)
+{
+    int lent = 0;
+    const bool is_stated =
+        absl::SimpleAtoi(head.headers.get(forward_sends_header), &lent) && lent > 0;
+    return is_stated ? std::min(lent, max_attempts) : max_attempts;
+}
+
 request_forward::request_forward(entry_context& context,
                                  const peer_host& to,
                                  std::shared_ptr<caller_exchange> exchange,
                                  millis remaining,
+                                 int max_sends,
                                  std::int64_t configuration_version,
                                  bool may_have_run,
                                  forward_callbacks callbacks)
@@ -64,6 +75,7 @@
     };
     header_list additions;
     additions.add(forward_version_header, absl::StrCat(configuration_version));
+    additions.add(forward_sends_header, absl::StrCat(max_sends));
     call_ = context_.client.start(
         to.forward,
         context_.protocol.write_forward(
@@ -80,17 +92,23 @@
 
 void request_forward::on_head(const answer_head& head)
 {
-    const bool is_untrue = may_have_run_ && says_not_run(head.status);
-    if (is_untrue ||
-        is_not_taken(head, context_.protocol.read_answer(head).has_signature))
+    // the callbacks destroy this object
+    if (is_not_taken(head, context_.protocol.read_answer(head).has_signature))
     {
         const std::string why(head.headers.get(forward_not_taken_header));
         call_->cancel();
-        // the callback destroys this object
         const auto on_not_taken = std::move(callbacks_.on_not_taken);
         on_not_taken(why);
         return;
     }
+    const bool is_untrue = may_have_run_ && says_not_run(head.status);
+    if (is_untrue)
+    {
+        call_->cancel();
+        const auto on_refused = std::move(callbacks_.on_refused);
+        on_refused();
+        return;
+    }
     head_ = head;
     header_list headers = head.headers;
     remove_hop_by_hop(headers);
--- a/src/entry/request_forwarding.cpp
+++ b/src/entry/request_forwarding.cpp
@@ -26,6 +26,10 @@
 
 bool request_run::forward()
 {
+    if (attempts_.is_used_up())
+    {
+        return false;
+    }
     const std::optional<peer_host> to = tried_hosts_.size() < max_tried_hosts
                                             ? paths_.choose_forwarder(pool_, tried_hosts_)
                                             : std::nullopt;
@@ -47,6 +51,10 @@
     {
         on_forward_not_taken(why);
     };
+    callbacks.on_refused = [this]
+    {
+        on_forward_refused();
+    };
     callbacks.on_answered = [this](int status)
     {
         release_forward();
@@ -60,6 +68,7 @@
                                                  *to,
                                                  exchange_,
                                                  remaining_time(),
+                                                 attempts_.lend(route_.may_retry()),
                                                  configuration_->version,
                                                  may_have_run_,
                                                  std::move(callbacks));
@@ -75,16 +84,33 @@
     }
 }
 
-void request_run::on_forward_not_taken(absl::string_view why)
+void request_run::record_forward_failed(absl::string_view why) const
 {
     log_event(entry_forward_failed,
               {{"attempt", fields_.attempt.get()},
                {"host", forward_->to().get()},
                {"why", why}});
+}
+
+void request_run::on_forward_not_taken(absl::string_view why)
+{
+    record_forward_failed(why);
     if (why == forward_no_path)
     {
         paths_.record_lost(forward_->to(), pool_);
     }
+    attempts_.return_lent();
+    forward_to_next_host();
+}
+
+void request_run::on_forward_refused()
+{
+    record_forward_failed("its refusal would not be true");
+    forward_to_next_host();
+}
+
+void request_run::forward_to_next_host()
+{
     release_forward();
     if (!forward())
     {
@@ -94,14 +120,11 @@
 
 void request_run::on_forward_broken_off()
 {
-    log_event(entry_forward_failed,
-              {{"attempt", fields_.attempt.get()},
-               {"host", forward_->to().get()},
-               {"why", "its answer broke off"}});
+    record_forward_failed("its answer broke off");
     release_forward();
     may_have_run_ = true;
-    const bool may_repeat =
-        !exchange_->has_begun() && route_.may_retry() && has_retry_budget();
+    const bool may_repeat = !exchange_->has_begun() && route_.may_retry() &&
+                            !attempts_.is_used_up() && has_retry_budget();
     if (may_repeat)
     {
         record_retry();
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -32,6 +32,10 @@
       organisation_(std::move(organisation)),
       key_(make_key()),
       suspects_(suspects_of(key_, fields_.prompt)),
+      attempts_(attempt_limit::create(
+          is_forwarded
+              ? max_sends_of_forwarded(exchange_->head(), matched_route.max_attempts)
+              : matched_route.max_attempts)),
       is_forwarded_(is_forwarded)
 {
 }
@@ -494,7 +498,7 @@
                {"version", configuration_->version},
                {"outcome", outcome},
                {"status", std::int64_t{status}},
-               {"sends", std::int64_t{send_count_}},
+               {"sends", std::int64_t{attempts_.sends()}},
                {"took_ms", took.count()},
                {"aim_ms", route_.soft_timeout.count()}});
     context_.metrics->add("medlar_requests_total", {{"status", absl::StrCat(status)}});
--- a/test/entry/path_test.cpp
+++ b/test/entry/path_test.cpp
@@ -2,6 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
 namespace
 {
 
@@ -33,6 +38,27 @@
     }
 }
 
+/// Sends requests to a host without a path, and kills one of the two that run them.
+/// @return the answers; the targets hold the requests
+std::vector<std::shared_ptr<received_answer>>
+kill_one_of_two_forwarders(partitioned_group& group, const std::string& path)
+{
+    cut_some(group, {0}, path_cut::refused, "/n/x");
+    group.is_holding = true;
+    std::vector<std::shared_ptr<received_answer>> answers;
+    for (int i = 0; i < 8; ++i)
+    {
+        answers.push_back(group.begin_at(0, path));
+    }
+    CPPUNIT_ASSERT(group.until(
+        [&]
+        {
+            return group.arrivals(path) == answers.size();
+        }));
+    group.kill_host(1);
+    return answers;
+}
+
 class hosts_without_a_path : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(hosts_without_a_path);
@@ -41,6 +67,9 @@
     CPPUNIT_TEST(are_served_by_others_if_only_new_connections_are_refused);
     CPPUNIT_TEST(are_served_by_the_only_host_with_a_path);
     CPPUNIT_TEST(run_requests_once_at_most_if_the_other_host_is_killed);
+    CPPUNIT_TEST(run_requests_on_no_more_targets_than_permitted_if_the_other_is_killed);
+    CPPUNIT_TEST(have_a_third_host_run_requests_if_the_other_is_killed);
+    CPPUNIT_TEST(count_the_targets_that_a_request_has_reached_before);
     CPPUNIT_TEST(pass_on_a_refusal_that_is_true);
     CPPUNIT_TEST(pass_on_no_refusal_of_a_request_that_may_have_run_before);
     CPPUNIT_TEST(end_the_request_of_a_caller_that_leaves);
@@ -103,6 +132,65 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.arrivals("/n/once"));
     }
 
+    void run_requests_on_no_more_targets_than_permitted_if_the_other_is_killed()
+    {
+        partitioned_group it(3, 5, 0);
+        const auto answers = kill_one_of_two_forwarders(it, "/o/x");
+        it.run_for(millis(500));
+        CPPUNIT_ASSERT_EQUAL(answers.size(), it.arrivals("/o/x"));
+        const auto failed = std::count_if(answers.begin(),
+                                          answers.end(),
+                                          [](const auto& each)
+                                          {
+                                              return each->status == 502;
+                                          });
+        CPPUNIT_ASSERT(failed > 0);
+    }
+
+    void have_a_third_host_run_requests_if_the_other_is_killed()
+    {
+        partitioned_group it(3, 5, 0);
+        const auto answers = kill_one_of_two_forwarders(it, "/t/x");
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.arrivals("/t/x") > answers.size();
+            }));
+        it.is_holding = false;
+        it.release_requests();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return std::all_of(answers.begin(),
+                                   answers.end(),
+                                   [](const auto& each)
+                                   {
+                                       return each->ended && each->status == 200;
+                                   });
+            }));
+    }
+
+    void count_the_targets_that_a_request_has_reached_before()
+    {
+        partitioned_group it(2, 5, 0);
+        it.is_holding = true;
+        const auto got = it.begin_at(0, "/i/ran");
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.arrivals("/i/ran") == 1;
+            }));
+        it.is_breaking_off = true;
+        it.cut(0, path_cut::refused);
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return got->ended;
+            }));
+        CPPUNIT_ASSERT_EQUAL(502, got->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.arrivals("/i/ran"));
+    }
+
     void pass_on_a_refusal_that_is_true()
     {
         partitioned_group it(2, 5, 0);
--- a/test/support/entry/partitioned_group.hpp
+++ b/test/support/entry/partitioned_group.hpp
@@ -81,9 +81,15 @@
         nlohmann::json staged = route_json("/s/", "stream", "plain");
         staged["stages"] = {
             {{"service", "stage"}, {"after", nlohmann::json::array()}, {"bytes", 9}}};
+        nlohmann::json at_one_target = route_json("/o/", "idempotent", "plain");
+        at_one_target["max_attempts"] = 1;
+        nlohmann::json at_three_targets = route_json("/t/", "idempotent", "plain");
+        at_three_targets["max_attempts"] = 3;
         store.put("op/config",
                   configuration_json(3,
                                      {route_json("/i/", "idempotent", "plain"),
+                                      at_one_target,
+                                      at_three_targets,
                                       route_json("/n/", "non_idempotent", "plain"),
                                       route_json("/e/", "stream", "plain"),
                                       staged}));
@@ -177,6 +183,18 @@
         return served;
     }
 
+    /// Answers the requests that were left without an answer.
+    void release_requests()
+    {
+        is_holding = false;
+        std::vector<exchange_ptr> requests;
+        requests.swap(held);
+        for (const exchange_ptr& each : requests)
+        {
+            answer_request(each);
+        }
+    }
+
     /// Answers the calls with pieces that were left without an answer.
     void release_pieces()
     {
@@ -207,6 +225,8 @@
     /// whether targets leave requests without an answer
     bool is_holding = false;
     std::vector<exchange_ptr> held;
+    /// whether targets break off without an answer
+    bool is_breaking_off = false;
     /// whether targets leave pieces without an answer
     bool is_holding_pieces = false;
     /// the refusal of each request, if not empty: seconds to wait
@@ -234,6 +254,11 @@
             exchange->answer(503, headers, "");
             return;
         }
+        if (is_breaking_off)
+        {
+            exchange->abort();
+            return;
+        }
         if (is_holding)
         {
             held.push_back(exchange);
