Pass on the removal of an item that was never read

Cause: a host counts from the oldest of the pages that it has read, while its page of targets may be newer and lack a target already. When the store then reported that target's removal, store_mirror::apply passed it over, since there was nothing to remove. A host that knew the target, and asked that host for the changes since before the removal, got none and went on from a later revision: it kept the target for good.

Change: such a removal is recorded like those that another host reports.

--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -109,6 +109,8 @@
     void remove(const std::string& key, store_version at, steady_time now);
     void remove_missing(const std::vector<std::string>& keys, steady_time now);
     void record_removal(const std::string& key, const removed_item& removed);
+    /// records the removal of an item that is not in items_
+    void record_unread_removal(const std::string& key, const removed_item& removed);
     void apply_removals(const nlohmann::json& removals, steady_time now);
 
     change_handler on_change_;
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -128,6 +128,16 @@
     removals_.erase(oldest);
 }
 
+void store_mirror::record_unread_removal(const std::string& key,
+                                         const removed_item& removed)
+{
+    const auto known = removals_.find(key);
+    if (known == removals_.end() || known->second.at < removed.at)
+    {
+        record_removal(key, removed);
+    }
+}
+
 void store_mirror::remove(const std::string& key, store_version at, steady_time now)
 {
     const auto found = items_.find(key);
@@ -164,7 +174,12 @@
         }
         const store_version at{events.era, each.revision};
         const auto found = items_.find(each.key);
-        if (found != items_.end() && found->second.version < at)
+        if (found == items_.end())
+        {
+            // a host that knows the item may ask for changes since before this one
+            record_unread_removal(each.key, {at, std::nullopt});
+        }
+        else if (found->second.version < at)
         {
             remove(each.key, at, now);
         }
@@ -288,11 +303,7 @@
         const auto found = items_.find(key);
         if (found == items_.end())
         {
-            const auto known = removals_.find(key);
-            if (known == removals_.end() || known->second.at < removed.at)
-            {
-                record_removal(key, removed);
-            }
+            record_unread_removal(key, removed);
             continue;
         }
         const mirrored_item& known = found->second;
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(removes_items_missing_in_a_complete_reading);
     CPPUNIT_TEST(reports_a_lapse_for_items_removed_after_an_outage);
     CPPUNIT_TEST(applies_the_changes_of_another_host);
+    CPPUNIT_TEST(tells_others_of_removals_of_items_that_it_has_not_read);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -132,6 +133,21 @@
         observed_.mirror.apply_delta(behind.mirror.delta_since({}, now_), now_);
         CPPUNIT_ASSERT(observed_.items.count("c") == 0);
     }
+
+    void tells_others_of_removals_of_items_that_it_has_not_read()
+    {
+        // the pages of a reading differ in age, and it counts from the oldest
+        observed_mirror informed;
+        informed.mirror.replace("s/", page({item("s/b", "1", 3)}, 9), now_);
+        informed.mirror.apply(page({}, 5), now_);
+        informed.mirror.apply(page({removal("s/a", 8)}, 9), now_);
+
+        observed_.mirror.apply(page({item("s/a", "1", 2), item("s/b", "1", 3)}, 6), now_);
+        observed_.mirror.apply_delta(
+            informed.mirror.delta_since(observed_.mirror.version(), now_), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
+        CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
+    }
 };
 
 class a_store_that_returns_from_an_old_copy : public CppUnit::TestFixture
