Bring no target back from a page older than what is known

Cause: a starting host reads the store page by page, and each page may be some time old. If another host's answer, complete up to a later revision, comes first, a target that left in between was added again by the older page. The host went on from the later revision, and kept the target for good.

Change: an item of a page that is older than the mirror is passed over if the mirror does not have it, and it was written before the mirror's revision.

--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -202,13 +202,19 @@
     }
     begin_era(all.era, now);
     std::set<std::string> present;
+    const store_version read_at{all.era, all.revision};
+    const bool is_outdated = read_at < version_;
     for (const store_item& each : all.items)
     {
         present.insert(each.key);
-        put(each, all.era, false);
+        const bool is_removed_since = is_outdated && items_.count(each.key) == 0 &&
+                                      store_version{all.era, each.revision} <= version_;
+        if (!is_removed_since)
+        {
+            put(each, all.era, false);
+        }
     }
     std::vector<std::string> missing;
-    const store_version read_at{all.era, all.revision};
     for (auto each = items_.lower_bound(std::string(prefix));
          each != items_.end() && absl::StartsWith(each->first, prefix);
          ++each)
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(reports_a_lapse_for_items_removed_after_an_outage);
     CPPUNIT_TEST(applies_the_changes_of_another_host);
     CPPUNIT_TEST(tells_others_of_removals_of_items_that_it_has_not_read);
+    CPPUNIT_TEST(brings_nothing_back_from_a_page_that_is_older_than_what_it_knows);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -148,6 +149,22 @@
         CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
         CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
     }
+
+    void brings_nothing_back_from_a_page_that_is_older_than_what_it_knows()
+    {
+        observed_mirror informed;
+        informed.mirror.apply(page({item("s/b", "1", 3)}, 9), now_);
+        observed_.mirror.apply_delta(informed.mirror.delta_since({}, now_), now_);
+
+        observed_.mirror.replace(
+            "s/", page({item("s/a", "1", 2), item("s/b", "1", 3)}, 7), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
+
+        // later pages of a reading may be newer than its first one
+        observed_.mirror.replace(
+            "s/", page({item("s/b", "1", 3), item("s/c", "1", 10)}, 8), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/c") == 1);
+    }
 };
 
 class a_store_that_returns_from_an_old_copy : public CppUnit::TestFixture
