--- a/test/entry/path_test.cpp
+++ b/test/entry/path_test.cpp
@@ -1,5 +1,7 @@
 #include "support/entry/partitioned_group.hpp"
 
+#include <medlar/detail/entry/request_forward.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -277,6 +279,38 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(hosts_without_a_path);
 
+class the_targets_of_a_forwarded_request : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_targets_of_a_forwarded_request);
+    CPPUNIT_TEST(are_as_many_as_the_host_that_forwards_it_has_left);
+    CPPUNIT_TEST(are_as_many_as_its_route_permits_if_an_older_host_forwards_it);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void are_as_many_as_the_host_that_forwards_it_has_left()
+    {
+        CPPUNIT_ASSERT_EQUAL(1, max_sends_of_forwarded(head_with("1"), 3));
+        CPPUNIT_ASSERT_EQUAL(3, max_sends_of_forwarded(head_with("9"), 3));
+    }
+
+    void are_as_many_as_its_route_permits_if_an_older_host_forwards_it()
+    {
+        CPPUNIT_ASSERT_EQUAL(3, max_sends_of_forwarded({}, 3));
+        for (const char* odd : {"", "0", "-1", "some"})
+        {
+            CPPUNIT_ASSERT_EQUAL(3, max_sends_of_forwarded(head_with(odd), 3));
+        }
+    }
+
+  private:
+    static request_head head_with(const std::string& max_sends)
+    {
+        request_head head;
+        head.headers.add(forward_sends_header, max_sends);
+        return head;
+    }
+};
+
 class a_target_that_one_host_cannot_reach : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(a_target_that_one_host_cannot_reach);
@@ -309,6 +343,7 @@
     }
 };
 
+CPPUNIT_TEST_SUITE_REGISTRATION(the_targets_of_a_forwarded_request);
 CPPUNIT_TEST_SUITE_REGISTRATION(a_target_that_one_host_cannot_reach);
 
 } // namespace
