Let a client ask which process answers on a connection

A connection ends with the process that accepted it; an id and an address may outlive that process. A call can now bring a question that is asked once on each connection before its request is sent: when the process at the other end has started. The call sees the answer and may decline the process, which then gets nothing. If the question fails, nothing of the request was sent, and the call ends as one whose connection could not be opened.

The adapter writes the question (a target's report) and reads the start from it. Test here: the adapter's reads_when_a_target_has_started.

--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -228,6 +228,12 @@
                                       millis remaining,
                                       const header_list& additions) const = 0;
     virtual answer_fields read_answer(const answer_head& head) const = 0;
+    /// @brief Returns the HTTP request that asks a target when it has started.
+    virtual std::string write_start_question(const endpoint& where) const = 0;
+    /// @brief Reads the answer to a start question.
+    /// @return Unix time in ms; unset if the answer does not state it
+    virtual std::optional<std::int64_t>
+    read_start_answer(absl::string_view body) const = 0;
     virtual std::string readiness_path() const = 0;
     /// @brief Returns the header that tells a caller when to retry.
     virtual header_field retry_after(millis delay) const = 0;
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -8,9 +8,11 @@
 
 #include <absl/strings/string_view.h>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,7 @@
     broken_off, ///< the connection was lost, or the framing broke, within the answer's
                 ///< body
     malformed,  ///< the received bytes are not a valid HTTP answer
+    declined,   ///< the process that answers is not the right one; nothing was sent to it
 };
 
 /// @brief Returns the name of an outcome in logs, such as "broken_off".
@@ -40,6 +43,19 @@
     /// returns whether the head belongs to this call; an answer for which it returns
     /// false is discarded, and the call goes on waiting
     std::function<bool(const answer_head&)> accepts_head;
+    /// receives when the process at the other end of the connection has started, unset if
+    /// that is unknown, and returns whether it may get the request; see
+    /// call_options::question
+    std::function<bool(std::optional<std::int64_t> started_ms)> accepts_start;
+};
+
+/// @brief A request that asks a server when its process has started. A connection ends
+/// with the process that accepted it, so one answer holds for all calls on it.
+struct start_question
+{
+    std::string request;
+    /// reads the start time from the body of an answer; unset if it states none
+    std::function<std::optional<std::int64_t>(absl::string_view body)> read_answer;
 };
 
 /// @brief Options of a call.
@@ -50,6 +66,9 @@
     /// maximum idle time of a persistent connection that this call may reuse
     millis max_idle{3600000};
     millis connect_timeout{1000};
+    /// asked on a connection before the first call with a question is sent on it; a call
+    /// without one is sent at once. Null asks nothing
+    std::shared_ptr<const start_question> question;
 };
 
 class http_client;
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -20,9 +20,9 @@
     /// @brief Starts connecting.
     void open(millis connect_timeout);
 
-    /// @brief Sends the request of @p call; the connection must be idle.
-    void send_request(const std::shared_ptr<client_call>& call,
-                      const std::string& request);
+    /// @brief Sends the request of @p call, after its question if this connection has not
+    /// answered one yet; the connection must be idle.
+    void send_request(const std::shared_ptr<client_call>& call, std::string request);
 
     /// @brief Closes the connection of a cancelled call without calling its callbacks.
     void cancel_call();
@@ -58,7 +58,16 @@
     void parse_body();
     void complete();
     void fail(call_end reason);
-    void record_keep_alive();
+    void record_keep_alive(const header_list& headers);
+    /// whether any byte of the request of the call may have been sent
+    bool has_sent_request() const;
+    void ask_for_start();
+    /// handles the complete answer to the question
+    void finish_question();
+    /// sends the request that has waited, if the call accepts the process
+    void send_waiting_request();
+    void release_after_answer(bool reusable);
+    void drop_question();
 
     http_client& client_;
     endpoint where_;
@@ -72,6 +81,15 @@
     std::size_t skipped_bytes_ = 0;
     /// whether the connection was established before the current request was sent
     bool was_established_ = false;
+    /// request of a call whose question is not answered yet
+    std::optional<std::string> waiting_request_;
+    /// whether the next answer is that to a question
+    bool is_asking_ = false;
+    timer_id question_timer_{0};
+    std::string question_answer_;
+    bool has_asked_ = false;
+    /// what the process has answered; unset if it states no start
+    std::optional<std::int64_t> started_ms_;
     std::string decoded_;
     steady_time idle_since_;
     steady_time expires_;
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -34,6 +34,8 @@
             return "broken_off";
         case call_end::malformed:
             return "malformed";
+        case call_end::declined:
+            return "declined";
     }
     return "unknown";
 }
@@ -59,8 +61,7 @@
 
 bool client_call::has_sent() const
 {
-    return connection_ != nullptr &&
-           (connection_->was_established_ || connection_->stream_->has_sent());
+    return connection_ != nullptr && connection_->has_sent_request();
 }
 
 http_client::http_client(event_loop& loop, std::size_t max_head_bytes)
@@ -120,7 +121,7 @@
         ++opened_;
     }
     connections.busy.push_back(chosen);
-    chosen->send_request(call, request);
+    chosen->send_request(call, std::move(request));
     return call;
 }
 
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/http/head_parser.hpp>
+#include <medlar/detail/http/status.hpp>
 #include <medlar/detail/loop/pooled_connection.hpp>
 
 #include <absl/strings/ascii.h>
@@ -6,6 +7,8 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include <utility>
+
 namespace medlar
 {
 
@@ -20,6 +23,13 @@
 constexpr int max_skipped_answers = 16;
 constexpr std::size_t max_skipped_bytes = 1048576;
 
+// an established connection on which a question is not answered in this time leads to a
+// server that is silent; one lost packet is sent again before
+constexpr millis question_timeout{1000};
+
+// a status from here on is a failure of the server, and says nothing about its start
+constexpr int first_failure_status = 500;
+
 // share of the server's idle timeout, in tenths, during which a connection is reused;
 // close to its end, a request may cross the server's close of the connection
 constexpr int keep_alive_tenths = 7;
@@ -53,7 +63,7 @@
 }
 
 void pooled_connection::send_request(const std::shared_ptr<client_call>& call,
-                                     const std::string& request)
+                                     std::string request)
 {
     call_ = call;
     call_->connection_ = this;
@@ -62,12 +72,100 @@
     skipped_answers_ = 0;
     skipped_bytes_ = 0;
     was_established_ = stream_->is_established();
-    stream_->send(request);
+    if (!call->options_.question)
+    {
+        stream_->send(request);
+        return;
+    }
+    waiting_request_ = std::move(request);
+    if (!has_asked_)
+    {
+        ask_for_start();
+        return;
+    }
+    // deferred: the caller does not have the call yet
+    client_.loop_.after(millis(0),
+                        [self = shared_from_this(), call]
+                        {
+                            if (self->call_ == call && self->waiting_request_)
+                            {
+                                self->send_waiting_request();
+                            }
+                        });
+}
+
+bool pooled_connection::has_sent_request() const
+{
+    return !waiting_request_ && (was_established_ || stream_->has_sent());
+}
+
+void pooled_connection::ask_for_start()
+{
+    is_asking_ = true;
+    question_answer_.clear();
+    const std::weak_ptr<pooled_connection> weak = weak_from_this();
+    question_timer_ = client_.loop_.after(question_timeout,
+                                          [weak]
+                                          {
+                                              if (const auto self = weak.lock())
+                                              {
+                                                  self->fail(call_end::not_sent);
+                                              }
+                                          });
+    stream_->send(call_->options_.question->request);
+}
+
+void pooled_connection::finish_question()
+{
+    client_.loop_.cancel(question_timer_);
+    is_asking_ = false;
+    const answer_head answered = *std::exchange(head_, std::nullopt);
+    record_keep_alive(answered.headers);
+    if (answered.status >= first_failure_status || !answered.keeps_connection() ||
+        !stream_->input().empty() || !stream_->is_open())
+    {
+        fail(call_end::not_sent);
+        return;
+    }
+    has_asked_ = true;
+    started_ms_ = is_success(answered.status)
+                      ? call_->options_.question->read_answer(question_answer_)
+                      : std::nullopt;
+    send_waiting_request();
+}
+
+void pooled_connection::send_waiting_request()
+{
+    // the callbacks may cancel the call
+    const std::shared_ptr<client_call> call = call_;
+    const bool is_accepted =
+        !call->callbacks_.accepts_start || call->callbacks_.accepts_start(started_ms_);
+    if (call_ != call)
+    {
+        return;
+    }
+    if (is_accepted)
+    {
+        was_established_ = true;
+        skipped_answers_ = 0;
+        skipped_bytes_ = 0;
+        stream_->send(*std::exchange(waiting_request_, std::nullopt));
+        return;
+    }
+    call_ = nullptr;
+    call->connection_ = nullptr;
+    waiting_request_.reset();
+    release_after_answer(true);
+    if (call->callbacks_.on_end)
+    {
+        call->callbacks_.on_end(call_end::declined);
+    }
 }
 
 void pooled_connection::cancel_call()
 {
     call_ = nullptr;
+    drop_question();
     client_.release(shared_from_this(), false);
 }
 
@@ -78,6 +176,7 @@
         call_->connection_ = nullptr;
         call_ = nullptr;
     }
+    drop_question();
     stream_->close();
 }
 
@@ -109,8 +208,10 @@
 
 bool pooled_connection::parse_head()
 {
-    head_result<answer_head> result = parse_answer_head(
-        stream_->input(), client_.max_head_bytes_, call_->options_.is_head_request);
+    head_result<answer_head> result =
+        parse_answer_head(stream_->input(),
+                          client_.max_head_bytes_,
+                          !is_asking_ && call_->options_.is_head_request);
     if (std::holds_alternative<head_error>(result))
     {
         fail(call_end::malformed);
@@ -127,7 +228,7 @@
     head_ = std::move(parsed->head);
     decoder_ = body_decoder(head_->framing);
     const bool informational = head_->status < 200;
-    skipping_answer_ = informational || (call->callbacks_.accepts_head &&
+    skipping_answer_ = informational || (!is_asking_ && call->callbacks_.accepts_head &&
                                          !call->callbacks_.accepts_head(*head_));
     skipped_answers_ += skipping_answer_ ? 1 : 0;
     if (skipping_answer_ && (head_->framing.kind == body_kind::until_close ||
@@ -136,9 +237,9 @@
         fail(call_end::malformed);
         return false;
     }
-    if (!skipping_answer_)
+    if (!skipping_answer_ && !is_asking_)
     {
-        record_keep_alive();
+        record_keep_alive(head_->headers);
         if (call->callbacks_.on_head)
         {
             call->callbacks_.on_head(*head_);
@@ -147,9 +248,9 @@
     return call_ != nullptr;
 }
 
-void pooled_connection::record_keep_alive()
+void pooled_connection::record_keep_alive(const header_list& headers)
 {
-    if (const std::optional<millis> stated = parse_keep_alive(head_->headers))
+    if (const std::optional<millis> stated = parse_keep_alive(headers))
     {
         keep_alive_ = *stated;
     }
@@ -160,13 +261,17 @@
     const std::shared_ptr<client_call> call = call_;
     decoded_.clear();
     stream_->consume(decoder_.decode(stream_->input(), decoded_));
-    skipped_bytes_ += skipping_answer_ ? decoded_.size() : 0;
+    skipped_bytes_ += skipping_answer_ || is_asking_ ? decoded_.size() : 0;
     if (skipped_bytes_ > max_skipped_bytes)
     {
         fail(call_end::malformed);
         return;
     }
-    if (!skipping_answer_ && !decoded_.empty() && call->callbacks_.on_data)
+    if (is_asking_ && !skipping_answer_)
+    {
+        question_answer_.append(decoded_);
+    }
+    else if (!skipping_answer_ && !decoded_.empty() && call->callbacks_.on_data)
     {
         call->callbacks_.on_data(decoded_);
         if (!call_)
@@ -184,6 +289,10 @@
         {
             head_.reset();
         }
+        else if (is_asking_)
+        {
+            finish_question();
+        }
         else
         {
             complete();
@@ -202,20 +311,35 @@
                           stream_->input().empty() && stream_->is_open();
     // the caller may have been slower than the target
     stream_->set_input_paused(false);
-    idle_since_ = client_.loop_.now();
-    expires_ = idle_since_ + keep_alive_ * keep_alive_tenths / 10;
     head_.reset();
-    client_.release(shared_from_this(), reusable);
+    release_after_answer(reusable);
     if (call->callbacks_.on_end)
     {
         call->callbacks_.on_end(call_end::complete);
     }
 }
 
+void pooled_connection::release_after_answer(bool reusable)
+{
+    idle_since_ = client_.loop_.now();
+    expires_ = idle_since_ + keep_alive_ * keep_alive_tenths / 10;
+    client_.release(shared_from_this(), reusable);
+}
+
+void pooled_connection::drop_question()
+{
+    waiting_request_.reset();
+    is_asking_ = false;
+    client_.loop_.cancel(question_timer_);
+}
+
 void pooled_connection::fail(call_end reason)
 {
+    // whatever ends a question, the request itself was not sent
+    reason = waiting_request_ ? call_end::not_sent : reason;
     const std::shared_ptr<client_call> call = std::move(call_);
     call_ = nullptr;
+    drop_question();
     client_.release(shared_from_this(), false);
     if (call)
     {
@@ -240,7 +364,7 @@
         fail(call_end::not_sent);
         return;
     }
-    if (!head_ || skipping_answer_)
+    if (waiting_request_ || !head_ || skipping_answer_)
     {
         fail(stream_->has_sent() || was_established_ ? call_end::no_answer
                                                      : call_end::not_sent);
--- a/test/entry/adapter_test.cpp
+++ b/test/entry/adapter_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(names_the_invalid_route);
     CPPUNIT_TEST(names_the_route_whose_stages_form_a_cycle);
     CPPUNIT_TEST(reads_entries_of_targets_and_rejects_invalid_ones);
+    CPPUNIT_TEST(reads_when_a_target_has_started);
     CPPUNIT_TEST(reads_items_and_events_of_the_store);
     CPPUNIT_TEST(reads_results_of_pieces);
     CPPUNIT_TEST(is_the_only_place_with_names_of_the_platform);
@@ -185,6 +186,18 @@
         }
     }
 
+    void reads_when_a_target_has_started()
+    {
+        CPPUNIT_ASSERT(
+            adapter_.read_start_answer(R"({"busy": false, "born": 1764800000000})") ==
+            std::optional<std::int64_t>(1764800000000));
+        for (const char* const each :
+             {"", "[]", "{", "{}", R"({"born": "5"})", R"({"born": 1e999})"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(each, !adapter_.read_start_answer(each));
+        }
+    }
+
     void reads_items_and_events_of_the_store()
     {
         const auto page = adapter_.read_page(
