Tie the version of a stream to the process that sends it

Cause: the version of a process was read from the entry of its target, which is kept under an id and an address that outlive the process. An entry that is late, by an outage of the store or by a second, names the version of the process before. So streams went on at a newer process, and streams that began there were remembered at the older version.

Change: each connection on which streams that can be resumed are sent is first asked when its process has started. A process whose start is not the one that the entry names has a version of its own until an entry names it: no stream that began elsewhere goes on there, and a stream that begins there goes on only there. Hosts report such streams to their keepers at once and tell all keepers of the process, so that a stream that no keeper knows still goes on at the only version of its pool; without an answer of all keepers it does not. When the entry comes, each host finds the version by the start. Targets that state no start are used as before. A host of an earlier build takes such a version for one that no target has, and does not read the new field of an answer.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/entry/protocol.hpp>
 #include <medlar/detail/policy/target_health.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -32,6 +33,9 @@
     /// refusals per second, of all hosts together, above which it breaks down; unset if
     /// it bears any number
     std::optional<double> refusal_limit;
+    /// start time that the process at its address has stated, if its entry names an
+    /// older one
+    std::optional<std::int64_t> answering_start;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
     /// set if its registration expired during an outage of the store; it is removed then
@@ -68,6 +72,10 @@
     /// @return whether that is new
     bool mark_leaving(const target_id& id);
 
+    /// @brief Records the start time that the process at the address of a target has
+    /// stated; its entry may be that of an earlier one.
+    void record_start(const target_id& id, std::int64_t started_ms);
+
     /// @brief Records that a target gets no calls for some time. Too long a time is cut,
     /// and the end is moved by @p spread so that hosts do not return together.
     /// @return whether it is longer than what was known
@@ -100,6 +108,10 @@
     std::map<target_id, std::int64_t> leaving_;
 };
 
+/// @brief Returns whether the entry of a target is that of the process that answers at
+/// its address, as far as this host knows.
+bool is_listed(const target_state& target);
+
 /// @brief Returns whether a target takes new work, as far as its entry and its answers
 /// say.
 bool takes_work(const target_state& target);
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -62,6 +62,9 @@
     /// longer registered.
     void record_target_call(const target_id& id, call_result result);
 
+    /// @brief Records the start time that the process at a target's address has stated.
+    void record_target_start(const target_id& id, std::int64_t started_ms);
+
     /// @brief Records that a target refused a call for lack of room.
     void record_refusal(const target_id& id);
 
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -116,6 +116,13 @@
     /// refuses or fails the request if targets crash under it or a part of its prompt
     /// @return whether it did
     bool end_if_blocked();
+    std::shared_ptr<const start_question>
+    make_start_question(const endpoint& where) const;
+    /// whether the process that answers at the address of the target may get the request
+    /// @param started_ms start time that it states
+    bool accepts_start(std::optional<std::int64_t> started_ms);
+    /// sends the request to another target, since this one's process was not accepted
+    void on_declined();
     void on_head(const answer_head& head);
     void on_data(absl::string_view data);
     void on_call_end(call_end how);
@@ -199,7 +206,9 @@
     std::string buffered_body_;
     event_splitter events_;
     std::optional<std::int64_t> last_event_id_;
-    /// version of the target of the current call
+    /// entry of the target of the current call
+    target_record target_record_;
+    /// version of the process that gets the current call
     software_version target_version_;
     /// where the stream has begun, or has to begin; unset before
     std::optional<stream_origin> origin_;
--- a/include/medlar/detail/entry/stream_origins.hpp
+++ b/include/medlar/detail/entry/stream_origins.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_DETAIL_ENTRY_STREAM_ORIGINS_HPP
 #define MEDLAR_DETAIL_ENTRY_STREAM_ORIGINS_HPP
 
+#include <medlar/detail/dispatch/target_starts.hpp>
 #include <medlar/detail/dispatch/unsaved_streams.hpp>
 #include <medlar/detail/dispatch/version_history.hpp>
 #include <medlar/detail/dispatch/version_shares.hpp>
@@ -99,6 +100,23 @@
     /// @brief Handles that a target was added or has changed.
     void handle_target(const target_record& target);
 
+    /// @brief Returns the version of the process that answers at the address of a target,
+    /// as far as this host knows.
+    software_version version_of(const target_state& target) const
+    {
+        return starts_.version_of(target);
+    }
+
+    /// @brief Returns the version of a process of a target, and makes known to the
+    /// keepers that streams may begin there if no entry has named it.
+    software_version version_of(const pool_id& pool, const process_start& start);
+
+    /// @brief Returns whether a stream may go on, or has to begin, at a version.
+    bool is_of(const stream_origin& origin, const software_version& version) const
+    {
+        return starts_.resolve(origin).version == version;
+    }
+
     /// @brief Handles a message that another host sent on a link of its own.
     /// @return false if its type is not one of this controller's
     bool handle_request(const std::shared_ptr<message_link>& from,
@@ -146,6 +164,10 @@
         std::vector<pool_id> pools;
         std::set<host_id> waiting_for;
         std::set<stream_origin> possible;
+        /// processes without a known version at which it may have begun
+        std::set<stream_origin> unlisted;
+        /// whether a keeper could not be asked
+        bool is_keeper_missing = false;
         bool is_answered = false;
         bool is_named = false;
         origin_action on_found;
@@ -170,6 +192,11 @@
     void remember(stream_key stream, const stream_origin& origin);
     void forget_old_streams();
     std::optional<stream_origin> recall(stream_key stream) const;
+    /// whether a keeper has to know of streams with this origin
+    bool needs_report(const stream_origin& origin) const;
+    void record_unlisted(const streams_by_origin& streams);
+    /// the origin of a stream that neither this host nor an answer names
+    std::optional<stream_origin> only_origin(const question& asked) const;
     /// reports the streams of pools with several versions that no keeper was told of
     void send_reports();
     void send_reports_soon();
@@ -199,6 +226,7 @@
     peer_network& peers_;
     store_controller& store_;
     version_history versions_;
+    target_starts starts_;
     /// pools of resumable routes, their longest timeout, and the configuration that they
     /// are from
     std::set<pool_id> resumable_pools_;
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -110,12 +110,16 @@
 /// @brief a target states how many refusals a second it bears, or does so no longer
 inline constexpr event entry_target_refusals_limited{
     1743, severity::info, "entry_target_refusals_limited"};
+/// @brief the process that answers at the address of a target has started later than the
+/// target's entry says; its version is unknown
+inline constexpr event entry_target_unlisted{
+    1744, severity::warning, "entry_target_unlisted"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 43> entry_events{entry_started,
+inline constexpr std::array<event, 44> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -157,7 +161,8 @@
                                                     entry_request_forwarded,
                                                     entry_forward_failed,
                                                     entry_crash_refuted,
-                                                    entry_target_refusals_limited};
+                                                    entry_target_refusals_limited,
+                                                    entry_target_unlisted};
 
 } // namespace medlar
 
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -51,6 +51,13 @@
                 leaving_.erase(leaving);
             }
         }
+        // without a start an entry says nothing of the process that answers
+        if (record.started_ms != 0 && found != targets_.end() &&
+            found->second.record.address == record.address &&
+            found->second.answering_start.value_or(0) > record.started_ms)
+        {
+            added.answering_start = found->second.answering_start;
+        }
         remove(record.id);
         targets_[record.id] = added;
         by_address_[record.address] = record.id;
@@ -78,6 +85,16 @@
     return true;
 }
 
+void target_table::record_start(const target_id& id, std::int64_t started_ms)
+{
+    target_state* const target = find(id);
+    if (target != nullptr && target->record.started_ms != 0 &&
+        started_ms > target->answering_start.value_or(target->record.started_ms))
+    {
+        target->answering_start = started_ms;
+    }
+}
+
 bool target_table::mark_paused(const target_id& id,
                                millis pause,
                                millis spread,
@@ -189,6 +206,11 @@
     return found;
 }
 
+bool is_listed(const target_state& target)
+{
+    return !target.answering_start;
+}
+
 bool takes_work(const target_state& target)
 {
     return !target.record.is_draining && !target.is_leaving;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -115,6 +115,21 @@
     }
 }
 
+void entry_context::record_target_start(const target_id& id, std::int64_t started_ms)
+{
+    const target_state* const target = targets.find(id);
+    const bool was_listed = target != nullptr && is_listed(*target);
+    targets.record_start(id, started_ms);
+    if (was_listed && !is_listed(*target))
+    {
+        log_event(entry_target_unlisted,
+                  {{"target", id.get()},
+                   {"pool", target->record.pool.get()},
+                   {"listed_ms", target->record.started_ms},
+                   {"started_ms", started_ms}});
+    }
+}
+
 void entry_context::record_refusal(const target_id& id)
 {
     target_state* const target = targets.find(id);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -94,10 +94,10 @@
         return;
     }
     const std::optional<software_version> version = version_of_new_stream();
-    if (version && target->record.version != *version)
+    if (version && origins_.version_of(*target) != *version)
     {
         target->health = cancel_probe(target->health);
-        send_once_saved({pool_, target->record.version});
+        send_once_saved({pool_, origins_.version_of(*target)});
         return;
     }
     if (target->rate_limit)
@@ -162,7 +162,8 @@
 void request_run::send_to(target_state& target)
 {
     target_ = target.record.id;
-    target_version_ = target.record.version;
+    target_record_ = target.record;
+    target_version_ = origins_.version_of(target);
     tried_targets_.push_back(target_);
     ++target.in_flight;
     call_additions additions;
@@ -182,6 +183,14 @@
     options.is_head_request = exchange_->head().method == "HEAD";
     options.connect_timeout = target_connect_timeout;
     call_callbacks events;
+    if (is_stream() && route_.may_retry())
+    {
+        options.question = make_start_question(target.record.address);
+        events.accepts_start = [this](std::optional<std::int64_t> started_ms)
+        {
+            return accepts_start(started_ms);
+        };
+    }
     events.accepts_head = [this](const answer_head& head)
     {
         const std::string attempt = context_.protocol.read_answer(head).attempt;
@@ -220,7 +229,7 @@
                {"left_ms", additions.remaining.count()},
                {"after_event", last_event_id_.value_or(-1)},
                {"resumes", fields_.resumed_attempt.get()},
-               {"version", target.record.version.get()},
+               {"version", target_version_.get()},
                {"request", absl::StrCat(absl::Hex(key_.get(), absl::kZeroPad16))},
                {"parts", join_part_ids(fields_.prompt)}});
     if (has_inputs_)
@@ -245,6 +254,40 @@
         std::move(events));
 }
 
+std::shared_ptr<const start_question>
+request_run::make_start_question(const endpoint& where) const
+{
+    const entry_protocol& protocol = context_.protocol;
+    return std::make_shared<const start_question>(
+        start_question{protocol.write_start_question(where),
+                       [&protocol](absl::string_view body)
+                       {
+                           return protocol.read_start_answer(body);
+                       }});
+}
+
+bool request_run::accepts_start(std::optional<std::int64_t> started_ms)
+{
+    // the entry may have changed since the target was chosen
+    if (const target_state* const target = context_.targets.find(target_))
+    {
+        target_record_ = target->record;
+    }
+    target_version_ = target_record_.version;
+    if (started_ms && target_record_.started_ms != 0 &&
+        *started_ms != target_record_.started_ms)
+    {
+        target_version_ = origins_.version_of(pool_, {target_, *started_ms});
+        context_.record_target_start(target_, *started_ms);
+    }
+    if (origin_)
+    {
+        return origins_.is_of(*origin_, target_version_);
+    }
+    const std::optional<software_version> version = version_of_new_stream();
+    return !version || *version == target_version_;
+}
+
 void request_run::release_call()
 {
     if (target_state* const target = context_.targets.find(target_))
@@ -387,12 +430,40 @@
     }
 }
 
+void request_run::on_declined()
+{
+    log_event(entry_call_failed,
+              {{"attempt", fields_.attempt.get()},
+               {"target", target_.get()},
+               {"end", to_string(call_end::declined)},
+               {"version", target_version_.get()},
+               {"after_event", last_event_id_.value_or(-1)}});
+    if (target_state* const target = context_.targets.find(target_))
+    {
+        target->health = cancel_probe(target->health);
+    }
+    paths_.record_contact(pool_);
+    release_call();
+    attempts_.record_unsent();
+    if (tried_targets_.size() <= max_unsent_sends && remaining_time() > millis(0))
+    {
+        send();
+        return;
+    }
+    on_attempts_failed("the targets of its version have started again");
+}
+
 void request_run::on_call_end(call_end how)
 {
     if (ended_)
     {
         return;
     }
+    if (how == call_end::declined)
+    {
+        on_declined();
+        return;
+    }
     const std::string target = target_.get();
     const bool has_answer = head_.has_value();
     const bool is_complete =
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -206,7 +206,7 @@
 
 bool request_run::may_run_at(const target_state& target) const
 {
-    return !origin_ || target.record.version == origin_->version;
+    return !origin_ || origins_.is_of(*origin_, origins_.version_of(target));
 }
 
 bool request_run::has_target_of_origin()
@@ -311,12 +311,13 @@
     {
         return;
     }
-    const auto others = std::stable_partition(input.candidates.begin(),
-                                              input.candidates.end(),
-                                              [&](const target_state* each)
-                                              {
-                                                  return each->record.version == *version;
-                                              });
+    const auto others =
+        std::stable_partition(input.candidates.begin(),
+                              input.candidates.end(),
+                              [&](const target_state* each)
+                              {
+                                  return origins_.version_of(*each) == *version;
+                              });
     const bool has_usable =
         std::any_of(input.candidates.begin(),
                     others,
--- a/src/entry/stream_origins.cpp
+++ b/src/entry/stream_origins.cpp
@@ -186,6 +186,7 @@
         update_shares();
     }
     forget_old_streams();
+    starts_.forget_old(now);
     // a pool may have several versions according to the store only
     send_reports();
     context_.loop.after(update_interval,
@@ -215,8 +216,35 @@
     }
 }
 
+software_version stream_origins::version_of(const pool_id& pool,
+                                            const process_start& start)
+{
+    const software_version version = starts_.version_of(start);
+    const stream_origin origin{pool, version};
+    if (starts_.record_unlisted(origin, context_.loop.now()))
+    {
+        // a group without streams
+        const nlohmann::json message{{"type", "streams_begun"},
+                                     {"groups", to_json({{origin, {}}})}};
+        for (const host_id& each : keepers())
+        {
+            peers_.send(each, message);
+        }
+    }
+    return version;
+}
+
+void stream_origins::record_unlisted(const streams_by_origin& streams)
+{
+    for (const auto& each : streams)
+    {
+        starts_.record_unlisted(each.first, context_.loop.now());
+    }
+}
+
 void stream_origins::handle_target(const target_record& target)
 {
+    starts_.record_listed(target, context_.loop.now());
     if (!is_resumable(target.pool))
     {
         return;
@@ -288,7 +316,10 @@
     version_shares targets;
     for (const target_state* each : context_.targets.serving(pool))
     {
-        ++targets[each->record.version];
+        if (is_listed(*each))
+        {
+            ++targets[each->record.version];
+        }
     }
     share_history history = known == shares_.end() ? share_history{} : known->second;
     if (!targets.empty() && is_outdated(history.current, targets))
@@ -444,11 +475,18 @@
     const auto own = own_streams_.find(stream);
     if (own != own_streams_.end())
     {
-        return own->second.remembered.origin;
+        return starts_.resolve(own->second.remembered.origin);
     }
     const auto found = streams_.find(stream);
-    return found == streams_.end() ? std::nullopt
-                                   : std::optional<stream_origin>(found->second.origin);
+    return found == streams_.end()
+               ? std::nullopt
+               : std::optional<stream_origin>(starts_.resolve(found->second.origin));
+}
+
+bool stream_origins::needs_report(const stream_origin& origin) const
+{
+    return read_unlisted_version(origin.version) ||
+           versions_.is_mixed(origin.pool, context_.loop.now());
 }
 
 void stream_origins::forget_old_streams()
@@ -474,7 +512,7 @@
         return;
     }
     unreported_.push_back(stream);
-    if (versions_.is_mixed(origin.pool, context_.loop.now()))
+    if (needs_report(origin))
     {
         send_reports_soon();
     }
@@ -507,7 +545,7 @@
             continue;
         }
         const stream_origin& origin = own->second.remembered.origin;
-        if (!versions_.is_mixed(origin.pool, context_.loop.now()))
+        if (!needs_report(origin))
         {
             unreported_.push_back(stream);
             continue;
@@ -632,7 +670,9 @@
                                          const nlohmann::json& message)
 {
     const auto number = message.at("number").get<std::uint64_t>();
-    keep(read_streams(message.at("groups")),
+    const streams_by_origin streams = read_streams(message.at("groups"));
+    record_unlisted(streams);
+    keep(streams,
          [link = std::weak_ptr<message_link>(from), number]
          {
              if (const auto waiting = link.lock())
@@ -679,16 +719,20 @@
     }
     for (const host_id& each : keepers())
     {
-        const bool is_sent =
-            each != peers_.self().id && peers_.send(each,
-                                                    {{"type", "origin?"},
-                                                     {"number", number},
-                                                     {"stream", stream.get()},
-                                                     {"pools", names}});
+        if (each == peers_.self().id)
+        {
+            continue;
+        }
+        const bool is_sent = peers_.send(each,
+                                         {{"type", "origin?"},
+                                          {"number", number},
+                                          {"stream", stream.get()},
+                                          {"pools", names}});
         if (is_sent)
         {
             asked.waiting_for.insert(each);
         }
+        asked.is_keeper_missing = asked.is_keeper_missing || !is_sent;
     }
     context_.loop.after(asked.waiting_for.empty() ? millis(0) : answer_timeout,
                         [this, number]
@@ -716,6 +760,11 @@
     {
         possible.push_back(medlar::to_json(each));
     }
+    nlohmann::json& unlisted = answer["unlisted"] = nlohmann::json::array();
+    for (const stream_origin& each : starts_.unlisted_in(pools))
+    {
+        unlisted.push_back(medlar::to_json(each));
+    }
     from->send(answer);
 }
 
@@ -744,6 +793,11 @@
     {
         asked.possible.insert(read_origin(each));
     }
+    // hosts of earlier builds do not send it
+    for (const nlohmann::json& each : message.value("unlisted", nlohmann::json::array()))
+    {
+        asked.unlisted.insert(read_origin(each));
+    }
     if (message.contains("origin") && asked.is_named)
     {
         remember(asked.stream, read_origin(message.at("origin")));
@@ -771,6 +825,21 @@
         asked.on_found({known, origin_source::memory});
         return;
     }
+    if (const std::optional<stream_origin> only = only_origin(asked))
+    {
+        asked.on_found({only, origin_source::single_version});
+        return;
+    }
+    if (!asked.is_named)
+    {
+        asked.on_found({});
+        return;
+    }
+    find_in_store(asked);
+}
+
+std::optional<stream_origin> stream_origins::only_origin(const question& asked) const
+{
     std::set<stream_origin> possible = asked.possible;
     for (const stream_origin& each :
          versions_.origins_in(asked.pools, context_.loop.now()))
@@ -780,17 +849,23 @@
     // a host that reaches neither the store nor a keeper may have missed a version
     const bool is_informed =
         asked.is_answered || store_.is_in_contact() || peers_.registered_count() == 1;
-    if (possible.size() == 1 && is_informed)
+    if (possible.size() != 1 || !is_informed)
     {
-        asked.on_found({*possible.begin(), origin_source::single_version});
-        return;
-    }
-    if (!asked.is_named)
-    {
-        asked.on_found({});
-        return;
+        return std::nullopt;
     }
-    find_in_store(asked);
+    const bool may_be_unlisted = !starts_.unlisted_in(asked.pools).empty() ||
+                                 std::any_of(asked.unlisted.begin(),
+                                             asked.unlisted.end(),
+                                             [this](const stream_origin& each)
+                                             {
+                                                 return starts_.resolve(each) == each;
+                                             });
+    // keepers know all streams that began at processes without a known version
+    const bool is_known_to_keepers =
+        asked.is_named && asked.waiting_for.empty() && !asked.is_keeper_missing;
+    return may_be_unlisted && !is_known_to_keepers
+               ? std::nullopt
+               : std::optional<stream_origin>(*possible.begin());
 }
 
 void stream_origins::find_in_store(question asked)
@@ -831,7 +906,8 @@
                     const auto found = asked.find(stream);
                     if (found != asked.end())
                     {
-                        found->second = {each.first, origin_source::record};
+                        found->second = {starts_.resolve(each.first),
+                                         origin_source::record};
                     }
                 }
             }
@@ -872,7 +948,9 @@
     const std::string type = message.at("type").get<std::string>();
     if (type == "streams_begun")
     {
-        keep(read_streams(message.at("groups")));
+        const streams_by_origin streams = read_streams(message.at("groups"));
+        record_unlisted(streams);
+        keep(streams);
         return true;
     }
     if (type == "origin?")
@@ -899,7 +977,12 @@
     std::vector<std::uint64_t> answered;
     for (auto& each : questions_)
     {
-        if (each.second.waiting_for.erase(host) > 0 && each.second.waiting_for.empty())
+        if (each.second.waiting_for.erase(host) == 0)
+        {
+            continue;
+        }
+        each.second.is_keeper_missing = true;
+        if (each.second.waiting_for.empty())
         {
             answered.push_back(each.first);
         }
--- a/test/decisions/dispatch/target_table_test.cpp
+++ b/test/decisions/dispatch/target_table_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(a_target_table);
     CPPUNIT_TEST(gives_a_leaving_target_no_work_until_it_restarts);
     CPPUNIT_TEST(remembers_a_leaving_target_whose_entry_lapsed);
+    CPPUNIT_TEST(knows_that_an_entry_is_older_than_the_process);
     CPPUNIT_TEST(gives_a_paused_target_no_work_until_its_pause_ends);
     CPPUNIT_TEST(cuts_an_absurd_pause);
     CPPUNIT_TEST(knows_when_the_first_target_of_a_pool_is_back);
@@ -57,6 +58,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.serving(pool_).size());
     }
 
+    void knows_that_an_entry_is_older_than_the_process()
+    {
+        const target_id id("a");
+        table_.put(record("a", 5));
+        table_.record_start(id, 5);
+        CPPUNIT_ASSERT(is_listed(*table_.find(id)));
+        table_.record_start(id, 7);
+        CPPUNIT_ASSERT(!is_listed(*table_.find(id)));
+        // the same entry again, and that of a process in between
+        table_.put(record("a", 5));
+        CPPUNIT_ASSERT(!is_listed(*table_.find(id)));
+        table_.put(record("a", 6));
+        CPPUNIT_ASSERT(!is_listed(*table_.find(id)));
+        // an answer of an earlier process
+        table_.record_start(id, 6);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, *table_.find(id)->answering_start);
+        table_.put(record("a", 7));
+        CPPUNIT_ASSERT(is_listed(*table_.find(id)));
+        // an entry without a start tells nothing
+        table_.put(record("a", 0));
+        table_.record_start(id, 7);
+        CPPUNIT_ASSERT(is_listed(*table_.find(id)));
+    }
+
     void gives_a_paused_target_no_work_until_its_pause_ends()
     {
         table_.put(record("a"));
--- a/test/entry/resumption_test.cpp
+++ b/test/entry/resumption_test.cpp
@@ -37,6 +37,12 @@
     CPPUNIT_TEST(goes_on_without_a_named_attempt_only_if_there_is_one_version);
     CPPUNIT_TEST(does_not_go_on_at_an_engine_that_started_again_at_another_version);
     CPPUNIT_TEST(does_not_go_on_at_a_newer_engine_whose_entry_the_host_cannot_read);
+    CPPUNIT_TEST(does_not_go_on_at_a_newer_engine_whose_entry_comes_late);
+    CPPUNIT_TEST(does_not_go_on_elsewhere_if_it_began_before_the_entry_of_its_engine);
+    CPPUNIT_TEST(goes_on_at_its_version_once_the_entry_of_its_engine_has_come);
+    CPPUNIT_TEST(goes_on_at_another_host_while_an_engine_is_not_listed);
+    CPPUNIT_TEST(is_not_refused_when_an_engine_has_started_again_at_its_version);
+    CPPUNIT_TEST(does_not_go_on_where_no_keeper_can_tell_where_it_began);
     CPPUNIT_TEST(does_not_go_on_at_a_newer_engine_that_took_over_an_address);
     CPPUNIT_TEST(does_not_begin_at_an_engine_without_a_version);
     CPPUNIT_TEST(does_not_go_on_at_another_version_at_hosts_that_stood_still);
@@ -239,8 +245,7 @@
         it.start_engine("i-2", "v1");
         it.run_for(change_time);
         it.store.set_down(true);
-        // it starts again at its address, under its id
-        it.engines.at("i-2")->version = "v2";
+        it.restart_unlisted("i-2", "v2");
         it.engines.erase("i-1");
         CPPUNIT_ASSERT(it.until(
             [&]
@@ -250,6 +255,87 @@
         CPPUNIT_ASSERT_EQUAL(0, it.joined);
     }
 
+    void does_not_go_on_at_a_newer_engine_whose_entry_comes_late()
+    {
+        versioned_pool it(3);
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams(12);
+        it.restart_unlisted("i-1", "v2");
+        it.take_up_all(streams);
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+        it.list("i-1");
+        it.run_for(change_time);
+        it.take_up_all(streams);
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void does_not_go_on_elsewhere_if_it_began_before_the_entry_of_its_engine()
+    {
+        versioned_pool it(3);
+        it.restart_unlisted("i-1", "v2");
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams(12);
+        it.stop_engine("i-1");
+        it.take_up_all(streams);
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void goes_on_at_its_version_once_the_entry_of_its_engine_has_come()
+    {
+        versioned_pool it(3);
+        it.restart_unlisted("i-1", "v2");
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams(12);
+        it.list("i-1");
+        it.start_engine("i-3", "v2");
+        it.run_for(change_time);
+        it.engines.erase("i-1");
+        CPPUNIT_ASSERT_EQUAL(12, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void goes_on_at_another_host_while_an_engine_is_not_listed()
+    {
+        versioned_pool it(3, {{"i-1", "v1"}, {"i-2", "v1"}, {"i-3", "v1"}});
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams(12);
+        it.restart_unlisted("i-1", "v2");
+        // one host has learned of the new start
+        it.begin_stream(0);
+        it.begin_stream(0);
+        it.begin_stream(0);
+        CPPUNIT_ASSERT_EQUAL(12, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void is_not_refused_when_an_engine_has_started_again_at_its_version()
+    {
+        versioned_pool it(3);
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams(6);
+        it.restart_unlisted("i-1", "v1");
+        std::vector<versioned_pool::caller_stream> later = it.begin_streams(6);
+        it.list("i-1");
+        it.run_for(change_time);
+        CPPUNIT_ASSERT_EQUAL(6, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(6, it.take_up_all(later));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void does_not_go_on_where_no_keeper_can_tell_where_it_began()
+    {
+        versioned_pool it(3);
+        it.restart_unlisted("i-1", "v2");
+        std::vector<versioned_pool::caller_stream> streams;
+        for (int i = 0; i < 12; ++i)
+        {
+            streams.push_back(it.begin_stream(0));
+        }
+        it.freeze(it.hosts[0]);
+        it.freeze(it.hosts[1]);
+        it.stop_engine("i-1");
+        for (versioned_pool::caller_stream& each : streams)
+        {
+            it.take_up(2, each);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
     void does_not_go_on_at_a_newer_engine_that_took_over_an_address()
     {
         versioned_pool it(2);
--- a/test/entry/target_contract_test.cpp
+++ b/test/entry/target_contract_test.cpp
@@ -87,7 +87,8 @@
         it.store.put(leaving.key(), leaving.entry());
         it.start_host();
         CPPUNIT_ASSERT_EQUAL(200, it.fetch("/a/x").status);
-        it.store.put(leaving.key(), leaving.entry("ready", 0, 6));
+        leaving.started_ms = 6;
+        it.store.put(leaving.key(), leaving.entry("ready", 0));
         CPPUNIT_ASSERT(it.until(
             [&]
             {
--- a/test/soak/soak_crashes.cpp
+++ b/test/soak/soak_crashes.cpp
@@ -91,7 +91,7 @@
                 {
                     target.path->resume();
                     target.is_down = false;
-                    ++target.born;
+                    ++target.server->started_ms;
                     write_entry(target);
                 });
 }
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -98,7 +98,6 @@
         std::string limit;
         int sequence = 0;
         /// counts its starts
-        std::int64_t born = 5;
     };
 
     /// what targets crash under
--- a/test/soak/soak_versions.cpp
+++ b/test/soak/soak_versions.cpp
@@ -67,7 +67,7 @@
                     target.server->restart_as(successor);
                     target.path->resume();
                     target.is_down = false;
-                    ++target.born;
+                    ++target.server->started_ms;
                     write_entry(target);
                 });
 }
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -114,8 +114,8 @@
 
 void soak_run::write_entry(soak_target& target)
 {
-    nlohmann::json entry = nlohmann::json::parse(
-        target.server->entry("ready", ++target.sequence, target.born));
+    nlohmann::json entry =
+        nlohmann::json::parse(target.server->entry("ready", ++target.sequence));
     entry["address"] = to_string(target.path->where());
     store_.put(target.server->key(), entry.dump());
 }
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_TEST_SUPPORT_ENTRY_ENTRY_FIXTURE_HPP
 
 #include "platform/adapter.hpp"
+#include "platform/names.hpp"
 #include "support/entry/stand_in_store.hpp"
 #include "support/free_endpoint.hpp"
 
@@ -42,9 +43,7 @@
         return "servers/" + id_;
     }
 
-    std::string entry(const std::string& state = "ready",
-                      int sequence = 1,
-                      std::int64_t born = 5) const
+    std::string entry(const std::string& state = "ready", int sequence = 1) const
     {
         return nlohmann::json({{"service", pool_},
                                {"address", to_string(where_)},
@@ -54,7 +53,7 @@
                                {"state", state},
                                {"cold_ms", 0},
                                {"sequence", sequence},
-                               {"born", born}})
+                               {"born", started_ms}})
             .dump();
     }
 
@@ -71,6 +70,15 @@
         listen();
     }
 
+    /// Ends its connections, and starts again under its id.
+    void restart(std::int64_t when_started_ms)
+    {
+        started_ms = when_started_ms;
+        restart_as(id_);
+    }
+
+    /// start time of its process, as its reports state it
+    std::int64_t started_ms = 5;
     /// version of its software, as its entry states it
     nlohmann::json version = "v1";
     /// the heads and bodies of the requests received
@@ -78,6 +86,10 @@
     std::vector<std::string> bodies;
     /// requests that named another target
     int misdirected = 0;
+    /// how often it was asked for a report
+    int reports = 0;
+    /// answers in place of its report; may be empty
+    behaviour report_handler;
 
   private:
     void listen()
@@ -96,6 +108,12 @@
 
     void serve(const std::shared_ptr<caller_exchange>& exchange)
     {
+        if (exchange->head().path() == platform::report_path)
+        {
+            ++reports;
+            report(exchange);
+            return;
+        }
         if (refuse_other_target(*exchange))
         {
             return;
@@ -105,6 +123,17 @@
         handler_(exchange);
     }
 
+    void report(const std::shared_ptr<caller_exchange>& exchange)
+    {
+        if (report_handler)
+        {
+            report_handler(exchange);
+            return;
+        }
+        const nlohmann::json said{{"busy", false}, {"sequence", 1}, {"born", started_ms}};
+        exchange->answer(status_ok, {}, said.dump());
+    }
+
     bool refuse_other_target(caller_exchange& exchange)
     {
         const header_list& asked = exchange.head().headers;
--- a/test/support/entry/versioned_pool.hpp
+++ b/test/support/entry/versioned_pool.hpp
@@ -51,7 +51,7 @@
 
     void start_engine(const std::string& id,
                       const nlohmann::json& version,
-                      std::int64_t born = 5)
+                      std::int64_t started_ms = 5)
     {
         const auto self = std::make_shared<const stand_in_target*>();
         auto engine =
@@ -64,7 +64,8 @@
                                               });
         *self = engine.get();
         engine->version = version;
-        store.put(engine->key(), engine->entry("ready", 1, born));
+        engine->started_ms = started_ms;
+        store.put(engine->key(), engine->entry());
         engines[id] = std::move(engine);
     }
 
@@ -82,6 +83,21 @@
         engines[id] = std::move(engine);
     }
 
+    /// Ends an engine, and starts it again under its id; its entry is as before.
+    void restart_unlisted(const std::string& id, const nlohmann::json& version)
+    {
+        stand_in_target& engine = *engines.at(id);
+        engine.version = version;
+        engine.restart(engine.started_ms + 1);
+    }
+
+    /// Writes the entry of an engine that has started again.
+    void list(const std::string& id)
+    {
+        const stand_in_target& engine = *engines.at(id);
+        store.put(engine.key(), engine.entry("ready", 1));
+    }
+
     /// Ends an engine; its streams break off.
     void stop_engine(const std::string& id)
     {
