Play two builds side by side in the soak

Hosts are replaced one after the other when the fleet is upgraded, so hosts of two builds exchange messages, read each other's keys and compute the same rules. Nothing showed two builds together.

The checks are the same as for one build; broken promises, exits and the history name the build that a host ran, and the path of this build as the second one replaces the same hosts without a second build. Without the flag a seed plays as before.

--- a/test/soak/entry_process.cpp
+++ b/test/soak/entry_process.cpp
@@ -44,9 +44,8 @@
 
 } // namespace
 
-entry_process::entry_process(std::string program, std::string directory, std::string name)
-    : program_(std::move(program)),
-      settings_path_(absl::StrCat(directory, "/", name, ".json")),
+entry_process::entry_process(const std::string& directory, const std::string& name)
+    : settings_path_(absl::StrCat(directory, "/", name, ".json")),
       log_path_(absl::StrCat(directory, "/", name, ".log"))
 {
 }
@@ -67,8 +66,9 @@
     std::ofstream(settings_path_) << text;
 }
 
-void entry_process::start()
+void entry_process::start(const std::string& program)
 {
+    program_ = program;
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     const int flags = O_WRONLY | O_CREAT | O_APPEND;
@@ -123,7 +123,8 @@
         last_exit_ = describe_exit(status);
         if (!is_clean_exit(status))
         {
-            absl::StrAppend(&last_exit_, ", last logged: ", last_line(log_path_));
+            absl::StrAppend(
+                &last_exit_, " of ", program_, ", last logged: ", last_line(log_path_));
         }
         exited_unexpectedly_ =
             exited_unexpectedly_ || !exit_expected_ || !is_clean_exit(status);
--- a/test/soak/entry_process.hpp
+++ b/test/soak/entry_process.hpp
@@ -14,9 +14,8 @@
 class entry_process
 {
   public:
-    /// @param program path of medlar-entry
     /// @param directory directory of its settings file and its log file
-    entry_process(std::string program, std::string directory, std::string name);
+    entry_process(const std::string& directory, const std::string& name);
     ~entry_process();
 
     entry_process(const entry_process&) = delete;
@@ -25,7 +24,8 @@
     /// @brief Writes the settings file that the process reads at startup and on SIGHUP.
     void write_settings(const std::string& text) const;
 
-    void start();
+    /// @param program path of medlar-entry
+    void start(const std::string& program);
 
     /// @brief Sends a signal to the process if it is running.
     void signal(int number) const;
@@ -40,7 +40,7 @@
     }
 
     /// @brief description of the last exit, such as "signal 9"; after a failure with the
-    /// last line of the log
+    /// program and the last line of the log
     const std::string& last_exit() const
     {
         return last_exit_;
--- a/test/soak/medlar_soak.cpp
+++ b/test/soak/medlar_soak.cpp
@@ -12,6 +12,11 @@
 #include <iostream>
 
 DEFINE_string(entry, "build/medlar-entry", "path of medlar-entry");
+DEFINE_string(
+    older_entry,
+    "",
+    "path of a second medlar-entry: hosts run one or the other, and are replaced "
+    "one after the other, forward and back");
 DEFINE_uint64(first_seed, 1, "seed of the first run");
 DEFINE_int32(seeds, 3, "number of runs, with consecutive seeds");
 DEFINE_string(failed_seeds, "", "file with seeds that failed before, run first");
@@ -60,6 +65,7 @@
     soak::soak_settings settings;
     settings.seed = seed;
     settings.program = FLAGS_entry;
+    settings.older_program = FLAGS_older_entry;
     settings.crash_targets = FLAGS_crash_targets;
     settings.crash_under_request = FLAGS_crash_under_request;
     settings.release_versions = FLAGS_release_versions;
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -35,6 +35,9 @@
 // grace_s of the hosts' settings, plus time until the exit is detected
 constexpr millis max_shutdown_time{6000};
 
+// pause between replacements of hosts; short enough for one pass forward and one back
+constexpr millis replacement_interval{400};
+
 constexpr std::array<std::pair<path_fault, const char*>, 5> faults{{
     {path_fault::delayed, "delayed"},
     {path_fault::resetting, "resetting"},
@@ -62,7 +65,7 @@
                            return passes_probe(*each);
                        }))
         {
-            promises_.record_violation(each->name +
+            promises_.record_violation(describe(*each) +
                                        " does not serve requests after its start");
             return promises_;
         }
@@ -84,6 +87,10 @@
     {
         schedule_release();
     }
+    if (!settings_.older_program.empty())
+    {
+        replace_next_host();
+    }
     run_until(settings_.fault_duration,
               []
               {
@@ -108,7 +115,7 @@
         if (each->process->exited_unexpectedly())
         {
             promises_.record_violation(absl::StrCat(
-                each->name, " exited unexpectedly: ", each->process->last_exit()));
+                describe(*each), " exited unexpectedly: ", each->process->last_exit()));
         }
     }
     return promises_;
@@ -121,7 +128,7 @@
         if (!each->process->is_running() && !each->restart_pending)
         {
             record_event(
-                absl::StrCat(each->name, " exited: ", each->process->last_exit()));
+                absl::StrCat(describe(*each), " exited: ", each->process->last_exit()));
             schedule_restart(*each);
         }
     }
@@ -135,14 +142,53 @@
     loop_.after(wait,
                 [this, &host]
                 {
-                    host.process->write_settings(settings_json(host));
-                    host.process->start();
+                    start_process(host);
                     host.restart_pending = false;
-                    record_event(host.name + " restarts");
+                    record_event(describe(host) + " restarts");
                     mark_disturbed(host, millis(0));
                 });
 }
 
+void soak_run::replace_next_host()
+{
+    if (!inject_faults_)
+    {
+        return;
+    }
+    loop_.after(replacement_interval,
+                [this]
+                {
+                    replace_next_host();
+                });
+    const auto awaits_replacement = [](const std::unique_ptr<soak_host>& each)
+    {
+        return each->is_older != each->next_is_older;
+    };
+    if (std::any_of(hosts_.begin(), hosts_.end(), awaits_replacement))
+    {
+        return;
+    }
+    const auto next = [this]
+    {
+        return std::find_if(hosts_.begin(),
+                            hosts_.end(),
+                            [this](const std::unique_ptr<soak_host>& each)
+                            {
+                                return each->is_older != goes_back_;
+                            });
+    };
+    if (next() == hosts_.end())
+    {
+        goes_back_ = !goes_back_;
+    }
+    soak_host& host = **next();
+    host.next_is_older = goes_back_;
+    record_event(absl::StrCat(describe(host), " is replaced"));
+    host.process->expect_exit();
+    host.process->signal(SIGTERM);
+    mark_disturbed(host, max_shutdown_time);
+}
+
 void soak_run::mark_disturbed(soak_host& host, millis span)
 {
     host.disturbed_until =
@@ -336,7 +382,7 @@
         if (head.status == status_ok)
         {
             promises_.record_violation(absl::StrCat(
-                host.name, " served the dropped route of version ", version));
+                describe(host), " served the dropped route of version ", version));
         }
     };
     const std::string attempt = absl::StrCat("d", settings_.seed, "x", ++last_attempt_);
@@ -400,7 +446,7 @@
                        }))
         {
             promises_.record_violation(
-                each->name + " does not serve requests after all faults have ended");
+                describe(*each) + " does not serve requests after all faults have ended");
         }
     }
 }
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -32,6 +32,8 @@
     std::uint64_t seed = 1;
     /// path of medlar-entry
     std::string program;
+    /// path of a second medlar-entry, which hosts are replaced by and from; empty: none
+    std::string older_program;
     /// directory of the settings and log files of the processes
     std::string directory;
     std::size_t hosts = 4;
@@ -84,6 +86,10 @@
         std::unique_ptr<entry_process> process;
         bool is_paused = false;
         bool restart_pending = false;
+        /// whether its process runs the older program
+        bool is_older = false;
+        /// whether its next process is to run the older program
+        bool next_is_older = false;
         /// requests to this host that are open before this time count as disturbed
         steady_time disturbed_until;
     };
@@ -115,6 +121,7 @@
     void start_targets();
     void add_target(const std::string& pool);
     void start_hosts();
+    void start_process(soak_host& host);
     std::string settings_json(const soak_host& host) const;
     void put_configuration();
     void write_configuration();
@@ -165,6 +172,10 @@
     void write_again();
     void probe_dropped_route();
     void schedule_restart(soak_host& host);
+    /// replaces a host by the other program unless the one before is not back yet
+    void replace_next_host();
+    /// name of a host, with the program that it runs if there are two
+    std::string describe(const soak_host& host) const;
     void clear_faults();
     void record_event(const std::string& what);
     void check_recovery();
@@ -195,6 +206,8 @@
     std::uint64_t last_handle_ = 0;
     std::set<std::string> handles_;
     int last_release_ = 0;
+    /// whether hosts are being replaced by the older program
+    bool goes_back_ = false;
     /// versions that began a stream, by its attempt; several if runs were lost on the way
     std::map<std::string, std::set<std::string>> began_at_;
     std::size_t taken_up_ = 0;
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -187,17 +187,31 @@
         added->link = test::free_endpoint();
         added->link_path =
             std::make_unique<fault_proxy>(loop_, test::free_endpoint(), added->link);
-        added->process = std::make_unique<entry_process>(
-            settings_.program, settings_.directory, added->name);
+        added->process =
+            std::make_unique<entry_process>(settings_.directory, added->name);
+        added->next_is_older = !settings_.older_program.empty() && i % 2 == 1;
         hosts_.push_back(std::move(added));
     }
     for (const auto& each : hosts_)
     {
-        each->process->write_settings(settings_json(*each));
-        each->process->start();
+        start_process(*each);
     }
 }
 
+void soak_run::start_process(soak_host& host)
+{
+    host.is_older = host.next_is_older;
+    host.process->write_settings(settings_json(host));
+    host.process->start(host.is_older ? settings_.older_program : settings_.program);
+}
+
+std::string soak_run::describe(const soak_host& host) const
+{
+    return settings_.older_program.empty()
+               ? host.name
+               : absl::StrCat(host.name, host.is_older ? " (older)" : " (newer)");
+}
+
 /// Replaces the address in a host's registration by that of the proxy in front of it.
 std::string soak_run::rewrite_registration(const std::string& key,
                                            const std::string& value) const
@@ -438,7 +452,7 @@
     auto open = std::make_shared<open_request>();
     open->record.kind = kind;
     open->record.attempt = absl::StrCat("a", settings_.seed, "x", ++last_attempt_);
-    open->record.host = to.name;
+    open->record.host = describe(to);
     const steady_time started_at = time_.steady_now();
     const auto finish = [this, open, started_at, then, &to]
     {
