Take no part of a head for the whole head

POCO reads a head through a stream, which shows the end of the connection, an error and a timeout alike as its end, and takes that for the end of the head. "HTTP/1.1 200 OK" and a close is a 200 with an empty body.

It is so in the gateway's calls to targets, the clients of the store, of the host list and of orders, and the replay tool. The entry host has a parser of its own that asks for the empty line.

Evidence: four tests cut answers at each byte of the head, by close and by reset. Before, all four failed: a lease was renewed by a cut 200, a cut 404 was a refusal of the store (703 instead of 702), a cut page of a target was read, and a cut answer of a stage was not a broken call. All pass now. Two tests of servers that fall silent in the head passed before, too.

Change: http_session is the one session of all these clients. Its socket throws at the peer's end until the head was read, and receiveResponse() rethrows what POCO's stream hid. All ends pass through that socket, so no reader of POCO can take one for an end of the head.

--- /dev/null
+++ b/include/medlar/detail/client/http_session.hpp
@@ -0,0 +1,42 @@
+#ifndef MEDLAR_DETAIL_CLIENT_HTTP_SESSION_HPP
+#define MEDLAR_DETAIL_CLIENT_HTTP_SESSION_HPP
+
+#include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/base/endpoint.hpp>
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <istream>
+#include <memory>
+
+namespace medlar
+{
+
+/// @brief An HTTP connection on which only a whole head is taken for a head.
+///
+/// POCO's own session takes the end of the connection, an error or a timeout within a
+/// head for the end of the head.
+/// @note It has no host name, so that POCO cannot reconnect and send a call twice.
+class http_session : public Poco::Net::HTTPClientSession
+{
+  public:
+    /// @brief Connects to @p remote.
+    /// @throws Poco::Exception if the connection cannot be opened
+    static std::unique_ptr<http_session> open(const endpoint& remote,
+                                              millis connect_timeout);
+
+    /// @brief Sets the time limit of each call on the socket, at least 1 ms.
+    void set_timeout(millis timeout);
+
+    std::ostream& sendRequest(Poco::Net::HTTPRequest& request) override;
+
+    /// @throws Poco::Exception if the head did not arrive up to its empty line
+    std::istream& receiveResponse(Poco::Net::HTTPResponse& response) override;
+
+  private:
+    http_session();
+};
+
+} // namespace medlar
+
+#endif // MEDLAR_DETAIL_CLIENT_HTTP_SESSION_HPP
--- a/include/medlar/detail/gateway/session_pool.hpp
+++ b/include/medlar/detail/gateway/session_pool.hpp
@@ -3,8 +3,7 @@
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/endpoint.hpp>
-
-#include <Poco/Net/HTTPClientSession.h>
+#include <medlar/detail/client/http_session.hpp>
 
 #include <array>
 #include <map>
@@ -16,12 +15,9 @@
 {
 
 /// @brief An HTTP connection to a target.
-using target_session = std::unique_ptr<Poco::Net::HTTPClientSession>;
+using target_session = std::unique_ptr<http_session>;
 
 /// @brief Pool of persistent HTTP connections to targets.
-///
-/// A session is created from a connected socket, without a host name, so that POCO cannot
-/// reconnect and send a call twice.
 /// @note Thread-safe.
 class session_pool
 {
--- a/include/medlar/detail/gateway/stage_client.hpp
+++ b/include/medlar/detail/gateway/stage_client.hpp
@@ -90,7 +90,7 @@
                            target_session session,
                            stage_reply& reply) const;
     void read_reply(const call_attempt& attempt,
-                    Poco::Net::HTTPClientSession& session,
+                    http_session& session,
                     stage_reply& reply,
                     bool& reusable) const;
     void read_stream(const call_attempt& attempt,
--- a/include/medlar/detail/store/http_pool.hpp
+++ b/include/medlar/detail/store/http_pool.hpp
@@ -3,8 +3,8 @@
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/endpoint.hpp>
+#include <medlar/detail/client/http_session.hpp>
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <absl/status/statusor.h>
 
 #include <cstdint>
@@ -54,19 +54,17 @@
     const endpoint& where() const;
 
   private:
-    using session = Poco::Net::HTTPClientSession;
-
-    absl::StatusOr<std::unique_ptr<session>> acquire_connection(millis timeout);
-    absl::StatusOr<std::unique_ptr<session>> connect(millis timeout);
-    std::unique_ptr<session> pop_idle();
-    void push_idle(std::unique_ptr<session> connection);
-    bool mark_active(session* connection);
-    void mark_inactive(session* connection);
+    absl::StatusOr<std::unique_ptr<http_session>> acquire_connection(millis timeout);
+    absl::StatusOr<std::unique_ptr<http_session>> connect(millis timeout);
+    std::unique_ptr<http_session> pop_idle();
+    void push_idle(std::unique_ptr<http_session> connection);
+    bool mark_active(http_session* connection);
+    void mark_inactive(http_session* connection);
 
     endpoint where_;
     std::mutex mutex_;
-    std::list<std::unique_ptr<session>> idle_;
-    std::set<session*> active_;
+    std::list<std::unique_ptr<http_session>> idle_;
+    std::set<http_session*> active_;
     bool closed_ = false;
 };
 
--- /dev/null
+++ b/src/client/http_session.cpp
@@ -0,0 +1,103 @@
+#include <medlar/detail/client/http_session.hpp>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Timespan.h>
+
+#include <algorithm>
+
+namespace medlar
+{
+
+namespace
+{
+
+constexpr std::int64_t us_per_ms = 1000;
+constexpr millis min_timeout{1};
+
+Poco::Timespan timespan_of(millis span)
+{
+    return {std::max(span, min_timeout).count() * us_per_ms};
+}
+
+/// @brief A socket at which the end of the peer's bytes is an error where no message may
+/// end.
+class answer_socket_impl : public Poco::Net::StreamSocketImpl
+{
+  public:
+    using StreamSocketImpl::receiveBytes;
+
+    /// @throws Poco::Net::ConnectionAbortedException at an end that is not allowed
+    int receiveBytes(void* buffer, int length, int flags) override
+    {
+        const int received = StreamSocketImpl::receiveBytes(buffer, length, flags);
+        if (received == 0 && !end_allowed_)
+        {
+            throw Poco::Net::ConnectionAbortedException(
+                "the connection ended within a message");
+        }
+        return received;
+    }
+
+    void allow_end(bool allowed)
+    {
+        end_allowed_ = allowed;
+    }
+
+  private:
+    bool end_allowed_ = false;
+};
+
+answer_socket_impl& answer_socket_of(http_session& session)
+{
+    return dynamic_cast<answer_socket_impl&>(*session.socket().impl());
+}
+
+} // namespace
+
+std::unique_ptr<http_session> http_session::open(const endpoint& remote,
+                                                 millis connect_timeout)
+{
+    std::unique_ptr<http_session> session(new http_session());
+    session->socket().connect(Poco::Net::SocketAddress(remote.address, remote.port),
+                              timespan_of(connect_timeout));
+    session->socket().setNoDelay(true);
+    session->setKeepAlive(true);
+    return session;
+}
+
+http_session::http_session()
+    : HTTPClientSession(Poco::Net::StreamSocket(new answer_socket_impl()))
+{
+}
+
+void http_session::set_timeout(millis timeout)
+{
+    socket().setReceiveTimeout(timespan_of(timeout));
+    socket().setSendTimeout(timespan_of(timeout));
+}
+
+std::ostream& http_session::sendRequest(Poco::Net::HTTPRequest& request)
+{
+    answer_socket_of(*this).allow_end(false);
+    return HTTPClientSession::sendRequest(request);
+}
+
+std::istream& http_session::receiveResponse(Poco::Net::HTTPResponse& response)
+{
+    std::istream& body = HTTPClientSession::receiveResponse(response);
+    // the stream that POCO parses the head from hides the errors of the socket
+    if (const Poco::Exception* error = networkException())
+    {
+        error->rethrow();
+    }
+    answer_socket_of(*this).allow_end(true);
+    return body;
+}
+
+} // namespace medlar
--- a/src/gateway/session_pool.cpp
+++ b/src/gateway/session_pool.cpp
@@ -1,8 +1,7 @@
 #include <medlar/detail/gateway/session_pool.hpp>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/Socket.h>
 #include <Poco/Timespan.h>
 
 #include <functional>
@@ -14,10 +13,8 @@
 namespace
 {
 
-constexpr std::int64_t us_per_ms = 1000;
-
 /// @brief Returns whether an idle connection is still open and has no unread data.
-bool is_usable(Poco::Net::HTTPClientSession& session)
+bool is_usable(http_session& session)
 {
     try
     {
@@ -93,13 +90,7 @@
 {
     try
     {
-        Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress(remote.address, remote.port),
-                       Poco::Timespan(connect_timeout_.count() * us_per_ms));
-        socket.setNoDelay(true);
-        target_session session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
-        session->setKeepAlive(true);
-        return session;
+        return http_session::open(remote, connect_timeout_);
     }
     catch (const Poco::Exception&)
     {
--- a/src/gateway/stage_client.cpp
+++ b/src/gateway/stage_client.cpp
@@ -5,10 +5,8 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Timespan.h>
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace medlar
@@ -17,25 +15,10 @@
 namespace
 {
 
-using Poco::Net::HTTPClientSession;
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-constexpr std::int64_t us_per_ms = 1000;
-constexpr millis min_timeout{1};
-
-Poco::Timespan timespan_of(millis span)
-{
-    return Poco::Timespan(std::max(span, min_timeout).count() * us_per_ms);
-}
-
-void set_timeout(HTTPClientSession& session, millis span)
-{
-    session.socket().setReceiveTimeout(timespan_of(span));
-    session.socket().setSendTimeout(timespan_of(span));
-}
-
-void send(HTTPClientSession& session,
+void send(http_session& session,
           const endpoint& remote,
           const std::string& method,
           const std::string& path,
@@ -185,7 +168,7 @@
     bool reusable = false;
     try
     {
-        set_timeout(*session, attempt.deadline - time_.steady_now());
+        session->set_timeout(attempt.deadline - time_.steady_now());
         reply.may_have_run = true;
         send(*session,
              attempt.remote,
@@ -211,7 +194,7 @@
 }
 
 void stage_client::read_reply(const call_attempt& attempt,
-                              HTTPClientSession& session,
+                              http_session& session,
                               stage_reply& reply,
                               bool& reusable) const
 {
@@ -322,7 +305,7 @@
     }
     try
     {
-        set_timeout(*session, timeout);
+        session->set_timeout(timeout);
         send(*session, remote, method, path, body);
         HTTPResponse response;
         std::istream& stream = session->receiveResponse(response);
--- a/src/replay/caller.cpp
+++ b/src/replay/caller.cpp
@@ -1,16 +1,15 @@
+#include <medlar/detail/client/http_session.hpp>
 #include <medlar/detail/replay/caller.hpp>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Timespan.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <istream>
+#include <memory>
 #include <thread>
 
 namespace medlar
@@ -19,7 +18,6 @@
 namespace
 {
 
-constexpr std::int64_t us_per_ms = 1000;
 constexpr millis pause_between_sends{20};
 
 /// @brief Returns placeholder text of the given length.
@@ -35,11 +33,6 @@
     return text;
 }
 
-Poco::Timespan timespan_of(millis span)
-{
-    return Poco::Timespan(std::max<std::int64_t>(1, span.count()) * us_per_ms);
-}
-
 } // namespace
 
 std::string request_body(const trace_request& request,
@@ -90,15 +83,19 @@
         absl::StrCat("/v1/pipelines/", request.pipeline.get(), "/requests");
     try
     {
-        Poco::Net::HTTPClientSession session(gateway.address, gateway.port);
-        session.setTimeout(timespan_of(give_up_at - time_.steady_now()));
+        const millis time_left = give_up_at - time_.steady_now();
+        const std::unique_ptr<http_session> session =
+            http_session::open(gateway, time_left);
+        session->set_timeout(time_left);
         Poco::Net::HTTPRequest out(
             Poco::Net::HTTPRequest::HTTP_POST, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        out.setHost(to_string(gateway));
+        out.setKeepAlive(false);
         out.setContentType("application/json");
         out.setContentLength(static_cast<std::streamsize>(body.size()));
-        session.sendRequest(out) << body << std::flush;
+        session->sendRequest(out) << body << std::flush;
         Poco::Net::HTTPResponse response;
-        std::istream& in = session.receiveResponse(response);
+        std::istream& in = session->receiveResponse(response);
         std::string text;
         std::string line;
         while (std::getline(in, line))
--- a/src/replay/executions.cpp
+++ b/src/replay/executions.cpp
@@ -1,32 +1,41 @@
 #include <medlar/detail/base/error.hpp>
+#include <medlar/detail/client/http_session.hpp>
 #include <medlar/detail/replay/executions.hpp>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <memory>
+
 namespace medlar
 {
 
 namespace
 {
 
+constexpr millis connect_timeout{30000};
+constexpr millis answer_timeout{60000};
+
 absl::StatusOr<std::string> get_executions(const endpoint& from)
 {
     try
     {
-        Poco::Net::HTTPClientSession session(from.address, from.port);
+        const std::unique_ptr<http_session> session =
+            http_session::open(from, connect_timeout);
+        session->set_timeout(answer_timeout);
         Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET,
                                        "/test/executions",
                                        Poco::Net::HTTPMessage::HTTP_1_1);
-        session.sendRequest(request);
+        request.setHost(to_string(from));
+        request.setKeepAlive(false);
+        session->sendRequest(request);
         Poco::Net::HTTPResponse response;
         std::string text;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+        Poco::StreamCopier::copyToString(session->receiveResponse(response), text);
         return text;
     }
     catch (const Poco::Exception& error)
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -2,8 +2,6 @@
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -20,16 +18,10 @@
 
 constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t chunk_bytes = std::size_t{16} * 1024;
-constexpr std::int64_t us_per_ms = 1000;
-
-Poco::Timespan timespan_of(millis span)
-{
-    return {span.count() * us_per_ms};
-}
 
 /// @brief Returns whether the peer has closed an idle connection or sent unexpected
 /// bytes.
-bool is_stale(Poco::Net::HTTPClientSession& idle)
+bool is_stale(http_session& idle)
 {
     try
     {
@@ -41,9 +33,7 @@
     }
 }
 
-void send(Poco::Net::HTTPClientSession& session,
-          const endpoint& where,
-          const http_call& request)
+void send(http_session& session, const endpoint& where, const http_call& request)
 {
     Poco::Net::HTTPRequest message(
         request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -54,7 +44,7 @@
     out << request.body << std::flush;
 }
 
-absl::StatusOr<http_answer> receive(Poco::Net::HTTPClientSession& session)
+absl::StatusOr<http_answer> receive(http_session& session)
 {
     Poco::Net::HTTPResponse response;
     std::istream& in = session.receiveResponse(response);
@@ -84,14 +74,12 @@
     return answer;
 }
 
-absl::StatusOr<http_answer> send_and_receive(Poco::Net::HTTPClientSession& session,
-                                             const endpoint& where,
-                                             const http_call& request)
+absl::StatusOr<http_answer>
+send_and_receive(http_session& session, const endpoint& where, const http_call& request)
 {
     try
     {
-        session.socket().setSendTimeout(timespan_of(request.timeout));
-        session.socket().setReceiveTimeout(timespan_of(request.timeout));
+        session.set_timeout(request.timeout);
         send(session, where, request);
         return receive(session);
     }
@@ -118,13 +106,13 @@
 
 absl::StatusOr<http_answer> http_pool::call(const http_call& request)
 {
-    absl::StatusOr<std::unique_ptr<session>> acquired =
+    absl::StatusOr<std::unique_ptr<http_session>> acquired =
         acquire_connection(request.timeout);
     if (!acquired.ok())
     {
         return acquired.status();
     }
-    std::unique_ptr<session> connection = std::move(*acquired);
+    std::unique_ptr<http_session> connection = std::move(*acquired);
     if (!mark_active(connection.get()))
     {
         return absl::UnavailableError("the client is closed");
@@ -143,7 +131,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     closed_ = true;
     idle_.clear();
-    for (session* each : active_)
+    for (http_session* each : active_)
     {
         try
         {
@@ -157,10 +145,10 @@
     }
 }
 
-absl::StatusOr<std::unique_ptr<http_pool::session>>
+absl::StatusOr<std::unique_ptr<http_session>>
 http_pool::acquire_connection(millis timeout)
 {
-    std::unique_ptr<session> idle = pop_idle();
+    std::unique_ptr<http_session> idle = pop_idle();
     while (idle && is_stale(*idle))
     {
         idle = pop_idle();
@@ -172,17 +160,11 @@
     return connect(timeout);
 }
 
-absl::StatusOr<std::unique_ptr<http_pool::session>> http_pool::connect(millis timeout)
+absl::StatusOr<std::unique_ptr<http_session>> http_pool::connect(millis timeout)
 {
     try
     {
-        Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress(where_.address, where_.port),
-                       timespan_of(timeout));
-        socket.setNoDelay(true);
-        auto connected = std::make_unique<session>(socket);
-        connected->setKeepAlive(true);
-        return connected;
+        return http_session::open(where_, timeout);
     }
     catch (const Poco::Exception& failure)
     {
@@ -191,19 +173,19 @@
     }
 }
 
-std::unique_ptr<http_pool::session> http_pool::pop_idle()
+std::unique_ptr<http_session> http_pool::pop_idle()
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (idle_.empty())
     {
         return nullptr;
     }
-    std::unique_ptr<session> idle = std::move(idle_.front());
+    std::unique_ptr<http_session> idle = std::move(idle_.front());
     idle_.pop_front();
     return idle;
 }
 
-void http_pool::push_idle(std::unique_ptr<session> connection)
+void http_pool::push_idle(std::unique_ptr<http_session> connection)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!closed_)
@@ -212,7 +194,7 @@
     }
 }
 
-bool http_pool::mark_active(session* connection)
+bool http_pool::mark_active(http_session* connection)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!closed_)
@@ -222,7 +204,7 @@
     return !closed_;
 }
 
-void http_pool::mark_inactive(session* connection)
+void http_pool::mark_inactive(http_session* connection)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     active_.erase(connection);
--- a/test/runtime/gateway/stage_client_test.cpp
+++ b/test/runtime/gateway/stage_client_test.cpp
@@ -1,4 +1,5 @@
 #include "runtime/gateway/gateway_fixture.hpp"
+#include "support/cut_answer_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -7,6 +8,20 @@
 
 using namespace medlar;
 using namespace medlar::gateway_testing;
+using medlar::test::answer_end;
+using medlar::test::cut_answer_server;
+using medlar::test::cut_heads;
+
+/// @brief Returns an answer whose length is in its second header line.
+std::string sized_answer(const std::string& status, const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" +
+           "Content-Length: " + std::to_string(body.size()) + "\r\nX-Last: 1\r\n\r\n" +
+           body;
+}
+
+const std::string whole_reply = R"({"request_id":"org/1","output":{"a":1}})";
+const std::string whole_refusal = R"({"not_run":true,"retry_after_ms":50})";
 
 class a_call_to_a_target : public CppUnit::TestFixture
 {
@@ -15,6 +30,8 @@
     CPPUNIT_TEST(did_not_run_if_it_was_refused);
     CPPUNIT_TEST(is_settled_if_it_failed);
     CPPUNIT_TEST(is_not_settled_if_its_reply_was_lost);
+    CPPUNIT_TEST(is_not_settled_if_the_head_of_its_reply_was_cut);
+    CPPUNIT_TEST(is_not_settled_if_its_reply_stopped_in_its_head);
     CPPUNIT_TEST(is_never_retried_by_the_client);
     CPPUNIT_TEST(has_the_reason_why_its_answer_is_unusable);
     CPPUNIT_TEST(ends_at_once_when_it_is_cancelled);
@@ -28,7 +45,8 @@
     standins::plain_target plain_{{}};
     std::shared_ptr<cancel_token> token_ = cancel_token::create();
 
-    stage_reply call(const endpoint& remote, bool idempotent)
+    stage_reply
+    call(const endpoint& remote, bool idempotent, millis time_limit = millis(60000))
     {
         call_attempt attempt;
         attempt.remote = remote;
@@ -37,7 +55,7 @@
         attempt.message.kind = stage_kind::call;
         attempt.message.input = "{}";
         attempt.idempotent = idempotent;
-        attempt.deadline = time_.steady_now() + millis(60000);
+        attempt.deadline = time_.steady_now() + time_limit;
         attempt.token = token_;
         return client_->call(attempt);
     }
@@ -93,6 +111,38 @@
         CPPUNIT_ASSERT_EQUAL(1, plain_.state().executions()["org/1/post"]);
     }
 
+    void is_not_settled_if_the_head_of_its_reply_was_cut()
+    {
+        for (const std::string& answer : {sized_answer("200 OK", whole_reply),
+                                          sized_answer("503 Unavailable", whole_refusal),
+                                          sized_answer("429 Too Many", "{}"),
+                                          sized_answer("500 Error", "{}")})
+        {
+            for (const std::string& cut : cut_heads(answer))
+            {
+                for (const answer_end end : {answer_end::close, answer_end::reset})
+                {
+                    const cut_answer_server target(cut, end);
+                    const stage_reply reply = call(target.where(), true);
+                    CPPUNIT_ASSERT_MESSAGE(cut, reply.result == call_result::broken);
+                    CPPUNIT_ASSERT_MESSAGE(cut, reply.may_have_run && !reply.settled);
+                }
+            }
+        }
+    }
+
+    void is_not_settled_if_its_reply_stopped_in_its_head()
+    {
+        for (const char* cut :
+             {"HTTP/1.1 503 Unavailable\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2"})
+        {
+            const cut_answer_server target(cut, answer_end::silence);
+            const stage_reply reply = call(target.where(), true, millis(30));
+            CPPUNIT_ASSERT_MESSAGE(cut, reply.result == call_result::timed_out);
+            CPPUNIT_ASSERT_MESSAGE(cut, reply.may_have_run && !reply.settled);
+        }
+    }
+
     void is_never_retried_by_the_client()
     {
         CPPUNIT_ASSERT(call(plain_.where(), true).result == call_result::succeeded);
@@ -154,6 +204,37 @@
     }
 };
 
+class a_page_of_a_target : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_page_of_a_target);
+    CPPUNIT_TEST(is_not_read_if_its_head_was_cut);
+    CPPUNIT_TEST_SUITE_END();
+
+    const medlar::clock time_ = medlar::clock::system();
+    std::unique_ptr<session_pool> sessions_ =
+        session_pool::create(time_, millis(300), millis(4000));
+    std::unique_ptr<stage_client> client_ =
+        stage_client::create(time_, *sessions_, byte_count(100000));
+
+    std::optional<target_answer> read(const std::string& answer, answer_end end)
+    {
+        const cut_answer_server target(answer, end);
+        return client_->get(target.where(), "/v1/load", millis(2000));
+    }
+
+    void is_not_read_if_its_head_was_cut()
+    {
+        const std::string answer = sized_answer("200 OK", whole_reply);
+        for (const std::string& cut : cut_heads(answer))
+        {
+            CPPUNIT_ASSERT_MESSAGE(cut, !read(cut, answer_end::close));
+            CPPUNIT_ASSERT_MESSAGE(cut, !read(cut, answer_end::reset));
+        }
+        CPPUNIT_ASSERT_EQUAL(whole_reply, read(answer, answer_end::close)->body);
+    }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(a_call_to_a_target);
+CPPUNIT_TEST_SUITE_REGISTRATION(a_page_of_a_target);
 
 } // namespace
--- a/test/runtime/store_client_test.cpp
+++ b/test/runtime/store_client_test.cpp
@@ -1,4 +1,5 @@
 #include "standins/shared/kv_server.hpp"
+#include "support/cut_answer_server.hpp"
 
 #include <medlar/detail/base/error.hpp>
 #include <medlar/detail/store/consul_json.hpp>
@@ -20,6 +21,9 @@
 using medlar::store_client;
 using medlar::store_entry;
 using medlar::store_index;
+using medlar::test::answer_end;
+using medlar::test::cut_answer_server;
+using medlar::test::cut_heads;
 
 constexpr millis call_timeout{2000};
 constexpr millis short_timeout{200};
@@ -50,6 +54,9 @@
     CPPUNIT_TEST(a_value_above_the_limit_is_error_703);
     CPPUNIT_TEST(a_reply_of_another_protocol_is_error_704);
     CPPUNIT_TEST(a_write_with_an_unusable_reply_is_error_702);
+    CPPUNIT_TEST(a_read_whose_reply_has_a_cut_head_is_error_702);
+    CPPUNIT_TEST(a_renewal_whose_reply_has_a_cut_head_is_error_702);
+    CPPUNIT_TEST(a_reply_that_stops_in_its_head_is_error_702);
     CPPUNIT_TEST(a_restored_older_state_has_a_lower_index);
     CPPUNIT_TEST_SUITE_END();
 
@@ -312,6 +319,69 @@
         connection.shutdownSend();
     }
 
+    /// @brief Makes the store a server that sends @p reply and ends.
+    std::unique_ptr<cut_answer_server> replace_store(const std::string& reply,
+                                                     answer_end end)
+    {
+        auto server = std::make_unique<cut_answer_server>(reply, end);
+        const millis timeout = end == answer_end::silence ? short_timeout : call_timeout;
+        store_ = store_client::create({server->where()}, timeout);
+        return server;
+    }
+
+    void assert_read_lost(const std::string& reply, answer_end end)
+    {
+        const auto server = replace_store(reply, end);
+        const auto found = store_->get("key");
+        CPPUNIT_ASSERT_MESSAGE("taken as an answer: " + reply, !found.ok());
+        assert_error(error_number::store_reply_lost, found.status());
+    }
+
+    void assert_renewal_lost(const std::string& reply, answer_end end)
+    {
+        const auto server = replace_store(reply, end);
+        const absl::StatusOr<bool> renewed =
+            store_->renew_lease(medlar::store_lease("1"));
+        CPPUNIT_ASSERT_MESSAGE("taken as an answer: " + reply, !renewed.ok());
+        assert_error(error_number::store_reply_lost, renewed.status());
+    }
+
+    void a_read_whose_reply_has_a_cut_head_is_error_702()
+    {
+        for (const char* reply :
+             {"HTTP/1.1 404 Not Found\r\nX-Consul-Index: 71\r\n"
+              "Content-Length: 0\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nX-Consul-Index: 71\r\nContent-Length: 2\r\n\r\n[]"})
+        {
+            for (const std::string& cut : cut_heads(reply))
+            {
+                assert_read_lost(cut, answer_end::close);
+                assert_read_lost(cut, answer_end::reset);
+            }
+        }
+    }
+
+    void a_renewal_whose_reply_has_a_cut_head_is_error_702()
+    {
+        for (const char* reply : {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+                                  "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"})
+        {
+            for (const std::string& cut : cut_heads(reply))
+            {
+                assert_renewal_lost(cut, answer_end::close);
+                assert_renewal_lost(cut, answer_end::reset);
+            }
+        }
+    }
+
+    void a_reply_that_stops_in_its_head_is_error_702()
+    {
+        assert_renewal_lost("HTTP/1.1 404 Not Found\r\n", answer_end::silence);
+        assert_renewal_lost("HTTP/1.1 200 OK\r\nContent-Length: 0", answer_end::silence);
+        assert_read_lost("HTTP/1.1 404 Not Found\r\nX-Consul-Index: 7",
+                         answer_end::silence);
+    }
+
     void a_restored_older_state_has_a_lower_index()
     {
         write("medlar/live/configuration", "one", 0);
