--- a/test/soak/soak_versions.cpp
+++ b/test/soak/soak_versions.cpp
@@ -16,6 +16,9 @@
 // time from the end of a target until it is back at a newer version
 constexpr millis replacement_time{200};
 
+// time until a target that has kept its id writes its entry
+constexpr millis listing_delay{800};
+
 // joined streams that are tolerated in a run
 constexpr std::size_t max_joined_streams = 2;
 
@@ -56,18 +59,28 @@
     target.is_down = true;
     target.path->stop();
     const std::string version = absl::StrCat("v", 3 + last_release_++ / 2);
-    const std::string successor = absl::StrCat("t-r", last_release_);
+    // every second target keeps its id, and its old entry for a while
+    const bool keeps_id = last_release_ % 2 == 0;
+    const std::string successor =
+        keeps_id ? target.server->id() : absl::StrCat("t-r", last_release_);
     record_event(absl::StrCat(
         target.server->key(), " is replaced by ", successor, " of ", version));
-    store_.remove(target.server->key());
+    if (!keeps_id)
+    {
+        store_.remove(target.server->key());
+    }
     loop_.after(replacement_time,
                 [this, &target, version, successor]
                 {
                     target.server->version = version;
+                    ++target.server->started_ms;
                     target.server->restart_as(successor);
                     target.path->resume();
                     target.is_down = false;
-                    ++target.server->started_ms;
+                });
+    loop_.after(replacement_time + (keeps_id ? listing_delay : millis(0)),
+                [this, &target]
+                {
                     write_entry(target);
                 });
 }
