Test answers and messages that are cut between hosts, store and targets

What a caller, a host or a target of pieces sees of an answer that ends early was tested for direct answers only.

--- a/test/entry/adapter_test.cpp
+++ b/test/entry/adapter_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(reads_entries_of_targets_and_rejects_invalid_ones);
     CPPUNIT_TEST(reads_when_a_target_has_started);
     CPPUNIT_TEST(reads_items_and_events_of_the_store);
+    CPPUNIT_TEST(reads_no_part_of_an_answer);
     CPPUNIT_TEST(reads_results_of_pieces);
     CPPUNIT_TEST(is_the_only_place_with_names_of_the_platform);
     CPPUNIT_TEST_SUITE_END();
@@ -217,6 +218,44 @@
                             .ok());
     }
 
+    void reads_no_part_of_an_answer()
+    {
+        const auto is_read_whole_only = [](const std::string& text, const auto& read)
+        {
+            bool is_part_read = false;
+            for (std::size_t size = 0; size < text.size(); ++size)
+            {
+                is_part_read = is_part_read || read(text.substr(0, size)).ok();
+            }
+            return !is_part_read && read(text).ok();
+        };
+        CPPUNIT_ASSERT(is_read_whole_only(
+            R"({"items": [{"key": "k", "revision": 1, "value": "eA=="}],
+                "more_pages": false, "store_revision": 17})",
+            [this](const std::string& text)
+            {
+                return adapter_.read_page(text);
+            }));
+        CPPUNIT_ASSERT(is_read_whole_only(
+            R"({"events": [{"key": "k", "revision": 12, "deleted": true}],
+                "store_revision": 17})",
+            [this](const std::string& text)
+            {
+                return adapter_.read_events(text);
+            }));
+        CPPUNIT_ASSERT(is_read_whole_only(R"({"lease": 77, "ttl_ms": 5000})",
+                                          [this](const std::string& text)
+                                          {
+                                              return adapter_.read_lease(text);
+                                          }));
+        CPPUNIT_ASSERT(is_read_whole_only(
+            R"({"items": [{"handle": "10.1.64.7:8080/91bd"}, {"reason": "gone"}]})",
+            [this](const std::string& text)
+            {
+                return adapter_.read_piece_answer(text);
+            }));
+    }
+
     void reads_results_of_pieces()
     {
         const auto results = adapter_.read_piece_answer(
