Take a stream without any event for cut if it ends with its connection

Callers got a 200 with an empty body, or a stream that ended as complete behind its first event, when a target ended its connection right behind a head with neither a length nor chunks: as the first target, or as the next one of a stream that had broken off.

Cause: such a body is whole when its connection ends, and a stream counted as broken off only if it ended within an event.

Evidence, before the change: - an_answer_cut::by_a_target_is_not_passed_on_as_whole and by_a_target_of_another_host_is_not_passed_on_as_whole: "until_close closed at 10: /e/321 200 complete" with an empty body; - a_stream_that_broke_off::ends_as_broken_if_the_next_target_does_not_go_on and ends_as_broken_at_another_host_...: "no length, and an end at 10: 200 complete id: 1". The rows before these passed, among them all cuts with a length or chunks and the error answers of a next target; the rows after them were reached, and passed, with the change only.

Change: is_part_of_stream() also holds for a success without an event of its own that ends with its connection. The request goes on at another target if it may be repeated, and ends visibly broken otherwise. Streams that state their end, also empty ones, are as before.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -157,6 +157,8 @@
     void begin_answer();
     void forward_events(absl::string_view data);
     void forward_event(absl::string_view event, std::optional<std::int64_t> id);
+    /// @return whether an answer whose framing is whole is only a part of a stream
+    bool is_part_of_stream() const;
     void finish_answer();
     void refuse(millis retry_after, absl::string_view why);
     void fail(int status, absl::string_view why);
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -132,6 +132,15 @@
     exchange_->begin(head_->status, head_->reason_phrase, headers, framing);
 }
 
+bool request_run::is_part_of_stream() const
+{
+    // without a length or chunks, a head alone may have been cut behind it
+    const bool has_no_event =
+        head_->framing.kind == body_kind::until_close && !has_call_begun_;
+    return is_stream() && is_success(head_->status) &&
+           (has_no_event || !events_.incomplete_event().empty());
+}
+
 void request_run::finish_answer()
 {
     free_stage_results();
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -477,7 +477,7 @@
     const std::string target = target_.get();
     const bool has_answer = head_.has_value();
     const bool is_complete =
-        how == call_end::complete && has_answer && events_.incomplete_event().empty();
+        how == call_end::complete && has_answer && !is_part_of_stream();
     if (is_complete)
     {
         const bool has_failed = head_->status >= 500;
