Take an answer of another host without a length or chunks for no answer

A host that had another one run a request passed on an answer with neither a length nor chunks as whole when its connection ended, whatever had been cut. No host sends such an answer: each sends chunks or a length for what a target sent with neither.

Evidence, before the change: an_answer_cut::by_a_host_that_runs_a_request_is_not_passed_on_as_whole fails with "until_close closed at 10: /n/319 200 complete" and an empty body.

Change: request_forward ends such an answer as broken off before any of it is passed on. Refusals to take a request are read as before.

--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -101,6 +101,14 @@
         on_not_taken(why);
         return;
     }
+    if (head.framing.kind == body_kind::until_close)
+    {
+        // each host states where its answers end: this one was changed or is none
+        call_->cancel();
+        const auto on_broken_off = std::move(callbacks_.on_broken_off);
+        on_broken_off();
+        return;
+    }
     const bool is_untrue = may_have_run_ && says_not_run(head.status);
     if (is_untrue)
     {
@@ -113,12 +121,7 @@
     header_list headers = head.headers;
     remove_hop_by_hop(headers);
     headers.remove("content-length");
-    body_framing framing = head.framing;
-    if (framing.kind == body_kind::until_close)
-    {
-        framing = {body_kind::chunked, 0};
-    }
-    exchange_->begin(head.status, head.reason_phrase, headers, framing);
+    exchange_->begin(head.status, head.reason_phrase, headers, head.framing);
 }
 
 void request_forward::on_data(absl::string_view data)
