Take no part of an answer of the store for the acknowledgement of a write

A host took a write for done by the status of the answer alone. An answer with neither a length nor chunks that ended within its body, or right behind its head, acknowledged the registration of the host, or the record of where a stream began.

Evidence: an_answer_of_the_store::acknowledges_no_write_if_it_was_cut fails before the change, since "medlar/hosts/host-7" is written once only; at least twice after it.

Change: a write counts once its answer can be read, with the revision that the store states in each answer to one. Otherwise it is written again as after any failed call, under the same lease. What is written does not change.

--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -290,6 +290,8 @@
     virtual absl::StatusOr<store_page> read_page(absl::string_view body) const = 0;
     virtual absl::StatusOr<store_page> read_events(absl::string_view body) const = 0;
     virtual absl::StatusOr<store_lease> read_lease(absl::string_view body) const = 0;
+    /// @brief Returns the revision of a change that the store has made.
+    virtual absl::StatusOr<std::int64_t> read_change(absl::string_view body) const = 0;
     virtual absl::StatusOr<serving_configuration>
     read_configuration(absl::string_view value) const = 0;
     virtual absl::StatusOr<target_record> read_target(const target_id& id,
--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -111,6 +111,8 @@
     std::function<void()>
     call(std::string request, millis timeout, reply_action on_reply);
     void record_contact(bool answered);
+    /// @return whether the store has made a change; false if its answer is not whole
+    bool is_written(const reply& put) const;
     /// @return the era of an answer; the current one if it states none
     std::int64_t record_era(const answer_head& head);
     void begin_era(std::int64_t era);
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -525,7 +525,7 @@
              {
                  return;
              }
-             if (put.status != status_ok)
+             if (!is_written(put))
              {
                  const bool is_known = put.status != status_not_found;
                  retry_registration(is_known ? std::optional<store_lease>(lease)
@@ -643,9 +643,9 @@
              }
              call(context_.protocol.write_put_call(key, value, *lease),
                   call_timeout,
-                  [retry_later](const reply& put)
+                  [this, retry_later](const reply& put)
                   {
-                      if (put.status != status_ok)
+                      if (!is_written(put))
                       {
                           retry_later();
                       }
@@ -653,6 +653,11 @@
          });
 }
 
+bool store_controller::is_written(const reply& put) const
+{
+    return put.status == status_ok && context_.protocol.read_change(put.body).ok();
+}
+
 void store_controller::write_lasting_item(const std::string& key,
                                           const std::string& value)
 {
@@ -695,7 +700,7 @@
              {
                  record_lease_.reset();
              }
-             on_done(put.status == status_ok);
+             on_done(is_written(put));
          });
 }
 
--- a/test/entry/cut_store_test.cpp
+++ b/test/entry/cut_store_test.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(removes_nothing_if_it_was_cut);
     CPPUNIT_TEST(hides_no_change_if_it_was_cut);
     CPPUNIT_TEST(is_no_lease_if_it_was_cut);
+    CPPUNIT_TEST(acknowledges_no_write_if_it_was_cut);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -237,6 +238,23 @@
                 return it.store.count_with_prefix("medlar/hosts/") == hosts.size();
             }));
     }
+
+    void acknowledges_no_write_if_it_was_cut()
+    {
+        store_fixture it;
+        const auto hosts = it.start_hosts("/-/kv-txn");
+        it.expect_serving(hosts);
+        for (const auto* each : hosts)
+        {
+            const std::string key = "medlar/hosts/" + each->settings.host.get();
+            CPPUNIT_ASSERT_MESSAGE(key,
+                                   it.until(
+                                       [&]
+                                       {
+                                           return it.writes[key] >= 2;
+                                       }));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(an_answer_of_the_store);
