Write a block again that the store has lost before any host read it

A host that started 2.4 s after the store's return did not know the block.

Cause: the store had acknowledged the item, and returned from an older copy 154 ms later. No mirror had had the item yet, so none saw it missing, and the judges write a block again only then.

Change: a host remembers whether the item of a block is in the mirror. When a new era begins, the judges write the items that are not. They are written for the time that is left of the block.

Test: a_part_that_crashes_engines::is_known_to_a_host_that_starts_after_the_ store_has_lost_the_block got 502 in place of 503 before, and a target crashed; it passes now.

Why it works: all hosts that run know the block from the judge's message, and each judge learns of the era. Items and messages are as before, so hosts of older builds read them; a judge of an older build writes nothing again.

--- a/include/medlar/detail/entry/crash_controller.hpp
+++ b/include/medlar/detail/entry/crash_controller.hpp
@@ -67,7 +67,7 @@
     /// @brief Returns the number of blocked parts and requests.
     std::size_t blocked_count() const
     {
-        return blocked_until_.size();
+        return blocks_.size();
     }
 
     /// @brief Handles a message that another host sent on a link of its own.
@@ -89,6 +89,10 @@
     /// again while its part is blocked.
     void handle_item_expired(const std::string& key);
 
+    /// @brief Handles that the store has returned from a copy: writes what is blocked and
+    /// was in no host's mirror of the store yet.
+    void handle_new_era();
+
   private:
     struct pending_check
     {
@@ -100,6 +104,13 @@
         timer_id timeout{0};
     };
 
+    struct block_state
+    {
+        steady_time until;
+        /// whether its item is in the mirror of the store
+        bool is_mirrored = false;
+    };
+
     /// the two hosts that collect the reports
     std::vector<host_id> judges() const;
     bool is_judge() const;
@@ -148,7 +159,7 @@
     std::set<crash_suspect> asked_;
     /// whether crashes have been reported since
     bool has_new_report_ = false;
-    std::map<crash_suspect, steady_time> blocked_until_;
+    std::map<crash_suspect, block_state> blocks_;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace medlar
@@ -66,6 +67,13 @@
     /// @brief Removes an item. A failure is ignored: the store removes it after its time.
     void remove_item(const std::string& key);
 
+    /// @brief Sets the handler of the begin of a new era: the store may lack what was
+    /// written last, also if no host has read it.
+    void set_era_handler(std::function<void()> handler)
+    {
+        on_new_era_ = std::move(handler);
+    }
+
     /// @brief Handles what another host sent about the store.
     /// @return false if the message is of another type
     bool handle_answer(const host_id& from, const nlohmann::json& message);
@@ -202,6 +210,7 @@
     /// how long the store holds the current watch
     millis watch_hold_{0};
     std::function<void()> cancel_watch_ = [] {};
+    std::function<void()> on_new_era_ = [] {};
 };
 
 } // namespace medlar
--- a/src/entry/crash_controller.cpp
+++ b/src/entry/crash_controller.cpp
@@ -431,8 +431,8 @@
 
 bool crash_controller::is_blocked(crash_suspect suspect) const
 {
-    const auto found = blocked_until_.find(suspect);
-    return found != blocked_until_.end() && found->second > context_.loop.now();
+    const auto found = blocks_.find(suspect);
+    return found != blocks_.end() && found->second.until > context_.loop.now();
 }
 
 void crash_controller::block(crash_suspect suspect)
@@ -446,21 +446,22 @@
 
 void crash_controller::record_blocked(crash_suspect suspect, steady_time until)
 {
-    steady_time& known = blocked_until_[suspect];
-    if (known <= context_.loop.now())
+    block_state& known = blocks_[suspect];
+    if (known.until <= context_.loop.now())
     {
+        known = {};
         log_event(entry_suspect_blocked,
                   {{"suspect", hex_text(suspect)},
                    {"left_ms", (until - context_.loop.now()).count()}});
     }
-    known = std::max(known, until);
+    known.until = std::max(known.until, until);
 }
 
 void crash_controller::write_item(crash_suspect suspect)
 {
     store_.write_item(item_key(suspect),
                       peers_.self().id.get(),
-                      block_time,
+                      blocks_.at(suspect).until - context_.loop.now(),
                       [this, suspect]
                       {
                           return is_blocked(suspect);
@@ -470,7 +471,7 @@
 void crash_controller::record_harmless(crash_suspect suspect)
 {
     evidence_.record_harmless(suspect, context_.loop.now());
-    if (blocked_until_.erase(suspect) > 0)
+    if (blocks_.erase(suspect) > 0)
     {
         log_event(entry_suspect_unblocked, {{"suspect", hex_text(suspect)}});
     }
@@ -521,7 +522,7 @@
 std::optional<blocked_suspect>
 crash_controller::find_blocked(const request_suspects& request) const
 {
-    if (blocked_until_.empty())
+    if (blocks_.empty())
     {
         return std::nullopt;
     }
@@ -531,7 +532,7 @@
     {
         if (is_blocked(each))
         {
-            return blocked_suspect{each, blocked_until_.at(each) - context_.loop.now()};
+            return blocked_suspect{each, blocks_.at(each).until - context_.loop.now()};
         }
     }
     return std::nullopt;
@@ -618,8 +619,9 @@
     if (!item.is_deleted)
     {
         record_blocked(*suspect, context_.loop.now() + block_time);
+        blocks_.at(*suspect).is_mirrored = true;
     }
-    else if (blocked_until_.erase(*suspect) > 0)
+    else if (blocks_.erase(*suspect) > 0)
     {
         log_event(entry_suspect_unblocked, {{"suspect", hex_text(*suspect)}});
     }
@@ -628,10 +630,32 @@
 void crash_controller::handle_item_expired(const std::string& key)
 {
     const std::optional<crash_suspect> suspect = read_item_key(key);
-    if (suspect && is_blocked(*suspect) && is_judge())
+    if (!suspect || !is_blocked(*suspect))
+    {
+        return;
+    }
+    blocks_.at(*suspect).is_mirrored = false;
+    if (is_judge())
     {
         write_item(*suspect);
     }
 }
 
+void crash_controller::handle_new_era()
+{
+    if (!is_judge())
+    {
+        return;
+    }
+    // what is in the mirror is written again once it is missing, see
+    // handle_item_expired()
+    for (const auto& each : blocks_)
+    {
+        if (is_blocked(each.first) && !each.second.is_mirrored)
+        {
+            write_item(each.first);
+        }
+    }
+}
+
 } // namespace medlar
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -121,6 +121,11 @@
         {
             broker_.handle_path_lost(pool);
         });
+    store_controller_.set_era_handler(
+        [this]
+        {
+            crash_controller_.handle_new_era();
+        });
 }
 
 absl::StatusOr<std::unique_ptr<entry_host>>
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -226,6 +226,7 @@
     {
         read_all(read_mode::linearizable);
     }
+    on_new_era_();
 }
 
 std::function<void()>
--- a/test/entry/crash_test.cpp
+++ b/test/entry/crash_test.cpp
@@ -49,11 +49,24 @@
     CPPUNIT_TEST_SUITE(a_part_that_crashes_engines);
     CPPUNIT_TEST(crashes_no_more_engines_than_it_takes_to_know_it);
     CPPUNIT_TEST(is_known_to_a_host_that_starts_later);
+    CPPUNIT_TEST(is_known_to_a_host_that_starts_after_the_store_has_lost_the_block);
+    CPPUNIT_TEST(
+        is_known_to_a_host_that_starts_after_the_hosts_that_found_it_were_killed);
     CPPUNIT_TEST(is_found_while_the_store_is_down);
     CPPUNIT_TEST(is_found_when_hosts_that_collected_the_crashes_are_killed);
     CPPUNIT_TEST(is_found_beside_a_second_one);
     CPPUNIT_TEST_SUITE_END();
 
+    static void expect_known_to_a_new_host(crashing_pool& pool)
+    {
+        pool.add_host("late");
+        const int crashes = pool.crashes;
+        const received_answer got =
+            pool.send_prompt(pool.hosts.size() - 1, prompt_with("bad", 100));
+        CPPUNIT_ASSERT_EQUAL(503, got.status);
+        CPPUNIT_ASSERT_EQUAL(crashes, pool.crashes);
+    }
+
   public:
     void crashes_no_more_engines_than_it_takes_to_know_it()
     {
@@ -79,6 +92,25 @@
         CPPUNIT_ASSERT_EQUAL(crashes, it.crashes);
     }
 
+    void is_known_to_a_host_that_starts_after_the_store_has_lost_the_block()
+    {
+        crashing_pool it(3, 4);
+        it.crashing_parts = {"bad"};
+        it.run_for(millis(1600));
+        const std::string blocked = it.protocol.blocked_suspect_prefix();
+        it.store.withheld_prefix = blocked;
+        CPPUNIT_ASSERT_EQUAL(503, send_in_turn(it, "bad", 8));
+        CPPUNIT_ASSERT(it.store.has_key_with_prefix(blocked));
+
+        // the copy is older than the block, and no host has read the block from the store
+        it.store.remove_prefix(blocked);
+        it.store.save_copy();
+        it.store.withheld_prefix.reset();
+        it.store.return_from_copy();
+        it.run_for(millis(2000));
+        expect_known_to_a_new_host(it);
+    }
+
     void is_found_while_the_store_is_down()
     {
         crashing_pool it(3, 20);
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -71,6 +71,10 @@
     void put(const std::string& key, const std::string& value)
     {
         items_[key] = {value, ++revision_};
+        if (withheld_prefix && absl::StartsWith(key, *withheld_prefix))
+        {
+            return;
+        }
         changes_.push_back({{"key", key},
                             {"revision", revision_},
                             {"create_revision", revision_},
@@ -169,6 +173,9 @@
     /// larger values are refused
     std::size_t max_value_bytes = default_store_value_bytes;
 
+    /// what is put below it reaches no watch, as if it came just after each of them
+    std::optional<std::string> withheld_prefix;
+
     /// number of calls received, renewals of leases left out
     std::size_t calls = 0;
 
