Write the blocks of judges that were killed before the store was back

Callers would see: requests with a part that crashes targets reach them again, through a host that starts after the store's return.

Cause: the judge that blocks a part while the store is away tries to write that until the store is back. If both judges are killed meanwhile, nobody does; the other hosts know the block only from the judge's message.

Change: the judges compare the blocks with the mirror of the store once a second while it answers, and write what the mirror does not have 2 s after the block or their last write.

Test: a_part_that_crashes_engines::is_known_to_a_host_that_starts_after_the_ hosts_that_found_it_were_killed got 502 in place of 503 before, and a target crashed; it passes now.

Why it works: the hosts that are left choose new judges, which know the block.

--- a/include/medlar/detail/entry/crash_controller.hpp
+++ b/include/medlar/detail/entry/crash_controller.hpp
@@ -109,6 +109,8 @@
         steady_time until;
         /// whether its item is in the mirror of the store
         bool is_mirrored = false;
+        /// when it began, or this host last wrote its item
+        steady_time written_at;
     };
 
     /// the two hosts that collect the reports
@@ -141,6 +143,10 @@
     std::optional<crash_suspect> read_item_key(const std::string& key) const;
     /// writes to the store that a suspect is blocked
     void write_item(crash_suspect suspect);
+    /// writes what is blocked and not in the mirror of the store, if this host is a judge
+    /// @param min_age time since it was blocked, or last written by this host
+    void write_missing_items(millis min_age);
+    void check_items();
 
     entry_context& context_;
     peer_network& peers_;
--- a/src/entry/crash_controller.cpp
+++ b/src/entry/crash_controller.cpp
@@ -37,6 +37,12 @@
 // keeps a lease
 constexpr millis block_time{600000};
 
+// how often what is blocked is compared with the mirror of the store
+constexpr millis check_interval{1000};
+
+// what a host has written is in the mirrors of all hosts after this time
+constexpr millis mirror_time{2000};
+
 // own crashes that are reported again with each new one, so that a judge that has just
 // become one knows them
 constexpr std::size_t max_own_crashes = 16;
@@ -137,6 +143,7 @@
                         {
                             consider_suspects();
                         });
+    check_items();
 }
 
 void crash_controller::record_broken_call(const target_record& target,
@@ -450,6 +457,7 @@
     if (known.until <= context_.loop.now())
     {
         known = {};
+        known.written_at = context_.loop.now();
         log_event(entry_suspect_blocked,
                   {{"suspect", hex_text(suspect)},
                    {"left_ms", (until - context_.loop.now()).count()}});
@@ -459,9 +467,11 @@
 
 void crash_controller::write_item(crash_suspect suspect)
 {
+    block_state& known = blocks_.at(suspect);
+    known.written_at = context_.loop.now();
     store_.write_item(item_key(suspect),
                       peers_.self().id.get(),
-                      blocks_.at(suspect).until - context_.loop.now(),
+                      known.until - context_.loop.now(),
                       [this, suspect]
                       {
                           return is_blocked(suspect);
@@ -642,6 +652,25 @@
 }
 
 void crash_controller::handle_new_era()
+{
+    write_missing_items(millis(0));
+}
+
+void crash_controller::check_items()
+{
+    if (store_.is_in_contact())
+    {
+        // the judges that had to write an item may have been killed before
+        write_missing_items(mirror_time);
+    }
+    context_.loop.after(check_interval,
+                        [this]
+                        {
+                            check_items();
+                        });
+}
+
+void crash_controller::write_missing_items(millis min_age)
 {
     if (!is_judge())
     {
@@ -651,7 +680,8 @@
     // handle_item_expired()
     for (const auto& each : blocks_)
     {
-        if (is_blocked(each.first) && !each.second.is_mirrored)
+        if (is_blocked(each.first) && !each.second.is_mirrored &&
+            each.second.written_at + min_age <= context_.loop.now())
         {
             write_item(each.first);
         }
--- a/test/entry/crash_test.cpp
+++ b/test/entry/crash_test.cpp
@@ -57,6 +57,28 @@
     CPPUNIT_TEST(is_found_beside_a_second_one);
     CPPUNIT_TEST_SUITE_END();
 
+    static std::vector<peer_host>
+    peers_of(const std::vector<entry_settings>& all_settings)
+    {
+        std::vector<peer_host> peers;
+        for (const entry_settings& each : all_settings)
+        {
+            peers.push_back({each.host, each.domain, each.link_endpoint});
+        }
+        return peers;
+    }
+
+    static std::size_t index_of(const std::vector<entry_settings>& all_settings,
+                                const host_id& host)
+    {
+        std::size_t at = 0;
+        while (all_settings.at(at).host != host)
+        {
+            ++at;
+        }
+        return at;
+    }
+
     static void expect_known_to_a_new_host(crashing_pool& pool)
     {
         pool.add_host("late");
@@ -111,6 +133,41 @@
         expect_known_to_a_new_host(it);
     }
 
+    void is_known_to_a_host_that_starts_after_the_hosts_that_found_it_were_killed()
+    {
+        crashing_pool it(3, 20);
+        it.crashing_parts = {"bad"};
+        it.run_for(millis(1600));
+        it.store.set_down(true);
+        int status = 0;
+        for (int i = 0; i < 12 && status != 503; ++i)
+        {
+            const auto got = it.begin_prompt(2, prompt_with("bad", i));
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return got->ended;
+                }));
+            status = got->status;
+            it.run_for(millis(400));
+        }
+        CPPUNIT_ASSERT_EQUAL(503, status);
+
+        // two hosts collect the crashes, and write what they have found
+        std::vector<host_id> finders =
+            rank_owners({pool_id("crashes of targets"), {}}, peers_of(it.all_settings));
+        finders.resize(2);
+        for (const host_id& each : finders)
+        {
+            it.kill_host(index_of(it.all_settings, each));
+            it.store.remove(it.protocol.host_prefix() + each.get());
+        }
+        it.store.set_down(false);
+        it.run_for(millis(4000));
+        it.restart_crashed();
+        expect_known_to_a_new_host(it);
+    }
+
     void is_found_while_the_store_is_down()
     {
         crashing_pool it(3, 20);
