Keep connections to targets that fall silent for a second or two

Cause: TCP_USER_TIMEOUT (3 s) also decides when keep-alive probes give up, whatever their count. The first probe went out after 2 s, and the time of the next one, at 3 s, ended the connection: one probe in place of three.

Change: tcp_silence_rule works out from the options when a silent peer is given up, and which silence a connection outlasts. First probe after 1 s, three probes a second apart, a user timeout of 3.5 s: given up 4 s after the last sign of the peer, 3 s after the first probe; a silence of 2 s is outlasted.

Test: a_tcp_silence_rule::keeps_the_connection_of_a_peer_that_is_silent_for_ two_seconds and ::gives_up_a_dead_peer_within_the_contact_time_of_its_first_ probe; a_connection::outlasts_a_peer_that_is_silent_for_two_seconds and ::of_a_caller_outlasts_one_that_is_silent_for_two_seconds, which read the options of real sockets. All four failed on the options before ("millis(2000) <= rule.longest_silence()", "rule.first_probe <= millis(1000)"), and pass now. A path that drops packets was not played.

--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/loop/connection.hpp>
+#include <medlar/detail/loop/tcp_silence_rule.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -7,6 +8,7 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdint>
 
 namespace medlar
 {
@@ -17,16 +19,6 @@
 // limit for one read event, so that a busy peer does not delay other connections
 constexpr int max_read_bytes = 16384;
 
-// time without acknowledgement after which TCP drops the connection; equal to the contact
-// time of the smallest deployments, 3 s
-constexpr int user_timeout_ms = 3000;
-
-// TCP keep-alive: seconds without traffic before the first probe, seconds between probes,
-// and probes without acknowledgement after which the connection is dropped
-constexpr int keepalive_idle_s = 2;
-constexpr int keepalive_interval_s = 1;
-constexpr int keepalive_probes = 3;
-
 // time for the peer to read the remaining output and close
 constexpr millis linger_timeout{1000};
 
@@ -36,15 +28,23 @@
 // larger buffers are released when they become empty
 constexpr std::size_t max_idle_capacity = 4096;
 
+constexpr int whole_seconds(millis span)
+{
+    constexpr std::int64_t ms_per_s = 1000;
+    return static_cast<int>(span.count() / ms_per_s);
+}
+
 void set_socket_options(Poco::Net::StreamSocket& socket)
 {
     socket.setBlocking(false);
     socket.setNoDelay(true);
     socket.setKeepAlive(true);
-    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    constexpr tcp_silence_rule rule;
+    socket.setOption(
+        IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(rule.user_timeout.count()));
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, whole_seconds(rule.first_probe));
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, whole_seconds(rule.probe_interval));
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, rule.probes);
 }
 
 void clear_and_shrink(std::string& buffer)
--- a/test/entry/connection_test.cpp
+++ b/test/entry/connection_test.cpp
@@ -1,6 +1,11 @@
 #include "support/entry/stalling_peer.hpp"
 
+#include <medlar/detail/loop/tcp_silence_rule.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace
 {
@@ -66,12 +71,57 @@
     std::optional<connection_end> ended;
 };
 
+/// Returns the descriptor of this process whose socket has its peer at a port of
+/// loopback.
+int descriptor_connected_to(std::uint16_t port)
+{
+    constexpr int max_descriptors = 1024;
+    for (int each = 0; each < max_descriptors; ++each)
+    {
+        sockaddr_in peer{};
+        socklen_t size = sizeof(peer);
+        const bool is_connected =
+            getpeername(each, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+        if (is_connected && peer.sin_family == AF_INET && ntohs(peer.sin_port) == port)
+        {
+            return each;
+        }
+    }
+    CPPUNIT_FAIL("no socket is connected to this port");
+    return -1;
+}
+
+int read_tcp_option(int descriptor, int option)
+{
+    int value = 0;
+    socklen_t size = sizeof(value);
+    CPPUNIT_ASSERT_EQUAL(0, getsockopt(descriptor, IPPROTO_TCP, option, &value, &size));
+    return value;
+}
+
+void expect_to_outlast_silence(int descriptor)
+{
+    int is_keepalive = 0;
+    socklen_t size = sizeof(is_keepalive);
+    CPPUNIT_ASSERT_EQUAL(
+        0, getsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &is_keepalive, &size));
+    CPPUNIT_ASSERT(is_keepalive != 0);
+    const tcp_silence_rule rule{millis(read_tcp_option(descriptor, TCP_KEEPIDLE)) * 1000,
+                                millis(read_tcp_option(descriptor, TCP_KEEPINTVL)) * 1000,
+                                read_tcp_option(descriptor, TCP_KEEPCNT),
+                                millis(read_tcp_option(descriptor, TCP_USER_TIMEOUT))};
+    CPPUNIT_ASSERT(millis(2000) <= rule.longest_silence());
+    CPPUNIT_ASSERT(rule.given_up_after() <= millis(4000));
+}
+
 class a_connection : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(a_connection);
     CPPUNIT_TEST(is_closed_by_the_end_of_its_peer_only);
     CPPUNIT_TEST(is_not_closed_by_its_peer_when_tcp_has_given_it_up);
     CPPUNIT_TEST(is_not_closed_by_its_peer_when_a_write_finds_it_reset);
+    CPPUNIT_TEST(outlasts_a_peer_that_is_silent_for_two_seconds);
+    CPPUNIT_TEST(of_a_caller_outlasts_one_that_is_silent_for_two_seconds);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -112,6 +162,39 @@
         CPPUNIT_ASSERT(it.until_ended());
         CPPUNIT_ASSERT(it.ended == connection_end::reset);
     }
+
+    void outlasts_a_peer_that_is_silent_for_two_seconds()
+    {
+        connected_fixture it;
+        expect_to_outlast_silence(descriptor_connected_to(it.peer.where().port));
+    }
+
+    void of_a_caller_outlasts_one_that_is_silent_for_two_seconds()
+    {
+        medlar::clock time = medlar::clock::system();
+        event_loop loop{time};
+        const endpoint where = free_endpoint();
+        std::shared_ptr<connection> accepted;
+        auto opened = listener::open(
+            loop,
+            where,
+            [&accepted](const std::shared_ptr<connection>& stream)
+            {
+                accepted = stream;
+            },
+            [](const std::string&) {});
+        CPPUNIT_ASSERT(opened.ok());
+        const Poco::Net::StreamSocket caller(
+            Poco::Net::SocketAddress(where.address, where.port));
+        for (int i = 0; i < 100 && !accepted; ++i)
+        {
+            loop.run_once(millis(10));
+        }
+        CPPUNIT_ASSERT(accepted != nullptr);
+        expect_to_outlast_silence(descriptor_connected_to(caller.address().port()));
+        accepted->close();
+        (*opened)->close();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_connection);
