Call no handler before a message to a congested peer is sent

Callers would see: a host that ends by itself, and all that it ran with it.

Cause: peer_network::send() gave up a link with more than 2 MB unsent, and called the handler of lost peers before it returned. The handler changes what the sender is working on: the pending request of limit_controller::ask() whose issuer it was given by reference, and the job that piece_broker::cancel() had not removed yet. A timer then looked for that job and threw std::out_of_range.

Change: send() drops the link and suspects the host at once, and calls the handler from the event loop. cancel() removes the job before it tells its owner.

Test: a_link_that_a_peer_does_not_read::is_reported_under_the_name_of_its_host and ::has_its_permits_asked_for_elsewhere got another name than that of the lost host, ::brings_back_no_cancelled_job an uncaught exception "map::at". All three pass now.

Why it works: no handler runs while a sender is at work, whichever it is; a connection whose write fails does the same. Nothing changes between hosts.

--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/entry/peer_network.hpp
@@ -87,7 +87,7 @@
     /// @brief Marks a host that did not answer as suspected: it is not live for a while.
     void suspect(const host_id& host);
 
-    /// @brief Sends a message to a host.
+    /// @brief Sends a message to a host. No handler is called before this returns.
     /// @return false if the host is not registered or its link is congested
     bool send(const host_id& host, const nlohmann::json& message);
 
@@ -127,7 +127,7 @@
     /// the seeds without this host's own address
     std::vector<endpoint> usable_seeds() const;
     std::shared_ptr<message_link> link_to(const host_id& host, const endpoint& where);
-    void handle_lost(const host_id& host, connection_end reason);
+    void drop_link(const host_id& host, connection_end reason);
 
     event_loop& loop_;
     peer_host self_;
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -121,14 +121,13 @@
     suspected_until_[host] = loop_.now() + suspicion_time;
 }
 
-void peer_network::handle_lost(const host_id& host, connection_end reason)
+void peer_network::drop_link(const host_id& host, connection_end reason)
 {
     links_.erase(host);
     suspect(host);
     log_event(entry_peer_lost,
               {{"host", host.get()},
                {"refused", std::int64_t{reason == connection_end::refused}}});
-    on_peer_lost_(host, reason);
 }
 
 std::shared_ptr<message_link> peer_network::link_to(const host_id& host,
@@ -147,7 +146,8 @@
         },
         [this, host](connection_end reason)
         {
-            handle_lost(host, reason);
+            drop_link(host, reason);
+            on_peer_lost_(host, reason);
         });
     links_[host] = link;
     return link;
@@ -164,7 +164,13 @@
     if (link->unsent() > max_unsent_bytes)
     {
         link->close();
-        handle_lost(host, connection_end::reset);
+        drop_link(host, connection_end::reset);
+        // deferred: the sender may be using what the handler changes
+        loop_.after(millis(0),
+                    [this, host]
+                    {
+                        on_peer_lost_(host, connection_end::reset);
+                    });
         return false;
     }
     link->send(message);
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -144,8 +144,6 @@
     open_job& open = open_jobs_.at(ticket);
     const owned_group placed = owner_for(open.pool, open.job.preferred_domain);
     open.group = placed.group;
-    // no owner while it is sent: a link lost meanwhile must not reassign the job
-    open.owner = host_id();
     const bool is_remote =
         placed.owner != peers_.self().id && open.reassignments <= max_reassignments &&
         open.rejections <= max_rejections &&
@@ -301,16 +299,17 @@
     {
         return;
     }
-    context_.loop.cancel(found->second.acknowledgement);
-    if (found->second.is_local)
+    const open_job open = std::move(found->second);
+    open_jobs_.erase(found);
+    context_.loop.cancel(open.acknowledgement);
+    if (open.is_local)
     {
-        service_.cancel(found->second.local);
+        service_.cancel(open.local);
     }
     else
     {
-        peers_.send(found->second.owner, {{"type", "cancel"}, {"number", ticket.get()}});
+        peers_.send(open.owner, {{"type", "cancel"}, {"number", ticket.get()}});
     }
-    open_jobs_.erase(found);
 }
 
 void piece_broker::free(const std::vector<result_handle>& handles)
