Take no part of a body for the whole body

Callers saw the same as with a cut head: the client of the store, reads of a target's pages, calls of stages and the replay tool took a chunked answer whose last chunk was missing for a whole one; the client of the store read on to an empty answer where an answer without a length was reset.

Cause: POCO's reader of chunks ends where the connection ends, and std::istream keeps an error of the socket to itself.

Change: http_session allows the peer's end only in a body that has neither a length nor chunks; all of its users read bodies from the stream's buffer, which passes errors on. The comparisons of lengths in the clients went, as the socket throws first.

--- a/include/medlar/detail/gateway/body_reader.hpp
+++ b/include/medlar/detail/client/body_reader.hpp
@@ -1,6 +1,7 @@
-#ifndef MEDLAR_DETAIL_GATEWAY_BODY_READER_HPP
-#define MEDLAR_DETAIL_GATEWAY_BODY_READER_HPP
+#ifndef MEDLAR_DETAIL_CLIENT_BODY_READER_HPP
+#define MEDLAR_DETAIL_CLIENT_BODY_READER_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <istream>
 #include <optional>
@@ -65,4 +66,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_GATEWAY_BODY_READER_HPP
+#endif // MEDLAR_DETAIL_CLIENT_BODY_READER_HPP
--- a/include/medlar/detail/client/http_session.hpp
+++ b/include/medlar/detail/client/http_session.hpp
@@ -12,10 +12,11 @@
 namespace medlar
 {
 
-/// @brief An HTTP connection on which only a whole head is taken for a head.
+/// @brief An HTTP connection that gives out no part of an answer as the whole.
 ///
 /// POCO's own session takes the end of the connection, an error or a timeout within a
-/// head for the end of the head.
+/// head for the end of the head, and the end of the connection within a body for the end
+/// of the body.
 /// @note It has no host name, so that POCO cannot reconnect and send a call twice.
 class http_session : public Poco::Net::HTTPClientSession
 {
@@ -30,6 +31,8 @@
 
     std::ostream& sendRequest(Poco::Net::HTTPRequest& request) override;
 
+    /// @return the body, whose buffer throws Poco::Exception if it does not end as its
+    ///     framing states; to be read with the functions of body_reader.hpp
     /// @throws Poco::Exception if the head did not arrive up to its empty line
     std::istream& receiveResponse(Poco::Net::HTTPResponse& response) override;
 
--- a/src/client/http_session.cpp
+++ b/src/client/http_session.cpp
@@ -96,7 +96,9 @@
     {
         error->rethrow();
     }
-    answer_socket_of(*this).allow_end(true);
+    const bool ends_with_connection =
+        !response.hasContentLength() && !response.getChunkedTransferEncoding();
+    answer_socket_of(*this).allow_end(ends_with_connection);
     return body;
 }
 
--- a/src/gateway/stage_client.cpp
+++ b/src/gateway/stage_client.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/gateway/body_reader.hpp>
+#include <medlar/detail/client/body_reader.hpp>
 #include <medlar/detail/gateway/stage_client.hpp>
 #include <medlar/detail/request/json_text.hpp>
 
@@ -41,12 +41,18 @@
     }
 }
 
-/// @brief Returns whether a body has the length that its header states.
-bool has_full_length(const HTTPResponse& response, std::size_t received)
+/// @brief Returns whether a body whose last line was read ends there, as its framing
+/// states.
+bool ends_after_last_line(std::istream& body)
 {
-    const std::streamsize stated = response.getContentLength();
-    return stated == Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH ||
-           stated == static_cast<std::streamsize>(received);
+    try
+    {
+        return body.rdbuf()->sgetc() == std::char_traits<char>::eof();
+    }
+    catch (const Poco::Exception&)
+    {
+        return false;
+    }
 }
 
 void set_unusable(stage_reply& reply, const bad_reply& why)
@@ -214,11 +220,6 @@
         set_unusable(reply, {reason::target_answer_too_large, "the answer is too large"});
         return;
     }
-    if (!has_full_length(response, body->size()))
-    {
-        set_broken(reply);
-        return;
-    }
     reusable = response.getKeepAlive();
     if (succeeded)
     {
@@ -261,7 +262,7 @@
             reply.cached_tokens = last->cached_tokens;
             reply.result = call_result::succeeded;
             reply.settled = true;
-            reusable = read_line(body, 0, line) == read_line_result::end_of_body;
+            reusable = ends_after_last_line(body);
             return;
         }
         const auto& token = std::get<stream_token>(checked);
@@ -311,7 +312,7 @@
         std::istream& stream = session->receiveResponse(response);
         std::optional<std::string> text =
             read_body(stream, static_cast<std::size_t>(max_answer_.get()));
-        if (!text || !has_full_length(response, text->size()))
+        if (!text)
         {
             return std::nullopt;
         }
--- a/src/replay/caller.cpp
+++ b/src/replay/caller.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/client/body_reader.hpp>
 #include <medlar/detail/client/http_session.hpp>
 #include <medlar/detail/replay/caller.hpp>
 
@@ -98,7 +99,7 @@
         std::istream& in = session->receiveResponse(response);
         std::string text;
         std::string line;
-        while (std::getline(in, line))
+        while (read_line(in, std::string::npos, line) == read_line_result::newline)
         {
             if (request.stream && text.empty())
             {
@@ -106,7 +107,7 @@
             }
             text += line + "\n";
         }
-        return text;
+        return text + line;
     }
     catch (const Poco::Exception&)
     {
--- a/src/replay/executions.cpp
+++ b/src/replay/executions.cpp
@@ -1,11 +1,11 @@
 #include <medlar/detail/base/error.hpp>
+#include <medlar/detail/client/body_reader.hpp>
 #include <medlar/detail/client/http_session.hpp>
 #include <medlar/detail/replay/executions.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -34,9 +34,8 @@
         request.setKeepAlive(false);
         session->sendRequest(request);
         Poco::Net::HTTPResponse response;
-        std::string text;
-        Poco::StreamCopier::copyToString(session->receiveResponse(response), text);
-        return text;
+        std::istream& in = session->receiveResponse(response);
+        return *read_body(in, std::string::npos);
     }
     catch (const Poco::Exception& error)
     {
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/client/body_reader.hpp>
 #include <medlar/detail/store/http_pool.hpp>
 
 #include <Poco/Net/HTTPRequest.h>
@@ -5,10 +6,11 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
-#include <array>
 #include <exception>
 #include <istream>
+#include <optional>
 #include <ostream>
+#include <utility>
 
 namespace medlar
 {
@@ -17,7 +19,6 @@
 {
 
 constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
-constexpr std::size_t chunk_bytes = std::size_t{16} * 1024;
 
 /// @brief Returns whether the peer has closed an idle connection or sent unexpected
 /// bytes.
@@ -55,22 +56,12 @@
     {
         answer.index = 0;
     }
-    std::array<char, chunk_bytes> chunk{};
-    while (in.read(chunk.data(), chunk.size()) || in.gcount() > 0)
+    std::optional<std::string> body = read_body(in, max_answer_bytes);
+    if (!body)
     {
-        answer.body.append(chunk.data(), static_cast<std::size_t>(in.gcount()));
-        if (answer.body.size() > max_answer_bytes)
-        {
-            return absl::DataLossError("the answer is too large");
-        }
-    }
-    const bool truncated =
-        response.hasContentLength() &&
-        answer.body.size() < static_cast<std::size_t>(response.getContentLength());
-    if (truncated)
-    {
-        return absl::UnknownError("the connection ended within the answer");
+        return absl::DataLossError("the answer is too large");
     }
+    answer.body = std::move(*body);
     return answer;
 }
 
--- a/test/runtime/gateway/stage_client_test.cpp
+++ b/test/runtime/gateway/stage_client_test.cpp
@@ -9,7 +9,9 @@
 using namespace medlar;
 using namespace medlar::gateway_testing;
 using medlar::test::answer_end;
+using medlar::test::chunked_answer;
 using medlar::test::cut_answer_server;
+using medlar::test::cut_before_the_last_chunk;
 using medlar::test::cut_heads;
 
 /// @brief Returns an answer whose length is in its second header line.
@@ -32,6 +34,9 @@
     CPPUNIT_TEST(is_not_settled_if_its_reply_was_lost);
     CPPUNIT_TEST(is_not_settled_if_the_head_of_its_reply_was_cut);
     CPPUNIT_TEST(is_not_settled_if_its_reply_stopped_in_its_head);
+    CPPUNIT_TEST(is_not_settled_if_its_last_chunk_is_missing);
+    CPPUNIT_TEST(is_not_settled_if_a_reply_without_length_ended_by_a_reset);
+    CPPUNIT_TEST(is_complete_if_its_stream_was_cut_after_its_last_line);
     CPPUNIT_TEST(is_never_retried_by_the_client);
     CPPUNIT_TEST(has_the_reason_why_its_answer_is_unusable);
     CPPUNIT_TEST(ends_at_once_when_it_is_cancelled);
@@ -45,14 +50,16 @@
     standins::plain_target plain_{{}};
     std::shared_ptr<cancel_token> token_ = cancel_token::create();
 
-    stage_reply
-    call(const endpoint& remote, bool idempotent, millis time_limit = millis(60000))
+    stage_reply call(const endpoint& remote,
+                     bool idempotent,
+                     millis time_limit = millis(60000),
+                     stage_kind kind = stage_kind::call)
     {
         call_attempt attempt;
         attempt.remote = remote;
         attempt.message.request_id = "org/1";
         attempt.message.call_id = "org/1/post";
-        attempt.message.kind = stage_kind::call;
+        attempt.message.kind = kind;
         attempt.message.input = "{}";
         attempt.idempotent = idempotent;
         attempt.deadline = time_.steady_now() + time_limit;
@@ -143,6 +150,52 @@
         }
     }
 
+    void is_not_settled_if_its_last_chunk_is_missing()
+    {
+        for (const std::string& answer : {chunked_answer("200 OK", whole_reply),
+                                          chunked_answer("503 Busy", whole_refusal),
+                                          chunked_answer("500 Error", "{}")})
+        {
+            for (const std::string& cut : cut_before_the_last_chunk(answer))
+            {
+                for (const answer_end end : {answer_end::close, answer_end::reset})
+                {
+                    const cut_answer_server target(cut, end);
+                    const stage_reply reply = call(target.where(), true);
+                    CPPUNIT_ASSERT_MESSAGE(cut, reply.result == call_result::broken);
+                    CPPUNIT_ASSERT_MESSAGE(cut, reply.may_have_run && !reply.settled);
+                }
+            }
+        }
+    }
+
+    void is_not_settled_if_a_reply_without_length_ended_by_a_reset()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+        const cut_answer_server closing(head + whole_reply, answer_end::close);
+        CPPUNIT_ASSERT(call(closing.where(), true).result == call_result::succeeded);
+        const cut_answer_server resetting(head + whole_reply, answer_end::reset);
+        const stage_reply reply = call(resetting.where(), true);
+        CPPUNIT_ASSERT(reply.result == call_result::broken);
+        CPPUNIT_ASSERT(reply.may_have_run && !reply.settled);
+    }
+
+    void is_complete_if_its_stream_was_cut_after_its_last_line()
+    {
+        const std::string answer =
+            chunked_answer("200 OK",
+                           "{\"request_id\":\"org/1\",\"index\":0,\"text\":\"a\"}\n"
+                           "{\"request_id\":\"org/1\",\"done\":true,\"tokens\":1}\n");
+        for (const std::string& cut : cut_before_the_last_chunk(answer))
+        {
+            const cut_answer_server target(cut, answer_end::close);
+            const stage_reply reply =
+                call(target.where(), true, millis(60000), stage_kind::generate);
+            CPPUNIT_ASSERT_MESSAGE(cut, reply.result == call_result::succeeded);
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), reply.tokens_text);
+        }
+    }
+
     void is_never_retried_by_the_client()
     {
         CPPUNIT_ASSERT(call(plain_.where(), true).result == call_result::succeeded);
@@ -208,6 +261,7 @@
 {
     CPPUNIT_TEST_SUITE(a_page_of_a_target);
     CPPUNIT_TEST(is_not_read_if_its_head_was_cut);
+    CPPUNIT_TEST(is_not_read_if_its_last_chunk_is_missing);
     CPPUNIT_TEST_SUITE_END();
 
     const medlar::clock time_ = medlar::clock::system();
@@ -232,6 +286,17 @@
         }
         CPPUNIT_ASSERT_EQUAL(whole_reply, read(answer, answer_end::close)->body);
     }
+
+    void is_not_read_if_its_last_chunk_is_missing()
+    {
+        const std::string answer = chunked_answer("200 OK", whole_reply);
+        for (const std::string& cut : cut_before_the_last_chunk(answer))
+        {
+            CPPUNIT_ASSERT_MESSAGE(cut, !read(cut, answer_end::close));
+            CPPUNIT_ASSERT_MESSAGE(cut, !read(cut, answer_end::reset));
+        }
+        CPPUNIT_ASSERT_EQUAL(whole_reply, read(answer, answer_end::close)->body);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_call_to_a_target);
--- a/test/runtime/replay/replay_test.cpp
+++ b/test/runtime/replay/replay_test.cpp
@@ -1,5 +1,8 @@
+#include "support/cut_answer_server.hpp"
+
 #include <medlar/detail/replay/answer_check.hpp>
 #include <medlar/detail/replay/caller.hpp>
+#include <medlar/detail/replay/executions.hpp>
 #include <medlar/detail/replay/report.hpp>
 #include <medlar/detail/replay/trace.hpp>
 #include <medlar/detail/replay/trace_writer.hpp>
@@ -241,6 +244,8 @@
 {
     CPPUNIT_TEST_SUITE(a_request_whose_connection_breaks);
     CPPUNIT_TEST(is_sent_again_through_another_gateway);
+    CPPUNIT_TEST(has_no_answer_if_the_last_chunk_is_missing);
+    CPPUNIT_TEST(has_no_answer_if_one_without_length_ended_by_a_reset);
     CPPUNIT_TEST_SUITE_END();
 
     /// @brief Accepts a connection, reads the whole request, and answers with @p text,
@@ -302,11 +307,75 @@
         CPPUNIT_ASSERT(first["first_attempt"] == true);
         CPPUNIT_ASSERT(second["first_attempt"] == false);
     }
+
+    static replayed_request
+    replay_once(const std::string& answer, test::answer_end end, bool stream)
+    {
+        const test::cut_answer_server gateway(answer, end);
+        const medlar::clock time = clock::system();
+        caller_settings settings;
+        settings.gateways = {gateway.where()};
+        settings.max_sends = 1;
+        trace_request request = request_named("1");
+        request.stream = stream;
+        return caller(settings, time).send(request, time.steady_now());
+    }
+
+    void has_no_answer_if_the_last_chunk_is_missing()
+    {
+        const std::string answer =
+            test::chunked_answer("200 OK", complete_answer("1") + "\n");
+        for (const bool stream : {false, true})
+        {
+            for (const std::string& cut : test::cut_before_the_last_chunk(answer))
+            {
+                for (const auto end : {test::answer_end::close, test::answer_end::reset})
+                {
+                    CPPUNIT_ASSERT_MESSAGE(cut, !replay_once(cut, end, stream).answer);
+                }
+            }
+            CPPUNIT_ASSERT(replay_once(answer, test::answer_end::close, stream).answer);
+        }
+    }
+
+    void has_no_answer_if_one_without_length_ended_by_a_reset()
+    {
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\n\r\n" + complete_answer("1") + "\n";
+        CPPUNIT_ASSERT(replay_once(answer, test::answer_end::close, false).answer);
+        CPPUNIT_ASSERT(!replay_once(answer, test::answer_end::reset, false).answer);
+    }
+};
+
+class counts_of_executions : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(counts_of_executions);
+    CPPUNIT_TEST(are_not_read_if_the_last_chunk_is_missing);
+    CPPUNIT_TEST_SUITE_END();
+
+    static bool are_read(const std::string& answer, test::answer_end end)
+    {
+        const test::cut_answer_server target(answer, end);
+        return fetch_executions({target.where()}).ok();
+    }
+
+    void are_not_read_if_the_last_chunk_is_missing()
+    {
+        const std::string answer =
+            test::chunked_answer("200 OK", R"({"executions":{"a":1}})");
+        for (const std::string& cut : test::cut_before_the_last_chunk(answer))
+        {
+            CPPUNIT_ASSERT_MESSAGE(cut, !are_read(cut, test::answer_end::close));
+            CPPUNIT_ASSERT_MESSAGE(cut, !are_read(cut, test::answer_end::reset));
+        }
+        CPPUNIT_ASSERT(are_read(answer, test::answer_end::close));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_trace);
 CPPUNIT_TEST_SUITE_REGISTRATION(an_answer);
 CPPUNIT_TEST_SUITE_REGISTRATION(a_report);
 CPPUNIT_TEST_SUITE_REGISTRATION(a_request_whose_connection_breaks);
+CPPUNIT_TEST_SUITE_REGISTRATION(counts_of_executions);
 
 } // namespace
--- a/test/runtime/store_client_test.cpp
+++ b/test/runtime/store_client_test.cpp
@@ -22,7 +22,9 @@
 using medlar::store_entry;
 using medlar::store_index;
 using medlar::test::answer_end;
+using medlar::test::chunked_answer;
 using medlar::test::cut_answer_server;
+using medlar::test::cut_before_the_last_chunk;
 using medlar::test::cut_heads;
 
 constexpr millis call_timeout{2000};
@@ -57,6 +59,8 @@
     CPPUNIT_TEST(a_read_whose_reply_has_a_cut_head_is_error_702);
     CPPUNIT_TEST(a_renewal_whose_reply_has_a_cut_head_is_error_702);
     CPPUNIT_TEST(a_reply_that_stops_in_its_head_is_error_702);
+    CPPUNIT_TEST(a_reply_without_its_last_chunk_is_error_702);
+    CPPUNIT_TEST(a_reply_without_length_that_ends_by_a_reset_is_error_702);
     CPPUNIT_TEST(a_restored_older_state_has_a_lower_index);
     CPPUNIT_TEST_SUITE_END();
 
@@ -382,6 +386,32 @@
                          answer_end::silence);
     }
 
+    void a_reply_without_its_last_chunk_is_error_702()
+    {
+        for (const std::string& cut :
+             cut_before_the_last_chunk(chunked_answer("200 OK", "[]")))
+        {
+            assert_read_lost(cut, answer_end::close);
+            assert_read_lost(cut, answer_end::reset);
+            assert_renewal_lost(cut, answer_end::close);
+        }
+        for (const std::string& cut :
+             cut_before_the_last_chunk(chunked_answer("404 Not Found", "no")))
+        {
+            assert_renewal_lost(cut, answer_end::close);
+            assert_renewal_lost(cut, answer_end::reset);
+        }
+    }
+
+    void a_reply_without_length_that_ends_by_a_reset_is_error_702()
+    {
+        const std::string reply = "HTTP/1.1 200 OK\r\n\r\n[]";
+        assert_read_lost(reply, answer_end::reset);
+        assert_renewal_lost(reply, answer_end::reset);
+        const auto closing = replace_store(reply, answer_end::close);
+        CPPUNIT_ASSERT(!store_->get("key")->has_value());
+    }
+
     void a_restored_older_state_has_a_lower_index()
     {
         write("medlar/live/configuration", "one", 0);
--- a/test/support/cut_answer_server.hpp
+++ b/test/support/cut_answer_server.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_TEST_SUPPORT_CUT_ANSWER_SERVER_HPP
 
 #include <medlar/detail/base/endpoint.hpp>
+#include <medlar/detail/http/body_decoder.hpp>
 #include <medlar/detail/http/head_parser.hpp>
 
 #include <Poco/Exception.h>
@@ -130,6 +131,27 @@
     std::thread thread_;
 };
 
+/// @brief Returns an answer without a length whose body is one chunk and the last one.
+inline std::string chunked_answer(const std::string& status, const std::string& body)
+{
+    std::string text = "HTTP/1.1 " + status + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    append_chunk(text, body);
+    return text + std::string(last_chunk);
+}
+
+/// @brief Returns the beginnings of @p answer that end within its last chunk, before it
+/// or within the line end before it.
+inline std::vector<std::string> cut_before_the_last_chunk(const std::string& answer)
+{
+    std::vector<std::string> cuts;
+    const std::size_t end_of_data = answer.size() - last_chunk.size() - 2;
+    for (std::size_t size = end_of_data; size < answer.size(); ++size)
+    {
+        cuts.push_back(answer.substr(0, size));
+    }
+    return cuts;
+}
+
 /// @brief Returns the beginnings of @p answer that end within its head, after each byte
 /// from the end of the status line.
 inline std::vector<std::string> cut_heads(const std::string& answer)
