Take no own shutdown for the end of a target's answer

Callers saw: a call that was cancelled while a part of an answer without a length had arrived was settled by that part, as if the target had said how the call ended.

Cause: a cancelled call shuts its socket down, so the read returns 0, which is the regular end of an answer without a length. The client of the store ends its calls in the same way when it is closed.

Evidence: the test cancels a call after the head and one byte of a 500; it failed before (not cancelled) and passes now.

Change: after an own shutdown the socket of http_session takes no end for the peer's.

--- a/src/client/http_session.cpp
+++ b/src/client/http_session.cpp
@@ -10,6 +10,7 @@
 #include <Poco/Timespan.h>
 
 #include <algorithm>
+#include <atomic>
 
 namespace medlar
 {
@@ -36,7 +37,7 @@
     int receiveBytes(void* buffer, int length, int flags) override
     {
         const int received = StreamSocketImpl::receiveBytes(buffer, length, flags);
-        if (received == 0 && !end_allowed_)
+        if (received == 0 && (!end_allowed_ || is_shut_down_))
         {
             throw Poco::Net::ConnectionAbortedException(
                 "the connection ended within a message");
@@ -44,6 +45,12 @@
         return received;
     }
 
+    void shutdown() override
+    {
+        is_shut_down_ = true;
+        StreamSocketImpl::shutdown();
+    }
+
     void allow_end(bool allowed)
     {
         end_allowed_ = allowed;
@@ -51,6 +58,8 @@
 
   private:
     bool end_allowed_ = false;
+    // another thread may shut the socket down
+    std::atomic<bool> is_shut_down_{false};
 };
 
 answer_socket_impl& answer_socket_of(http_session& session)
--- a/test/runtime/gateway/stage_client_test.cpp
+++ b/test/runtime/gateway/stage_client_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(is_never_retried_by_the_client);
     CPPUNIT_TEST(has_the_reason_why_its_answer_is_unusable);
     CPPUNIT_TEST(ends_at_once_when_it_is_cancelled);
+    CPPUNIT_TEST(is_not_settled_by_a_part_of_a_reply_when_it_is_cancelled);
     CPPUNIT_TEST_SUITE_END();
 
     const medlar::clock time_ = medlar::clock::system();
@@ -230,6 +231,23 @@
         CPPUNIT_ASSERT(reply.may_have_run && !reply.settled);
     }
 
+    void is_not_settled_by_a_part_of_a_reply_when_it_is_cancelled()
+    {
+        constexpr std::chrono::milliseconds time_to_read_the_head(50);
+        const cut_answer_server target("HTTP/1.1 500 Error\r\n\r\n{",
+                                       answer_end::silence);
+        std::thread canceller(
+            [&]
+            {
+                std::this_thread::sleep_for(time_to_read_the_head);
+                token_->cancel(cancel_cause::caller_gone);
+            });
+        const stage_reply reply = call(target.where(), true);
+        canceller.join();
+        CPPUNIT_ASSERT(reply.result == call_result::cancelled);
+        CPPUNIT_ASSERT(reply.may_have_run && !reply.settled);
+    }
+
     void ends_at_once_when_it_is_cancelled()
     {
         standins::switches slow;
