Refuse a request that was cut in its head or before its last chunk

Callers saw: the gateway answered a GET that ended in its head, and began a POST whose last chunk was missing: a stage's target was called before the request ended as cancelled, since its caller had gone.

Cause: POCO's server takes the end of a connection for the end of a head and of chunks, like its client.

Change: the gateway accepts connections with a socket that throws at the caller's end, since no request ends with its connection, and refuses a request with an error behind its head.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -4,7 +4,7 @@
 #include <medlar/detail/gateway/caller_stream.hpp>
 #include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
-#include <medlar/detail/loop/listening_socket.hpp>
+#include <medlar/detail/loop/request_socket.hpp>
 #include <medlar/detail/request/answer_text.hpp>
 
 #include <Poco/Exception.h>
@@ -16,7 +16,6 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/Timespan.h>
 #include <Poco/URI.h>
@@ -171,7 +170,17 @@
         }
         try
         {
-            route(request, response);
+            if (has_whole_head(request))
+            {
+                route(request, response);
+            }
+            else
+            {
+                refuse_incomplete(
+                    request,
+                    response,
+                    refusal(reason::malformed, "the head ended before its empty line"));
+            }
         }
         catch (const Poco::Net::NetException&)
         {
@@ -223,10 +232,7 @@
         auto body = reader.read(request);
         if (const auto* refused = std::get_if<final_answer>(&body))
         {
-            log_event(gateway_body_incomplete, {{"reason", refused->result.message}});
-            response.setKeepAlive(false);
-            send_at_once(response, *refused);
-            discard_body(request);
+            refuse_incomplete(request, response, *refused);
             return;
         }
         context.pipeline_name = pipeline;
@@ -245,6 +251,16 @@
         stream.send_answer(context.request.key.id, result.answer);
     }
 
+    static void refuse_incomplete(HTTPServerRequest& request,
+                                  HTTPServerResponse& response,
+                                  const final_answer& refused)
+    {
+        log_event(gateway_body_incomplete, {{"reason", refused.result.message}});
+        response.setKeepAlive(false);
+        send_at_once(response, refused);
+        discard_body(request);
+    }
+
     void handle_lookup(const request_key& key,
                        HTTPServerRequest& request,
                        HTTPServerResponse& response)
@@ -350,7 +366,7 @@
     /// @throws Poco::Exception if it cannot listen
     poco_caller_server(const caller_server_settings& settings, gateway& local_gateway)
         : settings_(settings),
-          socket_(open_listening_socket(settings.listen, backlog)),
+          socket_(settings.listen, backlog),
           threads_(min_threads, settings.max_connections),
           server_(new handler_factory(local_gateway, settings_),
                   threads_,
@@ -393,7 +409,7 @@
     }
 
     caller_server_settings settings_;
-    Poco::Net::ServerSocket socket_;
+    request_server_socket socket_;
     Poco::ThreadPool threads_;
     Poco::Net::HTTPServer server_;
 };
--- a/test/runtime/gateway/gateway_test.cpp
+++ b/test/runtime/gateway/gateway_test.cpp
@@ -1,7 +1,11 @@
 #include "runtime/gateway/gateway_fixture.hpp"
 
+#include <medlar/detail/http/body_decoder.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+
 namespace
 {
 
@@ -20,6 +24,8 @@
     CPPUNIT_TEST(ends_a_request_at_its_deadline_and_cancels_its_call);
     CPPUNIT_TEST(cancels_a_request_whose_caller_disconnects);
     CPPUNIT_TEST(refuses_bad_input_and_keeps_serving);
+    CPPUNIT_TEST(serves_no_request_whose_head_was_cut);
+    CPPUNIT_TEST(runs_no_request_whose_last_chunk_is_missing);
     CPPUNIT_TEST(fails_readiness_when_it_drains);
     CPPUNIT_TEST_SUITE_END();
 
@@ -144,6 +150,64 @@
             });
     }
 
+    /// @brief Sends bytes and, if @p ends, the end of the caller's stream.
+    /// @return all that the gateway sent until it closed the connection
+    std::string answer_to(const std::string& bytes, bool ends = true)
+    {
+        Poco::Net::StreamSocket caller(
+            Poco::Net::SocketAddress(gateway_.where().address, gateway_.where().port));
+        caller.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (ends)
+        {
+            caller.shutdownSend();
+        }
+        std::string text;
+        std::array<char, 4096> part{};
+        for (int size = 1; size > 0;)
+        {
+            size = caller.receiveBytes(part.data(), part.size());
+            text.append(part.data(), static_cast<std::size_t>(size));
+        }
+        return text;
+    }
+
+    static std::string chunked_request(const std::string& id)
+    {
+        std::string text = "POST /v1/pipelines/post/requests HTTP/1.1\r\nHost: h\r\n"
+                           "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        append_chunk(text, idempotent(id).dump());
+        return text + std::string(last_chunk);
+    }
+
+    void serves_no_request_whose_head_was_cut()
+    {
+        const std::string page = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+        for (const std::string& request : {chunked_request("1"), page})
+        {
+            const std::size_t end = request.find("\r\n\r\n") + 4;
+            for (std::size_t size = request.find("\r\n"); size < end; ++size)
+            {
+                const std::string answer = answer_to(request.substr(0, size));
+                CPPUNIT_ASSERT_MESSAGE(answer, answer.find(" 200 ") == std::string::npos);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(0, targets_.executions("org/1/post"));
+    }
+
+    void runs_no_request_whose_last_chunk_is_missing()
+    {
+        const std::string request = chunked_request("1");
+        for (std::size_t size = request.size() - last_chunk.size() - 2;
+             size < request.size();
+             ++size)
+        {
+            const std::string answer = answer_to(request.substr(0, size));
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find(" 400 ") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, targets_.executions("org/1/post"));
+        CPPUNIT_ASSERT(answer_to(request, false).find(" 200 ") != std::string::npos);
+    }
+
     void refuses_bad_input_and_keeps_serving()
     {
         const std::string path = "/v1/pipelines/draft/requests";
