Write the shares of versions again that the store has lost

Shares that were written shortly before the store returned from an old copy are missing in it, while all hosts remember them: no host wrote them again until targets came or went, and a host that started then knew none, so that it refused streams that no record names. The host passes on that such an item is missing, as it does for versions, and the writer writes what it knows until the store shows it.

--- a/include/medlar/detail/entry/stream_origins.hpp
+++ b/include/medlar/detail/entry/stream_origins.hpp
@@ -142,6 +142,9 @@
     /// store.
     void handle_item_expired(const std::string& key);
 
+    /// @brief Handles that an item with shares is missing after an outage of the store.
+    void handle_shares_expired(const std::string& key);
+
   private:
     struct remembered_stream
     {
@@ -219,6 +222,7 @@
     void answer_question(const std::shared_ptr<message_link>& from,
                          const nlohmann::json& message);
     std::string share_key(const pool_id& pool) const;
+    std::optional<pool_id> read_share_key(const std::string& key) const;
     std::string item_key(const stream_origin& origin) const;
     std::optional<stream_origin> read_item_key(const std::string& key) const;
 
@@ -248,6 +252,8 @@
     std::uint64_t last_question_ = 0;
     std::vector<question> waiting_for_store_;
     std::map<pool_id, share_history> shares_;
+    /// pools whose shares the store has lost
+    std::set<pool_id> lost_shares_;
     std::map<pool_id, earlier_shares> earlier_shares_;
     /// since when this host has been in contact with the store
     steady_time in_contact_since_;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -483,6 +483,10 @@
     {
         stream_origins_.handle_item_expired(key);
     }
+    else if (absl::StartsWith(key, context_.protocol.share_prefix()))
+    {
+        stream_origins_.handle_shares_expired(key);
+    }
 }
 
 void entry_host::on_configuration_changed(const store_item& item)
--- a/src/entry/stream_origins.cpp
+++ b/src/entry/stream_origins.cpp
@@ -313,6 +313,11 @@
         }
         return;
     }
+    if (known != shares_.end() && lost_shares_.count(pool) > 0)
+    {
+        write_shares(pool, known->second);
+        return;
+    }
     version_shares targets;
     for (const target_state* each : context_.targets.serving(pool))
     {
@@ -386,23 +391,43 @@
                         absl::WebSafeBase64Escape(pool.get()));
 }
 
-void stream_origins::handle_shares(const store_item& item)
+std::optional<pool_id> stream_origins::read_share_key(const std::string& key) const
 {
     std::string pool;
-    if (!absl::WebSafeBase64Unescape(
-            item.key.substr(context_.protocol.share_prefix().size()), &pool))
+    if (!absl::WebSafeBase64Unescape(key.substr(context_.protocol.share_prefix().size()),
+                                     &pool))
     {
         log_event(entry_item_unreadable,
-                  {{"what", item.key}, {"why", "the key does not name a pool"}});
+                  {{"what", key}, {"why", "the key does not name a pool"}});
+        return std::nullopt;
+    }
+    return pool_id(pool);
+}
+
+void stream_origins::handle_shares_expired(const std::string& key)
+{
+    if (const std::optional<pool_id> pool = read_share_key(key))
+    {
+        lost_shares_.insert(*pool);
+    }
+}
+
+void stream_origins::handle_shares(const store_item& item)
+{
+    const std::optional<pool_id> named = read_share_key(item.key);
+    if (!named)
+    {
         return;
     }
-    const auto known = shares_.find(pool_id(pool));
+    const pool_id& pool = *named;
+    lost_shares_.erase(pool);
+    const auto known = shares_.find(pool);
     const version_shares replaced =
         known == shares_.end() ? version_shares{} : known->second.current;
-    shares_.erase(pool_id(pool));
+    shares_.erase(pool);
     if (item.is_deleted)
     {
-        earlier_shares_.erase(pool_id(pool));
+        earlier_shares_.erase(pool);
         return;
     }
     const auto read_shares = [](const nlohmann::json& object)
@@ -428,9 +453,9 @@
         }
         if (!replaced.empty() && history.current != replaced)
         {
-            earlier_shares_[pool_id(pool)].record_replaced(replaced, context_.loop.now());
+            earlier_shares_[pool].record_replaced(replaced, context_.loop.now());
         }
-        shares_[pool_id(pool)] = history;
+        shares_[pool] = history;
     }
     catch (const nlohmann::json::exception& error)
     {
