Tie what a target says to its process, as its version

A mark of leaving names the start that answers. - An entry of an old copy of the store made the table name the older version. - A stream at a process without a known version is reported to all keepers: hosts may differ in who the keepers are, and one that asks may miss the one that was told. - A second answer to an earlier request was taken for the answer to the question; an answer that names an attempt is discarded now. - A connection whose question had failed once was never asked again, and an answer with "Connection: close" made a process unknown. It is asked again at its next call, and the start of an answer holds for the connection after it. - A process that does not answer has one mark instead of a new one a stream.

Tests: a_target_table::ties_what_a_process_has_said_to_that_process, and more of knows_that_an_entry_is_older_than_the_process. The points about keepers, second answers and questions asked again have no test of their own.

--- a/include/medlar/detail/dispatch/target_starts.hpp
+++ b/include/medlar/detail/dispatch/target_starts.hpp
@@ -34,6 +34,10 @@
     }
 };
 
+/// @brief start time that stands for that of a process which has not answered for it; a
+/// stream that began at one goes on nowhere
+constexpr std::int64_t unknown_start_ms = -1;
+
 /// @brief Returns a version that stands for the unknown one of a process. It differs from
 /// the versions of all other processes, so that a stream that began at the process goes
 /// on there only.
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -33,8 +33,8 @@
     /// refusals per second, of all hosts together, above which it breaks down; unset if
     /// it bears any number
     std::optional<double> refusal_limit;
-    /// start time that the process at its address has stated, if its entry names an
-    /// older one
+    /// start time that the process at its address has stated, or an earlier entry, if its
+    /// entry names an older one
     std::optional<std::int64_t> answering_start;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
@@ -73,7 +73,8 @@
     bool mark_leaving(const target_id& id);
 
     /// @brief Records the start time that the process at the address of a target has
-    /// stated; its entry may be that of an earlier one.
+    /// stated; its entry may be that of an earlier one. What was known of the process
+    /// before does not hold for a new one.
     void record_start(const target_id& id, std::int64_t started_ms);
 
     /// @brief Records that a target gets no calls for some time. Too long a time is cut,
@@ -108,6 +109,10 @@
     std::map<target_id, std::int64_t> leaving_;
 };
 
+/// @brief Returns the latest known start time of the process at the address of a target.
+/// @return Unix time in ms; 0 if it is unknown
+std::int64_t start_of(const target_state& target);
+
 /// @brief Returns whether the entry of a target is that of the process that answers at
 /// its address, as far as this host knows.
 bool is_listed(const target_state& target);
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -120,7 +120,6 @@
     make_start_question(const endpoint& where) const;
     /// whether the process that answers at the address of the target may get the request
     bool accepts_start(const start_answer& answer);
-    process_start unknown_start(const target_id& target) const;
     /// sends the request to another target, since this one's process was not accepted
     void on_declined();
     void on_head(const answer_head& head);
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -63,6 +63,8 @@
 struct start_question
 {
     std::string request;
+    /// returns whether a head may be that of the answer; another one is discarded
+    std::function<bool(const answer_head&)> accepts_head;
     /// reads the start time from the body of an answer; unset if it states none
     std::function<std::optional<std::int64_t>(absl::string_view body)> read_answer;
 };
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -64,7 +64,7 @@
     void ask_for_start();
     /// handles the complete answer to the question
     void finish_question();
-    /// opens a new connection, whose process stays unknown
+    /// opens a new connection to the process that has just answered
     void reopen();
     /// sends the request that has waited, if the call accepts the process
     void send_waiting_request();
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -34,10 +34,11 @@
 bool target_table::put(const target_record& record)
 {
     const auto found = targets_.find(record.id);
-    const bool is_same = found != targets_.end() &&
-                         found->second.record.address == record.address &&
-                         found->second.record.started_ms == record.started_ms &&
-                         found->second.record.pool == record.pool;
+    const bool is_same =
+        found != targets_.end() && found->second.record.address == record.address &&
+        found->second.record.pool == record.pool &&
+        (found->second.record.started_ms == record.started_ms ||
+         (!is_listed(found->second) && start_of(found->second) == record.started_ms));
     if (!is_same)
     {
         target_state added;
@@ -54,15 +55,19 @@
         // without a start an entry says nothing of the process that answers
         if (record.started_ms != 0 && found != targets_.end() &&
             found->second.record.address == record.address &&
-            found->second.answering_start.value_or(0) > record.started_ms)
+            start_of(found->second) > record.started_ms)
         {
-            added.answering_start = found->second.answering_start;
+            added.answering_start = start_of(found->second);
         }
         remove(record.id);
         targets_[record.id] = added;
         by_address_[record.address] = record.id;
         return true;
     }
+    if (start_of(found->second) == record.started_ms)
+    {
+        found->second.answering_start.reset();
+    }
     found->second.record = record;
     found->second.expires_at.reset();
     return false;
@@ -81,17 +86,30 @@
         // the lowest id is as good as any: ids say nothing about age
         leaving_.erase(leaving_.begin());
     }
-    leaving_[id] = target->record.started_ms;
+    leaving_[id] = start_of(*target);
     return true;
 }
 
 void target_table::record_start(const target_id& id, std::int64_t started_ms)
 {
     target_state* const target = find(id);
-    if (target != nullptr && target->record.started_ms != 0 &&
-        started_ms > target->answering_start.value_or(target->record.started_ms))
+    if (target == nullptr || target->record.started_ms == 0)
     {
-        target->answering_start = started_ms;
+        return;
+    }
+    if (started_ms == target->record.started_ms)
+    {
+        target->answering_start.reset();
+        return;
+    }
+    if (started_ms > start_of(*target))
+    {
+        target_state started;
+        started.record = target->record;
+        started.in_flight = target->in_flight;
+        started.expires_at = target->expires_at;
+        started.answering_start = started_ms;
+        *target = started;
     }
 }
 
@@ -206,6 +224,11 @@
     return found;
 }
 
+std::int64_t start_of(const target_state& target)
+{
+    return target.answering_start.value_or(target.record.started_ms);
+}
+
 bool is_listed(const target_state& target)
 {
     return !target.answering_start;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -122,6 +122,7 @@
     targets.record_start(id, started_ms);
     if (was_listed && !is_listed(*target))
     {
+        client.close_idle(target->record.address);
         log_event(entry_target_unlisted,
                   {{"target", id.get()},
                    {"pool", target->record.pool.get()},
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -260,6 +260,10 @@
     const entry_protocol& protocol = context_.protocol;
     return std::make_shared<const start_question>(
         start_question{protocol.write_start_question(where),
+                       [&protocol](const answer_head& head)
+                       {
+                           return protocol.read_answer(head).attempt.empty();
+                       },
                        [&protocol](absl::string_view body)
                        {
                            return protocol.read_start_answer(body);
@@ -276,9 +280,11 @@
     target_version_ = target_record_.version;
     if (answer.is_missing)
     {
-        target_version_ = origins_.version_of(pool_, unknown_start(target_));
+        // a stream that goes on nowhere else may begin there
+        target_version_ = origins_.version_of(pool_, {target_, unknown_start_ms});
+        return !origin_ && !version_of_new_stream();
     }
-    else if (answer.started_ms && target_record_.started_ms != 0 &&
+    if (answer.started_ms && target_record_.started_ms != 0 &&
              *answer.started_ms != target_record_.started_ms)
     {
         target_version_ = origins_.version_of(pool_, {target_, *answer.started_ms});
@@ -434,12 +440,6 @@
     }
 }
 
-process_start request_run::unknown_start(const target_id& target) const
-{
-    // differs from that of all processes
-    return {target, -1 - static_cast<std::int64_t>(context_.random.next() >> 1U)};
-}
-
 void request_run::on_declined()
 {
     log_event(entry_call_failed,
--- a/src/entry/stream_origins.cpp
+++ b/src/entry/stream_origins.cpp
@@ -578,6 +578,18 @@
         const host_id& keeper = chosen[stream.get() % chosen.size()];
         own->second.keeper = keeper;
         by_keeper[keeper][origin].push_back(stream);
+        if (!read_unlisted_version(origin.version))
+        {
+            continue;
+        }
+        // hosts may differ in who the keepers are
+        for (const host_id& each : chosen)
+        {
+            if (each != keeper)
+            {
+                by_keeper[each][origin].push_back(stream);
+            }
+        }
     }
     for (const auto& each : by_keeper)
     {
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -75,7 +75,7 @@
         return;
     }
     waiting_request_ = std::move(request);
-    if (!start_)
+    if (!start_ || start_->is_missing)
     {
         ask_for_start();
         return;
@@ -118,11 +118,6 @@
     is_asking_ = false;
     const answer_head answered = *std::exchange(head_, std::nullopt);
     record_keep_alive(answered.headers);
-    if (!answered.keeps_connection() || !stream_->input().empty() || !stream_->is_open())
-    {
-        reopen();
-        return;
-    }
     start_.emplace();
     start_->is_missing = answered.status >= status_server_error ||
                          answered.status == status_too_many ||
@@ -131,6 +126,10 @@
     {
         start_->started_ms = call_->options_.question->read_answer(question_answer_);
     }
+    if (!answered.keeps_connection() || !stream_->input().empty() || !stream_->is_open())
+    {
+        reopen();
+    }
     send_waiting_request();
 }
 
@@ -138,10 +137,9 @@
 {
     stream_->set_handler(nullptr);
     stream_->close();
+    // no process ends and is replaced between its answer and the next connection
     open(call_->options_.connect_timeout);
     ++client_.opened_;
-    start_ = start_answer{std::nullopt, true};
-    send_waiting_request();
 }
 
 void pooled_connection::send_waiting_request()
@@ -238,8 +236,10 @@
     head_ = std::move(parsed->head);
     decoder_ = body_decoder(head_->framing);
     const bool informational = head_->status < 200;
-    skipping_answer_ = informational || (!is_asking_ && call->callbacks_.accepts_head &&
-                                         !call->callbacks_.accepts_head(*head_));
+    const std::function<bool(const answer_head&)>& accepts_head =
+        is_asking_ ? call->options_.question->accepts_head
+                   : call->callbacks_.accepts_head;
+    skipping_answer_ = informational || (accepts_head && !accepts_head(*head_));
     skipped_answers_ += skipping_answer_ ? 1 : 0;
     if (skipping_answer_ && (head_->framing.kind == body_kind::until_close ||
                              skipped_answers_ > max_skipped_answers))
--- a/test/decisions/dispatch/target_table_test.cpp
+++ b/test/decisions/dispatch/target_table_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(gives_a_leaving_target_no_work_until_it_restarts);
     CPPUNIT_TEST(remembers_a_leaving_target_whose_entry_lapsed);
     CPPUNIT_TEST(knows_that_an_entry_is_older_than_the_process);
+    CPPUNIT_TEST(ties_what_a_process_has_said_to_that_process);
     CPPUNIT_TEST(gives_a_paused_target_no_work_until_its_pause_ends);
     CPPUNIT_TEST(cuts_an_absurd_pause);
     CPPUNIT_TEST(knows_when_the_first_target_of_a_pool_is_back);
@@ -71,17 +72,41 @@
         CPPUNIT_ASSERT(!is_listed(*table_.find(id)));
         table_.put(record("a", 6));
         CPPUNIT_ASSERT(!is_listed(*table_.find(id)));
-        // an answer of an earlier process
+        // its clock may have been set back
         table_.record_start(id, 6);
+        CPPUNIT_ASSERT(is_listed(*table_.find(id)));
+        table_.record_start(id, 7);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, *table_.find(id)->answering_start);
         table_.put(record("a", 7));
         CPPUNIT_ASSERT(is_listed(*table_.find(id)));
+        // an entry of before, from an old copy of the store
+        table_.put(record("a", 6));
+        CPPUNIT_ASSERT(!is_listed(*table_.find(id)));
+        table_.put(record("a", 7));
+        CPPUNIT_ASSERT(is_listed(*table_.find(id)));
         // an entry without a start tells nothing
         table_.put(record("a", 0));
         table_.record_start(id, 7);
         CPPUNIT_ASSERT(is_listed(*table_.find(id)));
     }
 
+    void ties_what_a_process_has_said_to_that_process()
+    {
+        const target_id id("a");
+        table_.put(record("a", 5));
+        table_.mark_paused(id, millis(60000), millis(0), now_);
+        table_.mark_leaving(id);
+        table_.record_start(id, 7);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.serving(pool_).size());
+        CPPUNIT_ASSERT(may_call(*table_.find(id), now_));
+        // and not to the entry that was in force when it said it
+        table_.mark_paused(id, millis(60000), millis(0), now_);
+        table_.mark_leaving(id);
+        CPPUNIT_ASSERT(!table_.put(record("a", 7)));
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        CPPUNIT_ASSERT(!may_call(*table_.find(id), now_ + millis(59999)));
+    }
+
     void gives_a_paused_target_no_work_until_its_pause_ends()
     {
         table_.put(record("a"));
