--- a/test/runtime/gateway/gateway_test.cpp
+++ b/test/runtime/gateway/gateway_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(refuses_bad_input_and_keeps_serving);
     CPPUNIT_TEST(serves_no_request_whose_head_was_cut);
     CPPUNIT_TEST(runs_no_request_whose_last_chunk_is_missing);
+    CPPUNIT_TEST(runs_no_request_whose_body_ends_with_its_connection);
     CPPUNIT_TEST(fails_readiness_when_it_drains);
     CPPUNIT_TEST_SUITE_END();
 
@@ -208,6 +209,15 @@
         CPPUNIT_ASSERT(answer_to(request, false).find(" 200 ") != std::string::npos);
     }
 
+    void runs_no_request_whose_body_ends_with_its_connection()
+    {
+        const std::string answer =
+            answer_to("POST /v1/pipelines/post/requests HTTP/1.1\r\nHost: h\r\n\r\n" +
+                      idempotent("1").dump());
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find(" 400 ") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0, targets_.executions("org/1/post"));
+    }
+
     void refuses_bad_input_and_keeps_serving()
     {
         const std::string path = "/v1/pipelines/draft/requests";
