--- a/src/dispatch/target_starts.cpp
+++ b/src/dispatch/target_starts.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-// ids of targets contain no space
 constexpr char unlisted_prefix[] = "unlisted start ";
 
 } // namespace
