--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -10,7 +10,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace medlar
@@ -112,10 +111,7 @@
     void record_removal(const std::string& key, const removed_item& removed);
     /// records the removal of an item that is not in items_
     void record_unread_removal(const std::string& key, const removed_item& removed);
-    static std::vector<std::pair<std::string, removed_item>>
-    read_removals(const nlohmann::json& removals);
-    void apply_removals(const std::vector<std::pair<std::string, removed_item>>& removals,
-                        steady_time now);
+    void apply_removals(const nlohmann::json& removals, steady_time now);
 
     change_handler on_change_;
     lapse_handler on_lapse_;
