--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -285,7 +285,7 @@
         return !origin_ && !version_of_new_stream();
     }
     if (answer.started_ms && target_record_.started_ms != 0 &&
-             *answer.started_ms != target_record_.started_ms)
+        *answer.started_ms != target_record_.started_ms)
     {
         target_version_ = origins_.version_of(pool_, {target_, *answer.started_ms});
         context_.record_target_start(target_, *answer.started_ms);
