Keep the read body while a test of cut answers walks through it

The test iterated over parse(...).at("items"); a range-based for keeps the result of at() alive, not the parsed document that it refers to. Without the sanitizer the loop read freed memory and its check of handles may not have run at all. The document is a variable of the test now; the check is the same.

Ruled out: the host. The read, the release and the allocation are all at line 309 of the test.

--- a/test/entry/cut_answer_test.cpp
+++ b/test/entry/cut_answer_test.cpp
@@ -305,8 +305,8 @@
             const received_answer got = it.send_at(1, path);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(cut.text(), before + 1, it.piece_plan.cuts);
             expect_true(it, got, path, cut.text());
-            for (const nlohmann::json& each :
-                 nlohmann::json::parse(it.piece_plan.cut_body).at("items"))
+            const nlohmann::json cut_body = nlohmann::json::parse(it.piece_plan.cut_body);
+            for (const nlohmann::json& each : cut_body.at("items"))
             {
                 const auto handle = each.at("handle").get<std::string>();
                 for (const std::string& inputs : it.inputs)
