Keep a configuration of the gateway while its pools are walked through

Callers could lose a gateway: observe_load(), observe_cache() and describe() iterated over current_configuration()->pools. The shared pointer, a temporary, is released before the first pool is read; where configure() replaces the configuration on another thread meanwhile, the map is freed under the reader.

--- a/src/policy/policy_engine.cpp
+++ b/src/policy/policy_engine.cpp
@@ -145,7 +145,8 @@
 
     void observe_load(const load_report& report, steady_time now) override
     {
-        for (const auto& [name, shard] : current_configuration()->pools)
+        const auto current = current_configuration();
+        for (const auto& [name, shard] : current->pools)
         {
             shard->observe_load(report, now);
         }
@@ -153,7 +154,8 @@
 
     void observe_cache(const cache_event& change, steady_time) override
     {
-        for (const auto& [name, shard] : current_configuration()->pools)
+        const auto current = current_configuration();
+        for (const auto& [name, shard] : current->pools)
         {
             shard->observe_cache(change);
         }
@@ -199,7 +201,8 @@
     std::string describe(steady_time now) const override
     {
         nlohmann::json pools = nlohmann::json::object();
-        for (const auto& [name, shard] : current_configuration()->pools)
+        const auto current = current_configuration();
+        for (const auto& [name, shard] : current->pools)
         {
             pools[name.get()] = shard->describe(gateways_, now);
         }
--- a/test/decisions/policy/policy_engine_test.cpp
+++ b/test/decisions/policy/policy_engine_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <map>
 #include <thread>
 
@@ -47,6 +48,7 @@
     CPPUNIT_TEST(a_leaving_target_gets_no_calls);
     CPPUNIT_TEST(an_unknown_pool_has_no_target);
     CPPUNIT_TEST(threads_use_it_concurrently);
+    CPPUNIT_TEST(a_replaced_configuration_lives_while_it_is_read);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -121,6 +123,29 @@
                                final_state.find("\"in_flight\":1") == std::string::npos);
     }
 
+    void a_replaced_configuration_lives_while_it_is_read()
+    {
+        std::atomic<bool> is_done{false};
+        std::thread replacing(
+            [this, &is_done]
+            {
+                while (!is_done)
+                {
+                    engine_->configure(two_target_document());
+                }
+            });
+        for (std::int64_t i = 0; i < 2000; ++i)
+        {
+            engine_->observe_load({target_id("a"), 1, 0, 4, millis(5)}, steady_time(i));
+            engine_->observe_cache({target_id("a"), static_cast<std::uint64_t>(i) + 1},
+                                   steady_time(i));
+            engine_->describe(steady_time(i));
+        }
+        is_done = true;
+        replacing.join();
+        CPPUNIT_ASSERT(engine_->choose(draft_call(), steady_time(2000)));
+    }
+
   private:
     void serve_one(std::uint64_t ticket)
     {
