Pass on no gap in what a host knows of removals

News of a host that does not know all removals since the asked version lists the items that are left. The host that applied it went to the version of the news, but still counted the removals after its own older version as known. When a third host with a version in between asked it, it got news without the removal and without that list, and went past the removal with the item.

Now the list moves the version after which removals are known, so that a host that asks for older ones gets the list in turn.

Test: the_mirror_of_the_store::passes_on_no_gap_in_what_it_knows_of_removals, fails on the code before.

--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -380,16 +380,14 @@
         put(item, each.at("era").get<std::int64_t>(), each.at("held").get<bool>());
     }
     apply_removals(delta.at("removed"), now);
-    if (version_.revision == 0)
-    {
-        removals_known_after_ = reached.revision;
-    }
     if (is_newer)
     {
         version_ = reached;
         has_been_filled_ = true;
         if (delta.contains("keys"))
         {
+            // the sender does not know all that was removed before, but what is left
+            removals_known_after_ = reached.revision;
             remove_missing(delta.at("keys").get<std::vector<std::string>>(), now);
         }
     }
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(applies_the_changes_of_another_host);
     CPPUNIT_TEST(tells_others_of_removals_of_items_that_it_has_not_read);
     CPPUNIT_TEST(brings_nothing_back_from_a_page_that_is_older_than_what_it_knows);
+    CPPUNIT_TEST(passes_on_no_gap_in_what_it_knows_of_removals);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -165,6 +166,25 @@
             "s/", page({item("s/b", "1", 3), item("s/c", "1", 10)}, 8), now_);
         CPPUNIT_ASSERT(observed_.items.count("s/c") == 1);
     }
+
+    void passes_on_no_gap_in_what_it_knows_of_removals()
+    {
+        // s/a was removed in revision 8
+        observed_mirror started_late;
+        started_late.mirror.apply(page({item("s/b", "1", 3)}, 9), now_);
+        observed_mirror informed;
+        informed.mirror.replace("s/", page({item("s/b", "1", 3)}, 10), now_);
+        informed.mirror.apply(page({}, 5), now_);
+        informed.mirror.apply_delta(
+            started_late.mirror.delta_since(informed.mirror.version(), now_), now_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, informed.mirror.version().revision);
+
+        observed_.mirror.apply(page({item("s/a", "1", 2), item("s/b", "1", 3)}, 6), now_);
+        observed_.mirror.apply_delta(
+            informed.mirror.delta_since(observed_.mirror.version(), now_), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
+        CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
+    }
 };
 
 class a_store_that_returns_from_an_old_copy : public CppUnit::TestFixture
