Know no removals from before a reading of the store

A host that reads the whole store again goes to the version of the reading, but does not learn of what was added and removed since its version before. It still counted removals after that one as known, so that a host that had such an item, and asked it, went past the removal with the item.

Now the end of a reading moves the version after which removals are known.

Test: the_mirror_of_the_store::has_a_gap_in_what_it_knows_of_removals_after_a_reading, fails with the end of a reading as it was.

--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -55,6 +55,10 @@
     /// @brief Replaces all items below one prefix by those of a complete reading.
     void replace(absl::string_view prefix, const store_page& all, steady_time now);
 
+    /// @brief Records that a reading of all prefixes is complete.
+    /// @param reached the version of its oldest page
+    void finish_reading(store_version reached, steady_time now);
+
     /// @brief Records that the store is back after an outage: items removed shortly after
     /// it may have lapsed meanwhile, and may be written again.
     void record_outage_end(steady_time now);
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -370,10 +370,7 @@
 void store_controller::finish_reading(std::int64_t era)
 {
     is_reading_ = false;
-    store_page reached;
-    reached.revision = read_revision_;
-    reached.era = era;
-    mirror_.apply(reached, context_.loop.now());
+    mirror_.finish_reading({era, read_revision_}, context_.loop.now());
     relay_.send_changes(context_.loop.now());
     if (peers_.other_count() == 0)
     {
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -230,6 +230,22 @@
     }
 }
 
+void store_mirror::finish_reading(store_version reached, steady_time now)
+{
+    if (reached.era < version_.era)
+    {
+        return;
+    }
+    begin_era(reached.era, now);
+    if (version_ < reached)
+    {
+        // a reading shows what is left, but not what was added and removed since before
+        removals_known_after_ = reached.revision;
+        version_ = reached;
+    }
+    has_been_filled_ = has_been_filled_ || is_filled();
+}
+
 bool store_mirror::knows_more_than_store() const
 {
     const auto is_known_longer = [this](const auto& each)
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(tells_others_of_removals_of_items_that_it_has_not_read);
     CPPUNIT_TEST(brings_nothing_back_from_a_page_that_is_older_than_what_it_knows);
     CPPUNIT_TEST(passes_on_no_gap_in_what_it_knows_of_removals);
+    CPPUNIT_TEST(has_a_gap_in_what_it_knows_of_removals_after_a_reading);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -185,6 +186,21 @@
         CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
         CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
     }
+
+    void has_a_gap_in_what_it_knows_of_removals_after_a_reading()
+    {
+        // s/a was added in revision 6 and removed in revision 8
+        observed_mirror informed;
+        informed.mirror.apply(page({item("s/b", "1", 3)}, 5), now_);
+        informed.mirror.replace("s/", page({item("s/b", "1", 3)}, 9), now_);
+        informed.mirror.finish_reading({0, 9}, now_);
+
+        observed_.mirror.apply(page({item("s/a", "1", 6), item("s/b", "1", 3)}, 7), now_);
+        observed_.mirror.apply_delta(
+            informed.mirror.delta_since(observed_.mirror.version(), now_), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
+        CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
+    }
 };
 
 class a_store_that_returns_from_an_old_copy : public CppUnit::TestFixture
