Bring nothing back from changes that are older than news

A starting host watches the store and gets news of other hosts at once. An answer to a watch that ended before the removal of an item, and came after newer news without the item, brought the item back, and the next watch began after the removal.

Now a change that is older than what the host knows adds no item, as a page that is older already does.

Test: the_mirror_of_the_store:: brings_nothing_back_from_changes_that_are_older_than_news, fails on the code before.

--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -109,6 +109,12 @@
         std::optional<content_version> content;
     };
 
+    /// the version up to which the presence of an item is known
+    store_version known_until(const std::string& key) const;
+    /// whether an item that a source of version @p as_of shows was removed since
+    bool is_removed_since(const std::string& key,
+                          store_version version,
+                          store_version as_of) const;
     void put(const store_item& item, std::int64_t era, bool is_held);
     void remove(const std::string& key, store_version at, steady_time now);
     void remove_missing(const std::vector<std::string>& keys, steady_time now);
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -66,6 +66,20 @@
     lapse_window_end_ = std::max(lapse_window_end_, now + lapse_window);
 }
 
+store_version store_mirror::known_until(const std::string&) const
+{
+    return version_;
+}
+
+bool store_mirror::is_removed_since(const std::string& key,
+                                    store_version version,
+                                    store_version as_of) const
+{
+    const store_version known = known_until(key);
+    return items_.count(key) == 0 && as_of < known && version.era == known.era &&
+           version <= known;
+}
+
 void store_mirror::put(const store_item& item, std::int64_t era, bool is_held)
 {
     const store_version version{era, item.revision};
@@ -167,12 +181,15 @@
     begin_era(events.era, now);
     for (const store_item& each : events.items)
     {
+        const store_version at{events.era, each.revision};
         if (!each.is_deleted)
         {
-            put(each, events.era, false);
+            if (!is_removed_since(each.key, at, at))
+            {
+                put(each, events.era, false);
+            }
             continue;
         }
-        const store_version at{events.era, each.revision};
         const auto found = items_.find(each.key);
         if (found == items_.end())
         {
@@ -203,13 +220,10 @@
     begin_era(all.era, now);
     std::set<std::string> present;
     const store_version read_at{all.era, all.revision};
-    const bool is_outdated = read_at < version_;
     for (const store_item& each : all.items)
     {
         present.insert(each.key);
-        const bool is_removed_since = is_outdated && items_.count(each.key) == 0 &&
-                                      store_version{all.era, each.revision} <= version_;
-        if (!is_removed_since)
+        if (!is_removed_since(each.key, {all.era, each.revision}, read_at))
         {
             put(each, all.era, false);
         }
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(tells_others_of_removals_of_items_that_it_has_not_read);
     CPPUNIT_TEST(brings_nothing_back_from_a_page_that_is_older_than_what_it_knows);
     CPPUNIT_TEST(passes_on_no_gap_in_what_it_knows_of_removals);
+    CPPUNIT_TEST(brings_nothing_back_from_changes_that_are_older_than_news);
     CPPUNIT_TEST(has_a_gap_in_what_it_knows_of_removals_after_a_reading);
     CPPUNIT_TEST_SUITE_END();
 
@@ -187,6 +188,19 @@
         CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
     }
 
+    void brings_nothing_back_from_changes_that_are_older_than_news()
+    {
+        observed_.mirror.apply(page({item("s/b", "1", 3)}, 4), now_);
+        observed_mirror informed;
+        informed.mirror.apply(page({item("s/b", "1", 3)}, 9), now_);
+        observed_.mirror.apply_delta(informed.mirror.delta_since({}, now_), now_);
+        // the answer to a watch that began before the news came
+        observed_.mirror.apply(page({item("s/a", "1", 5)}, 6), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
+        observed_.mirror.apply(page({item("s/a", "2", 10)}, 10), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 1);
+    }
+
     void has_a_gap_in_what_it_knows_of_removals_after_a_reading()
     {
         // s/a was added in revision 6 and removed in revision 8
