Bring nothing back from news that is older than a page

A host that has read a page without a removed item, and then gets older news of another host while it reads the next page, took the item from the news. If all pages were newer than the removal, it counted from them, and kept the item for good.

Now the mirror remembers how new the page of each prefix is, and news, pages and changes that are older add no item that it did not show.

Test: the_mirror_of_the_store:: brings_nothing_back_from_news_that_is_older_than_a_page, fails on the code before.

--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -130,6 +130,8 @@
     std::map<std::string, removed_item> removals_;
     store_version version_;
     bool has_been_filled_ = false;
+    /// the newest page that was read of each prefix
+    std::map<std::string, store_version> pages_;
     /// removals after this revision of the era are all in removals_
     std::int64_t removals_known_after_ = 0;
     steady_time lapse_window_end_;
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -66,9 +66,17 @@
     lapse_window_end_ = std::max(lapse_window_end_, now + lapse_window);
 }
 
-store_version store_mirror::known_until(const std::string&) const
+store_version store_mirror::known_until(const std::string& key) const
 {
-    return version_;
+    store_version known = version_;
+    for (const auto& each : pages_)
+    {
+        if (known < each.second && absl::StartsWith(key, each.first))
+        {
+            known = each.second;
+        }
+    }
+    return known;
 }
 
 bool store_mirror::is_removed_since(const std::string& key,
@@ -242,6 +250,8 @@
     {
         remove(each, read_at, now);
     }
+    store_version& newest = pages_[std::string(prefix)];
+    newest = newest < read_at ? read_at : newest;
 }
 
 void store_mirror::finish_reading(store_version reached, steady_time now)
@@ -402,12 +412,14 @@
         item.revision = each.at("revision").get<std::int64_t>();
         const nlohmann::json::binary_t& value = each.at("value").get_binary();
         item.value.assign(value.begin(), value.end());
-        if (!is_newer && items_.count(item.key) == 0)
+        const auto era = each.at("era").get<std::int64_t>();
+        // from a host that knows less, it may have been removed since
+        if ((!is_newer && items_.count(item.key) == 0) ||
+            is_removed_since(item.key, {era, item.revision}, reached))
         {
-            // it may have been removed since
             continue;
         }
-        put(item, each.at("era").get<std::int64_t>(), each.at("held").get<bool>());
+        put(item, era, each.at("held").get<bool>());
     }
     apply_removals(delta.at("removed"), now);
     if (is_newer)
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(tells_others_of_removals_of_items_that_it_has_not_read);
     CPPUNIT_TEST(brings_nothing_back_from_a_page_that_is_older_than_what_it_knows);
     CPPUNIT_TEST(passes_on_no_gap_in_what_it_knows_of_removals);
+    CPPUNIT_TEST(brings_nothing_back_from_news_that_is_older_than_a_page);
     CPPUNIT_TEST(brings_nothing_back_from_changes_that_are_older_than_news);
     CPPUNIT_TEST(has_a_gap_in_what_it_knows_of_removals_after_a_reading);
     CPPUNIT_TEST_SUITE_END();
@@ -188,6 +189,18 @@
         CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
     }
 
+    void brings_nothing_back_from_news_that_is_older_than_a_page()
+    {
+        observed_.mirror.replace("s/", page({item("s/b", "1", 3)}, 9), now_);
+        observed_mirror behind;
+        behind.mirror.apply(page({item("s/a", "1", 2), item("s/b", "1", 3)}, 6), now_);
+        observed_.mirror.apply_delta(behind.mirror.delta_since({}, now_), now_);
+        observed_.mirror.replace("t/", page({item("t/a", "1", 4)}, 9), now_);
+        observed_.mirror.apply(page({}, 9), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
+        CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
+    }
+
     void brings_nothing_back_from_changes_that_are_older_than_news()
     {
         observed_.mirror.apply(page({item("s/b", "1", 3)}, 4), now_);
