Miss no change between two pages of a prefix

The pages of one prefix may come from copies of the store of different age. The host counted from the first page, so that it missed what changed between an older second page and the first one.

Now a reading counts from its oldest page.

Test: the_mirror_of_the_store::misses_no_change_between_two_pages_of_a_prefix, fails with pages put together as before.

--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -23,6 +23,9 @@
     no_base ///< changes before it are missing; nothing was changed
 };
 
+/// @brief Adds the next page of a prefix to those read before.
+void append_page(store_page& reading, const store_page& next);
+
 /// @brief This host's copy of the store's items, from the store itself or from another
 /// host that reaches it. Has no I/O and no clock: the time is passed in.
 ///
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -314,8 +314,7 @@
          [this, prefix, mode, collected, generation = read_generation_](
              const reply& received) mutable
          {
-             const absl::StatusOr<store_page> page =
-                 context_.protocol.read_page(received.body);
+             absl::StatusOr<store_page> page = context_.protocol.read_page(received.body);
              const bool usable = received.status == status_ok && page.ok();
              record_contact(usable);
              if (generation != read_generation_)
@@ -327,12 +326,8 @@
                  retry_reading(prefix, mode);
                  return;
              }
-             // the first page's revision: the watch repeats later changes
-             collected.revision =
-                 collected.revision == 0 ? page->revision : collected.revision;
-             collected.era = received.era;
-             collected.items.insert(
-                 collected.items.end(), page->items.begin(), page->items.end());
+             page->era = received.era;
+             append_page(collected, *page);
              if (page->has_more && !page->items.empty())
              {
                  const std::string last_key = page->items.back().key;
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -37,6 +37,15 @@
 
 } // namespace
 
+void append_page(store_page& reading, const store_page& next)
+{
+    // a watch from the oldest page on repeats what the others may show already
+    reading.revision =
+        reading.revision == 0 ? next.revision : std::min(reading.revision, next.revision);
+    reading.era = next.era;
+    reading.items.insert(reading.items.end(), next.items.begin(), next.items.end());
+}
+
 store_mirror::store_mirror(change_handler on_change,
                            lapse_handler on_lapse,
                            content_reader read_content)
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(brings_nothing_back_from_news_that_is_older_than_a_page);
     CPPUNIT_TEST(brings_nothing_back_from_changes_that_are_older_than_news);
     CPPUNIT_TEST(has_a_gap_in_what_it_knows_of_removals_after_a_reading);
+    CPPUNIT_TEST(misses_no_change_between_two_pages_of_a_prefix);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -228,6 +229,21 @@
         CPPUNIT_ASSERT(observed_.items.count("s/a") == 0);
         CPPUNIT_ASSERT(observed_.items.count("s/b") == 1);
     }
+
+    void misses_no_change_between_two_pages_of_a_prefix()
+    {
+        // s/b was removed in revision 8
+        store_page reading;
+        append_page(reading, page({item("s/a", "1", 2)}, 9));
+        append_page(reading, page({item("s/b", "1", 3)}, 7));
+        append_page(reading, page({item("s/c", "1", 4)}, 8));
+        observed_.mirror.replace("s/", reading, now_);
+        observed_.mirror.finish_reading({0, reading.revision}, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, observed_.items.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, observed_.mirror.version().revision);
+        observed_.mirror.apply(page({removal("s/b", 8)}, 9), now_);
+        CPPUNIT_ASSERT(observed_.items.count("s/b") == 0);
+    }
 };
 
 class a_store_that_returns_from_an_old_copy : public CppUnit::TestFixture
