Test mirrors that exchange news while the store changes

Five hosts read stale pages, watch the store, exchange news and start again, and answers come late and in another order; each must end with the content of the store.

--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -3,7 +3,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
+#include <memory>
+#include <random>
 
 namespace
 {
@@ -65,6 +68,230 @@
                         }};
 };
 
+/// mirrors of a changing store that read stale pages of it, watch it and exchange news;
+/// answers and news may come late and in another order
+class exchanging_mirrors
+{
+  public:
+    explicit exchanging_mirrors(std::uint32_t seed) : random_(seed), hosts_(5)
+    {
+        for (int i = 0; i < 8; ++i)
+        {
+            change_store();
+        }
+    }
+
+    void step()
+    {
+        const std::size_t chosen = below(hosts_.size());
+        switch (below(16))
+        {
+            case 0:
+                restart(chosen);
+                break;
+            case 1:
+            case 2:
+            case 3:
+                change_store();
+                break;
+            case 4:
+            case 5:
+                begin_watch(chosen);
+                break;
+            case 6:
+            case 7:
+            case 8:
+                ask(chosen, below(hosts_.size()));
+                break;
+            case 9:
+            case 10:
+            case 11:
+                deliver();
+                break;
+            default:
+                read_page(hosts_[chosen]);
+        }
+    }
+
+    /// @return what differs once all hosts have heard of all changes; empty if nothing
+    std::string first_difference()
+    {
+        const std::map<std::string, std::string> expected = values(content("", head()));
+        for (std::size_t i = 0; i < hosts_.size(); ++i)
+        {
+            host& each = hosts_[i];
+            store_mirror& mirror = each.known->mirror;
+            if (!mirror.is_filled())
+            {
+                continue;
+            }
+            mirror.apply(events(mirror.version().revision, head()), now_);
+            if (each.known->items != expected)
+            {
+                return "host " + std::to_string(i);
+            }
+        }
+        return "";
+    }
+
+  private:
+    struct host
+    {
+        std::unique_ptr<observed_mirror> known = std::make_unique<observed_mirror>();
+        std::size_t next_prefix = 0;
+        std::int64_t read_revision = 0;
+        bool is_watching = false;
+    };
+
+    struct answer
+    {
+        std::size_t to = 0;
+        store_page events;
+        /// of another host; null if it is the store's answer to a watch
+        nlohmann::json news;
+    };
+
+    std::size_t below(std::size_t end)
+    {
+        return random_() % end;
+    }
+
+    std::int64_t head() const
+    {
+        return static_cast<std::int64_t>(history_.size());
+    }
+
+    void change_store()
+    {
+        const std::string key =
+            prefixes_.at(below(prefixes_.size())) + std::to_string(below(4));
+        const std::int64_t revision = head() + 1;
+        const bool is_present = values(content(key, head())).count(key) > 0;
+        history_.push_back(is_present && below(3) > 0
+                               ? removal(key, revision)
+                               : item(key, std::to_string(revision), revision));
+    }
+
+    std::vector<store_item> content(const std::string& prefix, std::int64_t at) const
+    {
+        std::map<std::string, store_item> present;
+        for (std::int64_t i = 0; i < at; ++i)
+        {
+            const store_item& each = history_[static_cast<std::size_t>(i)];
+            present.erase(each.key);
+            if (!each.is_deleted && each.key.compare(0, prefix.size(), prefix) == 0)
+            {
+                present[each.key] = each;
+            }
+        }
+        std::vector<store_item> result;
+        for (const auto& each : present)
+        {
+            result.push_back(each.second);
+        }
+        return result;
+    }
+
+    static std::map<std::string, std::string> values(const std::vector<store_item>& items)
+    {
+        std::map<std::string, std::string> result;
+        for (const store_item& each : items)
+        {
+            result[each.key] = each.value;
+        }
+        return result;
+    }
+
+    store_page events(std::int64_t after, std::int64_t until) const
+    {
+        store_page result = page({}, until);
+        result.era = 1;
+        for (std::int64_t i = after; i < until; ++i)
+        {
+            result.items.push_back(history_[static_cast<std::size_t>(i)]);
+        }
+        return result;
+    }
+
+    void read_page(host& reader)
+    {
+        // pages differ in age
+        const std::int64_t at = head() - static_cast<std::int64_t>(below(8));
+        const std::string& prefix = prefixes_.at(reader.next_prefix);
+        store_page read = page(content(prefix, at), at);
+        read.era = 1;
+        reader.known->mirror.replace(prefix, read, now_);
+        reader.read_revision =
+            reader.next_prefix == 0 ? at : std::min(reader.read_revision, at);
+        reader.next_prefix = (reader.next_prefix + 1) % prefixes_.size();
+        if (reader.next_prefix == 0)
+        {
+            reader.known->mirror.finish_reading({1, reader.read_revision}, now_);
+        }
+    }
+
+    void restart(std::size_t which)
+    {
+        hosts_[which] = host();
+        const auto is_to_it = [which](const answer& each)
+        {
+            return each.to == which;
+        };
+        answers_.erase(std::remove_if(answers_.begin(), answers_.end(), is_to_it),
+                       answers_.end());
+    }
+
+    void begin_watch(std::size_t which)
+    {
+        host& watcher = hosts_[which];
+        if (watcher.is_watching || !watcher.known->mirror.is_filled())
+        {
+            return;
+        }
+        watcher.is_watching = true;
+        const std::int64_t after = watcher.known->mirror.version().revision;
+        const std::size_t until = below(static_cast<std::size_t>(head() - after) + 1);
+        answers_.push_back(
+            {which, events(after, after + static_cast<std::int64_t>(until)), {}});
+    }
+
+    void ask(std::size_t asking, std::size_t asked)
+    {
+        const store_mirror& answering = hosts_[asked].known->mirror;
+        if (asking != asked && answering.is_filled())
+        {
+            const store_version since = hosts_[asking].known->mirror.version();
+            answers_.push_back({asking, {}, answering.delta_since(since, now_)});
+        }
+    }
+
+    void deliver()
+    {
+        if (answers_.empty())
+        {
+            return;
+        }
+        const std::size_t chosen = below(answers_.size());
+        const answer received = answers_[chosen];
+        answers_.erase(answers_.begin() + static_cast<std::ptrdiff_t>(chosen));
+        host& to = hosts_[received.to];
+        if (!received.news.is_null())
+        {
+            to.known->mirror.apply_delta(received.news, now_);
+            return;
+        }
+        to.is_watching = false;
+        to.known->mirror.apply(received.events, now_);
+    }
+
+    const steady_time now_{1000000};
+    const std::vector<std::string> prefixes_{"h/", "s/", "t/"};
+    std::mt19937 random_;
+    std::vector<store_item> history_;
+    std::vector<host> hosts_;
+    std::vector<answer> answers_;
+};
+
 class the_mirror_of_the_store : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(the_mirror_of_the_store);
@@ -79,6 +306,7 @@
     CPPUNIT_TEST(brings_nothing_back_from_changes_that_are_older_than_news);
     CPPUNIT_TEST(has_a_gap_in_what_it_knows_of_removals_after_a_reading);
     CPPUNIT_TEST(misses_no_change_between_two_pages_of_a_prefix);
+    CPPUNIT_TEST(has_the_content_of_the_store_whatever_comes_first);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -244,6 +472,20 @@
         observed_.mirror.apply(page({removal("s/b", 8)}, 9), now_);
         CPPUNIT_ASSERT(observed_.items.count("s/b") == 0);
     }
+
+    void has_the_content_of_the_store_whatever_comes_first()
+    {
+        for (std::uint32_t seed = 1; seed <= 3000; ++seed)
+        {
+            exchanging_mirrors hosts(seed);
+            for (int i = 0; i < 150; ++i)
+            {
+                hosts.step();
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                "seed " + std::to_string(seed), std::string(), hosts.first_difference());
+        }
+    }
 };
 
 class a_store_that_returns_from_an_old_copy : public CppUnit::TestFixture
