Remember a leaving process after an entry of the one before

The mark of a leaving process names its start, and was dropped with the next entry that names another one. That may be the entry of an earlier process, from an old copy of the store; when the entry of the leaving process came after it, the target got requests again.

Now the mark holds until an entry names a later start, and for the start that the process has stated, if its entry is older.

Test: a_target_table::remembers_a_leaving_process_after_an_entry_of_the_one_before, fails on the code before.

--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -43,15 +43,6 @@
     {
         target_state added;
         added.record = record;
-        const auto leaving = leaving_.find(record.id);
-        if (leaving != leaving_.end())
-        {
-            added.is_leaving = leaving->second == record.started_ms;
-            if (!added.is_leaving)
-            {
-                leaving_.erase(leaving);
-            }
-        }
         // without a start an entry says nothing of the process that answers
         if (record.started_ms != 0 && found != targets_.end() &&
             found->second.record.address == record.address &&
@@ -59,6 +50,15 @@
         {
             added.answering_start = start_of(found->second);
         }
+        const auto leaving = leaving_.find(record.id);
+        if (leaving != leaving_.end())
+        {
+            added.is_leaving = leaving->second == start_of(added);
+            if (leaving->second < start_of(added))
+            {
+                leaving_.erase(leaving);
+            }
+        }
         remove(record.id);
         targets_[record.id] = added;
         by_address_[record.address] = record.id;
--- a/test/decisions/dispatch/target_table_test.cpp
+++ b/test/decisions/dispatch/target_table_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(a_target_table);
     CPPUNIT_TEST(gives_a_leaving_target_no_work_until_it_restarts);
     CPPUNIT_TEST(remembers_a_leaving_target_whose_entry_lapsed);
+    CPPUNIT_TEST(remembers_a_leaving_process_after_an_entry_of_the_one_before);
     CPPUNIT_TEST(knows_that_an_entry_is_older_than_the_process);
     CPPUNIT_TEST(ties_what_a_process_has_said_to_that_process);
     CPPUNIT_TEST(gives_a_paused_target_no_work_until_its_pause_ends);
@@ -59,6 +60,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.serving(pool_).size());
     }
 
+    void remembers_a_leaving_process_after_an_entry_of_the_one_before()
+    {
+        const target_id id("a");
+        table_.put(record("a", 5));
+        table_.record_start(id, 7);
+        table_.mark_leaving(id);
+        table_.put(record("a", 6));
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        table_.put(record("a", 7));
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        // the entry of an old copy of the store
+        table_.remove(id);
+        table_.put(record("a", 6));
+        table_.put(record("a", 7));
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        table_.put(record("a", 8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.serving(pool_).size());
+    }
+
     void knows_that_an_entry_is_older_than_the_process()
     {
         const target_id id("a");
