Take only a host's own word that it has not taken a request

What callers saw: a request that may run once at most, sent to a host without a path, ran at two targets if the first one answered 401 or 404 without a signature; its caller got 503, the promise that it has not run.

Cause: a host took each unsigned 401 or 404 from the host that was to run the request for that host's own "I do not know this route or key", and asked the next one. The answer of a target looks the same.

Why the fix works: a host that has not taken a request says so with `Medlar-Not-Taken` for an unknown route or key, too, as it did for its other reasons, and removes the header from answers of targets. Any other answer is passed on.

Ruled out: telling the two apart by body or `WWW-Authenticate`, which a target may send as well; asking the next host only for idempotent requests, which answers a dropped route of the others no better.

Evidence: before, run_requests_once_at_most_if_a_target_answers_without_a_signature and pass_on_what_looks_like_a_refusal_if_it_is_a_targets see 2 runs in place of 1, and are_told_that_a_request_was_not_taken_whatever_the_reason gets 404 in place of 503; all three pass now.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -318,6 +318,11 @@
     const configuration_ptr configuration = context_.configuration;
     const route* const found = configuration->find_route(
         exchange->head().headers.get("host"), exchange->head().path());
+    if (found == nullptr && is_forwarded)
+    {
+        refuse_to_take("no route matches");
+        return;
+    }
     if (found == nullptr)
     {
         send_error_reply(exchange, fields, status_not_found, "no route matches");
@@ -336,6 +341,11 @@
     }
     else if (configuration->has_organisations && !found->is_public)
     {
+        if (is_forwarded)
+        {
+            refuse_to_take("the access key is unknown");
+            return;
+        }
         send_error_reply(
             exchange, fields, status_unauthorised, "the access key is unknown");
         return;
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -349,6 +349,8 @@
         }
     }
     head_ = head;
+    // only a host can say that
+    head_->headers.remove(forward_not_taken_header);
 }
 
 void request_run::on_not_run(const answer_head& head)
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -17,13 +17,11 @@
 // or frozen
 constexpr millis host_connect_timeout{250};
 
-/// whether an answer is a refusal by the host itself that another host may not give: it
-/// has not taken the request, or does not know its route or key
-bool is_not_taken(const answer_head& head, bool has_signature)
+/// whether the host itself says that it has not taken the request; a 401 or 404 alone may
+/// be the answer of a target that has run it
+bool is_not_taken(const answer_head& head)
 {
-    return head.headers.find(forward_not_taken_header) != nullptr ||
-           (!has_signature &&
-            (head.status == status_unauthorised || head.status == status_not_found));
+    return head.headers.find(forward_not_taken_header) != nullptr;
 }
 
 /// whether a status tells the caller that its request has not run
@@ -93,7 +91,7 @@
 void request_forward::on_head(const answer_head& head)
 {
     // the callbacks destroy this object
-    if (is_not_taken(head, context_.protocol.read_answer(head).has_signature))
+    if (is_not_taken(head))
     {
         const std::string why(head.headers.get(forward_not_taken_header));
         call_->cancel();
--- a/test/entry/path_test.cpp
+++ b/test/entry/path_test.cpp
@@ -72,6 +72,9 @@
     CPPUNIT_TEST(run_requests_on_no_more_targets_than_permitted_if_the_other_is_killed);
     CPPUNIT_TEST(have_a_third_host_run_requests_if_the_other_is_killed);
     CPPUNIT_TEST(count_the_targets_that_a_request_has_reached_before);
+    CPPUNIT_TEST(run_requests_once_at_most_if_a_target_answers_without_a_signature);
+    CPPUNIT_TEST(pass_on_what_looks_like_a_refusal_if_it_is_a_targets);
+    CPPUNIT_TEST(are_told_that_a_request_was_not_taken_whatever_the_reason);
     CPPUNIT_TEST(pass_on_a_refusal_that_is_true);
     CPPUNIT_TEST(pass_on_no_refusal_of_a_request_that_may_have_run_before);
     CPPUNIT_TEST(end_the_request_of_a_caller_that_leaves);
@@ -193,6 +196,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.arrivals("/i/ran"));
     }
 
+    void run_requests_once_at_most_if_a_target_answers_without_a_signature()
+    {
+        partitioned_group it(3, 5, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        for (const int status : {401, 404})
+        {
+            it.unsigned_status = status;
+            const std::string path = absl::StrCat("/n/", status);
+            const received_answer got = it.send_at(0, path);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.arrivals(path));
+            CPPUNIT_ASSERT_EQUAL(status, got.status);
+        }
+    }
+
+    void pass_on_what_looks_like_a_refusal_if_it_is_a_targets()
+    {
+        partitioned_group it(3, 5, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        it.said.add(forward_not_taken_header, "of a target");
+        const received_answer got = it.send_at(0, "/n/said");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.arrivals("/n/said"));
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+    }
+
+    void are_told_that_a_request_was_not_taken_whatever_the_reason()
+    {
+        partitioned_group it(1, 5, 0);
+        const endpoint forward = it.all_settings.front().forward_endpoint;
+        const std::string known = request_text("POST", "/n/x", "id-k", "b");
+        std::string unknown_key = known;
+        unknown_key.replace(unknown_key.find("key-1"), 5, "key-2");
+        for (const std::string& request :
+             {request_text("POST", "/gone/x", "id-g", "b"), unknown_key})
+        {
+            const received_answer got = it.send(forward, request);
+            CPPUNIT_ASSERT_EQUAL(503, got.status);
+            CPPUNIT_ASSERT(!got.headers.get(forward_not_taken_header).empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(200, it.send(forward, known).status);
+    }
+
     void pass_on_a_refusal_that_is_true()
     {
         partitioned_group it(2, 5, 0);
--- a/test/support/entry/partitioned_group.hpp
+++ b/test/support/entry/partitioned_group.hpp
@@ -231,6 +231,10 @@
     bool is_holding_pieces = false;
     /// the refusal of each request, if not empty: seconds to wait
     std::string refusal;
+    /// the status of each answer, which has no signature, if not 0
+    int unsigned_status = 0;
+    /// more headers of each answer
+    header_list said;
 
   protected:
     const entry_protocol& protocol_of(const host_id& host) override
@@ -247,6 +251,10 @@
     void answer_request(const exchange_ptr& exchange)
     {
         header_list headers = signed_headers(*exchange);
+        for (const header_field& each : said)
+        {
+            headers.add(each.name, each.value);
+        }
         if (!refusal.empty())
         {
             headers.add("Not-Executed", "1");
@@ -254,6 +262,12 @@
             exchange->answer(503, headers, "");
             return;
         }
+        if (unsigned_status != 0)
+        {
+            headers.remove("Response-Signature");
+            exchange->answer(unsigned_status, headers, "");
+            return;
+        }
         if (is_breaking_off)
         {
             exchange->abort();
