Apply the retry rule that was read last to pools in use

What operators saw: after SIGHUP a host went on with the retry rule that it had started with, at each pool that had had a request.

Cause: a pool's retry budget copied the rule when it was made, and nothing changed it later.

Why the fix works: the budget gets the rule of the settings whenever it is asked for. What was counted stays: the parts of the window are kept by their start in place of a number in units of a width that may change. Counts that are older than a shorter window are gone if the window becomes longer again.

Evidence: is_retried_as_the_settings_that_were_read_last_permit fails before (4 sends, 3 expected) and passes now; keeps_its_counts_when_its_rule_changes plays windows that shrink and grow.

--- a/include/medlar/detail/dispatch/pool_retry_budget.hpp
+++ b/include/medlar/detail/dispatch/pool_retry_budget.hpp
@@ -32,6 +32,12 @@
     {
     }
 
+    /// @brief Sets the rule that is in force from now on; what was counted stays.
+    void set_rule(const pool_retry_rule& rule)
+    {
+        rule_ = rule;
+    }
+
     /// @brief Records the first try of a request.
     void record_first_try(steady_time now);
 
@@ -46,8 +52,8 @@
     /// counts of one part of the window
     struct bucket
     {
-        /// start of the part in units of its width
-        std::int64_t number = 0;
+        /// start of the part
+        std::int64_t since_ms = 0;
         std::int64_t first_tries = 0;
         std::int64_t retries = 0;
     };
--- a/src/dispatch/pool_retry_budget.cpp
+++ b/src/dispatch/pool_retry_budget.cpp
@@ -21,15 +21,17 @@
 {
     const std::int64_t width =
         std::max<std::int64_t>(1, rule_.window.count() / buckets_per_window);
-    const std::int64_t number = now.since_origin() / width;
+    const std::int64_t since_ms = now.since_origin() / width * width;
     // keeps one bucket more than the window, since the oldest one is only partly inside
-    while (!buckets_.empty() && buckets_.front().number < number - buckets_per_window)
+    const std::int64_t oldest_ms = since_ms - buckets_per_window * width;
+    while (!buckets_.empty() && buckets_.front().since_ms < oldest_ms)
     {
         buckets_.pop_front();
     }
-    if (buckets_.empty() || buckets_.back().number != number)
+    // with a longer window the last bucket may have begun later
+    if (buckets_.empty() || buckets_.back().since_ms < since_ms)
     {
-        buckets_.push_back({number, 0, 0});
+        buckets_.push_back({since_ms, 0, 0});
     }
     return buckets_.back();
 }
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -44,7 +44,11 @@
 
 pool_retry_budget& entry_context::budget_for(const pool_id& pool)
 {
-    return budgets_.try_emplace(pool, settings.retry_rule).first->second;
+    pool_retry_budget& budget =
+        budgets_.try_emplace(pool, settings.retry_rule).first->second;
+    // the settings may have been read again
+    budget.set_rule(settings.retry_rule);
+    return budget;
 }
 
 millis entry_context::expected_first_event_delay(const pool_id& pool) const
--- a/test/decisions/dispatch/pool_retry_budget_test.cpp
+++ b/test/decisions/dispatch/pool_retry_budget_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(limits_all_hosts_together_when_every_call_fails);
     CPPUNIT_TEST(lets_a_host_with_few_requests_retry);
     CPPUNIT_TEST(drops_retries_older_than_its_window);
+    CPPUNIT_TEST(keeps_its_counts_when_its_rule_changes);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time start_{5000000};
@@ -62,6 +63,24 @@
         CPPUNIT_ASSERT(!budget.may_retry(start_ + millis(9000), 1));
         CPPUNIT_ASSERT(budget.may_retry(start_ + millis(12000), 1));
     }
+
+    void keeps_its_counts_when_its_rule_changes()
+    {
+        pool_retry_budget budget({0, 100, millis(10000)});
+        for (int i = 0; i < 20; ++i)
+        {
+            budget.record_retry(start_ + millis(i * 100));
+        }
+        CPPUNIT_ASSERT(budget.may_retry(start_ + millis(2000), 1));
+        for (const millis window : {millis(5000), millis(20000), millis(7000)})
+        {
+            budget.set_rule({0, 25, window});
+            CPPUNIT_ASSERT(!budget.may_retry(start_ + millis(2000), 1));
+            budget.set_rule({0, 26.5, window});
+            CPPUNIT_ASSERT(budget.may_retry(start_ + millis(2000), 1));
+        }
+        CPPUNIT_ASSERT(budget.may_retry(start_ + millis(15000), 1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(the_retry_budget_of_a_pool);
--- a/test/entry/forwarding_test.cpp
+++ b/test/entry/forwarding_test.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(is_not_sent_time_and_again_where_its_target_has_been_replaced);
     CPPUNIT_TEST(is_retried_at_another_target_if_it_is_idempotent);
     CPPUNIT_TEST(is_retried_at_another_target_if_it_did_not_run);
+    CPPUNIT_TEST(is_retried_as_the_settings_that_were_read_last_permit);
     CPPUNIT_TEST(is_refused_truly_when_all_targets_are_full);
     CPPUNIT_TEST(brings_no_answer_without_a_signature);
     CPPUNIT_TEST(drops_an_answer_that_belongs_to_another_request);
@@ -261,6 +262,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.request_count());
     }
 
+    void is_retried_as_the_settings_that_were_read_last_permit()
+    {
+        forwarding_fixture it;
+        it.open_two("idempotent",
+                    [](const exchange_ptr& exchange)
+                    {
+                        exchange->answer(500, signed_headers(*exchange), "bad");
+                    });
+        CPPUNIT_ASSERT_EQUAL(500, it.fetch(request_text("GET", "/a/x", "id-1")).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.request_count());
+        it.host->settings.retry_rule = {0, 0, millis(10000)};
+        it.host->host->reload();
+        CPPUNIT_ASSERT_EQUAL(500, it.fetch(request_text("GET", "/a/x", "id-2")).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, it.request_count());
+    }
+
     void is_refused_truly_when_all_targets_are_full()
     {
         forwarding_fixture it;
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -213,19 +213,23 @@
         }
 
         event_loop loop;
+        /// what the host gets when it reads its settings again
+        entry_settings settings;
         std::unique_ptr<entry_host> host;
     };
 
     std::shared_ptr<running_host> start(const entry_settings& host_settings)
     {
         auto running = std::make_shared<running_host>(time);
-        auto host = entry_host::create(running->loop,
-                                       protocol_of(host_settings.host),
-                                       host_settings,
-                                       [host_settings]() -> absl::StatusOr<entry_settings>
-                                       {
-                                           return host_settings;
-                                       });
+        running->settings = host_settings;
+        auto host = entry_host::create(
+            running->loop,
+            protocol_of(host_settings.host),
+            host_settings,
+            [&read = running->settings]() -> absl::StatusOr<entry_settings>
+            {
+                return read;
+            });
         CPPUNIT_ASSERT_MESSAGE(host.status().ToString(), host.ok());
         running->host = *std::move(host);
         running_.push_back(running);
