Heed what a target says of itself in an answer of another host

What the users' rule counts (DRAIN): a host passes on an answer with `Server-Leaving` that another host got for it, gets its path back, and sends that target requests.

Cause: only the host that calls a target read what it says of itself, and the one that passes the answer on did not know which target gave it.

Why the fix works: a host that forwards a request says that it heeds targets (`Medlar-Heeds-Target`); the host that runs it then names the target of the answer and the start of its process. What the answer says is recorded for that process as if it had come from the target, also if the entry of that process has not come yet, and the name is removed before the answer goes to the caller. `Server-Limit` and `Server-Brittle` go the same way; hosts told each other of the first limit before, which a host that started later had missed. A pause (`Retry-After`) binds only the host that the target has answered, as the rule says. A target that the host does not know yet is not heeded.

Evidence: binds_a_host_that_passed_on_that_it_leaves and the same before the entry has come fail before (the target gets a request, none expected) and pass now. The tests of the limit, of pauses and of the names guard; they passed before.

--- a/include/medlar/detail/entry/request_forward.hpp
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -22,6 +22,15 @@
 /// @brief header of a forwarded request: how many targets the other host may send it to
 inline constexpr char forward_sends_header[] = "Medlar-Max-Sends";
 
+/// @brief header of a forwarded request: the sender heeds what targets say of themselves,
+/// and wants to know which one has answered
+inline constexpr char forward_heeds_header[] = "Medlar-Heeds-Target";
+
+/// @brief headers of the answer to such a request: the target that gave it, and the start
+/// time of its process
+inline constexpr char forward_target_header[] = "Medlar-Target";
+inline constexpr char forward_target_start_header[] = "Medlar-Target-Start";
+
 /// @brief header of a refusal of a host that has not taken a forwarded request; its value
 /// says why
 inline constexpr char forward_not_taken_header[] = "Medlar-Not-Taken";
@@ -89,6 +98,8 @@
 
   private:
     void on_head(const answer_head& head);
+    /// heeds what the target that has answered says of itself
+    void record_target(const answer_head& head);
     void on_data(absl::string_view data);
     void on_end(call_end how);
 
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -123,6 +123,8 @@
     /// sends the request to another target, since this one's process was not accepted
     void on_declined();
     void on_head(const answer_head& head);
+    /// tells the host that has forwarded the request which target answers
+    void name_target(header_list& headers) const;
     void on_data(absl::string_view data);
     void on_call_end(call_end how);
     void release_call();
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -349,8 +349,25 @@
         }
     }
     head_ = head;
-    // only a host can say that
-    head_->headers.remove(forward_not_taken_header);
+    // only hosts say these
+    for (const char* each :
+         {forward_not_taken_header, forward_target_header, forward_target_start_header})
+    {
+        head_->headers.remove(each);
+    }
+    name_target(head_->headers);
+}
+
+void request_run::name_target(header_list& headers) const
+{
+    const target_state* const target = context_.targets.find(target_);
+    const bool is_asked =
+        is_forwarded_ && exchange_->head().headers.find(forward_heeds_header) != nullptr;
+    if (is_asked && target != nullptr)
+    {
+        headers.add(forward_target_header, target_.get());
+        headers.add(forward_target_start_header, absl::StrCat(start_of(*target)));
+    }
 }
 
 void request_run::on_not_run(const answer_head& head)
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -74,6 +74,7 @@
     header_list additions;
     additions.add(forward_version_header, absl::StrCat(configuration_version));
     additions.add(forward_sends_header, absl::StrCat(max_sends));
+    additions.add(forward_heeds_header, "1");
     call_ = context_.client.start(
         to.forward,
         context_.protocol.write_forward(
@@ -115,13 +116,39 @@
         on_refused();
         return;
     }
+    record_target(head);
     head_ = head;
     header_list headers = head.headers;
     remove_hop_by_hop(headers);
     headers.remove("content-length");
+    headers.remove(forward_target_header);
+    headers.remove(forward_target_start_header);
     exchange_->begin(head.status, head.reason_phrase, headers, head.framing);
 }
 
+void request_forward::record_target(const answer_head& head)
+{
+    const target_id target(std::string(head.headers.get(forward_target_header)));
+    std::int64_t started_ms = 0;
+    if (target.get().empty() ||
+        !absl::SimpleAtoi(head.headers.get(forward_target_start_header), &started_ms))
+    {
+        return;
+    }
+    answer_fields answer = context_.protocol.read_answer(head);
+    // the pause is for the host that the target has answered
+    answer.pause.reset();
+    const target_state* const known = context_.targets.find(target);
+    if (known != nullptr && start_of(*known) < started_ms)
+    {
+        context_.record_target_start(target, started_ms);
+    }
+    if (known != nullptr && start_of(*known) == started_ms)
+    {
+        context_.record_target_answer(target, answer);
+    }
+}
+
 void request_forward::on_data(absl::string_view data)
 {
     exchange_->write(data);
--- a/test/entry/path_test.cpp
+++ b/test/entry/path_test.cpp
@@ -323,6 +323,155 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(hosts_without_a_path);
 
+class what_a_target_says_of_itself : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(what_a_target_says_of_itself);
+    CPPUNIT_TEST(binds_a_host_that_passed_on_that_it_leaves);
+    CPPUNIT_TEST(binds_a_host_that_passed_on_that_it_leaves_before_its_entry_has_come);
+    CPPUNIT_TEST(binds_a_host_that_passed_on_its_limit);
+    CPPUNIT_TEST(pauses_no_host_that_it_has_not_answered);
+    CPPUNIT_TEST(is_passed_on_without_its_name);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::size_t arrivals_at(const stand_in_target& target, const std::string& path)
+    {
+        std::size_t count = 0;
+        for (const request_head& head : target.requests)
+        {
+            count += head.target == path ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// sends requests to a host without a path until an answer has a header
+    static void
+    pass_on(partitioned_group& it, const std::string& path, const std::string& header)
+    {
+        bool is_passed_on = false;
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                is_passed_on =
+                    is_passed_on || it.send_at(0, path).headers.find(header) != nullptr;
+                return is_passed_on;
+            }));
+    }
+
+    /// has a host without a path pass on that the first target leaves
+    static void pass_on_leaving(partitioned_group& it)
+    {
+        it.said_by["i-0"].add("Server-Leaving", "1");
+        pass_on(it, "/i/x", "Server-Leaving");
+    }
+
+    /// gives the first host its path back, as the only host
+    static void leave_it_alone_with_its_path(partitioned_group& it)
+    {
+        it.restore(0);
+        it.run_for(millis(1000));
+        it.kill_host(1);
+    }
+
+    /// expects that the first host sends its requests to other targets
+    static void expect_left(partitioned_group& it)
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            const received_answer got = it.send_at(0, "/i/later");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, 200, got.status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, arrivals_at(*it.targets[0], "/i/later"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, it.arrivals("/i/later"));
+    }
+
+  public:
+    void binds_a_host_that_passed_on_that_it_leaves()
+    {
+        partitioned_group it(2, 3, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        pass_on_leaving(it);
+        leave_it_alone_with_its_path(it);
+        expect_left(it);
+    }
+
+    void binds_a_host_that_passed_on_that_it_leaves_before_its_entry_has_come()
+    {
+        partitioned_group it(2, 3, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        stand_in_target& target = *it.targets[0];
+        target.restart(target.started_ms + 1);
+        // the host that runs the requests asks for the start of the process
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                it.send_at(0, "/e/x");
+                return target.reports > 0;
+            }));
+        pass_on_leaving(it);
+        it.store.put(target.key(), target.entry());
+        leave_it_alone_with_its_path(it);
+        expect_left(it);
+    }
+
+    void binds_a_host_that_passed_on_its_limit()
+    {
+        partitioned_group it(2, 2, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        it.said.add("Server-Limit", "5");
+        CPPUNIT_ASSERT_EQUAL(200, it.send_at(0, "/i/x").status);
+        CPPUNIT_ASSERT_EQUAL(200, it.send_at(0, "/i/x").status);
+        leave_it_alone_with_its_path(it);
+        std::vector<std::shared_ptr<received_answer>> answers;
+        for (int i = 0; i < 60; ++i)
+        {
+            answers.push_back(it.begin_at(0, "/n/later"));
+        }
+        it.run_for(millis(500));
+        CPPUNIT_ASSERT(it.arrivals("/n/later") > 0);
+        // of the two targets: what they take in a second, and the few of a burst
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(it.arrivals("/n/later")),
+                               it.arrivals("/n/later") <= 20);
+    }
+
+    void pauses_no_host_that_it_has_not_answered()
+    {
+        partitioned_group it(2, 3, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        it.said_by["i-0"].add("Retry-After", "9");
+        it.said_by["i-0"].add("X-Paused", "1");
+        it.unsigned_status = 503;
+        pass_on(it, "/n/x", "X-Paused");
+        it.unsigned_status = 0;
+        it.said_by.clear();
+        leave_it_alone_with_its_path(it);
+        for (int i = 0; i < 30; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, it.send_at(0, "/i/later").status);
+        }
+        CPPUNIT_ASSERT(arrivals_at(*it.targets[0], "/i/later") > 0);
+    }
+
+    void is_passed_on_without_its_name()
+    {
+        partitioned_group it(2, 3, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        const received_answer got = it.send_at(0, "/i/y");
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        for (const header_field& each : got.headers)
+        {
+            CPPUNIT_ASSERT_MESSAGE(each.name, !absl::StartsWith(each.name, "Medlar-"));
+        }
+        // a host of an older build would pass the name on
+        const received_answer named =
+            it.send(it.all_settings[1].forward_endpoint,
+                    request_text("GET", "/i/z", "id-z", "", "Medlar-Max-Sends: 1\r\n"));
+        CPPUNIT_ASSERT_EQUAL(200, named.status);
+        CPPUNIT_ASSERT(named.headers.find("Medlar-Target") == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(what_a_target_says_of_itself);
+
 class the_targets_of_a_forwarded_request : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(the_targets_of_a_forwarded_request);
--- a/test/support/entry/partitioned_group.hpp
+++ b/test/support/entry/partitioned_group.hpp
@@ -235,6 +235,8 @@
     int unsigned_status = 0;
     /// more headers of each answer
     header_list said;
+    /// more headers of each answer of a target, by its id
+    std::map<std::string, header_list> said_by;
 
   protected:
     const entry_protocol& protocol_of(const host_id& host) override
@@ -251,9 +253,13 @@
     void answer_request(const exchange_ptr& exchange)
     {
         header_list headers = signed_headers(*exchange);
-        for (const header_field& each : said)
+        const std::string id(exchange->head().headers.get("Expect-Instance"));
+        for (const header_list& all : {said, said_by[id]})
         {
-            headers.add(each.name, each.value);
+            for (const header_field& each : all)
+            {
+                headers.add(each.name, each.value);
+            }
         }
         if (!refusal.empty())
         {
