Begin a stream that another host may have begun at the same version

What callers saw: events of two software versions in one stream (ORDER), if the answer of the host that ran it was lost before the first event came through, the next host began it again, and the caller took it up later.

Cause: the two hosts begin the stream under the same attempt, and each chooses a version where the store names no shares yet. The keepers of streams know the first one; the caller has events of the second, and goes on at the first.

Why the fix works: a host that has a request run again says so (`Medlar-Repeated`). The host that gets it looks for the origin of the stream by the attempt, as if it were taken up, and begins it there; where nobody can tell, it refuses, and the caller gets 502. It records the stream, too, since the first host may be gone. Beside: it ignores the header and begins as before.

--- a/include/medlar/detail/entry/request_forward.hpp
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -22,6 +22,9 @@
 /// @brief header of a forwarded request: how many targets the other host may send it to
 inline constexpr char forward_sends_header[] = "Medlar-Max-Sends";
 
+/// @brief header of a forwarded request: another host that was to run it has broken off
+inline constexpr char forward_repeated_header[] = "Medlar-Repeated";
+
 /// @brief header of a forwarded request: the sender heeds what targets say of themselves,
 /// and wants to know which one has answered
 inline constexpr char forward_heeds_header[] = "Medlar-Heeds-Target";
@@ -38,6 +41,22 @@
 /// @brief value of that header if the host has no path to the targets either
 inline constexpr char forward_no_path[] = "no path";
 
+/// @brief What a host is told that is to run a request of another one.
+struct forward_terms
+{
+    /// time until the deadline of the request
+    millis remaining{0};
+    /// how many targets that host may send it to
+    int max_sends = 1;
+    /// the configuration that the sender has in force
+    std::int64_t configuration_version = 0;
+    /// whether a target may have run it before; a refusal by that host is not passed on
+    /// then, since it would not be true
+    bool may_have_run = false;
+    /// whether another host that was to run it has broken off
+    bool is_repeated = false;
+};
+
 /// @brief Callbacks for the outcome of a forwarded request. One of them is called, once;
 /// it may destroy the request_forward.
 struct forward_callbacks
@@ -68,17 +87,10 @@
 {
   public:
     /// @param to a host that has a forward address
-    /// @param remaining time until the deadline of the request
-    /// @param max_sends how many targets the other host may send the request to
-    /// @param may_have_run whether a target may have run it before; a refusal by the
-    /// other host is not passed on then, since it would not be true
     request_forward(entry_context& context,
                     const peer_host& to,
                     std::shared_ptr<caller_exchange> exchange,
-                    millis remaining,
-                    int max_sends,
-                    std::int64_t configuration_version,
-                    bool may_have_run,
+                    const forward_terms& terms,
                     forward_callbacks callbacks);
     ~request_forward();
 
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -84,6 +84,8 @@
     int priority() const;
     /// whether the caller resumes a stream that it has received a part of
     bool is_resumption() const;
+    /// whether another host, which has broken off, may have begun this stream
+    bool may_have_begun_elsewhere() const;
     void find_origin();
     /// begins the stages, or the first attempt if there are none
     void begin_work();
@@ -204,6 +206,7 @@
     bool is_forwarded_;
     std::unique_ptr<request_forward> forward_;
     std::set<host_id> tried_hosts_;
+    bool has_broken_off_elsewhere_ = false;
 
     std::optional<answer_head> head_;
     std::string buffered_body_;
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -100,9 +100,13 @@
     if (!has_first_event_)
     {
         has_first_event_ = true;
+        const bool is_saved = origin_ && !may_have_begun_elsewhere();
         if (!origin_)
         {
             origin_ = stream_origin{pool_, target_version_};
+        }
+        if (!is_saved)
+        {
             origins_.record(fields_.attempt, *origin_);
         }
         context_.record_first_event_delay(pool_, context_.loop.now() - sent_at_);
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -44,15 +44,12 @@
 request_forward::request_forward(entry_context& context,
                                  const peer_host& to,
                                  std::shared_ptr<caller_exchange> exchange,
-                                 millis remaining,
-                                 int max_sends,
-                                 std::int64_t configuration_version,
-                                 bool may_have_run,
+                                 const forward_terms& terms,
                                  forward_callbacks callbacks)
     : context_(context),
       to_(to.id),
       exchange_(std::move(exchange)),
-      may_have_run_(may_have_run),
+      may_have_run_(terms.may_have_run),
       callbacks_(std::move(callbacks))
 {
     call_options options;
@@ -72,13 +69,17 @@
         on_end(how);
     };
     header_list additions;
-    additions.add(forward_version_header, absl::StrCat(configuration_version));
-    additions.add(forward_sends_header, absl::StrCat(max_sends));
+    additions.add(forward_version_header, absl::StrCat(terms.configuration_version));
+    additions.add(forward_sends_header, absl::StrCat(terms.max_sends));
     additions.add(forward_heeds_header, "1");
+    if (terms.is_repeated)
+    {
+        additions.add(forward_repeated_header, "1");
+    }
     call_ = context_.client.start(
         to.forward,
         context_.protocol.write_forward(
-            exchange_->head(), exchange_->body(), remaining, additions),
+            exchange_->head(), exchange_->body(), terms.remaining, additions),
         options,
         std::move(events));
 }
--- a/src/entry/request_forwarding.cpp
+++ b/src/entry/request_forwarding.cpp
@@ -64,14 +64,14 @@
     {
         on_forward_broken_off();
     };
-    forward_ = std::make_unique<request_forward>(context_,
-                                                 *to,
-                                                 exchange_,
-                                                 remaining_time(),
-                                                 attempts_.lend(route_.may_retry()),
-                                                 configuration_->version,
-                                                 may_have_run_,
-                                                 std::move(callbacks));
+    forward_terms terms;
+    terms.remaining = remaining_time();
+    terms.max_sends = attempts_.lend(route_.may_retry());
+    terms.configuration_version = configuration_->version;
+    terms.may_have_run = may_have_run_;
+    terms.is_repeated = has_broken_off_elsewhere_;
+    forward_ = std::make_unique<request_forward>(
+        context_, *to, exchange_, terms, std::move(callbacks));
     return true;
 }
 
@@ -123,6 +123,7 @@
     record_forward_failed("its answer broke off");
     release_forward();
     may_have_run_ = true;
+    has_broken_off_elsewhere_ = true;
     const bool may_repeat = !exchange_->has_begun() && route_.may_retry() &&
                             !attempts_.is_used_up() && has_retry_budget();
     if (may_repeat)
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -129,7 +129,7 @@
     {
         return;
     }
-    if (is_resumption())
+    if (is_resumption() || may_have_begun_elsewhere())
     {
         find_origin();
         return;
@@ -142,17 +142,26 @@
     return is_stream() && route_.may_retry() && !fields_.resume_after.empty();
 }
 
+bool request_run::may_have_begun_elsewhere() const
+{
+    return is_forwarded_ && is_stream() && route_.may_retry() && !is_resumption() &&
+           exchange_->head().headers.find(forward_repeated_header) != nullptr;
+}
+
 void request_run::find_origin()
 {
+    // the caller names the stream by this attempt later, whichever host has begun it
+    const attempt_id& begun_by =
+        is_resumption() ? fields_.resumed_attempt : fields_.attempt;
     std::vector<pool_id> pools;
     for (const weighted_pool& each : route_.pools)
     {
         pools.push_back(each.pool);
     }
     const std::weak_ptr<request_run> weak = weak_from_this();
-    origins_.find(fields_.resumed_attempt,
+    origins_.find(begun_by,
                   pools,
-                  [weak, pools](const origin_result& found)
+                  [weak, pools, begun_by](const origin_result& found)
                   {
                       const std::optional<stream_origin>& origin = found.origin;
                       const auto self = weak.lock();
@@ -162,7 +171,7 @@
                       }
                       log_event(entry_origin_found,
                                 {{"attempt", self->fields_.attempt.get()},
-                                 {"resumes", self->fields_.resumed_attempt.get()},
+                                 {"resumes", begun_by.get()},
                                  {"pool", origin ? origin->pool.get() : ""},
                                  {"version", origin ? origin->version.get() : ""},
                                  {"source", to_string(found.source)}});
--- a/test/support/entry/cut_group.hpp
+++ b/test/support/entry/cut_group.hpp
@@ -38,15 +38,15 @@
             target_proxies_.push_back(std::make_unique<cutting_proxy>(
                 loop, targets.back()->where(), is_plain ? target_plan : piece_plan));
             const endpoint& where = target_proxies_.back()->where();
-            nlohmann::json entry = nlohmann::json::parse(targets.back()->entry());
-            entry["address"] = to_string(where);
-            store.put(targets.back()->key(), entry.dump());
+            put_entry(targets.size() - 1);
             cut_paths_.paths[where] =
                 std::make_unique<fault_proxy>(loop, free_endpoint(), where);
         }
         piece_plan.target_prefix = "/-/stage-run";
         nlohmann::json at_three_targets = route_json("/t/", "idempotent", "plain");
         at_three_targets["max_attempts"] = 3;
+        nlohmann::json resumed = route_json("/r/", "stream", "plain");
+        resumed["max_attempts"] = 3;
         nlohmann::json staged = route_json("/s/", "stream", "plain");
         staged["stages"] = {
             {{"service", "stage"}, {"after", nlohmann::json::array()}, {"bytes", 9}}};
@@ -56,6 +56,7 @@
                                       at_three_targets,
                                       route_json("/n/", "non_idempotent", "plain"),
                                       route_json("/e/", "stream", "plain"),
+                                      resumed,
                                       staged}));
         store.rewrite = [this](const std::string& key, const std::string& value)
         {
@@ -84,16 +85,27 @@
         hop_plan.next.reset();
     }
 
-    received_answer send_at(std::size_t host, const std::string& path)
+    received_answer
+    send_at(std::size_t host, const std::string& path, const std::string& headers = {})
     {
         const std::string number = std::to_string(++sent_);
         // a key that was refused before would make the request a retry
-        return send(all_settings.at(host).caller_endpoint,
-                    request_text("POST",
-                                 path,
-                                 "id-" + number,
-                                 "b",
-                                 "Pieces: 2\r\nPiece-Key: k-" + number + "\r\n"));
+        return send(
+            all_settings.at(host).caller_endpoint,
+            request_text("POST",
+                         path,
+                         "id-" + number,
+                         "b",
+                         headers + "Pieces: 2\r\nPiece-Key: k-" + number + "\r\n"));
+    }
+
+    /// Starts a target again as another version.
+    void restart_target(std::size_t which, const std::string& version)
+    {
+        stand_in_target& target = *targets.at(which);
+        target.version = version;
+        target.restart(target.started_ms + 1);
+        put_entry(which);
     }
 
     /// Returns how often the targets got a request of a path.
@@ -131,6 +143,13 @@
     }
 
   private:
+    void put_entry(std::size_t which)
+    {
+        nlohmann::json entry = nlohmann::json::parse(targets.at(which)->entry());
+        entry["address"] = to_string(target_proxies_.at(which)->where());
+        store.put(targets.at(which)->key(), entry.dump());
+    }
+
     std::string behind_proxy(const std::string& key, const std::string& value)
     {
         nlohmann::json registration = nlohmann::json::parse(value);
--- a/test/support/entry/partitioned_group.hpp
+++ b/test/support/entry/partitioned_group.hpp
@@ -83,6 +83,8 @@
             {{"service", "stage"}, {"after", nlohmann::json::array()}, {"bytes", 9}}};
         nlohmann::json at_one_target = route_json("/o/", "idempotent", "plain");
         at_one_target["max_attempts"] = 1;
+        nlohmann::json resumed = route_json("/r/", "stream", "plain");
+        resumed["max_attempts"] = 3;
         nlohmann::json at_three_targets = route_json("/t/", "idempotent", "plain");
         at_three_targets["max_attempts"] = 3;
         store.put("op/config",
@@ -92,6 +94,7 @@
                                       at_three_targets,
                                       route_json("/n/", "non_idempotent", "plain"),
                                       route_json("/e/", "stream", "plain"),
+                                      resumed,
                                       staged}));
         start_hosts(host_count);
     }
@@ -233,6 +236,8 @@
     std::string refusal;
     /// the status of each answer, which has no signature, if not 0
     int unsigned_status = 0;
+    /// what plain targets answer, if set
+    std::function<void(const exchange_ptr&)> answer;
     /// more headers of each answer
     header_list said;
     /// more headers of each answer of a target, by its id
@@ -252,6 +257,11 @@
 
     void answer_request(const exchange_ptr& exchange)
     {
+        if (answer)
+        {
+            answer(exchange);
+            return;
+        }
         header_list headers = signed_headers(*exchange);
         const std::string id(exchange->head().headers.get("Expect-Instance"));
         for (const header_list& all : {said, said_by[id]})
