Let heads of forwarded requests be longer than those of callers

What callers saw: 431, which no client retries, for a request whose head is nearly as long as the configuration permits, at a host without a path.

Cause: the port for forwarded requests had the limit of the port for callers, and a forwarded head has the headers that hosts add.

Why the fix works: that port permits 1024 bytes more; the host that forwards has checked the head against the limit of callers. A host of an earlier build still answers 431.

Evidence: have_requests_run_whose_heads_are_as_long_as_permitted gets 431 before and 200 now.

--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -88,6 +88,7 @@
     entry_settings settings_;
     settings_reader read_settings_;
     server_limits caller_limits_;
+    server_limits forward_limits_;
     server_limits inner_limits_;
     entry_context context_;
     peer_network peers_;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -18,6 +18,9 @@
 namespace
 {
 
+// headers that a host adds to a request that it forwards, those of later builds too
+constexpr std::size_t max_forward_header_bytes = 1024;
+
 // retry delay of callers while the host has no configuration: about the time to read it
 constexpr millis retry_after_start{300};
 
@@ -227,7 +230,7 @@
     {
         status = open(
             settings_.forward_endpoint,
-            caller_limits_,
+            forward_limits_,
             [this](const std::shared_ptr<caller_exchange>& exchange)
             {
                 serve(exchange, true);
@@ -520,6 +523,8 @@
         return;
     }
     caller_limits_ = read->limits;
+    forward_limits_ = read->limits;
+    forward_limits_.max_head_bytes += max_forward_header_bytes;
     log_event(entry_configuration_in_force,
               {{"version", read->version},
                {"revision", item.revision},
--- a/test/entry/path_test.cpp
+++ b/test/entry/path_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(run_requests_once_at_most_if_a_target_answers_without_a_signature);
     CPPUNIT_TEST(pass_on_what_looks_like_a_refusal_if_it_is_a_targets);
     CPPUNIT_TEST(are_told_that_a_request_was_not_taken_whatever_the_reason);
+    CPPUNIT_TEST(have_requests_run_whose_heads_are_as_long_as_permitted);
     CPPUNIT_TEST(pass_on_a_refusal_that_is_true);
     CPPUNIT_TEST(pass_on_no_refusal_of_a_request_that_may_have_run_before);
     CPPUNIT_TEST(end_the_request_of_a_caller_that_leaves);
@@ -237,6 +238,26 @@
         CPPUNIT_ASSERT_EQUAL(200, it.send(forward, known).status);
     }
 
+    void have_requests_run_whose_heads_are_as_long_as_permitted()
+    {
+        partitioned_group it(2, 5, 0);
+        cut_some(it, {0}, path_cut::refused, "/i/x");
+        constexpr std::size_t permitted_bytes = 8192;
+        const std::string pad(permitted_bytes - 400, 'x');
+        std::size_t more = 400;
+        received_answer got;
+        do
+        {
+            --more;
+            got = it.send_at(
+                1, "/n/x", absl::StrCat("X-Pad: ", pad, std::string(more, 'x'), "\r\n"));
+        } while (got.status == 431);
+        CPPUNIT_ASSERT_EQUAL(200, got.status);
+        const std::string headers =
+            absl::StrCat("X-Pad: ", pad, std::string(more - 2, 'x'), "\r\n");
+        CPPUNIT_ASSERT_EQUAL(200, it.send_at(0, "/n/x", headers).status);
+    }
+
     void pass_on_a_refusal_that_is_true()
     {
         partitioned_group it(2, 5, 0);
