--- a/src/entry/limit_controller.cpp
+++ b/src/entry/limit_controller.cpp
@@ -23,6 +23,20 @@
 // a target for which no permit can be had is not asked for again in this time
 constexpr millis min_wait{50};
 
+// hosts of earlier builds know a target by the start of its entry
+nlohmann::json name_process(const target_state& target)
+{
+    return {{"target", target.record.id.get()},
+            {"started_ms", target.record.started_ms},
+            {"answering_ms", start_of(target)}};
+}
+
+std::int64_t read_start(const nlohmann::json& message)
+{
+    const auto started_ms = message.at("started_ms").get<std::int64_t>();
+    return message.value("answering_ms", started_ms);
+}
+
 } // namespace
 
 limit_controller::limit_controller(entry_context& context, peer_network& peers)
@@ -47,7 +61,7 @@
 void limit_controller::handle_limit_changed(const target_id& target)
 {
     const target_state* const state = context_.targets.find(target);
-    nlohmann::json message{{"target", target.get()}, {"started_ms", start_of(*state)}};
+    nlohmann::json message = name_process(*state);
     if (state->rate_limit)
     {
         message["type"] = "limit";
@@ -70,12 +84,10 @@
 
 void limit_controller::tell_refused(const target_state& target)
 {
-    const nlohmann::json message{
-        {"type", "full"},
-        {"target", target.record.id.get()},
-        {"started_ms", start_of(target)},
-        {"per_s", *target.refusal_limit},
-        {"pause_ms", (target.refused_until - context_.loop.now()).count()}};
+    nlohmann::json message = name_process(target);
+    message["type"] = "full";
+    message["per_s"] = *target.refusal_limit;
+    message["pause_ms"] = (target.refused_until - context_.loop.now()).count();
     for (const peer_host& each : peers_.live_hosts())
     {
         peers_.send(each.id, message);
@@ -86,8 +98,7 @@
 {
     target_state* const target =
         context_.targets.find(target_id(message.at("target").get<std::string>()));
-    if (target == nullptr ||
-        start_of(*target) != message.at("started_ms").get<std::int64_t>())
+    if (target == nullptr || start_of(*target) != read_start(message))
     {
         return;
     }
@@ -145,13 +156,12 @@
                                           });
     const millis age = context_.loop.now() - target->limit_stated_at;
     // a failed send is a lost peer, which is handled
-    peers_.send(request.issuer,
-                {{"type", "permit?"},
-                 {"number", number},
-                 {"target", request.target.get()},
-                 {"started_ms", request.started_ms},
-                 {"per_s", *target->rate_limit},
-                 {"age_ms", age.count()}});
+    nlohmann::json message = name_process(*target);
+    message["type"] = "permit?";
+    message["number"] = number;
+    message["per_s"] = *target->rate_limit;
+    message["age_ms"] = age.count();
+    peers_.send(request.issuer, message);
 }
 
 void limit_controller::handle_silence(std::uint64_t number)
@@ -219,7 +229,7 @@
         return false;
     }
     const target_id id(message.at("target").get<std::string>());
-    const auto started_ms = message.at("started_ms").get<std::int64_t>();
+    const std::int64_t started_ms = read_start(message);
     const steady_time now = context_.loop.now();
     if (type == "limit_ended")
     {
