--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -109,6 +109,8 @@
         started.in_flight = target->in_flight;
         started.expires_at = target->expires_at;
         started.answering_start = started_ms;
+        const auto leaving = leaving_.find(id);
+        started.is_leaving = leaving != leaving_.end() && leaving->second == started_ms;
         *target = started;
     }
 }
--- a/test/decisions/dispatch/target_table_test.cpp
+++ b/test/decisions/dispatch/target_table_test.cpp
@@ -75,6 +75,10 @@
         table_.put(record("a", 6));
         table_.put(record("a", 7));
         CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        table_.remove(id);
+        table_.put(record("a", 6));
+        table_.record_start(id, 7);
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
         table_.put(record("a", 8));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.serving(pool_).size());
     }
