Heed in an answer of another host only that its target leaves

That a target leaves is never taken back, so it may come late; limits are told on links by the host that the target answered.

--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -72,6 +72,9 @@
     /// going to stop, wants no calls for a while, or takes no more than some a second.
     void record_target_answer(const target_id& id, const answer_fields& answer);
 
+    /// @brief Records that the process which answers at a target is going to stop.
+    void record_target_leaving(const target_id& id);
+
     event_loop& loop;
     const entry_protocol& protocol;
     const entry_settings& settings;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -95,13 +95,9 @@
         }
         return;
     }
-    if (answer.is_leaving && targets.mark_leaving(id))
+    if (answer.is_leaving)
     {
-        log_event(entry_target_leaving,
-                  {{"target", id.get()},
-                   {"pool", target->record.pool.get()},
-                   {"started_ms", target->record.started_ms}});
-        client.close_idle(target->record.address);
+        record_target_leaving(id);
     }
     if (!answer.is_rate_limit_malformed)
     {
@@ -119,6 +115,19 @@
     }
 }
 
+void entry_context::record_target_leaving(const target_id& id)
+{
+    if (targets.mark_leaving(id))
+    {
+        const target_record& record = targets.find(id)->record;
+        log_event(entry_target_leaving,
+                  {{"target", id.get()},
+                   {"pool", record.pool.get()},
+                   {"started_ms", record.started_ms}});
+        client.close_idle(record.address);
+    }
+}
+
 void entry_context::record_target_start(const target_id& id, std::int64_t started_ms)
 {
     const target_state* const target = targets.find(id);
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -131,14 +131,13 @@
 {
     const target_id target(std::string(head.headers.get(forward_target_header)));
     std::int64_t started_ms = 0;
-    if (target.get().empty() ||
+    // a limit was stated when the head was sent, which may be long ago, and a pause is
+    // for the host that the target has answered
+    if (!context_.protocol.read_answer(head).is_leaving || target.get().empty() ||
         !absl::SimpleAtoi(head.headers.get(forward_target_start_header), &started_ms))
     {
         return;
     }
-    answer_fields answer = context_.protocol.read_answer(head);
-    // the pause is for the host that the target has answered
-    answer.pause.reset();
     const target_state* const known = context_.targets.find(target);
     if (known != nullptr && start_of(*known) < started_ms)
     {
@@ -146,7 +145,7 @@
     }
     if (known != nullptr && start_of(*known) == started_ms)
     {
-        context_.record_target_answer(target, answer);
+        context_.record_target_leaving(target);
     }
 }
 
