--- a/test/decisions/dispatch/pool_retry_budget_test.cpp
+++ b/test/decisions/dispatch/pool_retry_budget_test.cpp
@@ -69,7 +69,7 @@
         pool_retry_budget budget({0, 100, millis(10000)});
         for (int i = 0; i < 20; ++i)
         {
-            budget.record_retry(start_ + millis(i * 100));
+            budget.record_retry(start_ + millis(std::int64_t{i} * 100));
         }
         CPPUNIT_ASSERT(budget.may_retry(start_ + millis(2000), 1));
         for (const millis window : {millis(5000), millis(20000), millis(7000)})
