--- a/include/medlar/detail/entry/request_forward.hpp
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -25,8 +25,8 @@
 /// @brief header of a forwarded request: another host that was to run it has broken off
 inline constexpr char forward_repeated_header[] = "Medlar-Repeated";
 
-/// @brief header of a forwarded request: the sender heeds what targets say of themselves,
-/// and wants to know which one has answered
+/// @brief header of a forwarded request: the sender wants to know which target answers,
+/// since it heeds one that says it is going to stop
 inline constexpr char forward_heeds_header[] = "Medlar-Heeds-Target";
 
 /// @brief headers of the answer to such a request: the target that gave it, and the start
@@ -110,7 +110,7 @@
 
   private:
     void on_head(const answer_head& head);
-    /// heeds what the target that has answered says of itself
+    /// heeds a target that says in its answer that it is going to stop
     void record_target(const answer_head& head);
     void on_data(absl::string_view data);
     void on_end(call_end how);
