Name what a host takes from an answer of another host

record_target() records only a target that is going to stop since "Heed in an answer of another host only that its target leaves"; its name and comment said more. No change of behaviour.

--- a/include/medlar/detail/entry/request_forward.hpp
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -111,7 +111,7 @@
   private:
     void on_head(const answer_head& head);
     /// heeds a target that says in its answer that it is going to stop
-    void record_target(const answer_head& head);
+    void record_leaving_target(const answer_head& head);
     void on_data(absl::string_view data);
     void on_end(call_end how);
 
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -117,7 +117,7 @@
         on_refused();
         return;
     }
-    record_target(head);
+    record_leaving_target(head);
     head_ = head;
     header_list headers = head.headers;
     remove_hop_by_hop(headers);
@@ -127,12 +127,12 @@
     exchange_->begin(head.status, head.reason_phrase, headers, head.framing);
 }
 
-void request_forward::record_target(const answer_head& head)
+void request_forward::record_leaving_target(const answer_head& head)
 {
     const target_id target(std::string(head.headers.get(forward_target_header)));
     std::int64_t started_ms = 0;
-    // a limit was stated when the head was sent, which may be long ago, and a pause is
-    // for the host that the target has answered
+    // limits are not read here: the other host may have held the head while the target
+    // worked, and the target may have stated another one since
     if (!context_.protocol.read_answer(head).is_leaving || target.get().empty() ||
         !absl::SimpleAtoi(head.headers.get(forward_target_start_header), &started_ms))
     {
