Pass over messages of other hosts that cannot be read

A message of another host with a field that is missing or of another kind ended its link: the sender was suspected for two seconds, and its jobs began again elsewhere, as after a crash. A message of an unknown type was dropped without a trace.

Such messages are now passed over, counted in medlar_messages_passed_over_total by why they are (unreadable, unknown), and logged at most once a second (entry_message_passed_over). The link stays. Bytes that are no CBOR and lengths above the limit still end it: what follows cannot be found.

A message that is passed over must change nothing.

Questions whose answer is passed over end by their time limits, as with a silent peer, but for pieces of a job, which have none of their own. So an answer about a job that cannot be read cancels it at its owner and begins it again, at most twice elsewhere and then here, as when an owner is lost. Without a readable number nobody knows which job is meant: a verdict that is lost so is noticed after 300 ms, a piece at the deadline of its request.

It now plays these three and 25 more on one link, asks a question after each, and expects the link to stay, the right answer to each question and exact counts. a_host_of_another_build plays answers that cannot be read. ends_links_that_bring_no_messages guards what still ends a link; it passed before, too.

--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -116,12 +116,15 @@
     1744, severity::warning, "entry_target_unlisted"};
 /// @brief another host had told of a revision that the store has not reached
 inline constexpr event entry_peer_ahead{1745, severity::warning, "entry_peer_ahead"};
+/// @brief a message of another host is of an unknown type or cannot be read
+inline constexpr event entry_message_passed_over{
+    1746, severity::warning, "entry_message_passed_over"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 45> entry_events{entry_started,
+inline constexpr std::array<event, 46> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -165,7 +168,8 @@
                                                     entry_crash_refuted,
                                                     entry_target_refusals_limited,
                                                     entry_target_unlisted,
-                                                    entry_peer_ahead};
+                                                    entry_peer_ahead,
+                                                    entry_message_passed_over};
 
 } // namespace medlar
 
