Count permits of an earlier start of a target for the later ones

Cause: a permit is issued for the start that the asking host knows, and the issuer kept one allowance per id, which it made anew whenever a request named another start. Hosts named the start of the entry, also where they knew that a later process answers.

The end of a limit was forgotten in the same way.

A target's process is reached by all calls to its id, whichever start the caller knows. So permit_issuer keeps an allowance for each start; a permit for an earlier one is taken from the later ones, too. Limits and their ends hold for the start of which they were said, so a host with the older entry neither slows the newer process nor limits it again. Hosts ask for the process that answers, and an answer to a request for one process does not bind the next.

Ruled out: one allowance per id, with the rate of the latest statement. Where a new process has another address, two processes would set it in turn.

Tests: targets_that_start_again_with_a_limit, four; all fail on the code before.

--- a/include/medlar/detail/entry/limit_controller.hpp
+++ b/include/medlar/detail/entry/limit_controller.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
 #define MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
 
-#include <medlar/detail/dispatch/rate_allowance.hpp>
+#include <medlar/detail/dispatch/permit_issuer.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/peer_network.hpp>
 
@@ -53,27 +53,11 @@
     void handle_peer_lost(const host_id& host);
 
   private:
-    /// the permits that this host gives out for one target
-    struct issued_permits
-    {
-        std::int64_t started_ms;
-        rate_allowance allowance;
-        /// when the target last stated the limit, and that it has none any more
-        steady_time stated_at;
-        std::optional<steady_time> ended_at;
-    };
-
-    struct permit
-    {
-        bool is_granted = false;
-        millis wait{0};
-        /// the target no longer has a limit
-        bool has_ended = false;
-    };
-
     struct pending_request
     {
         target_id target;
+        /// start of the process for which it is asked
+        std::int64_t started_ms = 0;
         host_id issuer;
         permit_action on_answer;
         timer_id timeout{0};
@@ -82,21 +66,18 @@
 
     host_id issuer_of(const target_id& target) const;
     void handle_limit_changed(const target_id& target);
-    permit issue(const target_id& target,
-                 std::int64_t started_ms,
-                 double per_s,
-                 steady_time stated_at);
+    permit issue(const target_state& target);
     /// tells all hosts that a target that bears few refusals has refused a call
     void tell_refused(const target_state& target);
     void handle_refused(const nlohmann::json& message);
-    void record_end(const target_id& target, std::int64_t started_ms);
     void ask(std::uint64_t number);
     void apply(std::uint64_t number, const permit& answer);
     void handle_silence(std::uint64_t number);
 
     entry_context& context_;
     peer_network& peers_;
-    std::map<target_id, issued_permits> issued_;
+    /// those that this host gives out
+    permit_issuer permits_;
     std::map<std::uint64_t, pending_request> pending_;
     std::uint64_t last_number_ = 0;
 };
--- a/src/entry/limit_controller.cpp
+++ b/src/entry/limit_controller.cpp
@@ -23,9 +23,6 @@
 // a target for which no permit can be had is not asked for again in this time
 constexpr millis min_wait{50};
 
-// targets with a limit that are remembered; those that are gone are dropped first
-constexpr std::size_t max_issued = 1024;
-
 } // namespace
 
 limit_controller::limit_controller(entry_context& context, peer_network& peers)
@@ -50,8 +47,7 @@
 void limit_controller::handle_limit_changed(const target_id& target)
 {
     const target_state* const state = context_.targets.find(target);
-    nlohmann::json message{{"target", target.get()},
-                           {"started_ms", state->record.started_ms}};
+    nlohmann::json message{{"target", target.get()}, {"started_ms", start_of(*state)}};
     if (state->rate_limit)
     {
         message["type"] = "limit";
@@ -65,7 +61,7 @@
     const host_id issuer = issuer_of(target);
     if (issuer == peers_.self().id)
     {
-        record_end(target, state->record.started_ms);
+        permits_.record_end({target, start_of(*state)}, context_.loop.now());
         return;
     }
     message["type"] = "limit_ended";
@@ -77,7 +73,7 @@
     const nlohmann::json message{
         {"type", "full"},
         {"target", target.record.id.get()},
-        {"started_ms", target.record.started_ms},
+        {"started_ms", start_of(target)},
         {"per_s", *target.refusal_limit},
         {"pause_ms", (target.refused_until - context_.loop.now()).count()}};
     for (const peer_host& each : peers_.live_hosts())
@@ -91,7 +87,7 @@
     target_state* const target =
         context_.targets.find(target_id(message.at("target").get<std::string>()));
     if (target == nullptr ||
-        target->record.started_ms != message.at("started_ms").get<std::int64_t>())
+        start_of(*target) != message.at("started_ms").get<std::int64_t>())
     {
         return;
     }
@@ -102,66 +98,17 @@
                                        pause_after_refusal(target->refusal_limit)));
 }
 
-void limit_controller::record_end(const target_id& target, std::int64_t started_ms)
+permit limit_controller::issue(const target_state& target)
 {
-    const auto found = issued_.find(target);
-    if (found != issued_.end() && found->second.started_ms == started_ms)
-    {
-        found->second.ended_at = context_.loop.now();
-    }
-}
-
-limit_controller::permit limit_controller::issue(const target_id& target,
-                                                 std::int64_t started_ms,
-                                                 double per_s,
-                                                 steady_time stated_at)
-{
-    const steady_time now = context_.loop.now();
-    auto found = issued_.find(target);
-    if (found != issued_.end() && found->second.started_ms != started_ms)
-    {
-        issued_.erase(found);
-        found = issued_.end();
-    }
-    if (found == issued_.end())
-    {
-        if (issued_.size() >= max_issued)
-        {
-            for (auto each = issued_.begin(); each != issued_.end();)
-            {
-                const bool is_gone = context_.targets.find(each->first) == nullptr;
-                each = is_gone ? issued_.erase(each) : std::next(each);
-            }
-        }
-        found = issued_
-                    .emplace(target,
-                             issued_permits{started_ms,
-                                            rate_allowance(per_s, now),
-                                            stated_at,
-                                            std::nullopt})
-                    .first;
-    }
-    issued_permits& issued = found->second;
-    if (issued.ended_at && stated_at <= *issued.ended_at)
-    {
-        return {true, millis(0), true};
-    }
-    if (issued.stated_at < stated_at)
-    {
-        issued.stated_at = stated_at;
-        issued.ended_at.reset();
-        issued.allowance.set_rate(per_s, now);
-    }
-    const bool is_granted = issued.allowance.take(now);
-    return {is_granted, issued.allowance.time_until_next(now), false};
+    return permits_.issue({target.record.id, start_of(target)},
+                          *target.rate_limit,
+                          target.limit_stated_at,
+                          context_.loop.now());
 }
 
 void limit_controller::take_permit(target_state& target)
 {
-    const permit taken = issue(target.record.id,
-                               target.record.started_ms,
-                               *target.rate_limit,
-                               target.limit_stated_at);
+    const permit taken = issue(target);
     target.limited_until = context_.loop.now() + taken.wait;
 }
 
@@ -184,14 +131,11 @@
         apply(number, {has_ended, answer_timeout, has_ended});
         return;
     }
+    request.started_ms = start_of(*target);
     request.issuer = issuer_of(request.target);
     if (request.issuer == peers_.self().id)
     {
-        apply(number,
-              issue(request.target,
-                    target->record.started_ms,
-                    *target->rate_limit,
-                    target->limit_stated_at));
+        apply(number, issue(*target));
         return;
     }
     request.timeout = context_.loop.after(answer_timeout,
@@ -205,7 +149,7 @@
                 {{"type", "permit?"},
                  {"number", number},
                  {"target", request.target.get()},
-                 {"started_ms", target->record.started_ms},
+                 {"started_ms", request.started_ms},
                  {"per_s", *target->rate_limit},
                  {"age_ms", age.count()}});
 }
@@ -248,11 +192,13 @@
     pending_.erase(found);
     context_.loop.cancel(request.timeout);
     target_state* const target = context_.targets.find(request.target);
-    if (target != nullptr && answer.has_ended)
+    // it may have started again since
+    const bool is_same = target != nullptr && start_of(*target) == request.started_ms;
+    if (is_same && answer.has_ended)
     {
         target->rate_limit.reset();
     }
-    else if (target != nullptr && !answer.is_granted)
+    else if (is_same && !answer.is_granted)
     {
         target->limited_until = context_.loop.now() + std::max(min_wait, answer.wait);
     }
@@ -277,15 +223,14 @@
     const steady_time now = context_.loop.now();
     if (type == "limit_ended")
     {
-        record_end(id, started_ms);
+        permits_.record_end({id, started_ms}, now);
         return true;
     }
     const auto per_s = message.at("per_s").get<double>();
     if (type == "limit")
     {
         target_state* const target = context_.targets.find(id);
-        if (target != nullptr && target->record.started_ms == started_ms &&
-            !target->rate_limit)
+        if (target != nullptr && start_of(*target) == started_ms && !target->rate_limit)
         {
             target->rate_limit = per_s;
             target->limit_stated_at = now;
@@ -293,7 +238,7 @@
         return true;
     }
     const millis age = std::max(millis(0), read_span(message, "age_ms"));
-    const permit issued = issue(id, started_ms, per_s, now - age);
+    const permit issued = permits_.issue({id, started_ms}, per_s, now - age, now);
     from->send({{"type", "permit"},
                 {"number", message.at("number").get<std::uint64_t>()},
                 {"granted", issued.is_granted},
--- a/test/entry/limit_test.cpp
+++ b/test/entry/limit_test.cpp
@@ -1,5 +1,10 @@
 #include "support/entry/limited_pool.hpp"
+#include "support/entry/stalling_peer.hpp"
 
+#include <medlar/detail/entry/limit_controller.hpp>
+#include <medlar/detail/loop/message_link.hpp>
+
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace
@@ -130,6 +135,148 @@
     }
 };
 
+/// a host that gives out permits, and a link of a peer that asks for them
+class asked_issuer : public limited_pool
+{
+  public:
+    static constexpr std::int64_t older_start = 5;
+    static constexpr std::int64_t newer_start = 6;
+
+    asked_issuer()
+        : limited_pool(1, {""}),
+          link_(message_link::create(
+              connection::connect(loop, all_settings.front().link_endpoint, millis(1000)),
+              [this](const nlohmann::json& message)
+              {
+                  answers_.push_back(message);
+              },
+              [](connection_end) {}))
+    {
+    }
+
+    nlohmann::json ask(std::int64_t started_ms, double per_s, millis age)
+    {
+        const std::size_t known = answers_.size();
+        link_->send({{"type", "permit?"},
+                     {"number", known},
+                     {"target", "i-9"},
+                     {"started_ms", started_ms},
+                     {"per_s", per_s},
+                     {"age_ms", age.count()}});
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return answers_.size() > known;
+            }));
+        return answers_.back();
+    }
+
+    void tell_end(std::int64_t started_ms)
+    {
+        link_->send(
+            {{"type", "limit_ended"}, {"target", "i-9"}, {"started_ms", started_ms}});
+    }
+
+  private:
+    std::vector<nlohmann::json> answers_;
+    std::shared_ptr<message_link> link_;
+};
+
+class targets_that_start_again_with_a_limit : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(targets_that_start_again_with_a_limit);
+    CPPUNIT_TEST(get_no_more_when_hosts_read_two_of_their_entries);
+    CPPUNIT_TEST(are_used_up_to_it_when_hosts_read_two_of_their_entries);
+    CPPUNIT_TEST(are_not_limited_again_by_a_host_that_reads_the_entry_before);
+    CPPUNIT_TEST(get_permits_for_the_process_that_answers);
+    CPPUNIT_TEST_SUITE_END();
+
+    static int granted(const nlohmann::json& answer)
+    {
+        return answer.at("granted").get<bool>() ? 1 : 0;
+    }
+
+  public:
+    void get_no_more_when_hosts_read_two_of_their_entries()
+    {
+        asked_issuer it;
+        int sent = 0;
+        for (int i = 0; i < 20; ++i)
+        {
+            sent += granted(it.ask(asked_issuer::older_start, 0.5, millis(0)));
+            sent += granted(it.ask(asked_issuer::newer_start, 0.5, millis(0)));
+        }
+        // one for each start, and what the limit allows meanwhile
+        CPPUNIT_ASSERT_MESSAGE(absl::StrCat(sent), sent <= 4);
+    }
+
+    void are_used_up_to_it_when_hosts_read_two_of_their_entries()
+    {
+        asked_issuer it;
+        int older = 0;
+        int newer = 0;
+        const steady_time end = it.time.steady_now() + millis(2000);
+        while (it.time.steady_now() < end)
+        {
+            // said by the process before
+            older += granted(it.ask(asked_issuer::older_start, 0.1, millis(5000)));
+            newer += granted(it.ask(asked_issuer::newer_start, 4, millis(0)));
+            it.run_for(millis(20));
+        }
+        const std::string counts = absl::StrCat(older, " and ", newer);
+        CPPUNIT_ASSERT_MESSAGE(counts, newer >= 6);
+        CPPUNIT_ASSERT_MESSAGE(counts, older + newer <= 10);
+    }
+
+    void are_not_limited_again_by_a_host_that_reads_the_entry_before()
+    {
+        asked_issuer it;
+        it.ask(asked_issuer::newer_start, 0.1, millis(0));
+        it.tell_end(asked_issuer::newer_start);
+        it.ask(asked_issuer::older_start, 0.1, millis(5000));
+        const nlohmann::json answer =
+            it.ask(asked_issuer::newer_start, 0.1, millis(5000));
+        CPPUNIT_ASSERT_MESSAGE(answer.dump(), answer.at("ended").get<bool>());
+    }
+
+    void get_permits_for_the_process_that_answers()
+    {
+        asked_issuer it;
+        entry_context context(it.loop, it.protocol, it.all_settings.front(), 1);
+        peer_network peers(it.loop,
+                           {host_id("host-1"), failure_domain_id("a"), free_endpoint()});
+        limit_controller limits(context, peers);
+        target_record record;
+        record.id = target_id("i-9");
+        record.started_ms = asked_issuer::older_start;
+        context.targets.put(record);
+        context.targets.record_start(record.id, asked_issuer::newer_start);
+        target_state& target = *context.targets.find(record.id);
+        target.rate_limit = 0.1;
+        target.limit_stated_at = it.loop.now();
+        const stalling_peer asking;
+        limits.handle_request(
+            message_link::create(
+                connection::connect(it.loop, asking.where(), millis(1000)),
+                [](const nlohmann::json&) {},
+                [](connection_end) {}),
+            {{"type", "permit?"},
+             {"number", 1},
+             {"target", "i-9"},
+             {"started_ms", asked_issuer::newer_start},
+             {"per_s", 0.1},
+             {"age_ms", 0}});
+        bool is_granted = true;
+        limits.request_permit(record.id,
+                              [&is_granted](bool answer)
+                              {
+                                  is_granted = answer;
+                              });
+        CPPUNIT_ASSERT(!is_granted);
+    }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(targets_that_state_a_limit);
+CPPUNIT_TEST_SUITE_REGISTRATION(targets_that_start_again_with_a_limit);
 
 } // namespace
