Ask all that may keep a stream where it began

Cause: "no keeper knows the stream" was read as "it began at the only version", also if the hosts that answered had never been keepers for the host that began it: this host suspects those, or they have ended, or started again under their ids. An answer of an earlier build, without "unlisted", was read as "there is no process without a known version".

Now a stream at such a process is told to the keepers by the list of live hosts and by that of the hosts that were registered in the last minute, and these are asked (six more at most, for a fleet whose hosts are all new). A stream that they do not know counts as known to them only if too few of those that come first may have ended to have been all the keepers. If it does not count, all hosts are asked, also suspected ones, since each knows the processes to which it has a connection. Only if one of them knows a process without a known version, or is of an earlier build while the store is away, does the stream wait for the store. A registration that comes again means no new process while the link to the host lives on.

Ruled out: to refuse for a minute after any host was added, lost or suspected, as all streams of a fleet that has just started would be refused; and to tell all hosts of each process, which grows with the square of the hosts.

Left: if all hosts that knew a process have ended, and no other one had a connection to it, its streams still go on at the only version.

--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/entry/peer_network.hpp
@@ -60,6 +60,20 @@
     /// @brief Returns the other registered hosts that are not suspected.
     std::vector<peer_host> live_peers() const;
 
+    /// @brief Returns this host and those that were registered within the last minute.
+    std::vector<peer_host> recent_hosts() const;
+
+    /// @brief Returns whether a host has been registered, and its process has lived, for
+    /// a minute, as far as this host knows.
+    bool is_settled(const host_id& host) const;
+
+    /// @brief Returns whether the process of a host may have ended within the last
+    /// minute, also if another one is there now.
+    bool may_have_ended(const host_id& host) const;
+
+    /// @brief Returns whether a host is suspected, and has to be connected to again.
+    bool is_cut_off(const host_id& host) const;
+
     /// @brief Leaves the duties of this host to its peers.
     void leave()
     {
@@ -124,6 +138,9 @@
     }
 
   private:
+    bool is_suspected(const host_id& host) const;
+    void record_change(const host_id& host, bool may_have_ended);
+    void forget_old_changes();
     /// the seeds without this host's own address
     std::vector<endpoint> usable_seeds() const;
     std::shared_ptr<message_link> link_to(const host_id& host, const endpoint& where);
@@ -137,6 +154,12 @@
     std::shared_ptr<listener> listener_;
     std::map<host_id, std::shared_ptr<message_link>> links_;
     std::map<host_id, steady_time> suspected_until_;
+    /// registered hosts that are no longer
+    std::map<host_id, peer_host> removed_;
+    /// when a host was last added or removed, or its process may have ended
+    std::map<host_id, steady_time> changed_at_;
+    /// when the process of a host may last have ended
+    std::map<host_id, steady_time> ended_at_;
     std::set<std::shared_ptr<message_link>> accepted_;
     message_handler on_request_;
     std::function<void(const host_id&, const nlohmann::json&)> on_answer_;
--- a/include/medlar/detail/entry/stream_origins.hpp
+++ b/include/medlar/detail/entry/stream_origins.hpp
@@ -166,13 +166,16 @@
         steady_time asked_at;
         std::vector<pool_id> pools;
         std::set<host_id> waiting_for;
+        std::set<host_id> answered;
+        /// whether it goes to all hosts, since those that may know may be lost
+        bool is_for_all = false;
         std::set<stream_origin> possible;
         /// processes without a known version at which it may have begun
         std::set<stream_origin> unlisted;
-        /// whether a keeper could not be asked
-        bool is_keeper_missing = false;
-        bool is_answered = false;
+        /// whether a host has answered that does not name such processes
+        bool is_unlisted_unsaid = false;
         bool is_named = false;
+        timer_id timeout{0};
         origin_action on_found;
     };
 
@@ -180,6 +183,8 @@
     static streams_by_origin read_streams(const nlohmann::json& message);
 
     std::vector<host_id> keepers() const;
+    /// the keepers, and those that are or were keepers by the list of another host
+    std::vector<host_id> possible_keepers() const;
     /// once a second: versions that have appeared or left, and what is too old
     void update();
     void update_versions();
@@ -198,6 +203,15 @@
     /// whether a keeper has to know of streams with this origin
     bool needs_report(const stream_origin& origin) const;
     void record_unlisted(const streams_by_origin& streams);
+    /// sends a question to hosts that were not asked yet
+    void ask(std::uint64_t number, const std::vector<host_id>& hosts);
+    /// the versions at which a stream may have begun, as far as they are known
+    std::set<stream_origin> possible_origins(const question& asked) const;
+    /// whether a host has answered that was told of each stream at a process without a
+    /// known version
+    bool is_answered_by_keeper(const question& asked) const;
+    /// whether there may be a process without a known version
+    bool may_be_unlisted(const question& asked) const;
     /// the origin of a stream that neither this host nor an answer names
     std::optional<stream_origin> only_origin(const question& asked) const;
     /// reports the streams of pools with several versions that no keeper was told of
--- a/src/entry/peer_network.cpp
+++ b/src/entry/peer_network.cpp
@@ -2,6 +2,7 @@
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace medlar
 {
@@ -16,6 +17,9 @@
 // how long a host that did not answer is not live
 constexpr millis suspicion_time{2000};
 
+// hosts may differ for so long in which hosts they know
+constexpr millis settling_time{60000};
+
 // unsent output above which a link is closed as broken
 constexpr std::size_t max_unsent_bytes = 2097152;
 
@@ -24,6 +28,7 @@
 peer_network::peer_network(event_loop& loop, peer_host self)
     : loop_(loop), self_(std::move(self))
 {
+    record_change(self_.id, false);
 }
 
 peer_network::~peer_network()
@@ -84,12 +89,101 @@
 
 bool peer_network::put(const peer_host& host)
 {
-    return host.id != self_.id && others_.insert_or_assign(host.id, host).second;
+    if (host.id == self_.id)
+    {
+        return false;
+    }
+    forget_old_changes();
+    const bool is_new = others_.insert_or_assign(host.id, host).second;
+    const bool was_known = !is_new || removed_.erase(host.id) > 0;
+    // its registration may have lapsed while it lived on: a link ends with the process
+    if (!was_known || links_.count(host.id) == 0)
+    {
+        record_change(host.id, was_known);
+    }
+    return is_new;
 }
 
 void peer_network::remove(const host_id& host)
 {
-    others_.erase(host);
+    const auto found = others_.find(host);
+    if (found != others_.end())
+    {
+        removed_[host] = found->second;
+        record_change(host, links_.count(host) == 0);
+        others_.erase(found);
+    }
+}
+
+void peer_network::record_change(const host_id& host, bool may_have_ended)
+{
+    forget_old_changes();
+    changed_at_[host] = loop_.now();
+    if (may_have_ended)
+    {
+        ended_at_[host] = loop_.now();
+    }
+}
+
+void peer_network::forget_old_changes()
+{
+    const steady_time oldest = loop_.now() - settling_time;
+    for (auto each = ended_at_.begin(); each != ended_at_.end();)
+    {
+        each = each->second < oldest ? ended_at_.erase(each) : std::next(each);
+    }
+    for (auto each = changed_at_.begin(); each != changed_at_.end();)
+    {
+        if (each->second < oldest)
+        {
+            removed_.erase(each->first);
+            each = changed_at_.erase(each);
+        }
+        else
+        {
+            ++each;
+        }
+    }
+}
+
+bool peer_network::is_suspected(const host_id& host) const
+{
+    const auto found = suspected_until_.find(host);
+    return found != suspected_until_.end() && found->second > loop_.now();
+}
+
+std::vector<peer_host> peer_network::recent_hosts() const
+{
+    std::vector<peer_host> hosts{self_};
+    for (const auto& each : others_)
+    {
+        hosts.push_back(each.second);
+    }
+    for (const auto& each : removed_)
+    {
+        if (!is_settled(each.first))
+        {
+            hosts.push_back(each.second);
+        }
+    }
+    return hosts;
+}
+
+bool peer_network::is_settled(const host_id& host) const
+{
+    const auto found = changed_at_.find(host);
+    return found == changed_at_.end() || found->second + settling_time < loop_.now();
+}
+
+bool peer_network::may_have_ended(const host_id& host) const
+{
+    const auto found = ended_at_.find(host);
+    return found != ended_at_.end() && loop_.now() <= found->second + settling_time;
+}
+
+bool peer_network::is_cut_off(const host_id& host) const
+{
+    return is_suspected(host) && links_.count(host) == 0;
 }
 
 std::vector<peer_host> peer_network::live_peers() const
@@ -97,8 +191,7 @@
     std::vector<peer_host> hosts;
     for (const auto& each : others_)
     {
-        const auto found = suspected_until_.find(each.first);
-        if (found == suspected_until_.end() || found->second <= loop_.now())
+        if (!is_suspected(each.first))
         {
             hosts.push_back(each.second);
         }
@@ -125,6 +218,7 @@
 {
     links_.erase(host);
     suspect(host);
+    record_change(host, true);
     log_event(entry_peer_lost,
               {{"host", host.get()},
                {"refused", std::int64_t{reason == connection_end::refused}}});
--- a/src/entry/stream_origins.cpp
+++ b/src/entry/stream_origins.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t min_keepers = 2;
 constexpr std::size_t hosts_per_keeper = 64;
 
+// hosts beside the keepers that may be keepers by the lists of others
+constexpr std::size_t max_more_keepers = 6;
+
 constexpr millis update_interval{1000};
 
 // a keeper writes what it got in this time in one call to the store
@@ -48,6 +51,11 @@
 // high, and the rest is in the store
 constexpr std::size_t max_streams = 65536;
 
+std::size_t keeper_count(std::size_t host_count)
+{
+    return std::min(host_count, min_keepers + host_count / hosts_per_keeper);
+}
+
 stream_key key_of(const attempt_id& attempt)
 {
     return stream_key(XXH3_64bits(attempt.get().data(), attempt.get().size()));
@@ -140,11 +148,32 @@
 {
     std::vector<host_id> ranked =
         rank_owners({pool_id(keeper_group_name), {}}, peers_.live_hosts());
-    ranked.resize(
-        std::min(ranked.size(), min_keepers + ranked.size() / hosts_per_keeper));
+    ranked.resize(keeper_count(ranked.size()));
     return ranked;
 }
 
+std::vector<host_id> stream_origins::possible_keepers() const
+{
+    const std::vector<host_id> ranked =
+        rank_owners({pool_id(keeper_group_name), {}}, peers_.recent_hosts());
+    std::vector<host_id> possible = keepers();
+    const std::size_t max_possible = possible.size() + max_more_keepers;
+    std::size_t settled = 0;
+    for (const host_id& each : ranked)
+    {
+        if (settled == keeper_count(ranked.size()) || possible.size() == max_possible)
+        {
+            break;
+        }
+        settled += peers_.is_settled(each) ? 1 : 0;
+        if (std::find(possible.begin(), possible.end(), each) == possible.end())
+        {
+            possible.push_back(each);
+        }
+    }
+    return possible;
+}
+
 bool stream_origins::is_resumable(const pool_id& pool)
 {
     if (!context_.configuration)
@@ -226,7 +255,7 @@
         // a group without streams
         const nlohmann::json message{{"type", "streams_begun"},
                                      {"groups", to_json({{origin, {}}})}};
-        for (const host_id& each : keepers())
+        for (const host_id& each : possible_keepers())
         {
             peers_.send(each, message);
         }
@@ -583,7 +612,7 @@
             continue;
         }
         // hosts may differ in who the keepers are
-        for (const host_id& each : chosen)
+        for (const host_id& each : possible_keepers())
         {
             if (each != keeper)
             {
@@ -749,33 +778,45 @@
     asked.pools = pools;
     asked.is_named = !attempt.get().empty();
     asked.on_found = std::move(on_found);
+    asked.answered.insert(peers_.self().id);
+    std::vector<host_id> chosen = possible_keepers();
+    chosen.erase(std::remove_if(chosen.begin(),
+                                chosen.end(),
+                                [this](const host_id& each)
+                                {
+                                    return peers_.is_cut_off(each);
+                                }),
+                 chosen.end());
+    ask(number, chosen);
+}
+
+void stream_origins::ask(std::uint64_t number, const std::vector<host_id>& hosts)
+{
+    question& asked = questions_.at(number);
     nlohmann::json names = nlohmann::json::array();
-    for (const pool_id& each : pools)
+    for (const pool_id& each : asked.pools)
     {
         names.push_back(each.get());
     }
-    for (const host_id& each : keepers())
+    const nlohmann::json message{{"type", "origin?"},
+                                 {"number", number},
+                                 {"stream", asked.stream.get()},
+                                 {"pools", std::move(names)}};
+    for (const host_id& each : hosts)
     {
-        if (each == peers_.self().id)
-        {
-            continue;
-        }
-        const bool is_sent = peers_.send(each,
-                                         {{"type", "origin?"},
-                                          {"number", number},
-                                          {"stream", stream.get()},
-                                          {"pools", names}});
-        if (is_sent)
+        if (asked.answered.count(each) == 0 && asked.waiting_for.count(each) == 0 &&
+            peers_.send(each, message))
         {
             asked.waiting_for.insert(each);
         }
-        asked.is_keeper_missing = asked.is_keeper_missing || !is_sent;
     }
-    context_.loop.after(asked.waiting_for.empty() ? millis(0) : answer_timeout,
-                        [this, number]
-                        {
-                            conclude(number);
-                        });
+    context_.loop.cancel(asked.timeout);
+    asked.timeout =
+        context_.loop.after(asked.waiting_for.empty() ? millis(0) : answer_timeout,
+                            [this, number]
+                            {
+                                conclude(number);
+                            });
 }
 
 void stream_origins::answer_question(const std::shared_ptr<message_link>& from,
@@ -824,13 +865,14 @@
         return true;
     }
     question& asked = found->second;
-    asked.is_answered = true;
+    asked.answered.insert(from);
     asked.waiting_for.erase(from);
     for (const nlohmann::json& each : message.at("possible"))
     {
         asked.possible.insert(read_origin(each));
     }
     // hosts of earlier builds do not send it
+    asked.is_unlisted_unsaid = asked.is_unlisted_unsaid || !message.contains("unlisted");
     for (const nlohmann::json& each : message.value("unlisted", nlohmann::json::array()))
     {
         asked.unlisted.insert(read_origin(each));
@@ -854,7 +896,21 @@
     {
         return;
     }
+    if (!recall(found->second.stream) && !found->second.is_for_all &&
+        possible_origins(found->second).size() == 1 &&
+        !is_answered_by_keeper(found->second))
+    {
+        found->second.is_for_all = true;
+        std::vector<host_id> hosts;
+        for (const peer_host& each : peers_.recent_hosts())
+        {
+            hosts.push_back(each.id);
+        }
+        ask(number, hosts);
+        return;
+    }
     const question asked = std::move(found->second);
+    context_.loop.cancel(asked.timeout);
     questions_.erase(found);
     if (const std::optional<stream_origin> known = recall(asked.stream);
         known && asked.is_named)
@@ -875,7 +931,7 @@
     find_in_store(asked);
 }
 
-std::optional<stream_origin> stream_origins::only_origin(const question& asked) const
+std::set<stream_origin> stream_origins::possible_origins(const question& asked) const
 {
     std::set<stream_origin> possible = asked.possible;
     for (const stream_origin& each :
@@ -883,24 +939,56 @@
     {
         possible.insert(each);
     }
-    // a host that reaches neither the store nor a keeper may have missed a version
-    const bool is_informed =
-        asked.is_answered || store_.is_in_contact() || peers_.registered_count() == 1;
+    return possible;
+}
+
+bool stream_origins::is_answered_by_keeper(const question& asked) const
+{
+    std::vector<host_id> ranked =
+        rank_owners({pool_id(keeper_group_name), {}}, peers_.recent_hosts());
+    const std::size_t count = keeper_count(ranked.size());
+    // hosts that may have been told and cannot tell any more
+    std::size_t missing = 0;
+    ranked.resize(std::min(ranked.size(), count + max_more_keepers));
+    for (const host_id& each : ranked)
+    {
+        const bool is_missing =
+            asked.answered.count(each) == 0 || peers_.may_have_ended(each);
+        missing += is_missing ? 1 : 0;
+        // by the lists of all hosts it comes before those that follow
+        if (!is_missing && peers_.is_settled(each))
+        {
+            break;
+        }
+    }
+    return missing < count;
+}
+
+bool stream_origins::may_be_unlisted(const question& asked) const
+{
+    // the entry of a process comes soon while the store is there
+    const bool is_unsaid = asked.is_unlisted_unsaid && !store_.is_in_contact();
+    return is_unsaid || !starts_.unlisted_in(asked.pools).empty() ||
+           std::any_of(asked.unlisted.begin(),
+                       asked.unlisted.end(),
+                       [this](const stream_origin& each)
+                       {
+                           return starts_.resolve(each) == each;
+                       });
+}
+
+std::optional<stream_origin> stream_origins::only_origin(const question& asked) const
+{
+    const std::set<stream_origin> possible = possible_origins(asked);
+    // a host that reaches neither the store nor another one may have missed a version
+    const bool is_informed = asked.answered.size() > 1 || store_.is_in_contact() ||
+                             peers_.registered_count() == 1;
     if (possible.size() != 1 || !is_informed)
     {
         return std::nullopt;
     }
-    const bool may_be_unlisted = !starts_.unlisted_in(asked.pools).empty() ||
-                                 std::any_of(asked.unlisted.begin(),
-                                             asked.unlisted.end(),
-                                             [this](const stream_origin& each)
-                                             {
-                                                 return starts_.resolve(each) == each;
-                                             });
-    // keepers know all streams that began at processes without a known version
-    const bool is_known_to_keepers =
-        asked.is_named && asked.waiting_for.empty() && !asked.is_keeper_missing;
-    return may_be_unlisted && !is_known_to_keepers
+    const bool is_known_to_keepers = asked.is_named && is_answered_by_keeper(asked);
+    return may_be_unlisted(asked) && !is_known_to_keepers
                ? std::nullopt
                : std::optional<stream_origin>(*possible.begin());
 }
@@ -1014,12 +1102,7 @@
     std::vector<std::uint64_t> answered;
     for (auto& each : questions_)
     {
-        if (each.second.waiting_for.erase(host) == 0)
-        {
-            continue;
-        }
-        each.second.is_keeper_missing = true;
-        if (each.second.waiting_for.empty())
+        if (each.second.waiting_for.erase(host) > 0 && each.second.waiting_for.empty())
         {
             answered.push_back(each.first);
         }
