Resume a stream at a process that only another host knows

Cause: a keeper said where the stream had begun, but the host that asked took the target for the process of its entry until a connection of its own had told it better, and such a stream opens none.

The answer names the process and its start, so the host now records that this process answers at the target. If that is wrong, the next connection's answer corrects it, also where it names the start of the entry.

Test: a_resumed_stream::goes_on_at_another_host_at_a_live_engine_that_is_not_ listed, which fails on the code before.

--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -284,10 +284,12 @@
         target_version_ = origins_.version_of(pool_, {target_, unknown_start_ms});
         return !origin_ && !version_of_new_stream();
     }
-    if (answer.started_ms && target_record_.started_ms != 0 &&
-        *answer.started_ms != target_record_.started_ms)
+    if (answer.started_ms && target_record_.started_ms != 0)
     {
-        target_version_ = origins_.version_of(pool_, {target_, *answer.started_ms});
+        if (*answer.started_ms != target_record_.started_ms)
+        {
+            target_version_ = origins_.version_of(pool_, {target_, *answer.started_ms});
+        }
         context_.record_target_start(target_, *answer.started_ms);
     }
     if (origin_)
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -179,6 +179,12 @@
                                        "the stream began in a pool that the route left");
                           return;
                       }
+                      if (const auto unlisted = read_unlisted_version(origin->version))
+                      {
+                          // another host knows that the entry of the target is older
+                          self->context_.record_target_start(unlisted->target,
+                                                             unlisted->started_ms);
+                      }
                       self->origin_ = origin;
                       self->pool_ = origin->pool;
                       self->begin_work();
--- a/test/entry/resumption_test.cpp
+++ b/test/entry/resumption_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(does_not_go_on_elsewhere_if_it_began_before_the_entry_of_its_engine);
     CPPUNIT_TEST(goes_on_at_its_version_once_the_entry_of_its_engine_has_come);
     CPPUNIT_TEST(goes_on_at_another_host_while_an_engine_is_not_listed);
+    CPPUNIT_TEST(goes_on_at_another_host_at_a_live_engine_that_is_not_listed);
     CPPUNIT_TEST(is_not_refused_when_an_engine_has_started_again_at_its_version);
     CPPUNIT_TEST(does_not_go_on_where_no_keeper_can_tell_where_it_began);
     CPPUNIT_TEST(does_not_go_on_at_a_newer_engine_that_took_over_an_address);
@@ -304,6 +305,19 @@
         CPPUNIT_ASSERT_EQUAL(0, it.joined);
     }
 
+    void goes_on_at_another_host_at_a_live_engine_that_is_not_listed()
+    {
+        versioned_pool it(3, {{"i-1", "v1"}});
+        it.restart_unlisted("i-1", "v2");
+        std::vector<versioned_pool::caller_stream> streams;
+        for (int i = 0; i < 6; ++i)
+        {
+            streams.push_back(it.begin_stream(0));
+        }
+        CPPUNIT_ASSERT_EQUAL(6, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
     void is_not_refused_when_an_engine_has_started_again_at_its_version()
     {
         versioned_pool it(3);
