Tie crashes, calls and their results to the process that got the call

Cause: a broken call was recorded as a crash of the start that the target's entry named when the call ended. While an entry is late, crashes of two processes had one name and counted once. Calls of a process that had ended counted as in progress at the next one, and their breaks in its health.

Each call now names its process: the start that the connection has stated, or else the latest one known. Crash reports name it; calls in progress and results count only for it. Hosts that cannot know the start (no question is asked before requests that cannot be resumed) still name that of the entry, so crash_evidence tells two processes of one start apart by time: requests that were all sent after a crash have reached the next process. A start that goes back to that of the entry makes a new state, as a later one does; else a probe of the process before would have left the target on probation for good.

--- a/include/medlar/detail/dispatch/crash_evidence.hpp
+++ b/include/medlar/detail/dispatch/crash_evidence.hpp
@@ -97,7 +97,9 @@
                               const crash_list& crashes,
                               const std::map<crash_suspect, crash_list>& others) const;
 
-    std::map<crash_key, target_crash> crashes_;
+    /// Hosts that know no later start than that of the entry give the crashes of two
+    /// processes the same one.
+    std::multimap<crash_key, target_crash> crashes_;
     std::map<crash_suspect, steady_time> harmless_at_;
 };
 
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_DISPATCH_TARGET_TABLE_HPP
 
 #include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/dispatch/process_start.hpp>
 #include <medlar/detail/entry/protocol.hpp>
 #include <medlar/detail/policy/target_health.hpp>
 
@@ -18,7 +19,7 @@
 {
     target_record record;
     target_health health;
-    /// calls of this host in progress
+    /// calls of this host in progress at the process that answers
     int in_flight = 0;
     /// no call is sent before this time, since it refused one as full
     steady_time refused_until;
@@ -64,6 +65,16 @@
     /// @brief Returns a target by id, nullptr if it is not registered.
     target_state* find(const target_id& id);
 
+    /// @brief Returns a target while a process of it is the latest one that is known,
+    /// nullptr after that.
+    target_state* find_process(const process_start& process);
+
+    /// @brief Counts a call in progress at a process.
+    void begin_call(const process_start& process);
+
+    /// @brief Counts a call in progress no longer.
+    void end_call(const process_start& process);
+
     /// @brief Returns the target at an address, nullptr if there is none.
     const target_state* find_by_address(const endpoint& where) const;
 
@@ -113,6 +124,9 @@
 /// @return Unix time in ms; 0 if it is unknown
 std::int64_t start_of(const target_state& target);
 
+/// @brief Returns the latest known process at the address of a target.
+process_start process_of(const target_state& target);
+
 /// @brief Returns whether the entry of a target is that of the process that answers at
 /// its address, as far as this host knows.
 bool is_listed(const target_state& target);
--- a/include/medlar/detail/entry/crash_controller.hpp
+++ b/include/medlar/detail/entry/crash_controller.hpp
@@ -47,8 +47,11 @@
 
     /// @brief Records that the call of a request to a target broke, which may be a crash
     /// of the target.
+    /// @param target its entry when the call was sent
+    /// @param process the process that got the call
     /// @param has_begun whether the target had begun to answer
     void record_broken_call(const target_record& target,
+                            const process_start& process,
                             const request_suspects& request,
                             steady_time sent_at,
                             bool has_begun);
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -58,9 +58,9 @@
     /// @brief Records the time from sending a request to the end of its answer.
     void record_answer_time(const pool_id& pool, millis took);
 
-    /// @brief Records the result of a call to a target; does nothing if the target is no
-    /// longer registered.
-    void record_target_call(const target_id& id, call_result result);
+    /// @brief Records the result of a call to a process of a target; does nothing if the
+    /// target is no longer registered, or has started again.
+    void record_target_call(const process_start& process, call_result result);
 
     /// @brief Records the start time that the process at a target's address has stated.
     void record_target_start(const target_id& id, std::int64_t started_ms);
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -89,6 +89,7 @@
         piece_group group;
         piece_call_id id;
         target_id target;
+        process_start process;
         endpoint where;
         std::size_t pieces = 0;
         steady_time sent_at;
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -126,6 +126,11 @@
     void on_data(absl::string_view data);
     void on_call_end(call_end how);
     void release_call();
+    /// records which process gets the current call
+    void record_process(std::int64_t started_ms);
+    /// takes back that a target is expected to get the request
+    /// @return the target, nullptr if it has started again or is gone
+    target_state* release_planned();
     void on_not_run(const answer_head& head);
     bool retry(bool has_run);
     /// runs the stages again, and sends the request again after them
@@ -190,10 +195,13 @@
     std::vector<result_handle> inputs_;
     bool has_inputs_ = false;
     bool are_results_freed_ = false;
-    target_id planned_target_;
+    /// the process that is expected to get the request once its stages are done
+    std::optional<process_start> planned_;
 
     std::shared_ptr<client_call> call_;
     target_id target_;
+    /// the process that gets the current call, as far as this host knows
+    process_start process_;
     steady_time sent_at_;
     std::vector<target_id> tried_targets_;
     attempt_limit attempts_;
--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -96,6 +96,25 @@
            is_enough_for_request(crashes, suspect);
 }
 
+/// when the first of the requests was sent that a target had received
+steady_time first_sent_at(const target_crash& crash)
+{
+    steady_time first = crash.at;
+    for (const auto& each : crash.requests)
+    {
+        first = std::min(first, each.second.sent_at);
+    }
+    return first;
+}
+
+/// whether two reports may be about one process: a request that was sent after a crash
+/// has reached the next one
+bool may_be_same(const target_crash& a, const target_crash& b)
+{
+    return first_sent_at(a) <= b.at + min_distance &&
+           first_sent_at(b) <= a.at + min_distance;
+}
+
 bool is_earlier(const target_crash* a, const target_crash* b)
 {
     return a->at < b->at;
@@ -117,9 +136,19 @@
 
 void crash_evidence::record_crash(const target_crash& crash)
 {
-    const auto [found, is_new] =
-        crashes_.try_emplace({crash.target, crash.started_ms}, crash);
-    if (!is_new)
+    const crash_key key{crash.target, crash.started_ms};
+    const auto reported = crashes_.equal_range(key);
+    const auto found = std::find_if(reported.first,
+                                    reported.second,
+                                    [&crash](const auto& each)
+                                    {
+                                        return may_be_same(each.second, crash);
+                                    });
+    if (found == reported.second)
+    {
+        crashes_.emplace(key, crash);
+    }
+    else
     {
         target_crash& known = found->second;
         known.at = std::min(known.at, crash.at);
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -97,18 +97,16 @@
     {
         return;
     }
-    if (started_ms == target->record.started_ms)
-    {
-        target->answering_start.reset();
-        return;
-    }
-    if (started_ms > start_of(*target))
+    const bool is_listed_start = started_ms == target->record.started_ms;
+    if (is_listed_start ? !is_listed(*target) : started_ms > start_of(*target))
     {
         target_state started;
         started.record = target->record;
-        started.in_flight = target->in_flight;
         started.expires_at = target->expires_at;
-        started.answering_start = started_ms;
+        if (!is_listed_start)
+        {
+            started.answering_start = started_ms;
+        }
         *target = started;
     }
 }
@@ -189,6 +187,28 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+target_state* target_table::find_process(const process_start& process)
+{
+    target_state* const target = find(process.target);
+    return target != nullptr && process_of(*target) == process ? target : nullptr;
+}
+
+void target_table::begin_call(const process_start& process)
+{
+    if (target_state* const target = find_process(process))
+    {
+        ++target->in_flight;
+    }
+}
+
+void target_table::end_call(const process_start& process)
+{
+    if (target_state* const target = find_process(process))
+    {
+        target->in_flight = std::max(0, target->in_flight - 1);
+    }
+}
+
 const target_state* target_table::find_by_address(const endpoint& where) const
 {
     const auto indexed = by_address_.find(where);
@@ -229,6 +249,11 @@
     return target.answering_start.value_or(target.record.started_ms);
 }
 
+process_start process_of(const target_state& target)
+{
+    return {target.record.id, start_of(target)};
+}
+
 bool is_listed(const target_state& target)
 {
     return !target.answering_start;
--- a/src/entry/crash_controller.cpp
+++ b/src/entry/crash_controller.cpp
@@ -147,6 +147,7 @@
 }
 
 void crash_controller::record_broken_call(const target_record& target,
+                                          const process_start& process,
                                           const request_suspects& request,
                                           steady_time sent_at,
                                           bool has_begun)
@@ -156,7 +157,7 @@
     if (is_new)
     {
         pending.crash.target = target.id;
-        pending.crash.started_ms = target.started_ms;
+        pending.crash.started_ms = process.started_ms;
         pending.crash.address = target.address;
         pending.crash.at = context_.loop.now();
         pending.pool = target.pool;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -184,9 +184,9 @@
     }
 }
 
-void entry_context::record_target_call(const target_id& id, call_result result)
+void entry_context::record_target_call(const process_start& process, call_result result)
 {
-    target_state* const target = targets.find(id);
+    target_state* const target = targets.find_process(process);
     if (target == nullptr)
     {
         return;
@@ -197,7 +197,7 @@
     {
         log_event(
             entry_target_ejected,
-            {{"target", id.get()},
+            {{"target", process.target.get()},
              {"pool", target->record.pool.get()},
              {"failures_in_a_row", std::int64_t{target->health.consecutive_failures}},
              {"until_ms", (target->health.probe_due - loop.now()).count()}});
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -187,6 +187,10 @@
     sent->group = group;
     sent->id = call.id;
     sent->target = call.target.id;
+    if (target != nullptr)
+    {
+        sent->process = process_of(*target);
+    }
     sent->where = call.target.where;
     sent->pieces = call.items.size();
     sent->sent_at = context_.loop.now();
@@ -248,7 +252,7 @@
             }
             groups_.at(current->group)
                 ->queue.handle_overdue(current->id, context_.loop.now());
-            context_.record_target_call(current->target, call_result::timed_out);
+            context_.record_target_call(current->process, call_result::timed_out);
             schedule_pump(current->group);
         });
     call->give_up_timer =
@@ -330,7 +334,7 @@
                     return !each.handle && each.failure == piece_failure::failed;
                 });
             context_.record_target_call(
-                call->target, all_failed ? call_result::failed : call_result::succeeded);
+                call->process, all_failed ? call_result::failed : call_result::succeeded);
             log_answer(*call, *results, state.queue);
             deliver(state, state.queue.handle_results(call->id, *results, now));
             schedule_pump(call->group);
@@ -349,7 +353,7 @@
                {"pieces", static_cast<std::int64_t>(call->pieces)}});
     if (!full)
     {
-        context_.record_target_call(call->target, call_result::failed);
+        context_.record_target_call(call->process, call_result::failed);
     }
     const target_state* const target = context_.targets.find(call->target);
     if (full && target != nullptr && target->refusal_limit)
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -74,12 +74,7 @@
         refuse_for_shutdown();
         return;
     }
-    target_state* target = context_.targets.find(planned_target_);
-    if (target != nullptr)
-    {
-        --target->in_flight;
-    }
-    planned_target_ = target_id();
+    target_state* target = release_planned();
     const bool planned_is_usable =
         target != nullptr && takes_work(*target) && target->record.pool == pool_ &&
         may_run_at(*target) && may_call(*target, context_.loop.now()) &&
@@ -162,10 +157,11 @@
 void request_run::send_to(target_state& target)
 {
     target_ = target.record.id;
+    process_ = process_of(target);
     target_record_ = target.record;
     target_version_ = origins_.version_of(target);
     tried_targets_.push_back(target_);
-    ++target.in_flight;
+    context_.targets.begin_call(process_);
     call_additions additions;
     additions.remaining = remaining_time();
     additions.expected_target = target_;
@@ -291,6 +287,7 @@
             target_version_ = origins_.version_of(pool_, {target_, *answer.started_ms});
         }
         context_.record_target_start(target_, *answer.started_ms);
+        record_process(*answer.started_ms);
     }
     if (origin_)
     {
@@ -300,13 +297,35 @@
     return !version || *version == target_version_;
 }
 
-void request_run::release_call()
+void request_run::record_process(std::int64_t started_ms)
 {
-    if (target_state* const target = context_.targets.find(target_))
+    const process_start answering{target_, started_ms};
+    // an earlier start than that of the entry cannot be told from a clock set back
+    if (context_.targets.find_process(answering) != nullptr)
     {
-        target->in_flight = std::max(0, target->in_flight - 1);
+        context_.targets.end_call(process_);
+        process_ = answering;
+        context_.targets.begin_call(process_);
     }
+}
+
+target_state* request_run::release_planned()
+{
+    if (!planned_)
+    {
+        return nullptr;
+    }
+    const process_start planned = *planned_;
+    planned_.reset();
+    context_.targets.end_call(planned);
+    return context_.targets.find_process(planned);
+}
+
+void request_run::release_call()
+{
+    context_.targets.end_call(process_);
     target_ = target_id();
+    process_ = process_start();
     call_ = nullptr;
 }
 
@@ -329,7 +348,7 @@
     const bool failed = head.status >= 500;
     if (unusable || (failed && route_.may_retry()))
     {
-        context_.record_target_call(target_, call_result::failed);
+        context_.record_target_call(process_, call_result::failed);
         log_event(entry_call_failed,
                   {{"attempt", fields_.attempt.get()},
                    {"target", target_.get()},
@@ -362,7 +381,7 @@
     {
         context_.record_refusal(target_);
     }
-    context_.record_target_call(target_, call_result::refused);
+    context_.record_target_call(process_, call_result::refused);
     call_->cancel();
     release_call();
     if (head.status == status_conflict && pipeline_ && repeat_stages())
@@ -484,7 +503,7 @@
     {
         const bool has_failed = head_->status >= 500;
         context_.record_target_call(
-            target_, has_failed ? call_result::failed : call_result::succeeded);
+            process_, has_failed ? call_result::failed : call_result::succeeded);
         if (!has_failed)
         {
             crashes_.record_answered(suspects_);
@@ -503,10 +522,11 @@
     const target_state* const state = context_.targets.find(target_);
     if (may_have_crashed && state != nullptr)
     {
-        crashes_.record_broken_call(state->record, suspects_, sent_at_, has_call_begun_);
+        crashes_.record_broken_call(
+            target_record_, process_, suspects_, sent_at_, has_call_begun_);
     }
     context_.record_target_call(
-        target_, not_sent ? call_result::unreachable : call_result::broken);
+        process_, not_sent ? call_result::unreachable : call_result::broken);
     release_call();
     log_event(entry_call_failed,
               {{"attempt", fields_.attempt.get()},
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -342,12 +342,12 @@
 
 void request_run::run_stages()
 {
-    if (const target_state* planned = choose_target())
+    const target_state* const planned = choose_target();
+    if (planned != nullptr)
     {
-        planned_target_ = planned->record.id;
-        ++context_.targets.find(planned_target_)->in_flight;
+        planned_ = process_of(*planned);
+        context_.targets.begin_call(*planned_);
     }
-    const target_state* const planned = context_.targets.find(planned_target_);
     pipeline_request request;
     request.attempt = fields_.attempt;
     request.piece_key = fields_.piece_key;
@@ -490,10 +490,7 @@
     }
     ended_ = true;
     context_.loop.cancel(timer_);
-    if (target_state* const planned = context_.targets.find(planned_target_))
-    {
-        --planned->in_flight;
-    }
+    release_planned();
     if (pipeline_)
     {
         pipeline_->stop();
--- a/test/decisions/dispatch/crash_evidence_test.cpp
+++ b/test/decisions/dispatch/crash_evidence_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST_SUITE(crashes_of_targets);
     CPPUNIT_TEST(accuse_the_part_that_all_have_in_common);
     CPPUNIT_TEST(accuse_nothing_while_there_are_two);
+    CPPUNIT_TEST(count_for_each_process_of_a_target_whose_entry_comes_late);
     CPPUNIT_TEST(accuse_the_first_part_whatever_follows_it);
     CPPUNIT_TEST(accuse_the_more_specific_of_parts_that_come_together);
     CPPUNIT_TEST(accuse_two_parts_at_once);
@@ -130,6 +131,26 @@
         CPPUNIT_ASSERT(seen.culprits() == parts({"bad"}));
     }
 
+    void count_for_each_process_of_a_target_whose_entry_comes_late()
+    {
+        crash_evidence evidence;
+        const crash_suspect request = request_named("x");
+        for (const std::int64_t ms : {1000, 4000, 7000})
+        {
+            target_crash crash;
+            crash.target = target_id(ms == 4000 ? "i-2" : "i-1");
+            crash.address = {crash.target.get(), 80};
+            crash.started_ms = 5;
+            crash.at = at_ms(ms);
+            crash.requests[request].sent_at = at_ms(ms - 20);
+            evidence.record_crash(crash);
+            // as another host has seen it
+            crash.at = at_ms(ms + 30);
+            evidence.record_crash(crash);
+        }
+        CPPUNIT_ASSERT(evidence.culprits() == part_set{request});
+    }
+
     void accuse_nothing_while_there_are_two()
     {
         crashes seen;
--- a/test/decisions/dispatch/target_table_test.cpp
+++ b/test/decisions/dispatch/target_table_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(remembers_a_leaving_target_whose_entry_lapsed);
     CPPUNIT_TEST(knows_that_an_entry_is_older_than_the_process);
     CPPUNIT_TEST(ties_what_a_process_has_said_to_that_process);
+    CPPUNIT_TEST(counts_no_call_of_the_process_before);
     CPPUNIT_TEST(gives_a_paused_target_no_work_until_its_pause_ends);
     CPPUNIT_TEST(cuts_an_absurd_pause);
     CPPUNIT_TEST(knows_when_the_first_target_of_a_pool_is_back);
@@ -107,6 +108,15 @@
         CPPUNIT_ASSERT(!may_call(*table_.find(id), now_ + millis(59999)));
     }
 
+    void counts_no_call_of_the_process_before()
+    {
+        const target_id id("a");
+        table_.put(record("a", 5));
+        table_.find(id)->in_flight = 3;
+        table_.record_start(id, 6);
+        CPPUNIT_ASSERT_EQUAL(0, table_.find(id)->in_flight);
+    }
+
     void gives_a_paused_target_no_work_until_its_pause_ends()
     {
         table_.put(record("a"));
