Log how an answer was framed and how its connection ended

An on-call engineer could not tell a stream that was cut between two events from a sound one: no line said whether the end of the connection had ended the answer, nor how the connection had ended.

entry_request_ended names the framing of the last answer and the last event, entry_call_failed the framing of what came and the end of the connection.

No decision changes.

--- a/include/medlar/detail/http/head.hpp
+++ b/include/medlar/detail/http/head.hpp
@@ -63,6 +63,9 @@
     until_close,
 };
 
+/// @brief Returns the name of a kind in logs, such as "until_close".
+absl::string_view to_string(body_kind kind);
+
 /// @brief Framing of a message body.
 struct body_framing
 {
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -23,6 +23,9 @@
     refused, ///< like connect_failed: the peer's host runs, but nothing listens there
 };
 
+/// @brief Returns the name of a reason in logs, such as "reset".
+absl::string_view to_string(connection_end reason);
+
 /// @brief Receives the events of one connection.
 class connection_handler
 {
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -77,6 +77,8 @@
     /// maximum idle time of a persistent connection that this call may reuse
     millis max_idle{3600000};
     millis connect_timeout{1000};
+    /// opens a new connection, also if there is an idle one
+    bool needs_new_connection = false;
     /// asked on a connection before the first call with a question is sent on it; a call
     /// without one is sent at once. Null asks nothing
     std::shared_ptr<const start_question> question;
@@ -104,6 +106,20 @@
     /// @brief Returns whether any byte of the request may have been sent.
     bool has_sent() const;
 
+    /// @brief Returns when the process that got the request has started, as it has
+    /// answered to the question of the call.
+    /// @return Unix time in ms; unset if it was not asked, or states none
+    std::optional<std::int64_t> process_start() const
+    {
+        return process_start_;
+    }
+
+    /// @brief Returns how the connection ended during the call; unset if it did not.
+    std::optional<connection_end> ended_by() const
+    {
+        return ended_by_;
+    }
+
   private:
     friend class pooled_connection;
     friend class http_client;
@@ -111,6 +127,8 @@
     call_callbacks callbacks_;
     call_options options_;
     pooled_connection* connection_ = nullptr;
+    std::optional<std::int64_t> process_start_;
+    std::optional<connection_end> ended_by_;
 };
 
 /// @brief HTTP/1.1 client with a pool of persistent connections for each endpoint.
@@ -134,6 +152,10 @@
     /// @brief Closes the idle connections to @p where.
     void close_idle(const endpoint& where);
 
+    /// @brief Returns whether a connection to @p where that was established by @p when is
+    /// still open.
+    bool has_connection_since(const endpoint& where, steady_time when) const;
+
     /// @brief Returns the number of connections opened so far.
     std::uint64_t opened_connections() const
     {
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -44,9 +44,11 @@
         return expires_;
     }
 
-    void on_connected() override
-    {
-    }
+    /// @brief Returns whether the connection was established by @p when, and has not
+    /// ended.
+    bool is_established_since(steady_time when) const;
+
+    void on_connected() override;
 
     void on_input() override;
     void on_end(connection_end reason) override;
@@ -92,6 +94,7 @@
     /// what the process has answered; unset before
     std::optional<start_answer> start_;
     std::string decoded_;
+    std::optional<steady_time> established_at_;
     steady_time idle_since_;
     steady_time expires_;
     millis keep_alive_;
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -152,15 +152,16 @@
     const int status = head_->status;
     if (!exchange_->has_begun())
     {
-        if (is_stream() || head_->framing.kind == body_kind::until_close ||
+        body_framing framing = head_->framing;
+        if (is_stream() || framing.kind == body_kind::until_close ||
             buffered_body_.size() <= max_buffered_body_bytes)
         {
-            head_->framing = {body_kind::length, buffered_body_.size()};
+            framing = {body_kind::length, buffered_body_.size()};
         }
         header_list headers = head_->headers;
         remove_hop_by_hop(headers);
         headers.remove("content-length");
-        exchange_->begin(status, head_->reason_phrase, headers, head_->framing);
+        exchange_->begin(status, head_->reason_phrase, headers, framing);
         if (exchange_->head().method != "HEAD")
         {
             exchange_->write(buffered_body_);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -497,6 +497,10 @@
     }
     const std::string target = target_.get();
     const bool has_answer = head_.has_value();
+    const absl::string_view framing = has_answer ? to_string(head_->framing.kind) : "";
+    const std::optional<connection_end> ended_by =
+        call_ ? call_->ended_by() : std::nullopt;
+    const absl::string_view connection = ended_by ? to_string(*ended_by) : "";
     const bool is_complete =
         how == call_end::complete && has_answer && !is_part_of_stream();
     if (is_complete)
@@ -531,6 +535,8 @@
               {{"attempt", fields_.attempt.get()},
                {"target", target},
                {"end", to_string(how)},
+               {"framing", framing},
+               {"connection", connection},
                {"after_event", last_event_id_.value_or(-1)}});
     if (not_sent)
     {
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -515,6 +515,8 @@
                {"outcome", outcome},
                {"status", std::int64_t{status}},
                {"sends", std::int64_t{attempts_.sends()}},
+               {"framing", head_ ? to_string(head_->framing.kind) : ""},
+               {"after_event", last_event_id_.value_or(-1)},
                {"took_ms", took.count()},
                {"aim_ms", route_.soft_timeout.count()}});
     context_.metrics->add("medlar_requests_total", {{"status", absl::StrCat(status)}});
--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -35,6 +35,22 @@
 
 } // namespace
 
+absl::string_view to_string(body_kind kind)
+{
+    switch (kind)
+    {
+        case body_kind::none:
+            return "none";
+        case body_kind::length:
+            return "length";
+        case body_kind::chunked:
+            return "chunked";
+        case body_kind::until_close:
+            return "until_close";
+    }
+    return "unknown";
+}
+
 void header_list::add(std::string name, std::string value)
 {
     fields_.push_back({std::move(name), std::move(value)});
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -58,6 +58,22 @@
 
 } // namespace
 
+absl::string_view to_string(connection_end reason)
+{
+    switch (reason)
+    {
+        case connection_end::closed:
+            return "closed";
+        case connection_end::reset:
+            return "reset";
+        case connection_end::connect_failed:
+            return "connect_failed";
+        case connection_end::refused:
+            return "refused";
+    }
+    return "unknown";
+}
+
 connection::connection(event_loop& loop,
                        const Poco::Net::StreamSocket& socket,
                        state initial)
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -105,7 +105,8 @@
          each != connections.idle.rend() && !chosen;
          ++each)
     {
-        if ((*each)->is_usable(loop_.now(), options.max_idle))
+        if (!options.needs_new_connection &&
+            (*each)->is_usable(loop_.now(), options.max_idle))
         {
             chosen = *each;
         }
@@ -139,6 +140,22 @@
     found->second.idle.clear();
 }
 
+bool http_client::has_connection_since(const endpoint& where, steady_time when) const
+{
+    const auto found = pools_.find(where);
+    if (found == pools_.end())
+    {
+        return false;
+    }
+    const auto is_older = [when](const std::shared_ptr<pooled_connection>& each)
+    {
+        return each->is_established_since(when);
+    };
+    const pool& connections = found->second;
+    return std::any_of(connections.idle.begin(), connections.idle.end(), is_older) ||
+           std::any_of(connections.busy.begin(), connections.busy.end(), is_older);
+}
+
 void http_client::release(const std::shared_ptr<pooled_connection>& which, bool reusable)
 {
     pool& connections = pools_[which->where()];
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -55,6 +55,7 @@
 
 void pooled_connection::open(millis connect_timeout)
 {
+    established_at_.reset();
     stream_ = connection::connect(client_.loop_, where_, connect_timeout);
     stream_->set_handler(this);
 }
@@ -146,6 +147,7 @@
 {
     // the callbacks may cancel the call
     const std::shared_ptr<client_call> call = call_;
+    call->process_start_ = start_->started_ms;
     const bool is_accepted =
         !call->callbacks_.accepts_start || call->callbacks_.accepts_start(*start_);
     if (call_ != call)
@@ -195,6 +197,17 @@
            !stream_->has_unread_event();
 }
 
+bool pooled_connection::is_established_since(steady_time when) const
+{
+    return established_at_ && *established_at_ <= when && stream_->is_established() &&
+           !stream_->has_unread_event();
+}
+
+void pooled_connection::on_connected()
+{
+    established_at_ = client_.loop_.now();
+}
+
 void pooled_connection::on_input()
 {
     const std::shared_ptr<pooled_connection> self = shared_from_this();
@@ -369,6 +382,7 @@
         client_.release(self, false);
         return;
     }
+    call_->ended_by_ = reason;
     if (reason == connection_end::connect_failed || reason == connection_end::refused)
     {
         fail(call_end::not_sent);
