Add failing tests of answers whose target ends before them

An answer with neither a length nor chunks ends with its connection. When the process of its target ends, the kernel ends that connection in the same way, and the host passes the part on as whole.

Five tests of an_answer_that_ends_with_its_connection fail on this code: streams that may not go on, that could go on at another target, whose target has started again, and plain answers that may and may not be repeated. The five others say what must stay: sound answers of targets that live, are silent, reset new connections, state no start, or finish their answers before they leave.

--- /dev/null
+++ b/test/entry/ended_process_test.cpp
@@ -0,0 +1,301 @@
+#include "support/entry/mortal_target.hpp"
+
+#include <absl/strings/numbers.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+using namespace medlar::test;
+
+using session = mortal_target::session;
+
+constexpr int event_count = 6;
+constexpr int events_before_end = 3;
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int i = first; i <= last; ++i)
+    {
+        absl::StrAppend(&text, "id: ", i, "\ndata: x\n\n");
+    }
+    return text;
+}
+
+/// one host in front of two targets that answer up to the middle, and wait
+class mortal_targets : public entry_fixture
+{
+  public:
+    mortal_targets()
+    {
+        for (const std::string id : {"i-1", "i-2"})
+        {
+            targets.push_back(std::make_unique<mortal_target>(
+                loop,
+                id,
+                "plain",
+                [this](session& from, const request_head& head)
+                {
+                    answer(from, head);
+                }));
+            store.put(targets.back()->key(), targets.back()->entry());
+        }
+        nlohmann::json unresumable = route_json("/u/", "stream", "plain");
+        unresumable["resumable"] = false;
+        store.put("op/config",
+                  configuration_json(3,
+                                     {route_json("/s/", "stream", "plain"),
+                                      unresumable,
+                                      route_json("/i/", "idempotent", "plain"),
+                                      route_json("/n/", "non_idempotent", "plain")}));
+        host_settings = settings("host-1");
+        host = start(host_settings);
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return is_ready(host_settings);
+            }));
+    }
+
+    /// Begins a request, and waits until a target has answered up to the middle.
+    std::shared_ptr<received_answer> begin_request(const std::string& path)
+    {
+        const std::size_t before = waiting.size();
+        const auto got =
+            begin(host_settings.caller_endpoint,
+                  request_text("POST", path, "id-" + std::to_string(++requests_), "b"));
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return waiting.size() > before;
+            }));
+        // time for what was written to reach the host
+        run_for(millis(20));
+        return got;
+    }
+
+    mortal_target& running_target()
+    {
+        return *waiting.back().target;
+    }
+
+    void finish_answer()
+    {
+        waiting.back().from->write(events(events_before_end + 1, event_count));
+        waiting.back().from->finish();
+    }
+
+    void expect_ended(const std::shared_ptr<received_answer>& got)
+    {
+        CPPUNIT_ASSERT(until(
+            [&]
+            {
+                return got->ended;
+            }));
+    }
+
+    void expect_whole(const std::shared_ptr<received_answer>& got)
+    {
+        expect_ended(got);
+        CPPUNIT_ASSERT_EQUAL(status_ok, got->status);
+        CPPUNIT_ASSERT_EQUAL(events(1, event_count), got->body);
+        CPPUNIT_ASSERT_EQUAL(std::string(to_string(call_end::complete)),
+                             std::string(to_string(got->end)));
+    }
+
+    void expect_visibly_cut(const std::shared_ptr<received_answer>& got)
+    {
+        expect_ended(got);
+        CPPUNIT_ASSERT_EQUAL(status_ok, got->status);
+        CPPUNIT_ASSERT_EQUAL(events(1, events_before_end), got->body);
+        CPPUNIT_ASSERT(got->end != call_end::complete);
+    }
+
+    struct waiting_answer
+    {
+        mortal_target* target;
+        session* from;
+    };
+
+    std::vector<std::unique_ptr<mortal_target>> targets;
+    std::vector<waiting_answer> waiting;
+    entry_settings host_settings;
+    std::shared_ptr<running_host> host;
+
+  private:
+    void answer(session& from, const request_head& head)
+    {
+        int last = 0;
+        const bool goes_on = absl::SimpleAtoi(head.headers.get("Last-Event-Id"), &last);
+        const bool is_repeated = !goes_on && head.target == repeated_path_;
+        from.begin_answer(head.headers.get("Attempt-Id"));
+        if (goes_on || is_repeated)
+        {
+            from.write(events(last + 1, event_count));
+            from.finish();
+            return;
+        }
+        repeated_path_ = head.target == "/i/x" ? head.target : "";
+        from.write(events(1, events_before_end));
+        const std::string key =
+            absl::StrCat("servers/", head.headers.get("Expect-Instance"));
+        const auto target = std::find_if(targets.begin(),
+                                         targets.end(),
+                                         [&](const auto& each)
+                                         {
+                                             return each->key() == key;
+                                         });
+        waiting.push_back({target->get(), &from});
+    }
+
+    int requests_ = 0;
+    /// a repeated request is answered at once
+    std::string repeated_path_;
+};
+
+class an_answer_that_ends_with_its_connection : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(an_answer_that_ends_with_its_connection);
+    CPPUNIT_TEST(is_not_whole_when_the_process_of_its_target_has_ended);
+    CPPUNIT_TEST(is_not_whole_when_the_next_process_answers_at_the_address);
+    CPPUNIT_TEST(goes_on_at_another_target_when_the_process_has_ended);
+    CPPUNIT_TEST(is_no_plain_answer_when_the_process_has_ended);
+    CPPUNIT_TEST(is_repeated_when_the_process_has_ended_and_it_may_be);
+    CPPUNIT_TEST(is_whole_when_the_process_lives);
+    CPPUNIT_TEST(is_whole_when_the_process_is_silent);
+    CPPUNIT_TEST(is_whole_when_the_process_resets_new_connections);
+    CPPUNIT_TEST(is_whole_when_the_process_states_no_start);
+    CPPUNIT_TEST(is_whole_when_the_process_finishes_its_answers_before_it_leaves);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    // guards against ORDER of issue 41: a stream that ends as complete before its last
+    void is_not_whole_when_the_process_of_its_target_has_ended()
+    {
+        mortal_targets it;
+        const auto got = it.begin_request("/u/x");
+        it.running_target().end_process();
+        it.expect_visibly_cut(got);
+    }
+
+    void is_not_whole_when_the_next_process_answers_at_the_address()
+    {
+        mortal_targets it;
+        const auto got = it.begin_request("/s/x");
+        // neither of them may go on with the stream
+        for (const auto& each : it.targets)
+        {
+            each->restart();
+        }
+        it.expect_visibly_cut(got);
+    }
+
+    void goes_on_at_another_target_when_the_process_has_ended()
+    {
+        mortal_targets it;
+        const auto got = it.begin_request("/s/x");
+        it.running_target().end_process();
+        it.expect_whole(got);
+    }
+
+    void is_no_plain_answer_when_the_process_has_ended()
+    {
+        mortal_targets it;
+        const auto got = it.begin_request("/n/x");
+        it.running_target().end_process();
+        it.expect_ended(got);
+        CPPUNIT_ASSERT_EQUAL(status_bad_gateway, got->status);
+    }
+
+    void is_repeated_when_the_process_has_ended_and_it_may_be()
+    {
+        mortal_targets it;
+        const auto got = it.begin_request("/i/x");
+        it.running_target().end_process();
+        it.expect_whole(got);
+    }
+
+    void is_whole_when_the_process_lives()
+    {
+        for (const std::string path : {"/s/x", "/u/x", "/n/x"})
+        {
+            mortal_targets it;
+            const auto got = it.begin_request(path);
+            it.finish_answer();
+            it.expect_whole(got);
+        }
+    }
+
+    void is_whole_when_the_process_is_silent()
+    {
+        mortal_targets it;
+        const auto got = it.begin_request("/u/x");
+        it.running_target().report_handler = [](session&, const request_head&) {};
+        it.finish_answer();
+        it.expect_whole(got);
+    }
+
+    void is_whole_when_the_process_resets_new_connections()
+    {
+        mortal_targets it;
+        const auto got = it.begin_request("/u/x");
+        it.running_target().report_handler = [](session& from, const request_head&)
+        {
+            from.reset();
+        };
+        it.finish_answer();
+        it.expect_whole(got);
+    }
+
+    void is_whole_when_the_process_states_no_start()
+    {
+        for (const std::string status : {"200 OK", "404 Not Found", "503 Full"})
+        {
+            mortal_targets it;
+            const auto got = it.begin_request("/s/x");
+            it.running_target().report_handler = [=](session& from, const request_head&)
+            {
+                from.write(
+                    absl::StrCat("HTTP/1.1 ", status, "\r\nContent-Length: 2\r\n\r\n{}"));
+            };
+            it.finish_answer();
+            it.expect_whole(got);
+        }
+    }
+
+    void is_whole_when_the_process_finishes_its_answers_before_it_leaves()
+    {
+        mortal_targets it;
+        std::vector<std::shared_ptr<received_answer>> all;
+        for (int i = 0; i < 4; ++i)
+        {
+            all.push_back(it.begin_request("/u/x"));
+        }
+        for (const auto& each : it.targets)
+        {
+            each->stop_listening();
+        }
+        // the last answers of each target end with its process
+        std::map<mortal_target*, int> left;
+        for (const auto& each : it.waiting)
+        {
+            ++left[each.target];
+        }
+        for (std::size_t i = 0; i < all.size(); ++i)
+        {
+            const auto& each = it.waiting[i];
+            if (--left[each.target] > 0)
+            {
+                each.from->write(events(events_before_end + 1, event_count));
+                each.from->finish();
+                it.expect_whole(all[i]);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(an_answer_that_ends_with_its_connection);
+
+} // namespace
--- /dev/null
+++ b/test/support/entry/mortal_target.hpp
@@ -0,0 +1,212 @@
+#ifndef MEDLAR_TEST_SUPPORT_ENTRY_MORTAL_TARGET_HPP
+#define MEDLAR_TEST_SUPPORT_ENTRY_MORTAL_TARGET_HPP
+
+#include "support/entry/entry_fixture.hpp"
+
+#include <medlar/detail/http/head_parser.hpp>
+#include <medlar/detail/loop/listener.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace medlar::test
+{
+
+/// @brief A target whose answers have neither a length nor chunks, and whose process can
+/// end: its listener and all its connections end at once, as a kernel ends them.
+class mortal_target
+{
+  public:
+    /// One connection to the target
+    class session : public connection_handler
+    {
+      public:
+        session(mortal_target& target, std::shared_ptr<connection> stream)
+            : target_(target), stream_(std::move(stream))
+        {
+            stream_->set_handler(this);
+        }
+
+        void write(absl::string_view text)
+        {
+            stream_->send(text);
+        }
+
+        /// Begins an answer that ends with the connection.
+        void begin_answer(absl::string_view attempt)
+        {
+            write(
+                absl::StrCat("HTTP/1.1 200 OK\r\nAttempt-Id: ",
+                             attempt,
+                             "\r\nResponse-Signature: s.1\r\nConnection: close\r\n\r\n"));
+        }
+
+        /// Ends the connection regularly.
+        void finish()
+        {
+            stream_->close_after_output();
+        }
+
+        /// Ends the connection as that of a process that ends.
+        void end()
+        {
+            stream_->set_handler(nullptr);
+            stream_->close();
+        }
+
+        void reset()
+        {
+            stream_->set_handler(nullptr);
+            stream_->reset();
+        }
+
+        void on_input() override
+        {
+            head_result<request_head> parsed =
+                parse_request_head(stream_->input(), max_head_bytes);
+            const auto* head = std::get_if<parsed_head<request_head>>(&parsed);
+            if (head == nullptr ||
+                stream_->input().size() < head->consumed + head->head.framing.length)
+            {
+                return;
+            }
+            const request_head received = head->head;
+            stream_->consume(head->consumed + received.framing.length);
+            target_.serve(*this, received);
+        }
+
+        void on_end(connection_end) override
+        {
+            stream_->set_handler(nullptr);
+            target_.sessions_.erase(this);
+        }
+
+      private:
+        static constexpr std::size_t max_head_bytes = 65536;
+
+        mortal_target& target_;
+        std::shared_ptr<connection> stream_;
+    };
+
+    using behaviour = std::function<void(session&, const request_head&)>;
+
+    mortal_target(event_loop& loop, std::string id, std::string pool, behaviour handler)
+        : loop_(loop),
+          id_(std::move(id)),
+          pool_(std::move(pool)),
+          handler_(std::move(handler)),
+          where_(free_endpoint())
+    {
+        start();
+    }
+
+    ~mortal_target()
+    {
+        end_process();
+    }
+
+    mortal_target(const mortal_target&) = delete;
+    mortal_target& operator=(const mortal_target&) = delete;
+
+    std::string key() const
+    {
+        return "servers/" + id_;
+    }
+
+    std::string entry() const
+    {
+        return nlohmann::json({{"service", pool_},
+                               {"address", to_string(where_)},
+                               {"zone", "a"},
+                               {"version", "v1"},
+                               {"slots", 6},
+                               {"state", "ready"},
+                               {"sequence", 1},
+                               {"born", started_ms}})
+            .dump();
+    }
+
+    void start()
+    {
+        auto opened = listener::open(
+            loop_,
+            where_,
+            [this](std::shared_ptr<connection> accepted)
+            {
+                auto added = std::make_shared<session>(*this, std::move(accepted));
+                sessions_[added.get()] = added;
+            },
+            [](const std::string&) {});
+        CPPUNIT_ASSERT_MESSAGE(opened.status().ToString(), opened.ok());
+        listener_ = *std::move(opened);
+    }
+
+    void stop_listening()
+    {
+        if (listener_)
+        {
+            listener_->close();
+            listener_ = nullptr;
+        }
+    }
+
+    void end_process()
+    {
+        stop_listening();
+        for (const auto& each : std::exchange(sessions_, {}))
+        {
+            each.second->end();
+        }
+    }
+
+    /// Ends the process, and starts the next one at its address.
+    void restart()
+    {
+        end_process();
+        ++started_ms;
+        start();
+    }
+
+    std::int64_t started_ms = 5;
+    std::vector<request_head> requests;
+    /// what is done with a question for its report; may be empty
+    behaviour report_handler;
+    int reports = 0;
+
+  private:
+    void serve(session& from, const request_head& head)
+    {
+        if (head.path() != platform::report_path)
+        {
+            requests.push_back(head);
+            handler_(from, head);
+            return;
+        }
+        ++reports;
+        if (report_handler)
+        {
+            report_handler(from, head);
+            return;
+        }
+        const std::string report = nlohmann::json({{"born", started_ms}}).dump();
+        from.write(absl::StrCat(
+            "HTTP/1.1 200 OK\r\nContent-Length: ", report.size(), "\r\n\r\n", report));
+    }
+
+    event_loop& loop_;
+    std::string id_;
+    std::string pool_;
+    behaviour handler_;
+    endpoint where_;
+    std::shared_ptr<listener> listener_;
+    std::map<session*, std::shared_ptr<session>> sessions_;
+};
+
+} // namespace medlar::test
+
+#endif // MEDLAR_TEST_SUPPORT_ENTRY_MORTAL_TARGET_HPP
