Ask the target once more before an answer that ends with its connection counts as whole

Cause: an answer with neither a length nor chunks ends with its connection, and a process that ends has all its connections ended by the kernel in the same regular way. The host read that as the end of the answer.

The end of such an answer now waits until the target was asked again. A question that is sent after the end is answered only by a process that outlived it; refused, or answered by a process with another start, it shows that the answer was cut. It then counts as broken off: it goes on elsewhere, is repeated, or ends visibly broken. end_check decides from what came of the questions, and is tested without a network.

Conclusion: the fault is mended where the target can be asked.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/dispatch/request_key.hpp>
 #include <medlar/detail/dispatch/target_choice.hpp>
 #include <medlar/detail/entry/crash_controller.hpp>
+#include <medlar/detail/entry/end_inquiry.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/limit_controller.hpp>
 #include <medlar/detail/entry/path_controller.hpp>
@@ -129,6 +130,11 @@
     void name_target(header_list& headers) const;
     void on_data(absl::string_view data);
     void on_call_end(call_end how);
+    /// asks the target whether an answer that has ended with its connection is whole
+    void check_end();
+    void on_end_checked(const end_finding& found);
+    void on_whole_answer();
+    void on_call_failed(call_end how);
     void release_call();
     void on_not_run(const answer_head& head);
     bool retry(bool has_run);
@@ -197,6 +203,8 @@
     target_id planned_target_;
 
     std::shared_ptr<client_call> call_;
+    /// set while it is not known whether the answer of the call is whole
+    std::unique_ptr<end_inquiry> end_inquiry_;
     target_id target_;
     steady_time sent_at_;
     std::vector<target_id> tried_targets_;
--- /dev/null
+++ b/src/dispatch/end_check.cpp
@@ -0,0 +1,105 @@
+#include <medlar/detail/dispatch/end_check.hpp>
+
+namespace medlar
+{
+
+namespace
+{
+
+// The connections of a process and its listener end one after the other within some ms;
+// one packet that is lost on the way is sent again in a few hundred.
+constexpr millis settle_time{100};
+
+// a target that does not accept connections any more, but keeps those that it has, is
+// about to leave and finishes its answers
+constexpr int max_refusals = 3;
+
+// one packet of a handshake may be lost
+constexpr int max_unreachable = 3;
+
+// a target resets connections beyond its limit, and goes on doing so
+constexpr int max_broken_off = 2;
+
+} // namespace
+
+absl::string_view to_string(question_end end)
+{
+    switch (end)
+    {
+        case question_end::answered:
+            return "answered";
+        case question_end::silent:
+            return "silent";
+        case question_end::broken_off:
+            return "broken_off";
+        case question_end::refused:
+            return "refused";
+        case question_end::unreachable:
+            return "unreachable";
+    }
+    return "unknown";
+}
+
+absl::string_view to_string(answer_end end)
+{
+    switch (end)
+    {
+        case answer_end::whole:
+            return "whole";
+        case answer_end::cut:
+            return "cut";
+        case answer_end::unknown:
+            return "unknown";
+    }
+    return "unknown";
+}
+
+end_check end_check::create(std::optional<std::int64_t> started_ms)
+{
+    return end_check(started_ms);
+}
+
+end_check::end_check(std::optional<std::int64_t> started_ms) : started_ms_(started_ms)
+{
+}
+
+std::variant<answer_end, ask_again> end_check::consider(const end_evidence& evidence)
+{
+    switch (evidence.end)
+    {
+        case question_end::answered:
+        {
+            const bool is_other_process =
+                started_ms_ && evidence.started_ms && *started_ms_ != *evidence.started_ms;
+            return is_other_process ? answer_end::cut : answer_end::whole;
+        }
+        case question_end::silent:
+            // a listener ends with its process
+            return answer_end::whole;
+        case question_end::broken_off:
+            if (++broken_off_ < max_broken_off)
+            {
+                return ask_again{settle_time};
+            }
+            return answer_end::whole;
+        case question_end::refused:
+            if (!evidence.has_older_connection)
+            {
+                return answer_end::cut;
+            }
+            if (++refusals_ < max_refusals)
+            {
+                return ask_again{settle_time};
+            }
+            return answer_end::whole;
+        case question_end::unreachable:
+            if (++unreachable_ < max_unreachable)
+            {
+                return ask_again{millis(0)};
+            }
+            return answer_end::unknown;
+    }
+    return answer_end::unknown;
+}
+
+} // namespace medlar
--- /dev/null
+++ b/src/entry/end_inquiry.cpp
@@ -0,0 +1,149 @@
+#include <medlar/detail/entry/end_inquiry.hpp>
+
+#include <utility>
+
+namespace medlar
+{
+
+namespace
+{
+
+// the latency between hosts and targets is a few ms; a SYN that is lost is sent again
+// after a second
+constexpr millis connect_timeout{400};
+
+// a target answers the question without a slot; one that does not in this time is silent
+constexpr millis answer_timeout{250};
+
+// limit for the answer to the question
+constexpr std::size_t max_answer_bytes = 65536;
+
+} // namespace
+
+end_inquiry::end_inquiry(entry_context& context,
+                         const endpoint& where,
+                         std::optional<std::int64_t> started_ms,
+                         std::function<void(const end_finding&)> on_found)
+    : context_(context),
+      where_(where),
+      check_(end_check::create(started_ms)),
+      on_found_(std::move(on_found)),
+      began_(context.loop.now())
+{
+    // deferred, so that the ends of other connections in the same turn are handled before
+    timer_ = context_.loop.after(millis(0),
+                                 [this]
+                                 {
+                                     ask();
+                                 });
+}
+
+end_inquiry::~end_inquiry()
+{
+    context_.loop.cancel(timer_);
+    if (call_)
+    {
+        call_->cancel();
+    }
+}
+
+void end_inquiry::ask()
+{
+    has_head_ = false;
+    answer_.clear();
+    call_options options;
+    options.connect_timeout = connect_timeout;
+    options.needs_new_connection = questions_ > 0;
+    ++questions_;
+    call_callbacks events;
+    events.accepts_head = [this](const answer_head& head)
+    {
+        return context_.protocol.read_answer(head).attempt.empty();
+    };
+    events.on_head = [this](const answer_head&)
+    {
+        has_head_ = true;
+    };
+    events.on_data = [this](absl::string_view data)
+    {
+        if (answer_.size() < max_answer_bytes)
+        {
+            answer_.append(data.data(), data.size());
+        }
+    };
+    events.on_end = [this](call_end how)
+    {
+        on_answer_end(how);
+    };
+    wait_for_answer();
+    call_ = context_.client.start(where_,
+                                  context_.protocol.write_start_question(where_),
+                                  options,
+                                  std::move(events));
+}
+
+void end_inquiry::wait_for_answer()
+{
+    timer_ = context_.loop.after(answer_timeout,
+                                 [this]
+                                 {
+                                     if (!call_->has_sent())
+                                     {
+                                         // connecting has a timeout of its own
+                                         wait_for_answer();
+                                         return;
+                                     }
+                                     call_->cancel();
+                                     take_in({has_head_ ? question_end::answered
+                                                        : question_end::silent,
+                                              std::nullopt,
+                                              false});
+                                 });
+}
+
+void end_inquiry::on_answer_end(call_end how)
+{
+    end_evidence evidence;
+    if (how == call_end::complete)
+    {
+        evidence.started_ms = context_.protocol.read_start_answer(answer_);
+    }
+    else if (how == call_end::not_sent)
+    {
+        evidence.end = call_->ended_by() == connection_end::refused
+                           ? question_end::refused
+                           : question_end::unreachable;
+    }
+    else if (!has_head_ && how != call_end::malformed)
+    {
+        evidence.end = question_end::broken_off;
+    }
+    take_in(evidence);
+}
+
+void end_inquiry::take_in(end_evidence evidence)
+{
+    context_.loop.cancel(timer_);
+    call_ = nullptr;
+    evidence.has_older_connection = context_.client.has_connection_since(where_, began_);
+    const std::variant<answer_end, ask_again> decided = check_.consider(evidence);
+    if (const auto* again = std::get_if<ask_again>(&decided))
+    {
+        timer_ = context_.loop.after(again->delay,
+                                     [this]
+                                     {
+                                         ask();
+                                     });
+        return;
+    }
+    end_finding found;
+    found.end = std::get<answer_end>(decided);
+    found.evidence = evidence;
+    found.questions = questions_;
+    found.took = context_.loop.now() - began_;
+    // the receiver may destroy this inquiry
+    const auto on_found = std::move(on_found_);
+    on_found(found);
+}
+
+} // namespace medlar
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -308,6 +308,7 @@
     }
     target_ = target_id();
     call_ = nullptr;
+    end_inquiry_.reset();
 }
 
 void request_run::on_head(const answer_head& head)
@@ -495,27 +496,82 @@
         on_declined();
         return;
     }
+    const bool is_complete =
+        how == call_end::complete && head_.has_value() && !is_part_of_stream();
+    if (!is_complete)
+    {
+        on_call_failed(how);
+    }
+    else if (head_->framing.kind == body_kind::until_close)
+    {
+        check_end();
+    }
+    else
+    {
+        on_whole_answer();
+    }
+}
+
+void request_run::check_end()
+{
+    // the target and its call stay those of this request until its end is known
+    end_inquiry_ = std::make_unique<end_inquiry>(context_,
+                                                 target_record_.address,
+                                                 call_->process_start(),
+                                                 [this](const end_finding& found)
+                                                 {
+                                                     on_end_checked(found);
+                                                 });
+}
+
+void request_run::on_end_checked(const end_finding& found)
+{
+    // the inquiry is calling
+    const std::unique_ptr<end_inquiry> ended = std::move(end_inquiry_);
+    log_event(entry_end_checked,
+              {{"attempt", fields_.attempt.get()},
+               {"target", target_.get()},
+               {"end", to_string(found.end)},
+               {"question", to_string(found.evidence.end)},
+               {"questions", std::int64_t{found.questions}},
+               {"process_start_ms", call_->process_start().value_or(-1)},
+               {"answering_start_ms", found.evidence.started_ms.value_or(-1)},
+               {"older_connection", std::int64_t{found.evidence.has_older_connection}},
+               {"after_event", last_event_id_.value_or(-1)},
+               {"took_ms", found.took.count()}});
+    context_.metrics->add("medlar_end_checks_total",
+                          {{"end", std::string(to_string(found.end))}});
+    if (found.end == answer_end::whole)
+    {
+        on_whole_answer();
+    }
+    else
+    {
+        on_call_failed(call_end::broken_off);
+    }
+}
+
+void request_run::on_whole_answer()
+{
+    const bool has_failed = head_->status >= 500;
+    context_.record_target_call(
+        target_, has_failed ? call_result::failed : call_result::succeeded);
+    if (!has_failed)
+    {
+        crashes_.record_answered(suspects_);
+    }
+    release_call();
+    finish_answer();
+}
+
+void request_run::on_call_failed(call_end how)
+{
     const std::string target = target_.get();
     const bool has_answer = head_.has_value();
     const absl::string_view framing = has_answer ? to_string(head_->framing.kind) : "";
     const std::optional<connection_end> ended_by =
         call_ ? call_->ended_by() : std::nullopt;
     const absl::string_view connection = ended_by ? to_string(*ended_by) : "";
-    const bool is_complete =
-        how == call_end::complete && has_answer && !is_part_of_stream();
-    if (is_complete)
-    {
-        const bool has_failed = head_->status >= 500;
-        context_.record_target_call(
-            target_, has_failed ? call_result::failed : call_result::succeeded);
-        if (!has_failed)
-        {
-            crashes_.record_answered(suspects_);
-        }
-        release_call();
-        finish_answer();
-        return;
-    }
     const bool not_sent = how == call_end::not_sent;
     if (!has_answer)
     {
--- /dev/null
+++ b/test/decisions/dispatch/end_check_test.cpp
@@ -0,0 +1,121 @@
+#include <medlar/detail/dispatch/end_check.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace medlar;
+
+using decision = std::variant<answer_end, ask_again>;
+
+constexpr std::int64_t start_ms = 1000;
+
+bool is_end(const decision& decided, answer_end end)
+{
+    const auto* const found = std::get_if<answer_end>(&decided);
+    return found != nullptr && *found == end;
+}
+
+bool asks_again(const decision& decided)
+{
+    return std::holds_alternative<ask_again>(decided);
+}
+
+class the_end_of_an_answer : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(the_end_of_an_answer);
+    CPPUNIT_TEST(is_its_own_if_the_process_answers);
+    CPPUNIT_TEST(is_its_own_if_something_keeps_listening);
+    CPPUNIT_TEST(is_that_of_the_process_if_another_one_answers);
+    CPPUNIT_TEST(is_that_of_the_process_if_nothing_listens);
+    CPPUNIT_TEST(is_its_own_if_only_the_listener_has_ended);
+    CPPUNIT_TEST(is_that_of_the_process_if_its_connections_end_one_by_one);
+    CPPUNIT_TEST(is_unknown_if_the_target_cannot_be_reached);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void is_its_own_if_the_process_answers()
+    {
+        for (const auto& known :
+             {std::optional<std::int64_t>(start_ms), std::optional<std::int64_t>()})
+        {
+            end_check check = end_check::create(known);
+            CPPUNIT_ASSERT(
+                is_end(check.consider({question_end::answered, start_ms, false}),
+                       answer_end::whole));
+        }
+        end_check check = end_check::create(start_ms);
+        CPPUNIT_ASSERT(is_end(check.consider({question_end::answered, {}, false}),
+                              answer_end::whole));
+    }
+
+    void is_its_own_if_something_keeps_listening()
+    {
+        end_check silent = end_check::create(start_ms);
+        CPPUNIT_ASSERT(is_end(silent.consider({question_end::silent, {}, false}),
+                              answer_end::whole));
+        // a target resets connections beyond its limit
+        end_check full = end_check::create(start_ms);
+        CPPUNIT_ASSERT(asks_again(full.consider({question_end::broken_off, {}, false})));
+        CPPUNIT_ASSERT(is_end(full.consider({question_end::broken_off, {}, false}),
+                              answer_end::whole));
+    }
+
+    void is_that_of_the_process_if_another_one_answers()
+    {
+        end_check check = end_check::create(start_ms);
+        CPPUNIT_ASSERT(
+            is_end(check.consider({question_end::answered, start_ms + 1, false}),
+                   answer_end::cut));
+    }
+
+    void is_that_of_the_process_if_nothing_listens()
+    {
+        end_check check = end_check::create(start_ms);
+        CPPUNIT_ASSERT(
+            is_end(check.consider({question_end::refused, {}, false}), answer_end::cut));
+        // the listener ends some ms after the first connections
+        end_check late = end_check::create(start_ms);
+        CPPUNIT_ASSERT(asks_again(late.consider({question_end::broken_off, {}, false})));
+        CPPUNIT_ASSERT(
+            is_end(late.consider({question_end::refused, {}, false}), answer_end::cut));
+    }
+
+    void is_its_own_if_only_the_listener_has_ended()
+    {
+        end_check check = end_check::create(start_ms);
+        decision decided = check.consider({question_end::refused, {}, true});
+        CPPUNIT_ASSERT(asks_again(decided));
+        while (asks_again(decided))
+        {
+            CPPUNIT_ASSERT(std::get<ask_again>(decided).delay > millis(0));
+            decided = check.consider({question_end::refused, {}, true});
+        }
+        CPPUNIT_ASSERT(is_end(decided, answer_end::whole));
+    }
+
+    void is_that_of_the_process_if_its_connections_end_one_by_one()
+    {
+        end_check check = end_check::create(start_ms);
+        CPPUNIT_ASSERT(asks_again(check.consider({question_end::refused, {}, true})));
+        CPPUNIT_ASSERT(
+            is_end(check.consider({question_end::refused, {}, false}), answer_end::cut));
+    }
+
+    void is_unknown_if_the_target_cannot_be_reached()
+    {
+        end_check check = end_check::create(start_ms);
+        decision decided = check.consider({question_end::unreachable, {}, false});
+        CPPUNIT_ASSERT(asks_again(decided));
+        while (asks_again(decided))
+        {
+            decided = check.consider({question_end::unreachable, {}, false});
+        }
+        CPPUNIT_ASSERT(is_end(decided, answer_end::unknown));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(the_end_of_an_answer);
+
+} // namespace
