Go on after the caller's last event also if a target begins earlier or later

Cause: a host compared the numbers of events only with those that it had passed on itself; a stream that its caller takes up begins there without any.

The number that the caller states counts as the last one passed on. Earlier events are dropped, and one that leaves some out ends the call as malformed, so that another target goes on.

What remains: a target that begins anew and numbers its events alike is joined all the same; nothing in its answer tells.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -219,6 +219,7 @@
     std::optional<answer_head> head_;
     std::string buffered_body_;
     event_splitter events_;
+    /// the last event that the caller has; unset before the first one
     std::optional<std::int64_t> last_event_id_;
     /// entry of the target of the current call
     target_record target_record_;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -120,6 +121,11 @@
         {
             on_caller_left();
         });
+    std::int64_t resumed_after = 0;
+    if (is_resumption() && absl::SimpleAtoi(fields_.resume_after, &resumed_after))
+    {
+        last_event_id_ = resumed_after;
+    }
     if (end_if_blocked())
     {
         return;
--- a/test/entry/broken_stream_test.cpp
+++ b/test/entry/broken_stream_test.cpp
@@ -173,4 +173,61 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_stream_that_broke_off);
 
+class a_stream_that_its_caller_takes_up : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_stream_that_its_caller_takes_up);
+    CPPUNIT_TEST(goes_on_with_its_next_event_if_the_target_sends_earlier_ones);
+    CPPUNIT_TEST(goes_on_with_its_next_event_if_a_target_leaves_that_out);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Takes a stream up after its first event, at a host with a path and at one without.
+    /// @param body_of_run what a target answers to the run of that number
+    static void expect_next_event(const std::function<std::string(int)>& body_of_run)
+    {
+        for (const std::size_t host : {std::size_t{1}, std::size_t{0}})
+        {
+            cut_group it;
+            if (host == 0)
+            {
+                it.cut_first_host();
+            }
+            it.answer = [&, runs = 0](const exchange_ptr& exchange) mutable
+            {
+                exchange->answer(200, signed_headers(*exchange), body_of_run(++runs));
+            };
+            const received_answer got =
+                it.send_at(host, "/e/x", "Last-Event-Id: 1\r\nResumes: id-0\r\n");
+            const std::string what = absl::StrCat(host, ": ", got.status, " ", got.body);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 200, got.status);
+            CPPUNIT_ASSERT_MESSAGE(what, got.end == call_end::complete);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                what, cut_group::whole_body().substr(sizeof(first_event) - 1), got.body);
+        }
+    }
+
+  public:
+    // guards against ORDER: a number that goes back over the tries of a caller
+    void goes_on_with_its_next_event_if_the_target_sends_earlier_ones()
+    {
+        expect_next_event(
+            [](int)
+            {
+                return cut_group::whole_body();
+            });
+    }
+
+    void goes_on_with_its_next_event_if_a_target_leaves_that_out()
+    {
+        expect_next_event(
+            [](int run)
+            {
+                const std::string rest =
+                    cut_group::whole_body().substr(sizeof(first_event) - 1);
+                return run == 1 ? rest.substr(sizeof(first_event) - 1) : rest;
+            });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_stream_that_its_caller_takes_up);
+
 } // namespace
