Serve before counting in the tests of the start of an engine

Three tests of the_start_of_an_engine (may_be_unknown, may_be_answered_with_a_failure, is_awaited_before_a_stream_is_sent) fail on x86-64: 242 passed, 3 failed in entry_test, each with 0 streams sent. They pass the streams that they serve and the count of those that were sent as two arguments of one assertion. The order of the two is unspecified; on x86-64 the count is read first, on arm64 last.

The streams are served in a statement before. The check is the same.

--- a/test/entry/start_question_test.cpp
+++ b/test/entry/start_question_test.cpp
@@ -136,7 +136,8 @@
                 exchange->answer(status_not_found, {}, "no such path");
             };
         }
-        CPPUNIT_ASSERT_EQUAL(it.serve_until_both_are_asked(), it.sent());
+        const int served = it.serve_until_both_are_asked();
+        CPPUNIT_ASSERT_EQUAL(it.sent(), served);
     }
 
     void may_be_answered_with_a_failure()
@@ -153,7 +154,8 @@
                     exchange->answer(status_server_error, headers, "");
                 };
             }
-            CPPUNIT_ASSERT_EQUAL(it.serve_until_both_are_asked(), it.sent());
+            const int served = it.serve_until_both_are_asked();
+            CPPUNIT_ASSERT_EQUAL(it.sent(), served);
             // the process that began them is unknown
             CPPUNIT_ASSERT_EQUAL(status_unavailable, it.resume("id-1"));
         }
@@ -177,7 +179,8 @@
         {
             two_engines it;
             it.first.report_handler = each;
-            CPPUNIT_ASSERT_EQUAL(it.serve_until_both_are_asked(), it.sent());
+            const int served = it.serve_until_both_are_asked();
+            CPPUNIT_ASSERT_EQUAL(it.sent(), served);
             CPPUNIT_ASSERT(it.first.requests.empty());
         }
     }
