Mend what a review of the end checks found

- A request whose targets leave with their last answers was blocked as one that crashes targets (503 from the sixth on).
An answer that is cut by a target which is known to leave counts neither as a crash nor against its health.
- A target that resets connections as it accepts them could not be asked: 5 of 5 sound streams broken off.
A reset while connecting is told apart from no connection, and counts as a listener.
- An older connection with unread data did not count as open: 18 of 30 sound answers cut while a target finishes.
Its end is peeked for.
- A target that could not be reached for 1.2 s cut a sound answer though older connections to it lived on.
- Where the start was not asked on the connection (streams that may not go on, plain answers), the next process at the address passed for the same one: 200, complete, 3 of 6 events.
The start that was known when the call was sent is compared.
- The address that was called is asked, not that of an entry written since.

What remains: a host whose new connections are refused, and that has no older one, does not ask another host; a target that ends with its very last answer, and an answer whose timeout passes while its target is asked, count as cut; a next process that does not state its start is taken for the same one.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -134,7 +134,10 @@
     void check_end();
     void on_end_checked(const end_finding& found);
     void on_whole_answer();
-    void on_call_failed(call_end how);
+    /// start of the process that got the call, Unix time in ms; unset if unknown
+    std::optional<std::int64_t> start_of_called_process() const;
+    /// @param is_fault_of_target whether the failure counts against the target
+    void on_call_failed(call_end how, bool is_fault_of_target = true);
     void release_call();
     void on_not_run(const answer_head& head);
     bool retry(bool has_run);
@@ -223,6 +226,13 @@
     std::optional<std::int64_t> last_event_id_;
     /// entry of the target of the current call
     target_record target_record_;
+    struct called_process
+    {
+        endpoint address;
+        /// as known when the call was sent, Unix time in ms; 0 if unknown
+        std::int64_t started_ms = 0;
+    };
+    called_process called_;
     /// version of the process that gets the current call
     software_version target_version_;
     /// where the stream has begun, or has to begin; unset before
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -18,7 +18,8 @@
 enum class connection_end
 {
     closed,         ///< the peer closed its sending side after its last byte
-    reset,          ///< the peer reset the connection, or TCP has given it up
+    reset,          ///< the peer reset the connection, or TCP has given it up; also
+                    ///< right after it was accepted
     connect_failed, ///< the connection was never established; no byte was delivered
     refused, ///< like connect_failed: the peer's host runs, but nothing listens there
 };
@@ -126,6 +127,10 @@
     /// has not been told of yet.
     bool has_unread_event() const;
 
+    /// @brief Returns whether the peer is not known to have ended the connection; an end
+    /// behind input that is not read yet is not known.
+    bool is_alive() const;
+
     void on_ready(readiness ready) override;
 
   private:
--- a/src/dispatch/end_check.cpp
+++ b/src/dispatch/end_check.cpp
@@ -12,7 +12,7 @@
 
 // a target that does not accept connections any more, but keeps those that it has, is
 // about to leave and finishes its answers
-constexpr int max_refusals = 3;
+constexpr int max_refusals = 4;
 
 // one packet of a handshake may be lost
 constexpr int max_unreachable = 3;
@@ -69,8 +69,8 @@
     {
         case question_end::answered:
         {
-            const bool is_other_process =
-                started_ms_ && evidence.started_ms && *started_ms_ != *evidence.started_ms;
+            const bool is_other_process = started_ms_ && evidence.started_ms &&
+                                          *started_ms_ != *evidence.started_ms;
             return is_other_process ? answer_end::cut : answer_end::whole;
         }
         case question_end::silent:
@@ -95,9 +95,11 @@
         case question_end::unreachable:
             if (++unreachable_ < max_unreachable)
             {
-                return ask_again{millis(0)};
+                return ask_again{settle_time};
             }
-            return answer_end::unknown;
+            // the end of a process would have come over the same path
+            return evidence.has_older_connection ? answer_end::whole
+                                                 : answer_end::unknown;
     }
     return answer_end::unknown;
 }
--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -84,21 +84,21 @@
 
 void end_inquiry::wait_for_answer()
 {
-    timer_ = context_.loop.after(answer_timeout,
-                                 [this]
-                                 {
-                                     if (!call_->has_sent())
-                                     {
-                                         // connecting has a timeout of its own
-                                         wait_for_answer();
-                                         return;
-                                     }
-                                     call_->cancel();
-                                     take_in({has_head_ ? question_end::answered
-                                                        : question_end::silent,
-                                              std::nullopt,
-                                              false});
-                                 });
+    timer_ = context_.loop.after(
+        answer_timeout,
+        [this]
+        {
+            if (!call_->has_sent())
+            {
+                // connecting has a timeout of its own
+                wait_for_answer();
+                return;
+            }
+            call_->cancel();
+            take_in({has_head_ ? question_end::answered : question_end::silent,
+                     std::nullopt,
+                     false});
+        });
 }
 
 void end_inquiry::on_answer_end(call_end how)
@@ -110,9 +110,10 @@
     }
     else if (how == call_end::not_sent)
     {
-        evidence.end = call_->ended_by() == connection_end::refused
-                           ? question_end::refused
-                           : question_end::unreachable;
+        const std::optional<connection_end> by = call_->ended_by();
+        evidence.end = by == connection_end::refused ? question_end::refused
+                       : by == connection_end::reset ? question_end::broken_off
+                                                     : question_end::unreachable;
     }
     else if (!has_head_ && how != call_end::malformed)
     {
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -163,6 +163,7 @@
 {
     target_ = target.record.id;
     target_record_ = target.record;
+    called_ = {target.record.address, start_of(target)};
     target_version_ = origins_.version_of(target);
     tried_targets_.push_back(target_);
     ++target.in_flight;
@@ -516,14 +517,25 @@
 {
     // the target and its call stay those of this request until its end is known
     end_inquiry_ = std::make_unique<end_inquiry>(context_,
-                                                 target_record_.address,
-                                                 call_->process_start(),
+                                                 called_.address,
+                                                 start_of_called_process(),
                                                  [this](const end_finding& found)
                                                  {
                                                      on_end_checked(found);
                                                  });
 }
 
+std::optional<std::int64_t> request_run::start_of_called_process() const
+{
+    if (call_->process_start())
+    {
+        return call_->process_start();
+    }
+    // was not asked on this connection
+    return called_.started_ms == 0 ? std::nullopt
+                                   : std::optional<std::int64_t>(called_.started_ms);
+}
+
 void request_run::on_end_checked(const end_finding& found)
 {
     // the inquiry is calling
@@ -534,21 +546,27 @@
                {"end", to_string(found.end)},
                {"question", to_string(found.evidence.end)},
                {"questions", std::int64_t{found.questions}},
-               {"process_start_ms", call_->process_start().value_or(-1)},
+               {"process_start_ms", start_of_called_process().value_or(-1)},
                {"answering_start_ms", found.evidence.started_ms.value_or(-1)},
                {"older_connection", std::int64_t{found.evidence.has_older_connection}},
                {"after_event", last_event_id_.value_or(-1)},
                {"took_ms", found.took.count()}});
     context_.metrics->add("medlar_end_checks_total",
                           {{"end", std::string(to_string(found.end))}});
-    if (found.end == answer_end::whole)
+    const target_state* const target = context_.targets.find(target_);
+    if (found.evidence.started_ms && target != nullptr &&
+        target->record.address == called_.address)
     {
-        on_whole_answer();
+        context_.record_target_start(target_, *found.evidence.started_ms);
     }
-    else
+    if (found.end == answer_end::whole)
     {
-        on_call_failed(call_end::broken_off);
+        on_whole_answer();
+        return;
     }
+    // one that leaves ends with its last answer, and has not crashed
+    const bool is_leaving = target == nullptr || !takes_work(*target);
+    on_call_failed(call_end::broken_off, !is_leaving);
 }
 
 void request_run::on_whole_answer()
@@ -564,7 +582,7 @@
     finish_answer();
 }
 
-void request_run::on_call_failed(call_end how)
+void request_run::on_call_failed(call_end how, bool is_fault_of_target)
 {
     const std::string target = target_.get();
     const bool has_answer = head_.has_value();
@@ -578,14 +596,17 @@
         paths_.record_failure(pool_, target_, !not_sent);
     }
     const bool may_have_crashed =
-        how == call_end::no_answer || how == call_end::broken_off;
+        is_fault_of_target && (how == call_end::no_answer || how == call_end::broken_off);
     const target_state* const state = context_.targets.find(target_);
     if (may_have_crashed && state != nullptr)
     {
         crashes_.record_broken_call(state->record, suspects_, sent_at_, has_call_begun_);
     }
-    context_.record_target_call(
-        target_, not_sent ? call_result::unreachable : call_result::broken);
+    if (is_fault_of_target)
+    {
+        context_.record_target_call(
+            target_, not_sent ? call_result::unreachable : call_result::broken);
+    }
     release_call();
     log_event(entry_call_failed,
               {{"attempt", fields_.attempt.get()},
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <cerrno>
@@ -329,6 +330,7 @@
     if (error != 0)
     {
         end(error == ECONNREFUSED ? connection_end::refused
+            : error == ECONNRESET ? connection_end::reset
                                   : connection_end::connect_failed);
         return;
     }
@@ -356,6 +358,18 @@
     }
 }
 
+bool connection::is_alive() const
+{
+    if (state_ != state::open)
+    {
+        return false;
+    }
+    char next = 0;
+    const ssize_t peeked =
+        ::recv(socket_.impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 io_status connection::read_input()
 {
     std::array<char, max_read_bytes> buffer;
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -199,8 +199,7 @@
 
 bool pooled_connection::is_established_since(steady_time when) const
 {
-    return established_at_ && *established_at_ <= when && stream_->is_established() &&
-           !stream_->has_unread_event();
+    return established_at_ && *established_at_ <= when && stream_->is_alive();
 }
 
 void pooled_connection::on_connected()
--- a/test/decisions/dispatch/end_check_test.cpp
+++ b/test/decisions/dispatch/end_check_test.cpp
@@ -113,6 +113,15 @@
             decided = check.consider({question_end::unreachable, {}, false});
         }
         CPPUNIT_ASSERT(is_end(decided, answer_end::unknown));
+        // a connection that lives on says that the process does
+        end_check other = end_check::create(start_ms);
+        decided = other.consider({question_end::unreachable, {}, true});
+        while (asks_again(decided))
+        {
+            CPPUNIT_ASSERT(std::get<ask_again>(decided).delay > millis(0));
+            decided = other.consider({question_end::unreachable, {}, true});
+        }
+        CPPUNIT_ASSERT(is_end(decided, answer_end::whole));
     }
 };
 
