Apply the bound on changes that was read last

What callers could see: after SIGHUP with a shorter config_apply_ms or drain_ms, changes of the store in force later than the new bound permits (CONFIG, DRAIN), where the relays of a failure domain fail.

Cause: the age at which a host watches the store itself was computed once, at its start; reload() did not copy the bound either.

Change: reload() takes the bound over, and store_controller sets the permitted age anew. The relays hold their watches, and followers ask them, by the same age.

Conclusion: mended. store_value_bytes, cpu_share and link_mbps are still those of the start.

--- a/include/medlar/detail/dispatch/change_source.hpp
+++ b/include/medlar/detail/dispatch/change_source.hpp
@@ -47,6 +47,12 @@
     /// @brief Sets the relays of this host's failure domain, see relays_of().
     void set_relays(std::vector<host_id> relays);
 
+    /// @brief Sets the age of this host's knowledge above which it watches the store.
+    void set_max_age(millis max_age)
+    {
+        max_age_ = max_age;
+    }
+
     /// @brief Sets whether other hosts follow this one; then it watches the store.
     void set_followed(bool is_followed)
     {
--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -35,6 +35,9 @@
     /// @brief Starts reading the store, registering this host and polling.
     void start();
 
+    /// @brief Applies the settings after they were read again.
+    void apply_settings();
+
     /// @brief Ends the registration, so that other hosts stop using this one.
     void leave();
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -704,7 +704,9 @@
     settings_.seeds = read->seeds;
     settings_.shutdown_grace = read->shutdown_grace;
     settings_.retry_rule = read->retry_rule;
+    settings_.change_bound = read->change_bound;
     peers_.set_seeds(settings_.seeds);
+    store_controller_.apply_settings();
     log_event(entry_settings_read, {{"store", to_string(settings_.store_endpoint)}});
 }
 
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -111,6 +111,12 @@
                         });
 }
 
+void store_controller::apply_settings()
+{
+    source_choice_.set_max_age(max_age_of(context_.settings.change_bound));
+    choose_source();
+}
+
 void store_controller::settle()
 {
     is_settled_ = true;
--- a/test/entry/changes_test.cpp
+++ b/test/entry/changes_test.cpp
@@ -19,7 +19,8 @@
 class changing_fixture : public entry_fixture
 {
   public:
-    explicit changing_fixture(int count) : target(loop, "i-1", "plain", answer_signed)
+    explicit changing_fixture(int count, millis change_bound = millis(2000))
+        : target(loop, "i-1", "plain", answer_signed), change_bound_(change_bound)
     {
         store.put(target.key(), target.entry());
         put_configuration(3, {"/a/", "/old/"});
@@ -39,6 +40,7 @@
     {
         all_settings.push_back(settings(name));
         all_settings.back().seeds = std::move(seeds);
+        all_settings.back().change_bound = change_bound_;
         all_settings.back().store_endpoint =
             store_address.value_or(all_settings.back().store_endpoint);
         hosts.push_back(start(all_settings.back()));
@@ -108,6 +110,9 @@
     stand_in_target target;
     std::vector<entry_settings> all_settings;
     std::vector<std::shared_ptr<running_host>> hosts;
+
+  private:
+    millis change_bound_;
 };
 
 class hosts_of_one_failure_domain : public CppUnit::TestFixture
@@ -116,6 +121,7 @@
     CPPUNIT_TEST(watch_the_store_by_two_of_them);
     CPPUNIT_TEST(learn_of_changes_when_a_relay_is_killed);
     CPPUNIT_TEST(learn_of_changes_when_both_relays_are_frozen);
+    CPPUNIT_TEST(learn_of_changes_within_the_bound_that_was_read_last);
     CPPUNIT_TEST_SUITE_END();
 
     /// changes have to be in force within this time
@@ -181,6 +187,27 @@
         it.put_configuration(4, {"/a/", "/b/"});
         CPPUNIT_ASSERT(it.time_until_all_serve("/b/x") < max_delay);
     }
+
+    void learn_of_changes_within_the_bound_that_was_read_last()
+    {
+        changing_fixture it(6, max_delay * 5);
+        CPPUNIT_ASSERT(it.until_watches(2));
+        for (const auto& each : it.hosts)
+        {
+            each->settings.change_bound = max_delay;
+            each->host->reload();
+        }
+        it.run_for(max_delay);
+        for (const std::size_t rank : {std::size_t{0}, std::size_t{1}})
+        {
+            const std::size_t frozen = relay(it, rank);
+            it.freeze(it.hosts[frozen]);
+            it.hosts[frozen].reset();
+        }
+        it.put_configuration(4, {"/a/", "/b/"});
+        const millis delay = it.time_until_all_serve("/b/x");
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(delay.count()), delay < max_delay);
+    }
 };
 
 class a_host_that_the_store_turned_away : public CppUnit::TestFixture
