Pass on and believe only from hosts what only hosts say

What callers saw: 504 after the whole time that it had, for a new stream with a header Medlar-Repeated of the caller's own, sent to a host without a path while the store is away and two versions serve. Targets got all Medlar-* headers, those that hosts add to forwarded requests and those of callers. Found by reading, not seen in a run of a deployment.

Cause: write_call() leaves out only what the platform reserves, and write_forward() replaces only the Medlar-* headers that it sets itself.

Change: both leave out each header whose name begins with Medlar-, also those of later builds. What a caller says so is not believed at its own host, which reads these headers only at the port for forwarded requests.

Beside: what is sent to it and read from it is as before. It passes a caller's own Medlar-Repeated on, and a host of this build believes it then; and it still sends what hosts say on to targets. Both end with the last such host.

--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -214,13 +214,14 @@
 
     // callers and targets
     virtual request_fields read_request(const request_head& head) const = 0;
-    /// @brief Returns the HTTP request that forwards a caller's request to a target.
+    /// @brief Returns the HTTP request that forwards a caller's request to a target,
+    /// without what only hosts say, see is_host_header().
     virtual std::string write_call(const request_head& head,
                                    absl::string_view body,
                                    const endpoint& where,
                                    const call_additions& additions) const = 0;
     /// @brief Returns the HTTP request that has another entry host handle a caller's
-    /// request, which stays as it is but for its deadline.
+    /// request, which stays as it is but for its deadline and what only hosts say.
     /// @param remaining time until the deadline
     /// @param additions headers that are added
     virtual std::string write_forward(const request_head& head,
--- a/test/entry/forwarding_test.cpp
+++ b/test/entry/forwarding_test.cpp
@@ -1,5 +1,6 @@
 #include "support/entry/entry_fixture.hpp"
 
+#include <absl/strings/match.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace
@@ -77,6 +78,7 @@
     CPPUNIT_TEST_SUITE(a_request_on_its_way);
     CPPUNIT_TEST(is_forwarded_unchanged_and_returns_the_answer_of_the_target);
     CPPUNIT_TEST(is_forwarded_with_the_organisation_but_not_the_access_key);
+    CPPUNIT_TEST(is_forwarded_without_what_only_hosts_say);
     CPPUNIT_TEST(is_refused_with_401_and_404_where_they_are_true);
     CPPUNIT_TEST(is_never_sent_twice_if_it_may_not_be);
     CPPUNIT_TEST(is_not_sent_on_a_connection_that_its_target_has_closed);
@@ -126,6 +128,33 @@
         CPPUNIT_ASSERT(headers.find("Authorization") == nullptr);
     }
 
+    void is_forwarded_without_what_only_hosts_say()
+    {
+        forwarding_fixture it;
+        it.open("idempotent", answer_signed);
+        // one that a later build may add, and those of the build of 058f514 and of this
+        // one
+        const std::string said = "medlar-later: 1\r\nMedlar-Configuration-Version: 3\r\n"
+                                 "Medlar-Max-Sends: 2\r\nMedlar-Heeds-Target: 1\r\n"
+                                 "Medlar-Repeated: 1\r\nMedlarish: kept\r\n";
+        for (const endpoint& each :
+             {it.settings_.caller_endpoint, it.settings_.forward_endpoint})
+        {
+            const received_answer got =
+                it.send(each, request_text("GET", "/a/x", "id-1", "", said));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, 200, got.status);
+            const header_list& headers = it.targets[0]->requests.back().headers;
+            CPPUNIT_ASSERT_EQUAL(std::string("kept"),
+                                 std::string(headers.get("Medlarish")));
+            for (const header_field& field : headers)
+            {
+                CPPUNIT_ASSERT_MESSAGE(
+                    field.name, !absl::StartsWithIgnoreCase(field.name, "Medlar-"));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.request_count());
+    }
+
     void is_refused_with_401_and_404_where_they_are_true()
     {
         forwarding_fixture it;
--- a/test/entry/hop_stream_test.cpp
+++ b/test/entry/hop_stream_test.cpp
@@ -233,6 +233,7 @@
     CPPUNIT_TEST(goes_on_with_its_next_event_when_targets_break_off);
     CPPUNIT_TEST(goes_on_with_its_next_event_when_that_host_is_killed);
     CPPUNIT_TEST(goes_on_at_the_version_of_its_events_if_two_hosts_have_begun_it);
+    CPPUNIT_TEST(begins_although_its_caller_says_that_it_is_repeated);
     CPPUNIT_TEST_SUITE_END();
 
     /// cuts the answers to a stream, and to the caller that takes it up
@@ -411,6 +412,16 @@
         }
         CPPUNIT_ASSERT_EQUAL(stream_count, resumed);
     }
+
+    void begins_although_its_caller_says_that_it_is_repeated()
+    {
+        cut_streams it;
+        // without shares of versions nobody can tell where it would have begun
+        it.store.set_down(true);
+        it.cut_first_host();
+        const received_answer got = it.send_at(0, "/r/x", "Medlar-Repeated: 1\r\n");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, 200, got.status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_stream_that_another_host_runs);
