Begin a stream over the hop where its host has saved it

What callers saw: events of two software versions in one stream (ORDER), if the host that got it could call no target of the version that its shares give, saved it ahead at another version, lost its path meanwhile, had another host run it, and the caller took it up later. Found by reading, not seen in a run of a deployment.

Cause: such a request was forwarded without Medlar-Repeated, so the other host began it at the version of the shares. The keepers know the one that was saved.

Change: a request that has an origin is forwarded with Medlar-Repeated: the other host asks where it began, and begins it there. At a request that takes a stream up, which says so itself, the header means nothing.

Evidence: a_stream_that_another_host_runs::begins_where_it_was_saved_if_its_host_loses_the_path_meanwhile fails on the code before in 8 of 8 runs ("data: v1" expected, "data: v2" got) and passes now in 8 of 8. Its four rounds are there since one shows nothing where the host that runs the stream is also the one that keeps it: a form with one round failed in 4 of 6 runs.

Beside: it passes over the header and begins the stream as before.

--- a/include/medlar/detail/entry/request_forward.hpp
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -22,7 +22,8 @@
 /// @brief header of a forwarded request: how many targets the other host may send it to
 inline constexpr char forward_sends_header[] = "Medlar-Max-Sends";
 
-/// @brief header of a forwarded request: another host that was to run it has broken off
+/// @brief header of a forwarded request: it may have begun elsewhere, since another host
+/// that was to run it has broken off, or the sender has saved where it begins
 inline constexpr char forward_repeated_header[] = "Medlar-Repeated";
 
 /// @brief header of a forwarded request: the sender wants to know which target answers,
@@ -53,7 +54,7 @@
     /// whether a target may have run it before; a refusal by that host is not passed on
     /// then, since it would not be true
     bool may_have_run = false;
-    /// whether another host that was to run it has broken off
+    /// whether it may have begun elsewhere, see forward_repeated_header
     bool is_repeated = false;
 };
 
--- a/src/entry/request_forwarding.cpp
+++ b/src/entry/request_forwarding.cpp
@@ -69,7 +69,8 @@
     terms.max_sends = attempts_.lend(route_.may_retry());
     terms.configuration_version = configuration_->version;
     terms.may_have_run = may_have_run_;
-    terms.is_repeated = has_broken_off_elsewhere_;
+    // with an origin, but without an event, it was saved where it had to begin
+    terms.is_repeated = has_broken_off_elsewhere_ || origin_.has_value();
     forward_ = std::make_unique<request_forward>(
         context_, *to, exchange_, terms, std::move(callbacks));
     return true;
--- a/test/entry/hop_stream_test.cpp
+++ b/test/entry/hop_stream_test.cpp
@@ -225,6 +225,56 @@
     }
 };
 
+/// hosts in front of targets of two versions, which new streams share
+class shared_streams : public partitioned_group
+{
+  public:
+    shared_streams() : partitioned_group(4, 6, 0)
+    {
+        for (std::size_t i = 0; i < targets.size(); i += 2)
+        {
+            targets[i]->version = "v2";
+            targets[i]->restart(targets[i]->started_ms + 1);
+            store.put(targets[i]->key(), targets[i]->entry());
+        }
+        answer = [this](const exchange_ptr& exchange)
+        {
+            const std::string id(exchange->head().headers.get("Expect-Instance"));
+            std::string body;
+            for (int i = last_event_of(*exchange) + 1; i <= event_count; ++i)
+            {
+                body += event_text(i, versions_.at(id));
+            }
+            exchange->answer(200, signed_headers(*exchange), body);
+        };
+        for (const auto& each : targets)
+        {
+            versions_[each->id()] = each->version.get<std::string>();
+        }
+        CPPUNIT_ASSERT(until(
+            [this]
+            {
+                return store.has_key_with_prefix("medlar/shares/");
+            }));
+        run_for(change_time);
+    }
+
+    /// Cuts the paths of a host to the targets of a version.
+    void cut_from_version(std::size_t host, const std::string& version)
+    {
+        for (std::size_t i = 0; i < targets.size(); ++i)
+        {
+            if (targets[i]->version == version)
+            {
+                cut_from(host, i);
+            }
+        }
+    }
+
+  private:
+    std::map<std::string, std::string> versions_;
+};
+
 class a_stream_that_another_host_runs : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(a_stream_that_another_host_runs);
@@ -233,6 +283,7 @@
     CPPUNIT_TEST(goes_on_with_its_next_event_when_targets_break_off);
     CPPUNIT_TEST(goes_on_with_its_next_event_when_that_host_is_killed);
     CPPUNIT_TEST(goes_on_at_the_version_of_its_events_if_two_hosts_have_begun_it);
+    CPPUNIT_TEST(begins_where_it_was_saved_if_its_host_loses_the_path_meanwhile);
     CPPUNIT_TEST(begins_although_its_caller_says_that_it_is_repeated);
     CPPUNIT_TEST_SUITE_END();
 
@@ -330,6 +381,48 @@
         return taken_up;
     }
 
+    /// begins streams at a host that saves them ahead, and then loses its path
+    static void take_up_saved_streams()
+    {
+        shared_streams it;
+        it.cut_from_version(0, "v1");
+        constexpr int stream_count = 12;
+        std::vector<caller_stream> streams = make_streams(stream_count);
+        std::vector<std::shared_ptr<received_answer>> answers;
+        for (const caller_stream& each : streams)
+        {
+            answers.push_back(it.begin_at(0, each.path()));
+        }
+        // those whose shares give the first version are being saved for the other one
+        it.run_for(millis(100));
+        it.cut_from_version(0, "v2");
+        int saved = 0;
+        for (std::size_t i = 0; i < streams.size(); ++i)
+        {
+            const bool was_saved = !answers[i]->ended;
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return answers[i]->ended;
+                }));
+            if (!was_saved || answers[i]->status != 200)
+            {
+                continue;
+            }
+            ++saved;
+            streams[i].add(*answers[i], streams[i].path(), 2);
+            it.run_for(millis(50));
+            for (std::size_t host = 1; host < it.hosts.size(); ++host)
+            {
+                caller_stream taken_up = streams[i];
+                taken_up.add(it.send_at(host, taken_up.path(), taken_up.headers()),
+                             absl::StrCat(taken_up.path(), " at ", host));
+                CPPUNIT_ASSERT(taken_up.is_whole());
+            }
+        }
+        CPPUNIT_ASSERT(saved > 0);
+    }
+
   public:
     void goes_on_with_its_next_event_when_the_answer_of_that_host_is_cut()
     {
@@ -413,6 +506,16 @@
         CPPUNIT_ASSERT_EQUAL(stream_count, resumed);
     }
 
+    void begins_where_it_was_saved_if_its_host_loses_the_path_meanwhile()
+    {
+        // the host that runs a stream may be the one that keeps it
+        constexpr int rounds = 4;
+        for (int i = 0; i < rounds; ++i)
+        {
+            take_up_saved_streams();
+        }
+    }
+
     void begins_although_its_caller_says_that_it_is_repeated()
     {
         cut_streams it;
--- a/test/support/entry/partitioned_group.hpp
+++ b/test/support/entry/partitioned_group.hpp
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Cuts the path of a host to one target: its connections are reset, new ones
+    /// refused.
+    void cut_from(std::size_t host, std::size_t target)
+    {
+        paths_of(host).at(targets.at(target)->where())->stop();
+    }
+
     /// Ends the cut of a host.
     void restore(std::size_t host)
     {
