Refuse a repeated stream soon if nobody can tell where it began

What callers could see: an answer only when the time of a stream is over, if the host that ran it broke off, no keeper knows where it had begun, and the store refuses calls.

Cause: a repeated stream waited for the store as one that is taken up does, up to 3 s.

Change: it waits 300 ms. Its caller has got nothing of it, and can begin it again under another attempt; one that is taken up is lost otherwise, and still waits 3 s.

Messages between hosts are as before.

--- a/include/medlar/detail/entry/stream_origins.hpp
+++ b/include/medlar/detail/entry/stream_origins.hpp
@@ -93,8 +93,10 @@
     /// @brief Finds the origin of a stream.
     /// @param attempt the attempt that brought its first event; empty if unknown
     /// @param pools where it may have begun
+    /// @param store_wait time after which it is unknown if the store does not answer
     void find(const attempt_id& attempt,
               const std::vector<pool_id>& pools,
+              millis store_wait,
               origin_action on_found);
 
     /// @brief Handles that a target was added or has changed.
@@ -164,6 +166,7 @@
     {
         stream_key stream;
         steady_time asked_at;
+        millis store_wait{0};
         std::vector<pool_id> pools;
         std::set<host_id> waiting_for;
         std::set<stream_origin> possible;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -11,6 +11,19 @@
 namespace medlar
 {
 
+namespace
+{
+
+// a stream that is taken up waits so long for the store, which alone may know where it
+// began: a shorter outage costs no stream
+constexpr millis resumption_store_wait{3000};
+
+// a stream that is repeated has brought its caller nothing: refused soon, it can begin
+// again under another attempt
+constexpr millis repetition_store_wait{300};
+
+} // namespace
+
 request_run::request_run(entry_context& context,
                          const run_services& services,
                          std::shared_ptr<caller_exchange> exchange,
@@ -161,6 +174,7 @@
     const std::weak_ptr<request_run> weak = weak_from_this();
     origins_.find(begun_by,
                   pools,
+                  is_resumption() ? resumption_store_wait : repetition_store_wait,
                   [weak, pools, begun_by](const origin_result& found)
                   {
                       const std::optional<stream_origin>& origin = found.origin;
--- a/src/entry/stream_origins.cpp
+++ b/src/entry/stream_origins.cpp
@@ -28,10 +28,6 @@
 // a keeper that does not answer in this time is down or frozen
 constexpr millis answer_timeout{200};
 
-// a stream that was asked about this long ago is unknown if the store does not answer; an
-// outage shorter than this costs no stream
-constexpr millis max_store_wait{3000};
-
 // time after an outage of the store in which targets whose entries have lapsed are back
 constexpr millis lapsed_target_return{3000};
 
@@ -733,6 +729,7 @@
 
 void stream_origins::find(const attempt_id& attempt,
                           const std::vector<pool_id>& pools,
+                          millis store_wait,
                           origin_action on_found)
 {
     const stream_key stream = key_of(attempt);
@@ -746,6 +743,7 @@
     question& asked = questions_[number];
     asked.stream = stream;
     asked.asked_at = context_.loop.now();
+    asked.store_wait = store_wait;
     asked.pools = pools;
     asked.is_named = !attempt.get().empty();
     asked.on_found = std::move(on_found);
@@ -958,7 +956,7 @@
     for (question& each : std::exchange(waiting_for_store_, {}))
     {
         origin_result found = asked.at(each.stream);
-        if (!found.origin && !items && now < each.asked_at + max_store_wait)
+        if (!found.origin && !items && now < each.asked_at + each.store_wait)
         {
             waiting_for_store_.push_back(std::move(each));
             continue;
--- a/test/entry/hop_stream_test.cpp
+++ b/test/entry/hop_stream_test.cpp
@@ -285,6 +285,7 @@
     CPPUNIT_TEST(goes_on_at_the_version_of_its_events_if_two_hosts_have_begun_it);
     CPPUNIT_TEST(begins_where_it_was_saved_if_its_host_loses_the_path_meanwhile);
     CPPUNIT_TEST(begins_although_its_caller_says_that_it_is_repeated);
+    CPPUNIT_TEST(is_refused_soon_if_nobody_can_tell_where_it_began);
     CPPUNIT_TEST_SUITE_END();
 
     /// cuts the answers to a stream, and to the caller that takes it up
@@ -525,6 +526,20 @@
         const received_answer got = it.send_at(0, "/r/x", "Medlar-Repeated: 1\r\n");
         CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, 200, got.status);
     }
+
+    void is_refused_soon_if_nobody_can_tell_where_it_began()
+    {
+        cut_streams it;
+        it.store.set_down(true);
+        it.run_for(millis(100));
+        const steady_time begin = it.time.steady_now();
+        const received_answer got =
+            it.send(it.all_settings[1].forward_endpoint,
+                    request_text("POST", "/r/x", "id-r", "b", "Medlar-Repeated: 1\r\n"));
+        const millis took = it.time.steady_now() - begin;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, 503, got.status);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(took.count()), took < millis(800));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_stream_that_another_host_runs);
