Serve streams whose targets leave the question for their start unanswered

What callers saw: where the reports of sound targets hang, no stream is served: each new connection waited a second for the answer, counted as unreachable after it, and the time of the request was over after a few.

Cause: a question without an answer was taken for a target that cannot be reached, and was asked again on each new connection.

Change: a question is waited for 300 ms from the moment the connection stands. Without an answer a stream tries one more target, which may be silent altogether, and then begins at a process of unknown start, on a connection of its own: the answer may still come on the first one. A stream that began at such a process goes on nowhere. Where a pool has several versions, it begins once the store names it as one that goes on nowhere; before, targets that answered with a failure got none there at all.

Weighed: sending the request behind the question on the same connection (it would wait for the report); going on elsewhere each time (all targets may hang); asking besides, without waiting (a stream would begin at a version that is known too late).

Conclusion: new streams are served while reports hang, at the price of 0.6 s for the first ones. Streams that begin then cannot be taken up.

--- a/include/medlar/detail/dispatch/target_starts.hpp
+++ b/include/medlar/detail/dispatch/target_starts.hpp
@@ -43,6 +43,9 @@
 /// on there only.
 software_version unlisted_version(const process_start& start);
 
+/// @brief Returns whether a version stands for that of an unknown process.
+bool is_of_unknown_start(const software_version& version);
+
 /// @brief Returns the process whose unknown version a version stands for.
 /// @return unset if it is the version that an entry names
 std::optional<process_start> read_unlisted_version(const software_version& version);
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_DISPATCH_TARGET_TABLE_HPP
 
 #include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/dispatch/start_inquiry.hpp>
 #include <medlar/detail/entry/protocol.hpp>
 #include <medlar/detail/policy/target_health.hpp>
 
@@ -36,6 +37,9 @@
     /// start time that the process at its address has stated, or an earlier entry, if its
     /// entry names an older one
     std::optional<std::int64_t> answering_start;
+    /// which process answers at its address is unknown, and so is the version
+    bool is_start_unknown = false;
+    start_inquiry inquiry;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
     /// set if its registration expired during an outage of the store; it is removed then
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -65,6 +65,9 @@
     /// @brief Records the start time that the process at a target's address has stated.
     void record_target_start(const target_id& id, std::int64_t started_ms);
 
+    /// @brief Records that it is unknown which process answers at a target's address.
+    void record_unknown_start(const target_id& id);
+
     /// @brief Records that a target refused a call for lack of room.
     void record_refusal(const target_id& id);
 
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -15,6 +15,7 @@
 #include <medlar/detail/http/event_stream.hpp>
 #include <medlar/detail/loop/http_server.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -98,6 +99,11 @@
     /// leaves out the targets of other versions than that at which the stream should
     /// begin, if one of it can be called
     void prefer_version_of_stream(target_choice_input& input) const;
+    /// removes the other targets if one of the preferred can be called
+    /// @return whether it did
+    bool
+    prefer_targets(target_choice_input& input,
+                   const std::function<bool(const target_state*)>& is_preferred) const;
     /// the version at which this stream should begin; unset if it may begin at any
     std::optional<software_version> version_of_new_stream() const;
 
@@ -122,6 +128,11 @@
     make_start_question(const endpoint& where) const;
     /// whether the process that answers at the address of the target may get the request
     bool accepts_start(const start_answer& answer);
+    void record_inquiry(target_state& target, const start_answer& answer) const;
+    /// whether a process of which nothing is known may get the request
+    bool accepts_unknown_start(const start_answer& answer);
+    /// whether a target that was not tried is expected to answer for its start
+    bool has_untried_known_target();
     /// sends the request to another target, since this one's process was not accepted
     void on_declined();
     void on_head(const answer_head& head);
@@ -216,6 +227,9 @@
     target_record target_record_;
     /// version of the process that gets the current call
     software_version target_version_;
+    /// whether the stream begins at the target of the declined call once it is known to
+    /// go on nowhere else
+    bool begins_at_unknown_start_ = false;
     /// where the stream has begun, or has to begin; unset before
     std::optional<stream_origin> origin_;
     bool has_first_event_ = false;
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -114,12 +114,15 @@
 /// target's entry says; its version is unknown
 inline constexpr event entry_target_unlisted{
     1744, severity::warning, "entry_target_unlisted"};
+/// @brief it is unknown which process of a target answers at its address
+inline constexpr event entry_target_start_unknown{
+    1745, severity::info, "entry_target_start_unknown"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 44> entry_events{entry_started,
+inline constexpr std::array<event, 45> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -162,7 +165,8 @@
                                                     entry_forward_failed,
                                                     entry_crash_refuted,
                                                     entry_target_refusals_limited,
-                                                    entry_target_unlisted};
+                                                    entry_target_unlisted,
+                                                    entry_target_start_unknown};
 
 } // namespace medlar
 
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -42,6 +42,10 @@
     /// the server has not answered the question; which of its processes it is stays
     /// unknown
     bool is_missing = false;
+    /// missing, since no answer came in time or none was waited for
+    bool is_unanswered = false;
+    /// whether the question was sent for this call, not for one before it
+    bool was_asked = false;
 };
 
 /// @brief Callbacks for one answer; each may be empty.
@@ -80,6 +84,9 @@
     /// asked on a connection before the first call with a question is sent on it; a call
     /// without one is sent at once. Null asks nothing
     std::shared_ptr<const start_question> question;
+    /// whether the question may be sent; if not, the answer is missing on a connection
+    /// that has none from before
+    bool may_ask = true;
 };
 
 class http_client;
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -44,10 +44,7 @@
         return expires_;
     }
 
-    void on_connected() override
-    {
-    }
-
+    void on_connected() override;
     void on_input() override;
     void on_end(connection_end reason) override;
 
@@ -62,9 +59,14 @@
     /// whether any byte of the request of the call may have been sent
     bool has_sent_request() const;
     void ask_for_start();
+    void limit_question();
+    /// goes on without the answer to the question
+    void give_up_question();
     /// handles the complete answer to the question
     void finish_question();
-    /// opens a new connection to the process that has just answered
+    /// ends a connection on which the request cannot be sent
+    void end_stream();
+    /// opens a new connection in place of one that ended with the question
     void reopen();
     /// sends the request that has waited, if the call accepts the process
     void send_waiting_request();
--- a/src/dispatch/target_starts.cpp
+++ b/src/dispatch/target_starts.cpp
@@ -39,6 +39,12 @@
                : std::nullopt;
 }
 
+bool is_of_unknown_start(const software_version& version)
+{
+    const std::optional<process_start> start = read_unlisted_version(version);
+    return start && start->started_ms == unknown_start_ms;
+}
+
 void target_starts::record_listed(const target_record& record, steady_time now)
 {
     if (record.started_ms == 0)
@@ -68,6 +74,10 @@
 
 software_version target_starts::version_of(const target_state& target) const
 {
+    if (target.is_start_unknown)
+    {
+        return unlisted_version({target.record.id, unknown_start_ms});
+    }
     return is_listed(target) ? target.record.version
                              : version_of({target.record.id, *target.answering_start});
 }
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -97,6 +97,7 @@
     {
         return;
     }
+    target->is_start_unknown = false;
     if (started_ms == target->record.started_ms)
     {
         target->answering_start.reset();
@@ -109,6 +110,7 @@
         started.in_flight = target->in_flight;
         started.expires_at = target->expires_at;
         started.answering_start = started_ms;
+        started.inquiry = target->inquiry;
         const auto leaving = leaving_.find(id);
         started.is_leaving = leaving != leaving_.end() && leaving->second == started_ms;
         *target = started;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -144,6 +144,19 @@
     }
 }
 
+void entry_context::record_unknown_start(const target_id& id)
+{
+    target_state* const target = targets.find(id);
+    if (target != nullptr && !target->is_start_unknown)
+    {
+        target->is_start_unknown = true;
+        log_event(entry_target_start_unknown,
+                  {{"target", id.get()},
+                   {"pool", target->record.pool.get()},
+                   {"listed_ms", target->record.started_ms}});
+    }
+}
+
 void entry_context::record_refusal(const target_id& id)
 {
     target_state* const target = targets.find(id);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace medlar
 {
@@ -186,6 +187,7 @@
     if (is_stream() && route_.may_retry())
     {
         options.question = make_start_question(target.record.address);
+        options.may_ask = target.inquiry.begin(context_.loop.now());
         events.accepts_start = [this](const start_answer& answer)
         {
             return accepts_start(answer);
@@ -273,16 +275,17 @@
 bool request_run::accepts_start(const start_answer& answer)
 {
     // the entry may have changed since the target was chosen
-    if (const target_state* const target = context_.targets.find(target_))
+    if (target_state* const target = context_.targets.find(target_))
     {
         target_record_ = target->record;
+        record_inquiry(*target, answer);
     }
     target_version_ = target_record_.version;
     if (answer.is_missing)
     {
-        // a stream that goes on nowhere else may begin there
         target_version_ = origins_.version_of(pool_, {target_, unknown_start_ms});
-        return !origin_ && !version_of_new_stream();
+        context_.record_unknown_start(target_);
+        return accepts_unknown_start(answer);
     }
     if (answer.started_ms && target_record_.started_ms != 0)
     {
@@ -292,6 +295,12 @@
         }
         context_.record_target_start(target_, *answer.started_ms);
     }
+    if (origin_ && is_of_unknown_start(origin_->version))
+    {
+        // it goes on nowhere, so that any process may begin it
+        target_version_ = origin_->version;
+        return true;
+    }
     if (origin_)
     {
         return origins_.is_of(*origin_, target_version_);
@@ -300,6 +309,61 @@
     return !version || *version == target_version_;
 }
 
+void request_run::record_inquiry(target_state& target, const start_answer& answer) const
+{
+    if (!answer.was_asked)
+    {
+        return;
+    }
+    if (answer.is_unanswered)
+    {
+        target.inquiry.record_unanswered(context_.loop.now());
+    }
+    else
+    {
+        target.inquiry.record_answered();
+    }
+}
+
+bool request_run::accepts_unknown_start(const start_answer& answer)
+{
+    if (origin_)
+    {
+        return origins_.is_of(*origin_, target_version_);
+    }
+    const bool has_other = has_untried_known_target();
+    const bool has_waited = answer.was_asked && answer.is_unanswered;
+    const bool is_first = tried_targets_.size() == 1;
+    // it may be silent altogether; one more answer is waited for
+    if (has_waited && is_first && has_other)
+    {
+        return false;
+    }
+    if (!version_of_new_stream())
+    {
+        // a stream that goes on nowhere else may begin there
+        return true;
+    }
+    begins_at_unknown_start_ = !has_other || (has_waited && !is_first);
+    return false;
+}
+
+bool request_run::has_untried_known_target()
+{
+    const std::vector<target_state*> serving = context_.targets.serving(pool_);
+    return std::any_of(serving.begin(),
+                       serving.end(),
+                       [this](const target_state* each)
+                       {
+                           return !each->is_start_unknown &&
+                                  !each->inquiry.is_unanswered() &&
+                                  may_call(*each, context_.loop.now()) &&
+                                  std::find(tried_targets_.begin(),
+                                            tried_targets_.end(),
+                                            each->record.id) == tried_targets_.end();
+                       });
+}
+
 void request_run::release_call()
 {
     if (target_state* const target = context_.targets.find(target_))
@@ -476,6 +540,12 @@
     paths_.record_contact(pool_);
     release_call();
     attempts_.record_unsent();
+    if (std::exchange(begins_at_unknown_start_, false))
+    {
+        tried_targets_.pop_back();
+        send_once_saved({pool_, target_version_});
+        return;
+    }
     if (tried_targets_.size() <= max_unsent_sends && remaining_time() > millis(0))
     {
         send();
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -188,7 +188,8 @@
                                        "the stream began in a pool that the route left");
                           return;
                       }
-                      if (const auto unlisted = read_unlisted_version(origin->version))
+                      const auto unlisted = read_unlisted_version(origin->version);
+                      if (unlisted && !is_of_unknown_start(origin->version))
                       {
                           // another host knows that the entry of the target is older
                           self->context_.record_target_start(unlisted->target,
@@ -221,7 +222,19 @@
 
 bool request_run::may_run_at(const target_state& target) const
 {
-    return !origin_ || origins_.is_of(*origin_, origins_.version_of(target));
+    if (!origin_)
+    {
+        return true;
+    }
+    if (is_of_unknown_start(origin_->version))
+    {
+        // whichever process has begun it, another one may answer by now
+        const bool has_begun =
+            may_have_run_ || is_resumption() || may_have_begun_elsewhere();
+        return !has_begun &&
+               read_unlisted_version(origin_->version)->target == target.record.id;
+    }
+    return origins_.is_of(*origin_, origins_.version_of(target));
 }
 
 bool request_run::has_target_of_origin()
@@ -326,13 +339,27 @@
     {
         return;
     }
-    const auto others =
-        std::stable_partition(input.candidates.begin(),
-                              input.candidates.end(),
-                              [&](const target_state* each)
-                              {
-                                  return origins_.version_of(*each) == *version;
-                              });
+    const auto is_of_version = [&](const target_state* each)
+    {
+        return origins_.version_of(*each) == *version;
+    };
+    const auto is_unknown = [](const target_state* each)
+    {
+        return each->is_start_unknown;
+    };
+    // a target of another version may turn out not to answer for its start
+    if (!prefer_targets(input, is_of_version))
+    {
+        prefer_targets(input, is_unknown);
+    }
+}
+
+bool request_run::prefer_targets(
+    target_choice_input& input,
+    const std::function<bool(const target_state*)>& is_preferred) const
+{
+    const auto others = std::stable_partition(
+        input.candidates.begin(), input.candidates.end(), is_preferred);
     const bool has_usable =
         std::any_of(input.candidates.begin(),
                     others,
@@ -347,6 +374,7 @@
     {
         input.candidates.erase(others, input.candidates.end());
     }
+    return has_usable;
 }
 
 void request_run::run_stages()
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -23,9 +23,9 @@
 constexpr int max_skipped_answers = 16;
 constexpr std::size_t max_skipped_bytes = 1048576;
 
-// an established connection on which a question is not answered in this time leads to a
-// server that is silent; one lost packet is sent again before
-constexpr millis question_timeout{1000};
+// a server answers a question at once; one lost packet is sent again before. The request
+// still has to be in time where no answer comes
+constexpr millis question_timeout{300};
 
 // share of the server's idle timeout, in tenths, during which a connection is reused;
 // close to its end, a request may cross the server's close of the connection
@@ -75,11 +75,17 @@
         return;
     }
     waiting_request_ = std::move(request);
-    if (!start_ || start_->is_missing)
+    const bool is_known = start_ && !start_->is_missing;
+    if (!is_known && call->options_.may_ask)
     {
         ask_for_start();
         return;
     }
+    if (!is_known)
+    {
+        start_ = start_answer{std::nullopt, true, true, false};
+    }
+    start_->was_asked = false;
     // deferred: the caller does not have the call yet
     client_.loop_.after(millis(0),
                         [self = shared_from_this(), call]
@@ -100,16 +106,43 @@
 {
     is_asking_ = true;
     question_answer_.clear();
+    if (stream_->is_established())
+    {
+        limit_question();
+    }
+    stream_->send(call_->options_.question->request);
+}
+
+void pooled_connection::on_connected()
+{
+    if (is_asking_)
+    {
+        limit_question();
+    }
+}
+
+void pooled_connection::limit_question()
+{
     const std::weak_ptr<pooled_connection> weak = weak_from_this();
     question_timer_ = client_.loop_.after(question_timeout,
                                           [weak]
                                           {
                                               if (const auto self = weak.lock())
                                               {
-                                                  self->fail(call_end::not_sent);
+                                                  self->give_up_question();
                                               }
                                           });
-    stream_->send(call_->options_.question->request);
+}
+
+void pooled_connection::give_up_question()
+{
+    is_asking_ = false;
+    head_.reset();
+    skipping_answer_ = false;
+    start_ = start_answer{std::nullopt, true, true, true};
+    // the answer may still come, in place of that to the request
+    end_stream();
+    send_waiting_request();
 }
 
 void pooled_connection::finish_question()
@@ -119,6 +152,7 @@
     const answer_head answered = *std::exchange(head_, std::nullopt);
     record_keep_alive(answered.headers);
     start_.emplace();
+    start_->was_asked = true;
     start_->is_missing = answered.status >= status_server_error ||
                          answered.status == status_too_many ||
                          answered.status == status_timeout;
@@ -126,17 +160,22 @@
     {
         start_->started_ms = call_->options_.question->read_answer(question_answer_);
     }
-    if (!answered.keeps_connection() || !stream_->input().empty() || !stream_->is_open())
+    if (!answered.keeps_connection() || !stream_->input().empty())
     {
-        reopen();
+        end_stream();
     }
     send_waiting_request();
 }
 
-void pooled_connection::reopen()
+void pooled_connection::end_stream()
 {
     stream_->set_handler(nullptr);
     stream_->close();
+}
+
+void pooled_connection::reopen()
+{
+    end_stream();
     // no process ends and is replaced between its answer and the next connection
     open(call_->options_.connect_timeout);
     ++client_.opened_;
@@ -154,6 +193,10 @@
     }
     if (is_accepted)
     {
+        if (!stream_->is_open())
+        {
+            reopen();
+        }
         was_established_ = stream_->is_established();
         skipped_answers_ = 0;
         skipped_bytes_ = 0;
@@ -163,7 +206,7 @@
     call_ = nullptr;
     call->connection_ = nullptr;
     waiting_request_.reset();
-    release_after_answer(true);
+    release_after_answer(stream_->is_open());
     if (call->callbacks_.on_end)
     {
         call->callbacks_.on_end(call_end::declined);
