--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -114,6 +114,9 @@
 /// target's entry says; its version is unknown
 inline constexpr event entry_target_unlisted{
     1744, severity::warning, "entry_target_unlisted"};
+/// @brief it is unknown which process of a target answers at its address
+inline constexpr event entry_target_start_unknown{
+    1745, severity::info, "entry_target_start_unknown"};
 /// @brief an answer has ended with its connection, and its target was asked whether the
 /// process that sent it lives on
 inline constexpr event entry_end_checked{1746, severity::info, "entry_end_checked"};
@@ -122,7 +125,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 45> entry_events{entry_started,
+inline constexpr std::array<event, 46> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -166,7 +169,8 @@
                                                     entry_crash_refuted,
                                                     entry_target_refusals_limited,
                                                     entry_target_unlisted,
-                                                    entry_end_checked};
+                                                    entry_end_checked,
+                                                    entry_target_start_unknown};
 
 } // namespace medlar
 
