Let targets of the soak end as processes do while they stream

The soak did not show it: its targets answer streams in chunks, and its crashed targets end before they answer.

Cause: not touched here. A stream that comes with neither a length nor chunks is passed on as whole when its target's process ends between two events.

The targets end as killed processes do (listener and connections at once; FIN between two events, FIN within one, RST), nothing accepts at the address for 0.3 to 1.5 s, and they start again under their ids with a newer `born`, the same version or a newer one, entries up to 0.8 s late. Sound ends: whole streams without framing, targets silent for a second right after an end, leaving ones that close their listener first. Promises and checks that were there stay as they are; without the option nothing changes.

| framing, end of the target | streams | whole | visibly broken | not begun | early as whole | | --- | --- | --- | --- | --- | --- | | none, FIN between events | 318 | 5 | 0 | 0 | **313** | | none, FIN within an event | 186 | 77 | 109 | 0 | 0 | | none, RST | 147 | 67 | 79 | 1 | 0 | | none, sound | 2,080 | 2,066 | 0 | 14 | 0 | | none, sound, target leaves | 205 | 205 | 0 | 0 | 0 | | chunks, FIN / FIN within / RST | 139 / 92 / 76 | 62 / 42 / 26 | 77 / 50 / 50 | 0 | 0 | | chunks, sound / leaves | 1,063 / 110 | 1,061 / 110 | 0 | 2 / 0 | 0 | | length, FIN / FIN within / RST | 145 / 101 / 62 | 76 / 46 / 31 | 69 / 55 / 31 | 0 | 0 | | length, sound / leaves | 1,065 / 101 | 1,060 / 101 | 0 | 5 / 0 | 0 |

None of 5,890 streams misses a number, has one twice, goes back, has data of another stream or joins two versions; none that its targets sent whole is broken. The 313 by what could matter otherwise:

| | early as whole of streams cut by FIN between events, no framing | | --- | --- | | same version after the start / newer | 209 of 213 / 104 of 105 | | resumable / not | 196 of 199 / 117 of 119 | | caller takes broken streams up / does not | 220 of 223 / 93 of 95 | | direct / first sent to the host without a path | 197 of 200 / 116 of 118 | | lines end with CR LF / LF | 71 / 242 (721 and 2,215 streams without framing in all) | | first line `weight-versions` / none | 73 / 240 (719 and 2,217) | | events sent in two parts / at once | 68 / 245 (714 and 2,222) | | ids begin at 0 / at 1 | 150 / 163 (1,433 and 1,503) |

Conclusion: the framing and the way of the end decide, nothing else that was varied.

--- a/test/soak/medlar_soak.cpp
+++ b/test/soak/medlar_soak.cpp
@@ -34,6 +34,10 @@
     release_versions,
     false,
     "targets have several versions and are replaced, and callers take up streams");
+DEFINE_bool(end_targets,
+            false,
+            "targets of numbered streams end as processes do, and start again");
+DEFINE_bool(other_faults, true, "with --end_targets: inject the other faults too");
 DEFINE_string(keep, "", "directory in which settings and logs of failed runs are kept");
 
 namespace
@@ -59,8 +63,9 @@
 }
 
 /// Runs one seed and prints its result.
+/// @param endings receives what became of the streams whose targets end
 /// @return the number of broken promises
-std::size_t run_seed(std::uint64_t seed)
+std::size_t run_seed(std::uint64_t seed, soak::ending_table& endings)
 {
     soak::soak_settings settings;
     settings.seed = seed;
@@ -69,6 +74,8 @@
     settings.crash_targets = FLAGS_crash_targets;
     settings.crash_under_request = FLAGS_crash_under_request;
     settings.release_versions = FLAGS_release_versions;
+    settings.end_targets = FLAGS_end_targets;
+    settings.inject_other_faults = FLAGS_other_faults;
     const std::string parent_directory =
         FLAGS_keep.empty() ? std::filesystem::temp_directory_path().string() : FLAGS_keep;
     settings.directory =
@@ -93,6 +100,7 @@
             std::cout << (count > 0 ? "  " + each + "\n" : "");
         }
         std::cout << std::flush;
+        soak::add(endings, run.endings());
     }
     if (count == 0 || FLAGS_keep.empty())
     {
@@ -111,13 +119,15 @@
     std::signal(SIGPIPE, SIG_IGN);
     std::size_t broken = 0;
     std::size_t failed = 0;
+    soak::ending_table endings;
     const std::vector<std::uint64_t> seeds = seeds_to_run();
     for (const std::uint64_t each : seeds)
     {
-        const std::size_t count = run_seed(each);
+        const std::size_t count = run_seed(each, endings);
         broken += count;
         failed += count > 0 ? 1 : 0;
     }
+    soak::print(endings, std::cout);
     std::cout << "soak: " << seeds.size() << " seeds, " << broken << " broken promises\n"
               << seeds.size() - failed << " passed, " << failed << " failed\n";
     return failed == 0 ? 0 : 1;
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -77,8 +77,15 @@
         ++open_requests_;
         start_request();
     }
-    inject_fault();
-    schedule_store_return();
+    if (settings_.inject_other_faults)
+    {
+        inject_fault();
+        schedule_store_return();
+    }
+    if (settings_.end_targets)
+    {
+        start_ending_callers();
+    }
     if (settings_.crash_targets)
     {
         schedule_crashing_request();
@@ -108,6 +115,10 @@
               {
                   return open_requests_ == 0;
               });
+    if (settings_.end_targets)
+    {
+        check_endings();
+    }
     promises_.check(settings_.check_durations ? max_request_ms : 0);
     check_versions();
     for (const auto& each : hosts_)
@@ -360,6 +371,10 @@
     {
         write_entry(each);
     }
+    if (settings_.end_targets)
+    {
+        ending_targets_->write_entries();
+    }
 }
 
 void soak_run::probe_dropped_route()
@@ -405,6 +420,11 @@
         each.limit.clear();
         each.path->set_fault(path_fault::none);
     }
+    if (settings_.end_targets)
+    {
+        ending_targets_->stop_ends();
+        ending_callers_->stop();
+    }
     for (const auto& each : hosts_)
     {
         each->link_path->set_fault(path_fault::none);
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_TEST_SOAK_SOAK_RUN_HPP
 #define MEDLAR_TEST_SOAK_SOAK_RUN_HPP
 
+#include "soak/ending_callers.hpp"
 #include "soak/entry_process.hpp"
 #include "soak/promises.hpp"
 #include "support/entry/entry_fixture.hpp"
@@ -49,6 +50,10 @@
     /// whether targets have two versions, are replaced by newer ones, and callers take up
     /// streams that break off
     bool release_versions = false;
+    /// whether targets of numbered streams end as processes do, and start again
+    bool end_targets = false;
+    /// whether faults other than these ends are injected
+    bool inject_other_faults = true;
 };
 
 /// @brief One run: entry hosts as child processes, a store and targets in this process,
@@ -72,6 +77,12 @@
         return history_;
     }
 
+    /// @brief what became of the streams whose targets end
+    ending_table endings() const
+    {
+        return ending_callers_ ? ending_callers_->table() : ending_table{};
+    }
+
   private:
     using exchange_ptr = std::shared_ptr<caller_exchange>;
 
@@ -167,6 +178,11 @@
     /// records which version a stream has events from
     void record_version(std::size_t target, const caller_exchange& exchange);
     void check_versions();
+    void begin_endings();
+    void start_ending_callers();
+    void check_endings();
+    /// adds the routes and the pool of the targets that end
+    std::string with_ending_routes(const std::string& configuration) const;
     void schedule_store_return();
     void return_store_from_copy();
     void write_again();
@@ -193,8 +209,12 @@
     http_client client_{loop_, 65536};
     endpoint store_endpoint_;
     test::stand_in_store store_;
+    /// the store as the host without a path to the targets that end reads it
+    endpoint second_store_;
     std::unique_ptr<fault_proxy> store_path_;
     std::vector<soak_target> targets_;
+    std::unique_ptr<ending_targets> ending_targets_;
+    std::unique_ptr<ending_callers> ending_callers_;
     std::vector<std::unique_ptr<soak_host>> hosts_;
     promises promises_;
     std::vector<std::string> history_;
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -54,6 +54,10 @@
         return rewrite_registration(key, value);
     };
     start_targets();
+    if (settings_.end_targets)
+    {
+        begin_endings();
+    }
     put_configuration();
     start_hosts();
 }
@@ -127,14 +131,15 @@
         {{{"service", "stage"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}});
     // each version drops the route of the one before
     const std::string own_route = absl::StrCat("/version-", version_, "/");
-    store_.put(
-        "op/config",
+    const std::string configuration =
         test::configuration_json(version_,
                                  {test::route_json("/idempotent/", "idempotent", "plain"),
                                   test::route_json("/once/", "non_idempotent", "plain"),
                                   test::route_json("/stream/", "stream", "plain"),
                                   test::route_json(own_route, "idempotent", "plain"),
-                                  staged}));
+                                  staged});
+    store_.put("op/config",
+               settings_.end_targets ? with_ending_routes(configuration) : configuration);
 }
 
 void soak_run::put_configuration()
@@ -155,6 +160,9 @@
     {
         seeds.push_back(text(each->link_path->where()));
     }
+    const bool has_no_path =
+        settings_.end_targets && host.name == hosts_.back()->name && hosts_.size() > 1;
+    const endpoint& store = has_no_path ? second_store_ : store_path_->where();
     return nlohmann::json({{"node", host.name},
                            {"zone", "a"},
                            {"ip", "127.0.0.1"},
@@ -170,7 +178,7 @@
                              {"retry_ratio", 0.2},
                              {"retry_window_s", 10},
                              {"retry_slack", 56}}},
-                           {"platform", {{"address", text(store_path_->where())}}}})
+                           {"platform", {{"address", text(store)}}}})
         .dump();
 }
 
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -182,6 +182,10 @@
     /// replaces a value that a host writes, such as the address at which peers reach it
     std::function<std::string(const std::string& key, const std::string& value)> rewrite;
 
+    /// replaces a value for the hosts that use the second address
+    std::function<std::string(const std::string& key, const std::string& value)>
+        second_view;
+
     bool has_key_with_prefix(const std::string& prefix) const
     {
         const auto found = items_.lower_bound(prefix);
@@ -209,6 +213,28 @@
         std::int64_t after = 0;
     };
 
+    bool uses_second_address(const caller_exchange& exchange) const
+    {
+        return std::any_of(second_exchanges_.begin(),
+                           second_exchanges_.end(),
+                           [&](const std::weak_ptr<caller_exchange>& each)
+                           {
+                               return each.lock().get() == &exchange;
+                           });
+    }
+
+    /// returns an item or a change as the caller is to see it
+    nlohmann::json view(const caller_exchange& exchange, nlohmann::json item) const
+    {
+        if (second_view && item.contains("value") && uses_second_address(exchange))
+        {
+            std::string value;
+            absl::Base64Unescape(item["value"].get<std::string>(), &value);
+            item["value"] = absl::Base64Escape(second_view(item["key"], value));
+        }
+        return item;
+    }
+
     void
     reply(caller_exchange& exchange, int status, const nlohmann::json& body = {}) const
     {
@@ -285,11 +311,12 @@
              each != items_.end() && absl::StartsWith(each->first, prefix);
              ++each)
         {
-            items.push_back({{"key", each->first},
-                             {"value", absl::Base64Escape(each->second.value)},
-                             {"revision", each->second.revision},
-                             {"create_revision", each->second.revision},
-                             {"lease", 0}});
+            items.push_back(view(exchange,
+                                 {{"key", each->first},
+                                  {"value", absl::Base64Escape(each->second.value)},
+                                  {"revision", each->second.revision},
+                                  {"create_revision", each->second.revision},
+                                  {"lease", 0}}));
         }
         reply(exchange,
               200,
@@ -354,7 +381,7 @@
         {
             if (each["revision"].get<std::int64_t>() > to.after)
             {
-                events.push_back(each);
+                events.push_back(view(*to.exchange, each));
             }
         }
         if (events.empty())
--- a/test/support/fault_proxy.cpp
+++ b/test/support/fault_proxy.cpp
@@ -54,8 +54,7 @@
 
 void fault_proxy::stop()
 {
-    listener_->close();
-    listener_.reset();
+    close_listener();
     const auto open = connections_;
     for (const std::shared_ptr<proxied_connection>& each : open)
     {
@@ -64,10 +63,27 @@
     }
 }
 
+void fault_proxy::stop_by_reset()
+{
+    for (const std::shared_ptr<proxied_connection>& each : connections_)
+    {
+        each->caller->reset();
+    }
+    stop();
+}
+
 void fault_proxy::refuse_new()
 {
-    listener_->close();
-    listener_.reset();
+    close_listener();
+}
+
+void fault_proxy::close_listener()
+{
+    if (listener_)
+    {
+        listener_->close();
+        listener_.reset();
+    }
 }
 
 void fault_proxy::hang()
--- a/test/support/fault_proxy.hpp
+++ b/test/support/fault_proxy.hpp
@@ -47,6 +47,9 @@
     /// address had ended.
     void stop();
 
+    /// @brief Like stop(), but the callers' connections are reset.
+    void stop_by_reset();
+
     /// @brief Lets open connections hang, and new ones too: they are never established,
     /// as if the path to the address was cut.
     void hang();
@@ -93,6 +96,7 @@
 
     void listen();
     void accept(std::shared_ptr<connection> caller);
+    void close_listener();
     void forward(proxied_connection& pair, bool from_caller);
     void close_both(proxied_connection& pair, bool from_caller);
 
