--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -55,6 +55,11 @@
     run_tests "runtime under AddressSanitizer" build-asan/runtime_test
 run_tests "soak" build/medlar-soak --failed_seeds=test/soak/failed_seeds.txt --seeds=3 \
     --fault_ms=4000 --nocheck_times --crash_targets --crash_under_request
+run_tests "soak of ending targets" build/medlar-soak --end_targets --noother_faults \
+    --failed_seeds=test/soak/failed_ending_seeds.txt --seeds=0 --callers=24 \
+    --fault_ms=5000 --nocheck_times
+run_tests "soak of ending targets among other faults" build/medlar-soak --end_targets \
+    --first_seed=500 --seeds=1 --fault_ms=5000 --nocheck_times
 [ -x build/system_test ] && run_tests "system" build/system_test
 
 echo "$passed passed, $failed failed"
