Trust a connection that lives on more than an entry of the target

Cause: where the start was not asked on the connection, the check compared the start of the target's entry, which was that of the process before, with that of the process that answers, and took the answer for cut.

A start that the connection has stated still decides. One that only the entry names gives way to a connection to the target that is older than the end and still open: it would have ended with the process. Older means strictly older, so that the connection which asks does not count.

--- a/include/medlar/detail/dispatch/end_check.hpp
+++ b/include/medlar/detail/dispatch/end_check.hpp
@@ -35,6 +35,16 @@
     bool has_older_connection = false;
 };
 
+/// @brief The start of the process that has sent an answer, as far as it is known.
+struct sender_start
+{
+    /// Unix time in ms; unset if it is unknown
+    std::optional<std::int64_t> started_ms;
+    /// whether the process has stated it on the connection of the answer; an entry may be
+    /// that of the process before
+    bool is_stated = false;
+};
+
 /// @brief What the end of a connection says of the answer that it ends.
 enum class answer_end
 {
@@ -60,17 +70,17 @@
 class end_check
 {
   public:
-    /// @param started_ms start of the process that has sent the answer, Unix time in ms;
-    /// unset if it is unknown
-    static end_check create(std::optional<std::int64_t> started_ms);
+    static end_check create(const sender_start& sender);
 
     /// @brief Takes in what asking the target has shown.
     std::variant<answer_end, ask_again> consider(const end_evidence& evidence);
 
   private:
-    explicit end_check(std::optional<std::int64_t> started_ms);
+    explicit end_check(const sender_start& sender);
+
+    bool is_of_other_process(const end_evidence& evidence) const;
 
-    std::optional<std::int64_t> started_ms_;
+    sender_start sender_;
     int broken_off_ = 0;
     int refusals_ = 0;
     int unreachable_ = 0;
--- a/include/medlar/detail/entry/end_inquiry.hpp
+++ b/include/medlar/detail/entry/end_inquiry.hpp
@@ -28,11 +28,11 @@
 {
   public:
     /// @param where address of the target
-    /// @param started_ms start of the process that has sent the answer; unset if unknown
+    /// @param sender process that has sent the answer
     /// @param on_found called once, not within this call; it may destroy the inquiry
     end_inquiry(entry_context& context,
                 const endpoint& where,
-                std::optional<std::int64_t> started_ms,
+                const sender_start& sender,
                 std::function<void(const end_finding&)> on_found);
     ~end_inquiry();
 
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -145,8 +145,8 @@
     void check_end();
     void on_end_checked(const end_finding& found);
     void on_whole_answer();
-    /// start of the process that got the call, Unix time in ms; unset if unknown
-    std::optional<std::int64_t> start_of_called_process() const;
+    /// start of the process that got the call
+    sender_start start_of_called_process() const;
     /// @param is_fault_of_target whether the failure counts against the target
     void on_call_failed(call_end how, bool is_fault_of_target = true);
     void release_call();
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -159,9 +159,9 @@
     /// @brief Closes the idle connections to @p where.
     void close_idle(const endpoint& where);
 
-    /// @brief Returns whether a connection to @p where that was established by @p when is
-    /// still open.
-    bool has_connection_since(const endpoint& where, steady_time when) const;
+    /// @brief Returns whether a connection to @p where that was established before @p
+    /// when is still open.
+    bool has_connection_from_before(const endpoint& where, steady_time when) const;
 
     /// @brief Returns the number of connections opened so far.
     std::uint64_t opened_connections() const
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -44,9 +44,9 @@
         return expires_;
     }
 
-    /// @brief Returns whether the connection was established by @p when, and has not
+    /// @brief Returns whether the connection was established before @p when, and has not
     /// ended.
-    bool is_established_since(steady_time when) const;
+    bool is_older_than(steady_time when) const;
 
     void on_connected() override;
     void on_input() override;
--- a/src/dispatch/end_check.cpp
+++ b/src/dispatch/end_check.cpp
@@ -54,25 +54,29 @@
     return "unknown";
 }
 
-end_check end_check::create(std::optional<std::int64_t> started_ms)
+end_check end_check::create(const sender_start& sender)
 {
-    return end_check(started_ms);
+    return end_check(sender);
 }
 
-end_check::end_check(std::optional<std::int64_t> started_ms) : started_ms_(started_ms)
+end_check::end_check(const sender_start& sender) : sender_(sender)
 {
 }
 
+bool end_check::is_of_other_process(const end_evidence& evidence) const
+{
+    const bool differs = sender_.started_ms && evidence.started_ms &&
+                         *sender_.started_ms != *evidence.started_ms;
+    // a connection that lives on weighs more than an entry, which may be late
+    return differs && (sender_.is_stated || !evidence.has_older_connection);
+}
+
 std::variant<answer_end, ask_again> end_check::consider(const end_evidence& evidence)
 {
     switch (evidence.end)
     {
         case question_end::answered:
-        {
-            const bool is_other_process = started_ms_ && evidence.started_ms &&
-                                          *started_ms_ != *evidence.started_ms;
-            return is_other_process ? answer_end::cut : answer_end::whole;
-        }
+            return is_of_other_process(evidence) ? answer_end::cut : answer_end::whole;
         case question_end::silent:
             // a listener ends with its process
             return answer_end::whole;
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -595,28 +595,32 @@
                                                  });
 }
 
-std::optional<std::int64_t> request_run::start_of_called_process() const
+sender_start request_run::start_of_called_process() const
 {
     if (call_->process_start())
     {
-        return call_->process_start();
+        return {call_->process_start(), true};
     }
-    // was not asked on this connection
-    return called_.started_ms == 0 ? std::nullopt
-                                   : std::optional<std::int64_t>(called_.started_ms);
+    if (called_.started_ms == 0)
+    {
+        return {};
+    }
+    return {called_.started_ms, false};
 }
 
 void request_run::on_end_checked(const end_finding& found)
 {
     // the inquiry is calling
     const std::unique_ptr<end_inquiry> ended = std::move(end_inquiry_);
+    const sender_start sender = start_of_called_process();
     log_event(entry_end_checked,
               {{"attempt", fields_.attempt.get()},
                {"target", target_.get()},
                {"end", to_string(found.end)},
                {"question", to_string(found.evidence.end)},
                {"questions", std::int64_t{found.questions}},
-               {"process_start_ms", start_of_called_process().value_or(-1)},
+               {"process_start_ms", sender.started_ms.value_or(-1)},
+               {"is_start_stated", std::int64_t{sender.is_stated}},
                {"answering_start_ms", found.evidence.started_ms.value_or(-1)},
                {"older_connection", std::int64_t{found.evidence.has_older_connection}},
                {"after_event", last_event_id_.value_or(-1)},
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -140,7 +140,8 @@
     found->second.idle.clear();
 }
 
-bool http_client::has_connection_since(const endpoint& where, steady_time when) const
+bool http_client::has_connection_from_before(const endpoint& where,
+                                             steady_time when) const
 {
     const auto found = pools_.find(where);
     if (found == pools_.end())
@@ -149,7 +150,7 @@
     }
     const auto is_older = [when](const std::shared_ptr<pooled_connection>& each)
     {
-        return each->is_established_since(when);
+        return each->is_older_than(when);
     };
     const pool& connections = found->second;
     return std::any_of(connections.idle.begin(), connections.idle.end(), is_older) ||
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -241,9 +241,9 @@
            !stream_->has_unread_event();
 }
 
-bool pooled_connection::is_established_since(steady_time when) const
+bool pooled_connection::is_older_than(steady_time when) const
 {
-    return established_at_ && *established_at_ <= when && stream_->is_alive();
+    return established_at_ && *established_at_ < when && stream_->is_alive();
 }
 
 void pooled_connection::on_input()
--- a/test/decisions/dispatch/end_check_test.cpp
+++ b/test/decisions/dispatch/end_check_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(is_its_own_if_the_process_answers);
     CPPUNIT_TEST(is_its_own_if_something_keeps_listening);
     CPPUNIT_TEST(is_that_of_the_process_if_another_one_answers);
+    CPPUNIT_TEST(is_its_own_if_only_the_entry_names_another_start);
     CPPUNIT_TEST(is_that_of_the_process_if_nothing_listens);
     CPPUNIT_TEST(is_its_own_if_only_the_listener_has_ended);
     CPPUNIT_TEST(is_that_of_the_process_if_its_connections_end_one_by_one);
@@ -40,23 +41,23 @@
         for (const auto& known :
              {std::optional<std::int64_t>(start_ms), std::optional<std::int64_t>()})
         {
-            end_check check = end_check::create(known);
+            end_check check = end_check::create({known, true});
             CPPUNIT_ASSERT(
                 is_end(check.consider({question_end::answered, start_ms, false}),
                        answer_end::whole));
         }
-        end_check check = end_check::create(start_ms);
+        end_check check = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(is_end(check.consider({question_end::answered, {}, false}),
                               answer_end::whole));
     }
 
     void is_its_own_if_something_keeps_listening()
     {
-        end_check silent = end_check::create(start_ms);
+        end_check silent = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(is_end(silent.consider({question_end::silent, {}, false}),
                               answer_end::whole));
         // a target resets connections beyond its limit
-        end_check full = end_check::create(start_ms);
+        end_check full = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(asks_again(full.consider({question_end::broken_off, {}, false})));
         CPPUNIT_ASSERT(is_end(full.consider({question_end::broken_off, {}, false}),
                               answer_end::whole));
@@ -64,19 +65,31 @@
 
     void is_that_of_the_process_if_another_one_answers()
     {
-        end_check check = end_check::create(start_ms);
+        end_check check = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(
             is_end(check.consider({question_end::answered, start_ms + 1, false}),
                    answer_end::cut));
     }
 
+    void is_its_own_if_only_the_entry_names_another_start()
+    {
+        // the entry is late, and a connection from before lives on
+        end_check late = end_check::create({start_ms, false});
+        CPPUNIT_ASSERT(is_end(late.consider({question_end::answered, start_ms + 1, true}),
+                              answer_end::whole));
+        end_check restarted = end_check::create({start_ms, false});
+        CPPUNIT_ASSERT(
+            is_end(restarted.consider({question_end::answered, start_ms + 1, false}),
+                   answer_end::cut));
+    }
+
     void is_that_of_the_process_if_nothing_listens()
     {
-        end_check check = end_check::create(start_ms);
+        end_check check = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(
             is_end(check.consider({question_end::refused, {}, false}), answer_end::cut));
         // the listener ends some ms after the first connections
-        end_check late = end_check::create(start_ms);
+        end_check late = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(asks_again(late.consider({question_end::broken_off, {}, false})));
         CPPUNIT_ASSERT(
             is_end(late.consider({question_end::refused, {}, false}), answer_end::cut));
@@ -84,7 +97,7 @@
 
     void is_its_own_if_only_the_listener_has_ended()
     {
-        end_check check = end_check::create(start_ms);
+        end_check check = end_check::create({start_ms, true});
         decision decided = check.consider({question_end::refused, {}, true});
         CPPUNIT_ASSERT(asks_again(decided));
         while (asks_again(decided))
@@ -97,7 +110,7 @@
 
     void is_that_of_the_process_if_its_connections_end_one_by_one()
     {
-        end_check check = end_check::create(start_ms);
+        end_check check = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(asks_again(check.consider({question_end::refused, {}, true})));
         CPPUNIT_ASSERT(
             is_end(check.consider({question_end::refused, {}, false}), answer_end::cut));
@@ -105,7 +118,7 @@
 
     void is_unknown_if_the_target_cannot_be_reached()
     {
-        end_check check = end_check::create(start_ms);
+        end_check check = end_check::create({start_ms, true});
         decision decided = check.consider({question_end::unreachable, {}, false});
         CPPUNIT_ASSERT(asks_again(decided));
         while (asks_again(decided))
@@ -114,7 +127,7 @@
         }
         CPPUNIT_ASSERT(is_end(decided, answer_end::unknown));
         // a connection that lives on says that the process does
-        end_check other = end_check::create(start_ms);
+        end_check other = end_check::create({start_ms, true});
         decided = other.consider({question_end::unreachable, {}, true});
         while (asks_again(decided))
         {
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/numbers.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace
 {
 
@@ -168,6 +170,7 @@
     CPPUNIT_TEST(is_whole_when_the_process_resets_new_connections);
     CPPUNIT_TEST(is_whole_when_the_process_resets_connections_as_it_accepts_them);
     CPPUNIT_TEST(is_no_crash_of_a_target_that_leaves_with_it);
+    CPPUNIT_TEST(is_whole_when_the_entry_of_the_process_is_late);
     CPPUNIT_TEST(is_whole_when_the_process_states_no_start);
     CPPUNIT_TEST(is_whole_when_the_process_finishes_its_answers_before_it_leaves);
     CPPUNIT_TEST_SUITE_END();
@@ -288,6 +291,25 @@
         }
     }
 
+    void is_whole_when_the_entry_of_the_process_is_late()
+    {
+        mortal_targets it;
+        for (const auto& each : it.targets)
+        {
+            each->restart();
+        }
+        // a connection that lives on, at each target
+        std::set<mortal_target*> kept;
+        while (kept.size() < it.targets.size())
+        {
+            it.begin_request("/u/x");
+            kept.insert(&it.running_target());
+        }
+        const auto got = it.begin_request("/u/x");
+        it.finish_answer();
+        it.expect_whole(got);
+    }
+
     void is_whole_when_the_process_states_no_start()
     {
         for (const std::string status : {"200 OK", "404 Not Found", "503 Full"})
