Doubt the entry of a target whose connections have all ended

Cause: where the answer states no start the entry was believed, also if the process that had written it was gone.

The connections to a process end with it. When the last one to a target ends within an answer or before its stated idle timeout, or one is refused while there is no other, the version there is unknown until a start is stated, the entry names another start or version, or it is written twice with 1.5 s between. Where the question hangs the entry is believed only while another connection to the target is open, and streams can be taken up there again.

Conclusion: hosts that saw a process end no longer believe its entry.

--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -42,7 +42,8 @@
     /// the server has not answered the question; which of its processes it is stays
     /// unknown
     bool is_missing = false;
-    /// missing, since no answer came in time or none was waited for
+    /// no answer came in time, or none was waited for; it is not missing if another
+    /// connection shows that the process is the one that it was
     bool is_unanswered = false;
     /// whether the question was sent for this call, not for one before it
     bool was_asked = false;
@@ -141,6 +142,14 @@
     /// @brief Closes the idle connections to @p where.
     void close_idle(const endpoint& where);
 
+    /// @brief Sets the function that is called when the process at an endpoint may have
+    /// ended: the last connection to it ended within an answer or before its idle
+    /// timeout, or a new one was refused while there was no other.
+    void set_loss_handler(std::function<void(const endpoint&)> action)
+    {
+        on_lost_ = std::move(action);
+    }
+
     /// @brief Returns the number of connections opened so far.
     std::uint64_t opened_connections() const
     {
@@ -157,11 +166,14 @@
     };
 
     void release(const std::shared_ptr<pooled_connection>& which, bool reusable);
+    /// handles a connection that ended as those of a process do that ends
+    void handle_loss(const pooled_connection& which);
     void sweep();
 
     event_loop& loop_;
     std::size_t max_head_bytes_;
     std::map<endpoint, pool> pools_;
+    std::function<void(const endpoint&)> on_lost_;
     std::uint64_t opened_ = 0;
     timer_id sweep_timer_{0};
 };
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -40,6 +40,11 @@
       metrics(metrics_registry::create()),
       random(seed)
 {
+    client.set_loss_handler(
+        [this](const endpoint& where)
+        {
+            targets.record_loss(where);
+        });
 }
 
 pool_retry_budget& entry_context::budget_for(const pool_id& pool)
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -553,7 +553,7 @@
         context_.targets.remove(id);
         return;
     }
-    const bool is_new = context_.targets.put(*record);
+    const bool is_new = context_.targets.put(*record, loop_.now());
     if (is_new)
     {
         context_.client.close_idle(record->address);
