Do not count a target that leaves its question unanswered as reached

Cause: a stream that goes to another target since one was silent was recorded as contact with the pool, so that the host did not see that its path was cut.

Change: silence is recorded as a failure of the path, as it was before the question had a limit of its own.

Evidence: five runs of that test pass, three at once. The whole suite was not run on it.

--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -561,8 +561,15 @@
     if (target_state* const target = context_.targets.find(target_))
     {
         target->health = cancel_probe(target->health);
+        if (target->inquiry.is_unanswered())
+        {
+            paths_.record_failure(pool_, target_, false);
+        }
+        else
+        {
+            paths_.record_contact(pool_);
+        }
     }
-    paths_.record_contact(pool_);
     release_call();
     attempts_.record_unsent();
     if (std::exchange(begins_at_unknown_start_, false))
