Write the settings of the soak's hosts in one step

The histories show why: in the same millisecond the soak wrote the settings of that host again (a reload, the end of all faults), and the process read the file between its truncation and its content.

The settings are written beside the file and renamed over it.

A platform that writes the file in place can do the same to a host that starts; it then refuses to start and ends with exit code 2.

--- a/test/soak/entry_process.cpp
+++ b/test/soak/entry_process.cpp
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <vector>
@@ -63,7 +64,10 @@
 
 void entry_process::write_settings(const std::string& text) const
 {
-    std::ofstream(settings_path_) << text;
+    // a process that starts meanwhile reads all of it
+    const std::string written = settings_path_ + ".new";
+    std::ofstream(written) << text;
+    std::filesystem::rename(written, settings_path_);
 }
 
 void entry_process::start(const std::string& program)
