Close connections whose handler is freed, and ask once whether an idle one is usable

The second pass asked the socket again; a target that ended a connection between the two had it removed, and its handler freed, without being closed.

Evidence: a_connection_whose_handler_is_freed, 2 of 2 tests fail before (the server never sees the end).

What remains: that all exits with code 139 of before were this one is not shown.

--- a/include/medlar/detail/loop/message_link.hpp
+++ b/include/medlar/detail/loop/message_link.hpp
@@ -27,6 +27,12 @@
                                                 message_action on_message,
                                                 end_action on_end);
 
+    /// @brief Closes the connection, whose events have no receiver any more.
+    ~message_link() override;
+
+    message_link(const message_link&) = delete;
+    message_link& operator=(const message_link&) = delete;
+
     /// @brief Sends a message without acknowledgement; unsent bytes are lost if the link
     /// ends.
     void send(const nlohmann::json& message);
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -17,6 +17,12 @@
   public:
     pooled_connection(http_client& client, endpoint where);
 
+    /// @brief Closes the connection, whose events have no receiver any more.
+    ~pooled_connection() override;
+
+    pooled_connection(const pooled_connection&) = delete;
+    pooled_connection& operator=(const pooled_connection&) = delete;
+
     /// @brief Starts connecting.
     void open(millis connect_timeout);
 
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -177,22 +177,21 @@
     for (auto each = pools_.begin(); each != pools_.end();)
     {
         std::vector<std::shared_ptr<pooled_connection>>& idle = each->second.idle;
-        for (const auto& idle_connection : idle)
-        {
-            if (!idle_connection->is_usable(loop_.now(), millis(INT64_MAX)))
+        // asked once for each connection, since its server may end it at any moment
+        const auto first_unusable = std::stable_partition(
+            idle.begin(),
+            idle.end(),
+            [this](const std::shared_ptr<pooled_connection>& idle_connection)
             {
-                idle_connection->close();
-            }
-        }
-        idle.erase(std::remove_if(
-                       idle.begin(),
-                       idle.end(),
-                       [this](const std::shared_ptr<pooled_connection>& idle_connection)
-                       {
-                           return !idle_connection->is_usable(loop_.now(),
-                                                              millis(INT64_MAX));
-                       }),
-                   idle.end());
+                return idle_connection->is_usable(loop_.now(), millis(INT64_MAX));
+            });
+        std::for_each(first_unusable,
+                      idle.end(),
+                      [](const std::shared_ptr<pooled_connection>& idle_connection)
+                      {
+                          idle_connection->close();
+                      });
+        idle.erase(first_unusable, idle.end());
         const bool empty = idle.empty() && each->second.busy.empty();
         each = empty ? pools_.erase(each) : std::next(each);
     }
--- a/src/loop/message_link.cpp
+++ b/src/loop/message_link.cpp
@@ -37,6 +37,12 @@
 {
 }
 
+message_link::~message_link()
+{
+    stream_->set_handler(nullptr);
+    stream_->close();
+}
+
 std::shared_ptr<message_link> message_link::create(std::shared_ptr<connection> stream,
                                                    message_action on_message,
                                                    end_action on_end)
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -53,6 +53,18 @@
 {
 }
 
+pooled_connection::~pooled_connection()
+{
+    if (call_)
+    {
+        call_->connection_ = nullptr;
+    }
+    if (stream_)
+    {
+        end_stream();
+    }
+}
+
 void pooled_connection::open(millis connect_timeout)
 {
     established_at_.reset();
