Forget what a peer told of a revision that the store has not reached

News whose revision the store has not reached is readable; the mirror took it as its version, removed what it did not list as of that revision, and took nothing that the store showed later for newer. The watch from it got 410, and reading again changed nothing.

The store is linearizable: a page of a lower revision than one that was known when the page was asked for, in the same era, proves that the store has not reached that one. What was told of later revisions is then forgotten, and the store read from the start. Pages that may be old, and answers that do not state their era, prove nothing. What the mirror has since come to know of each prefix from its own readings of the store stays: it is from the store.

On the code before, news_of_peers::with_a_revision_that_the_store_has_not_reached_is_forgotten fails: "peer_contract_test.cpp:188 - Expression: it.serves() - 1000000".

--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -112,6 +112,8 @@
         int status = 0;
         std::string body;
         std::int64_t era = 0;
+        /// whether the answer has stated it; otherwise it may be of a later one
+        bool states_era = false;
     };
 
     using reply_action = std::function<void(const reply&)>;
--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -93,6 +93,11 @@
     /// of that version; everything if it is from another era.
     nlohmann::json delta_since(store_version since, steady_time now) const;
 
+    /// @brief Forgets what other hosts told of later versions than the store has reached.
+    /// Does nothing unless it was told of one in the era of @p reached.
+    /// @return whether there was something to forget; the store is to be read again
+    bool forget_after(store_version reached);
+
     /// @brief Applies another host's delta_since().
     delta_result apply_delta(const nlohmann::json& delta, steady_time now);
 
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -246,6 +246,7 @@
     {
         result->status = head.status;
         result->era = record_era(head);
+        result->states_era = context_.protocol.read_era(head).has_value();
     };
     const auto give_up = [this, timer, sent, on_reply]
     {
@@ -315,9 +316,12 @@
 {
     // keys and routes may change at any time: an old configuration is no start
     const read_mode page_mode = prefix == 0 ? read_mode::linearizable : mode;
+    // what is known now is in a page that is read now, unless it may be old
+    const store_version known =
+        page_mode == read_mode::linearizable ? mirror_.version() : store_version{};
     call(context_.protocol.write_range_call(prefixes_[prefix], after, page_mode),
          call_timeout,
-         [this, prefix, mode, collected, generation = read_generation_](
+         [this, prefix, mode, collected, known, generation = read_generation_](
              const reply& received) mutable
          {
              absl::StatusOr<store_page> page = context_.protocol.read_page(received.body);
@@ -332,6 +336,15 @@
                  retry_reading(prefix, mode);
                  return;
              }
+             const store_version reached{received.era, page->revision};
+             if (received.states_era && known.era == reached.era && reached < known &&
+                 mirror_.forget_after(reached))
+             {
+                 log_event(entry_peer_ahead,
+                           {{"revision", known.revision}, {"reached", reached.revision}});
+                 read_all(read_mode::linearizable);
+                 return;
+             }
              page->era = received.era;
              append_page(collected, *page);
              if (page->has_more && !page->items.empty())
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -293,6 +293,31 @@
            std::any_of(removals_.begin(), removals_.end(), was_removed_before);
 }
 
+bool store_mirror::forget_after(store_version reached)
+{
+    if (reached.era != version_.era || version_ <= reached)
+    {
+        return false;
+    }
+    version_.revision = 0;
+    removals_known_after_ = 0;
+    for (auto& each : items_)
+    {
+        mirrored_item& known = each.second;
+        if (reached < known.version)
+        {
+            // replaced or removed by the next reading
+            known.version = version_;
+            known.is_held = false;
+        }
+    }
+    for (auto each = removals_.begin(); each != removals_.end();)
+    {
+        each = reached < each->second.at ? removals_.erase(each) : std::next(each);
+    }
+    return true;
+}
+
 nlohmann::json store_mirror::delta_since(store_version since, steady_time now) const
 {
     const bool is_same_era = since.era == version_.era && since.revision > 0;
--- a/test/entry/peer_contract_test.cpp
+++ b/test/entry/peer_contract_test.cpp
@@ -145,6 +145,63 @@
     }
 };
 
+class news_of_peers : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(news_of_peers);
+    CPPUNIT_TEST(with_a_revision_that_the_store_has_not_reached_is_forgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void with_a_revision_that_the_store_has_not_reached_is_forgotten()
+    {
+        for (const std::int64_t revision : {std::int64_t{1000000}, INT64_MAX})
+        {
+            one_host it;
+            std::vector<std::shared_ptr<message_link>> links;
+            const endpoint where = free_endpoint();
+            const auto opened = listener::open(
+                it.loop,
+                where,
+                [&](const std::shared_ptr<connection>& accepted)
+                {
+                    links.push_back(message_link::create(
+                        accepted, [](const nlohmann::json&) {}, [](connection_end) {}));
+                    links.back()->send({{"type", "news"},
+                                        {"era", 1},
+                                        {"revision", revision},
+                                        {"base", {{"era", 0}, {"revision", 0}}},
+                                        {"changed", nlohmann::json::array()},
+                                        {"removed", nlohmann::json::array()},
+                                        {"keys", nlohmann::json::array()},
+                                        {"lapse_ms", 0}});
+                },
+                [](const std::string&) {});
+            CPPUNIT_ASSERT(opened.ok());
+            it.register_peer("host-2", where);
+            it.start_host();
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return !links.empty();
+                }));
+            it.run_for(millis(100));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(revision), it.serves());
+            // and it still follows the store
+            it.store.put(
+                "op/config",
+                configuration_json(9, {route_json("/b/", "idempotent", "plain")}));
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return it.send(it.host_settings.caller_endpoint,
+                                   request_text("GET", "/b/x", "id-2"))
+                               .status == 200;
+                }));
+            (*opened)->close();
+        }
+    }
+};
+
 class answers_of_peers : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(answers_of_peers);
@@ -265,6 +322,7 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endless_bytes);
+CPPUNIT_TEST_SUITE_REGISTRATION(news_of_peers);
 CPPUNIT_TEST_SUITE_REGISTRATION(answers_of_peers);
 
 } // namespace
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -101,7 +101,8 @@
         watches_.clear();
     }
 
-    /// Drops the history: watches from older revisions are answered with 410.
+    /// Drops the history: watches from older revisions are answered with 410, as are
+    /// those from revisions that the store does not have.
     void compact()
     {
         first_kept_revision_ = revision_ + 1;
@@ -326,7 +327,7 @@
     void start_watch(const std::shared_ptr<caller_exchange>& exchange)
     {
         watch added{exchange, std::stoll(query_of(*exchange)["after"])};
-        if (added.after + 1 < first_kept_revision_)
+        if (added.after < first_kept_revision_ - 1 || added.after > revision_)
         {
             reply(*exchange, 410);
             return;
