Read news of another host as a whole before anything changes

A message with changes of the store that lacked a field in one item had begun the sender's era, and changed the items before it, when the field was missed. store_controller compares the era before and after a message and was left by the exception, so that it did not act on the new era, also not with the next message.

apply_delta() now reads all items, removals and keys first, and applies them then, with the check of what was removed since that was added after.

On the code before, messages_of_another_build::change_nothing_when_only_a_part_can_be_read fails: "peer_contract_test.cpp:354 - Expected: 0 - Actual: 2", the era of the mirror after the message.

--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace medlar
@@ -129,7 +130,10 @@
     void record_removal(const std::string& key, const removed_item& removed);
     /// records the removal of an item that is not in items_
     void record_unread_removal(const std::string& key, const removed_item& removed);
-    void apply_removals(const nlohmann::json& removals, steady_time now);
+    static std::vector<std::pair<std::string, removed_item>>
+    read_removals(const nlohmann::json& removals);
+    void apply_removals(const std::vector<std::pair<std::string, removed_item>>& removals,
+                        steady_time now);
 
     change_handler on_change_;
     lapse_handler on_lapse_;
--- a/src/entry/store_mirror.cpp
+++ b/src/entry/store_mirror.cpp
@@ -35,6 +35,30 @@
             object.at("revision").get<std::int64_t>()};
 }
 
+struct changed_item
+{
+    store_item item;
+    std::int64_t era = 0;
+    bool is_held = false;
+};
+
+std::vector<changed_item> read_changes(const nlohmann::json& changes)
+{
+    std::vector<changed_item> items;
+    for (const nlohmann::json& each : changes)
+    {
+        changed_item changed;
+        changed.item.key = each.at("key").get<std::string>();
+        changed.item.revision = each.at("revision").get<std::int64_t>();
+        const nlohmann::json::binary_t& value = each.at("value").get_binary();
+        changed.item.value.assign(value.begin(), value.end());
+        changed.era = each.at("era").get<std::int64_t>();
+        changed.is_held = each.at("held").get<bool>();
+        items.push_back(std::move(changed));
+    }
+    return items;
+}
+
 } // namespace
 
 void append_page(store_page& reading, const store_page& next)
@@ -368,11 +392,12 @@
     return delta;
 }
 
-void store_mirror::apply_removals(const nlohmann::json& removals, steady_time now)
+std::vector<std::pair<std::string, store_mirror::removed_item>>
+store_mirror::read_removals(const nlohmann::json& removals)
 {
+    std::vector<std::pair<std::string, removed_item>> items;
     for (const nlohmann::json& each : removals)
     {
-        const auto key = each.at("key").get<std::string>();
         removed_item removed;
         removed.at = read_version(each);
         if (each.contains("generation"))
@@ -380,6 +405,16 @@
             removed.content = content_version{each.at("generation").get<std::int64_t>(),
                                               each.at("sequence").get<std::int64_t>()};
         }
+        items.emplace_back(each.at("key").get<std::string>(), removed);
+    }
+    return items;
+}
+
+void store_mirror::apply_removals(
+    const std::vector<std::pair<std::string, removed_item>>& removals, steady_time now)
+{
+    for (const auto& [key, removed] : removals)
+    {
         const auto found = items_.find(key);
         if (found == items_.end())
         {
@@ -431,7 +466,15 @@
     {
         return delta_result::no_base;
     }
+    // read as a whole before anything changes
     const millis lapse = read_span(delta, "lapse_ms");
+    const std::vector<changed_item> changes = read_changes(delta.at("changed"));
+    const auto removals = read_removals(delta.at("removed"));
+    std::optional<std::vector<std::string>> keys;
+    if (delta.contains("keys"))
+    {
+        keys = delta.at("keys").get<std::vector<std::string>>();
+    }
     begin_era(reached.era, now);
     if (lapse > millis(0))
     {
@@ -439,32 +482,26 @@
             std::max(lapse_window_end_, now + std::min(lapse, lapse_window));
     }
     const bool is_newer = version_ < reached;
-    for (const nlohmann::json& each : delta.at("changed"))
+    for (const changed_item& each : changes)
     {
-        store_item item;
-        item.key = each.at("key").get<std::string>();
-        item.revision = each.at("revision").get<std::int64_t>();
-        const nlohmann::json::binary_t& value = each.at("value").get_binary();
-        item.value.assign(value.begin(), value.end());
-        const auto era = each.at("era").get<std::int64_t>();
         // from a host that knows less, it may have been removed since
-        if ((!is_newer && items_.count(item.key) == 0) ||
-            is_removed_since(item.key, {era, item.revision}, reached))
+        if ((!is_newer && items_.count(each.item.key) == 0) ||
+            is_removed_since(each.item.key, {each.era, each.item.revision}, reached))
         {
             continue;
         }
-        put(item, era, each.at("held").get<bool>());
+        put(each.item, each.era, each.is_held);
     }
-    apply_removals(delta.at("removed"), now);
+    apply_removals(removals, now);
     if (is_newer)
     {
         version_ = reached;
         has_been_filled_ = true;
-        if (delta.contains("keys"))
+        if (keys)
         {
             // the sender does not know all that was removed before, but what is left
             removals_known_after_ = reached.revision;
-            remove_missing(delta.at("keys").get<std::vector<std::string>>(), now);
+            remove_missing(*keys, now);
         }
     }
     return is_newer ? delta_result::applied : delta_result::older;
--- a/test/entry/peer_contract_test.cpp
+++ b/test/entry/peer_contract_test.cpp
@@ -321,8 +321,45 @@
     }
 };
 
+class messages_of_another_build : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(messages_of_another_build);
+    CPPUNIT_TEST(change_nothing_when_only_a_part_can_be_read);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void change_nothing_when_only_a_part_can_be_read()
+    {
+        store_mirror mirror([](const store_item&) {},
+                            [](const std::string&, steady_time) {},
+                            [](const store_item&) -> std::optional<content_version>
+                            {
+                                return std::nullopt;
+                            });
+        const nlohmann::json item{{"era", 2},
+                                  {"revision", 5},
+                                  {"key", "servers/i-9"},
+                                  {"held", false},
+                                  {"value", nlohmann::json::binary({1})}};
+        nlohmann::json odd = item;
+        odd.erase("held");
+        nlohmann::json news{{"era", 2},
+                            {"revision", 5},
+                            {"base", {{"era", 0}, {"revision", 0}}},
+                            {"changed", {item, odd}},
+                            {"removed", nlohmann::json::array()},
+                            {"lapse_ms", 0}};
+        const steady_time now = medlar::clock::system().steady_now();
+        CPPUNIT_ASSERT_THROW(mirror.apply_delta(news, now), nlohmann::json::exception);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, mirror.version().era);
+        news["changed"] = {item};
+        CPPUNIT_ASSERT(mirror.apply_delta(news, now) == delta_result::applied);
+    }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(endless_bytes);
 CPPUNIT_TEST_SUITE_REGISTRATION(news_of_peers);
+CPPUNIT_TEST_SUITE_REGISTRATION(messages_of_another_build);
 CPPUNIT_TEST_SUITE_REGISTRATION(answers_of_peers);
 
 } // namespace
