Pass over messages of other hosts that cannot be read

A message of another host with a field that is missing or of another kind ended its link: the sender was suspected for two seconds, and its jobs began again elsewhere, as after a crash. A message of an unknown type was dropped without a trace.

Such messages are passed over, counted in medlar_messages_passed_over_total, and change nothing: handlers read all that they need first. Weighed: ending a link after many such messages, which would cut off a build that sends one kind often.

--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -51,6 +51,13 @@
     bool is_finished() const;
 
   private:
+    /// messages of one kind
+    struct passed_over_messages
+    {
+        std::optional<steady_time> logged_at;
+        std::uint64_t unlogged = 0;
+    };
+
     entry_host(event_loop& loop,
                const entry_protocol& protocol,
                const entry_settings& settings,
@@ -74,6 +81,12 @@
     bool is_ready() const;
     bool accepts_requests() const;
 
+    /// Has a message of another host handled; passes it over if it is of an unknown type,
+    /// or if it cannot be read, which a handler finds out before it changes anything.
+    /// @param handle returns false if the type is unknown
+    void read_message(const nlohmann::json& message, const std::function<bool()>& handle);
+    void pass_over(const std::string& kind, const std::string& why);
+
     void on_item_changed(const store_item& item);
     void on_item_expired(const std::string& key, steady_time until);
     void on_configuration_changed(const store_item& item);
@@ -103,6 +116,7 @@
     /// hosts whose registrations lapsed in an outage of the store, and until when they
     /// are kept
     std::map<host_id, steady_time> lapsed_hosts_;
+    std::map<std::string, passed_over_messages> passed_over_;
     /// whether the start is over, and each change is logged
     bool is_serving_ = false;
     std::unique_ptr<http_server> caller_server_;
--- a/include/medlar/detail/entry/message_fields.hpp
+++ b/include/medlar/detail/entry/message_fields.hpp
@@ -16,7 +16,7 @@
 
 /// @brief Reads a span in ms from a value in a message of another host, cut to
 /// ±max_message_span.
-/// @throw nlohmann::json::exception if it is no number; message_link then ends the link
+/// @throw nlohmann::json::exception if it is no number; the message is then passed over
 inline millis read_span(const nlohmann::json& value)
 {
     const auto count = value.get<std::int64_t>();
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -122,12 +122,15 @@
 inline constexpr event entry_end_checked{1746, severity::info, "entry_end_checked"};
 /// @brief another host had told of a revision that the store has not reached
 inline constexpr event entry_peer_ahead{1747, severity::warning, "entry_peer_ahead"};
+/// @brief a message of another host is of an unknown type or cannot be read
+inline constexpr event entry_message_passed_over{
+    1748, severity::warning, "entry_message_passed_over"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 47> entry_events{entry_started,
+inline constexpr std::array<event, 48> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -173,7 +176,8 @@
                                                     entry_target_unlisted,
                                                     entry_end_checked,
                                                     entry_target_start_unknown,
-                                                    entry_peer_ahead};
+                                                    entry_peer_ahead,
+                                                    entry_message_passed_over};
 
 } // namespace medlar
 
--- a/include/medlar/detail/loop/message_link.hpp
+++ b/include/medlar/detail/loop/message_link.hpp
@@ -14,11 +14,14 @@
 /// @brief Exchanges messages between two entry hosts over a TCP connection.
 ///
 /// Each message is a CBOR object, preceded by its size in 4 bytes, most significant
-/// first.
+/// first. A link ends with a message that is no CBOR or too long; whether the receiver
+/// can read what it holds does not matter to the link.
 class message_link : public connection_handler,
                      public std::enable_shared_from_this<message_link>
 {
   public:
+    /// receives a message, which may be any value if the sender is of another build; must
+    /// not throw
     using message_action = std::function<void(const nlohmann::json&)>;
     using end_action = std::function<void(connection_end)>;
 
@@ -53,9 +56,6 @@
                  message_action on_message,
                  end_action on_end);
 
-    /// @return false if the receiver could not read a field that it needs
-    bool deliver(const nlohmann::json& message);
-
     std::shared_ptr<connection> stream_;
     message_action on_message_;
     end_action on_end_;
--- a/src/entry/change_relay.cpp
+++ b/src/entry/change_relay.cpp
@@ -33,11 +33,13 @@
                           steady_time current_as_of,
                           steady_time now)
 {
+    const store_version known{message.at("era").get<std::int64_t>(),
+                              message.at("revision").get<std::int64_t>()};
+    const auto asked_at = message.at("asked_at").get<std::int64_t>();
     follower& asking = followers_[from.get()];
     asking.link = from;
     asking.asked_at = now;
-    asking.sent = {message.at("era").get<std::int64_t>(),
-                   message.at("revision").get<std::int64_t>()};
+    asking.sent = known;
     if (!mirror_.is_filled() || mirror_.version() < asking.sent)
     {
         // this host knows less than the follower, which will find a better one
@@ -52,7 +54,7 @@
                 {"era", mirror_.version().era},
                 {"revision", mirror_.version().revision},
                 {"age_ms", (now - current_as_of).count()},
-                {"asked_at", message.at("asked_at").get<std::int64_t>()}});
+                {"asked_at", asked_at}});
 }
 
 void change_relay::send_changes(steady_time now)
--- a/src/entry/crash_controller.cpp
+++ b/src/entry/crash_controller.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace medlar
 {
@@ -227,13 +228,13 @@
 {
     const endpoint where{message.at("address").get<std::string>(),
                          message.at("port").get<std::uint16_t>()};
+    const auto target = message.at("target").get<std::string>();
     const std::uint64_t number = ++last_probe_;
     asked_probes_[number] = std::make_unique<connection_probe>(
         context_.loop,
         where,
         millis(0),
-        [this, number, from, target = message.at("target").get<std::string>()](
-            probe_result result)
+        [this, number, from, target](probe_result result)
         {
             from->send({{"type", "reached"},
                         {"target", target},
@@ -245,13 +246,14 @@
 void crash_controller::handle_whether_reached(const nlohmann::json& message)
 {
     const target_id target(message.at("target").get<std::string>());
+    const bool is_reached = message.at("is_reached").get<bool>();
     const auto found = checks_.find(target);
     if (found == checks_.end() || found->second.open_answers == 0)
     {
         return;
     }
     --found->second.open_answers;
-    if (message.at("is_reached").get<bool>())
+    if (is_reached)
     {
         log_event(entry_crash_refuted,
                   {{"target", target.get()},
@@ -344,9 +346,14 @@
 
 void crash_controller::handle_reports(const nlohmann::json& message)
 {
+    std::vector<target_crash> crashes;
     for (const nlohmann::json& each : message.at("crashes"))
     {
-        evidence_.record_crash(read_crash(each, context_.loop.now()));
+        crashes.push_back(read_crash(each, context_.loop.now()));
+    }
+    for (const target_crash& each : crashes)
+    {
+        evidence_.record_crash(each);
     }
     has_new_report_ = true;
     consider_suspects();
@@ -592,10 +599,15 @@
     {
         return false;
     }
+    std::vector<std::pair<crash_suspect, steady_time>> harmless;
     for (const nlohmann::json& each : message.at("suspects"))
     {
         const millis age = std::max(millis(0), read_span(each, "age_ms"));
-        evidence_.record_harmless(read_suspect(each), context_.loop.now() - age);
+        harmless.emplace_back(read_suspect(each), context_.loop.now() - age);
+    }
+    for (const auto& each : harmless)
+    {
+        evidence_.record_harmless(each.first, each.second);
     }
     return true;
 }
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -28,6 +28,13 @@
 // connections
 constexpr millis tick_interval{100};
 
+// messages of one kind that are passed over are logged no more often: a build beside
+// this one may send hundreds a second
+constexpr millis pass_over_log_interval{1000};
+
+// a reason may hold what another host sent
+constexpr std::size_t max_logged_reason = 200;
+
 peer_host own_peer_host(const entry_settings& settings)
 {
     return {settings.host,
@@ -155,25 +162,29 @@
     peers_.set_request_handler(
         [this](const std::shared_ptr<message_link>& from, const nlohmann::json& message)
         {
-            if (!broker_.handle_request(from, message) &&
-                !path_controller_.handle_message(message) &&
-                !crash_controller_.handle_request(from, message) &&
-                !limit_controller_.handle_request(from, message) &&
-                !stream_origins_.handle_request(from, message))
-            {
-                store_controller_.handle_request(from, message);
-            }
+            read_message(message,
+                         [&]
+                         {
+                             return broker_.handle_request(from, message) ||
+                                    path_controller_.handle_message(message) ||
+                                    crash_controller_.handle_request(from, message) ||
+                                    limit_controller_.handle_request(from, message) ||
+                                    stream_origins_.handle_request(from, message) ||
+                                    store_controller_.handle_request(from, message);
+                         });
         });
     peers_.set_answer_handler(
         [this](const host_id& from, const nlohmann::json& message)
         {
-            if (!broker_.handle_answer(from, message) &&
-                !crash_controller_.handle_answer(message) &&
-                !limit_controller_.handle_answer(message) &&
-                !stream_origins_.handle_answer(from, message))
-            {
-                store_controller_.handle_answer(from, message);
-            }
+            read_message(message,
+                         [&]
+                         {
+                             return broker_.handle_answer(from, message) ||
+                                    crash_controller_.handle_answer(message) ||
+                                    limit_controller_.handle_answer(message) ||
+                                    stream_origins_.handle_answer(from, message) ||
+                                    store_controller_.handle_answer(from, message);
+                         });
         });
     peers_.set_peer_lost_handler(
         [this](const host_id& host, connection_end reason)
@@ -262,6 +273,43 @@
     return status;
 }
 
+void entry_host::read_message(const nlohmann::json& message,
+                              const std::function<bool()>& handle)
+{
+    try
+    {
+        if (!handle())
+        {
+            using replace_odd = nlohmann::json::error_handler_t;
+            const nlohmann::json type =
+                message.at("type").get<std::string>().substr(0, max_logged_reason);
+            pass_over("unknown",
+                      "no handler knows the type " +
+                          type.dump(-1, ' ', false, replace_odd::replace));
+        }
+    }
+    catch (const nlohmann::json::exception& error)
+    {
+        pass_over("unreadable", error.what());
+    }
+}
+
+void entry_host::pass_over(const std::string& kind, const std::string& why)
+{
+    context_.metrics->add("medlar_messages_passed_over_total", {{"why", kind}});
+    passed_over_messages& passed = passed_over_[kind];
+    ++passed.unlogged;
+    const steady_time now = loop_.now();
+    if (!passed.logged_at || now - *passed.logged_at >= pass_over_log_interval)
+    {
+        passed.logged_at = now;
+        log_event(entry_message_passed_over,
+                  {{"kind", kind},
+                   {"why", why.substr(0, max_logged_reason)},
+                   {"messages", std::exchange(passed.unlogged, std::uint64_t{0})}});
+    }
+}
+
 std::string entry_host::reason_not_to_take(const caller_exchange& exchange) const
 {
     if (!accepts_requests() || !has_started())
--- a/src/entry/limit_controller.cpp
+++ b/src/entry/limit_controller.cpp
@@ -102,11 +102,13 @@
     {
         return;
     }
-    target->refusal_limit = message.at("per_s").get<double>();
-    target->refused_until = std::max(
-        target->refused_until,
-        context_.loop.now() + std::min(read_span(message, "pause_ms"),
-                                       pause_after_refusal(target->refusal_limit)));
+    const auto per_s = message.at("per_s").get<double>();
+    const millis pause = read_span(message, "pause_ms");
+    target->refusal_limit = per_s;
+    target->refused_until =
+        std::max(target->refused_until,
+                 context_.loop.now() +
+                     std::min(pause, pause_after_refusal(target->refusal_limit)));
 }
 
 permit limit_controller::issue(const target_state& target)
@@ -248,9 +250,10 @@
         return true;
     }
     const millis age = std::max(millis(0), read_span(message, "age_ms"));
+    const auto number = message.at("number").get<std::uint64_t>();
     const permit issued = permits_.issue({id, started_ms}, per_s, now - age, now);
     from->send({{"type", "permit"},
-                {"number", message.at("number").get<std::uint64_t>()},
+                {"number", number},
                 {"granted", issued.is_granted},
                 {"wait_ms", issued.wait.count()},
                 {"ended", issued.has_ended}});
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -102,6 +102,39 @@
     return result;
 }
 
+struct owner_answer
+{
+    int piece = 0;
+    piece_result result;
+    bool is_accepted = false;
+    bool is_late = false;
+    millis expected_time{0};
+    millis retry_after{0};
+    millis time_since_refusal{0};
+};
+
+owner_answer read_answer(const std::string& type, const nlohmann::json& message)
+{
+    owner_answer answer;
+    if (type == "piece")
+    {
+        answer.piece = message.at("piece").get<int>();
+        answer.result = read_piece(message);
+        return answer;
+    }
+    answer.is_accepted = message.at("accepted").get<bool>();
+    if (type == "verdict")
+    {
+        answer.is_late = message.at("late").get<bool>();
+        answer.expected_time = read_span(message, "expected_ms");
+        answer.retry_after = read_span(message, "retry_ms");
+        // hosts of an older version do not send it
+        answer.time_since_refusal =
+            message.contains("waited_ms") ? read_span(message, "waited_ms") : millis(0);
+    }
+    return answer;
+}
+
 } // namespace
 
 piece_broker::piece_broker(entry_context& context,
@@ -461,9 +494,24 @@
     const auto found = open_jobs_.find(ticket);
     const bool is_current = found != open_jobs_.end() && !found->second.is_local &&
                             found->second.owner == from;
+    owner_answer answer;
+    try
+    {
+        answer = read_answer(type, message);
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        if (is_current)
+        {
+            // what the answer said is not known: the job begins again, and not twice
+            peers_.send(from, {{"type", "cancel"}, {"number", ticket.get()}});
+            reassign(ticket);
+        }
+        throw;
+    }
     if (type == "piece")
     {
-        piece_done(ticket, message.at("piece").get<int>(), read_piece(message), from);
+        piece_done(ticket, answer.piece, answer.result, from);
     }
     else if (type == "no_path" && is_current)
     {
@@ -472,26 +520,20 @@
         paths_.record_lost(from, open.pool);
         ++open.rejections;
         // a job in progress was accepted before
-        open.job.is_refusable =
-            open.job.is_refusable && !message.at("accepted").get<bool>();
+        open.job.is_refusable = open.job.is_refusable && !answer.is_accepted;
         dispatch(ticket);
     }
     else if (type == "verdict" && is_current)
     {
         context_.loop.cancel(found->second.acknowledgement);
-        record_expected(found->second,
-                        message.at("late").get<bool>(),
-                        read_span(message, "expected_ms"));
-        if (!message.at("accepted").get<bool>())
+        record_expected(found->second, answer.is_late, answer.expected_time);
+        if (!answer.is_accepted)
         {
-            refuse(ticket, read_span(message, "retry_ms"));
-            return true;
+            refuse(ticket, answer.retry_after);
         }
-        // hosts of an older version do not send waited_ms
-        const auto time_since_refusal = message.value("waited_ms", std::int64_t{0});
-        if (time_since_refusal > 0)
+        else if (answer.time_since_refusal > millis(0))
         {
-            notify_retry(ticket, millis(time_since_refusal));
+            notify_retry(ticket, answer.time_since_refusal);
         }
     }
     return true;
--- a/src/entry/stream_origins.cpp
+++ b/src/entry/stream_origins.cpp
@@ -822,20 +822,29 @@
         return true;
     }
     question& asked = found->second;
-    asked.is_answered = true;
-    asked.waiting_for.erase(from);
+    std::set<stream_origin> possible;
     for (const nlohmann::json& each : message.at("possible"))
     {
-        asked.possible.insert(read_origin(each));
+        possible.insert(read_origin(each));
     }
+    std::set<stream_origin> unlisted;
     // hosts of earlier builds do not send it
     for (const nlohmann::json& each : message.value("unlisted", nlohmann::json::array()))
     {
-        asked.unlisted.insert(read_origin(each));
+        unlisted.insert(read_origin(each));
     }
+    std::optional<stream_origin> origin;
     if (message.contains("origin") && asked.is_named)
     {
-        remember(asked.stream, read_origin(message.at("origin")));
+        origin = read_origin(message.at("origin"));
+    }
+    asked.is_answered = true;
+    asked.waiting_for.erase(from);
+    asked.possible.merge(possible);
+    asked.unlisted.merge(unlisted);
+    if (origin)
+    {
+        remember(asked.stream, *origin);
         conclude(number);
     }
     else if (asked.waiting_for.empty())
--- a/src/loop/message_link.cpp
+++ b/src/loop/message_link.cpp
@@ -1,4 +1,3 @@
-#include <medlar/detail/log/entry_events.hpp>
 #include <medlar/detail/loop/message_link.hpp>
 
 #include <cstdint>
@@ -65,21 +64,6 @@
     stream_->close();
 }
 
-bool message_link::deliver(const nlohmann::json& message)
-{
-    try
-    {
-        on_message_(message);
-        return true;
-    }
-    catch (const nlohmann::json::exception& error)
-    {
-        log_event(entry_item_unreadable,
-                  {{"what", "message of an entry host"}, {"why", error.what()}});
-        return false;
-    }
-}
-
 void message_link::on_input()
 {
     const std::shared_ptr<message_link> self = shared_from_this();
@@ -100,12 +84,13 @@
         const nlohmann::json message =
             nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
         stream_->consume(length_bytes + length);
-        if (!message.is_object() || !deliver(message))
+        if (message.is_discarded())
         {
             stream_->close();
             on_end_(connection_end::closed);
             return;
         }
+        on_message_(message);
     }
 }
 
--- a/test/entry/host_test.cpp
+++ b/test/entry/host_test.cpp
@@ -1,6 +1,7 @@
 #include "support/entry/entry_fixture.hpp"
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <set>
@@ -80,6 +81,7 @@
     CPPUNIT_TEST(rejects_invalid_requests);
     CPPUNIT_TEST(serves_its_metrics);
     CPPUNIT_TEST(outlives_messages_that_cannot_be_read);
+    CPPUNIT_TEST(ends_links_that_bring_no_messages);
     CPPUNIT_TEST(outlives_messages_with_any_field_replaced);
     CPPUNIT_TEST(serves_requests_that_arrive_just_after_it_was_told_to_stop);
     CPPUNIT_TEST(does_not_start_at_an_address_that_another_one_uses);
@@ -308,21 +310,103 @@
         host_fixture it;
         it.add_host("host-1");
         CPPUNIT_ASSERT(it.until_ready(0));
+        std::vector<nlohmann::json> unreadable{
+            {{"no", "type"}}, {{"type", 7}}, {{"type", nullptr}}, 7, "job", nullptr};
+        for (const char* type : {"job",
+                                 "cancel",
+                                 "refused",
+                                 "free",
+                                 "paths",
+                                 "crashes",
+                                 "reached?",
+                                 "harmless?",
+                                 "blocked",
+                                 "harmless",
+                                 "full",
+                                 "limit",
+                                 "limit_ended",
+                                 "permit?",
+                                 "streams_begun",
+                                 "save_stream",
+                                 "origin?",
+                                 "follow"})
+        {
+            unreadable.push_back({{"type", type}});
+        }
+        unreadable.push_back({{"type", "news?"}, {"era", "text"}});
+        const std::vector<nlohmann::json> unknown{
+            {{"type", "of a later build"}}, {{"type", ""}}, {{"type", "\xff"}}};
+        std::vector<nlohmann::json> messages = unreadable;
+        messages.insert(messages.end(), unknown.begin(), unknown.end());
+        std::vector<nlohmann::json> answers;
         bool ended = false;
-        for (const nlohmann::json& message : {nlohmann::json({{"type", "job"}}),
-                                              nlohmann::json({{"no", "type"}}),
-                                              nlohmann::json(7)})
+        const auto link = message_link::create(
+            connection::connect(it.loop, it.all_settings[0].link_endpoint, millis(1000)),
+            [&answers](const nlohmann::json& message)
+            {
+                answers.push_back(message);
+            },
+            [&ended](connection_end)
+            {
+                ended = true;
+            });
+        for (std::size_t i = 0; i < messages.size(); ++i)
+        {
+            link->send(messages[i]);
+            link->send({{"type", "origin?"},
+                        {"number", i},
+                        {"stream", 1},
+                        {"pools", nlohmann::json::array()}});
+            CPPUNIT_ASSERT(it.until(
+                [&]
+                {
+                    return ended || answers.size() == i + 1;
+                }));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(i), !ended);
+            CPPUNIT_ASSERT_EQUAL(std::string("origin"),
+                                 answers.back().at("type").get<std::string>());
+            CPPUNIT_ASSERT_EQUAL(i, answers.back().at("number").get<std::size_t>());
+        }
+        const std::string metrics = it.send(it.all_settings[0].metrics_endpoint,
+                                            "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+                                        .body;
+        for (const auto& [why, count] : {std::make_pair("unreadable", unreadable.size()),
+                                         std::make_pair("unknown", unknown.size())})
+        {
+            CPPUNIT_ASSERT_MESSAGE(
+                metrics,
+                absl::StrContains(metrics,
+                                  absl::StrCat("medlar_messages_passed_over_total{why=\"",
+                                               why,
+                                               "\"} ",
+                                               count,
+                                               "\n")));
+        }
+        CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(0, "/a/x"));
+    }
+
+    void ends_links_that_bring_no_messages()
+    {
+        host_fixture it;
+        it.add_host("host-1");
+        CPPUNIT_ASSERT(it.until_ready(0));
+        const std::string question{"\0\0\0\1\xa0", 5};
+        for (const std::string& bytes : {std::string("\0\0\0\1\xff", 5),
+                                         std::string("\0\0\0\0", 4),
+                                         std::string("\0\0\0\2\xa0\xa0", 6),
+                                         std::string("\x7f\0\0\0", 4)})
         {
-            ended = false;
+            bool ended = false;
+            const auto stream = connection::connect(
+                it.loop, it.all_settings[0].link_endpoint, millis(1000));
             const auto link = message_link::create(
-                connection::connect(
-                    it.loop, it.all_settings[0].link_endpoint, millis(1000)),
+                stream,
                 [](const nlohmann::json&) {},
                 [&ended](connection_end)
                 {
                     ended = true;
                 });
-            link->send(message);
+            stream->send(question + bytes + question);
             CPPUNIT_ASSERT(it.until(
                 [&]
                 {
