--- a/test/entry/older_build_test.cpp
+++ b/test/entry/older_build_test.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <fstream>
 
 namespace
@@ -161,6 +162,8 @@
     CPPUNIT_TEST(are_read_when_it_answers);
     CPPUNIT_TEST(tell_where_its_streams_began);
     CPPUNIT_TEST(have_streams_saved_before_they_begin);
+    CPPUNIT_TEST(tell_which_target_is_full);
+    CPPUNIT_TEST(end_the_block_of_a_harmless_suspect);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -251,6 +254,55 @@
         CPPUNIT_ASSERT_EQUAL(request.at("number"), saved.at("number"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.recorded_streams());
     }
+
+    void tell_which_target_is_full()
+    {
+        asked_host it;
+        nlohmann::json full = recorded_message_of("full");
+        full["started_ms"] = it.engines.at("i-1")->started_ms;
+        const auto begins_at = [&](const std::string& version)
+        {
+            return std::count_if(it.began_at.begin(),
+                                 it.began_at.end(),
+                                 [&](const auto& each)
+                                 {
+                                     return each.second == '"' + version + '"';
+                                 });
+        };
+        it.begin_streams(8);
+        CPPUNIT_ASSERT(begins_at("v1") > 0);
+        it.began_at.clear();
+        for (int i = 0; i < 8; ++i)
+        {
+            it.link->send(full);
+            // what was sent before is read by then
+            it.origin_of(1);
+            it.begin_stream(0);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{8}, begins_at("v5"));
+    }
+
+    void end_the_block_of_a_harmless_suspect()
+    {
+        asked_host it;
+        const auto blocks = [&](int count)
+        {
+            return it.until(
+                [&]
+                {
+                    return absl::StrContains(
+                        it.metrics(),
+                        absl::StrCat("medlar_blocked_suspects ", count, "\n"));
+                });
+        };
+        nlohmann::json blocked = recorded_message_of("blocked");
+        it.link->send(blocked);
+        CPPUNIT_ASSERT(blocks(1));
+        nlohmann::json harmless = recorded_message_of("harmless");
+        harmless["suspect"] = blocked.at("suspect");
+        it.link->send(harmless);
+        CPPUNIT_ASSERT(blocks(0));
+    }
 };
 
 class values_of_an_older_build : public CppUnit::TestFixture
