--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/entry/store_mirror.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace medlar
@@ -93,6 +94,11 @@
     /// of that version; everything if it is from another era.
     nlohmann::json delta_since(store_version since, steady_time now) const;
 
+    /// @brief Forgets what other hosts told of later versions than the store has reached.
+    /// Does nothing unless it was told of one in the era of @p reached.
+    /// @return whether there was something to forget; the store is to be read again
+    bool forget_after(store_version reached);
+
     /// @brief Applies another host's delta_since().
     delta_result apply_delta(const nlohmann::json& delta, steady_time now);
 
@@ -124,7 +130,10 @@
     void record_removal(const std::string& key, const removed_item& removed);
     /// records the removal of an item that is not in items_
     void record_unread_removal(const std::string& key, const removed_item& removed);
-    void apply_removals(const nlohmann::json& removals, steady_time now);
+    static std::vector<std::pair<std::string, removed_item>>
+    read_removals(const nlohmann::json& removals);
+    void apply_removals(const std::vector<std::pair<std::string, removed_item>>& removals,
+                        steady_time now);
 
     change_handler on_change_;
     lapse_handler on_lapse_;
