Do not repeat events without ids after a break

On a route that can be resumed, a stream whose events carry no ids, or stop doing so, was sent to the next target from its last id, or from its beginning, when it broke off: events came twice in one answer (ORDER).

Cause: a stream was taken for one that can go on wherever its route can, though it goes on by ids alone.

Change: once the caller has an event with data and without an id, its stream goes on nowhere, and ends visibly broken. Where a target was asked to go on after an event, one without an id breaks the answer off: it may be one that the caller has. Comments carry no data, and pass.

Weighed: to count events without ids (a target need not cut them alike); to treat all blocks without an id so (comments would end sound streams).

Why it works: an event is repeated only if a second call begins before it, and none is made then.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -255,6 +255,10 @@
     /// whether the current call has brought an event
     bool has_call_begun_ = false;
     bool has_event_gap_ = false;
+    /// whether the current call asks for the events after one that the caller has
+    bool goes_on_ = false;
+    /// whether the caller has an event without an id
+    bool has_unnumbered_event_ = false;
     bool ended_ = false;
 };
 
--- a/include/medlar/detail/http/event_stream.hpp
+++ b/include/medlar/detail/http/event_stream.hpp
@@ -11,6 +11,10 @@
 namespace medlar
 {
 
+/// @brief Returns whether an event carries data; one that does not, such as a comment, is
+/// none to its receiver.
+bool carries_data(absl::string_view event);
+
 /// @brief Splits a text/event-stream into complete events.
 class event_splitter
 {
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -97,6 +97,16 @@
         has_event_gap_ = true;
         return;
     }
+    if (!id && carries_data(event))
+    {
+        if (goes_on_)
+        {
+            // it may be one that the caller has
+            has_event_gap_ = true;
+            return;
+        }
+        has_unnumbered_event_ = true;
+    }
     if (!has_first_event_)
     {
         has_first_event_ = true;
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -217,6 +217,7 @@
     buffered_body_.clear();
     events_.discard_incomplete_event();
     has_event_gap_ = false;
+    goes_on_ = last_event_id_.has_value();
     has_call_begun_ = false;
     attempts_.record_send();
     if (attempts_.sends() == 1)
@@ -464,7 +465,10 @@
 bool request_run::retry(bool has_run)
 {
     const bool is_allowed = (!has_run && !may_have_run_) || route_.may_retry();
-    if (!is_allowed || attempts_.is_used_up() || !has_target_of_origin())
+    // the next target would begin before events that the caller has
+    const bool would_repeat_events = has_unnumbered_event_;
+    if (!is_allowed || would_repeat_events || attempts_.is_used_up() ||
+        !has_target_of_origin())
     {
         return false;
     }
--- a/src/http/event_stream.cpp
+++ b/src/http/event_stream.cpp
@@ -39,6 +39,19 @@
 
 } // namespace
 
+bool carries_data(absl::string_view event)
+{
+    for (const absl::string_view line : absl::StrSplit(event, '\n'))
+    {
+        if (absl::StartsWith(line, "data:") ||
+            absl::StripTrailingAsciiWhitespace(line) == "data")
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 void event_splitter::add(absl::string_view bytes, const event_action& action)
 {
     buffer_.append(bytes.data(), bytes.size());
