Take a report that is cut for none

A report without a length or chunks whose connection ends within it was read as one that states no start. The entry was believed, which may be that of the process before: streams may join two versions. After the end of an unframed answer, a cut report of the next process counted as an answer of the one before: the stream ended as whole, some events short.

Cause: the end of the connection was taken for that of the report.

Change: where only the end of its connection marks its end, a report that is no whole JSON value is treated like a question that was not answered. The check of ends asks again after a report that was cut, framed or not, as after a connection that was ended or reset.

Why it works: a part of a JSON object is no JSON value.

--- a/include/medlar/detail/entry/end_inquiry.hpp
+++ b/include/medlar/detail/entry/end_inquiry.hpp
@@ -53,6 +53,8 @@
     int questions_ = 0;
     std::shared_ptr<client_call> call_;
     bool has_head_ = false;
+    /// whether only the end of the connection marks the end of the answer
+    bool is_unframed_ = false;
     std::string answer_;
     timer_id timer_{0};
 };
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -235,6 +235,9 @@
     /// @return Unix time in ms; unset if the answer does not state it
     virtual std::optional<std::int64_t>
     read_start_answer(absl::string_view body) const = 0;
+    /// @brief Returns whether the body of an answer to a start question is not a part of
+    /// one.
+    virtual bool is_whole_start_answer(absl::string_view body) const = 0;
     virtual std::string readiness_path() const = 0;
     /// @brief Returns the header that tells a caller when to retry.
     virtual header_field retry_after(millis delay) const = 0;
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -71,6 +71,9 @@
     std::function<bool(const answer_head&)> accepts_head;
     /// reads the start time from the body of an answer; unset if it states none
     std::function<std::optional<std::int64_t>(absl::string_view body)> read_answer;
+    /// returns whether the body of an answer is not a part of one; asked where only the
+    /// end of the connection marks its end
+    std::function<bool(absl::string_view body)> is_whole;
 };
 
 /// @brief Options of a call.
--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -50,6 +50,7 @@
 void end_inquiry::ask()
 {
     has_head_ = false;
+    is_unframed_ = false;
     answer_.clear();
     call_options options;
     options.connect_timeout = connect_timeout;
@@ -60,9 +61,10 @@
     {
         return context_.protocol.read_answer(head).attempt.empty();
     };
-    events.on_head = [this](const answer_head&)
+    events.on_head = [this](const answer_head& head)
     {
         has_head_ = true;
+        is_unframed_ = head.framing.kind == body_kind::until_close;
     };
     events.on_data = [this](absl::string_view data)
     {
@@ -104,7 +106,8 @@
 void end_inquiry::on_answer_end(call_end how)
 {
     end_evidence evidence;
-    if (how == call_end::complete)
+    const bool is_cut = is_unframed_ && !context_.protocol.is_whole_start_answer(answer_);
+    if (how == call_end::complete && !is_cut)
     {
         evidence.started_ms = context_.protocol.read_start_answer(answer_);
     }
@@ -115,7 +118,7 @@
                        : by == connection_end::reset ? question_end::broken_off
                                                      : question_end::unreachable;
     }
-    else if (!has_head_ && how != call_end::malformed)
+    else if (how != call_end::malformed)
     {
         evidence.end = question_end::broken_off;
     }
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -271,6 +271,10 @@
                        [&protocol](absl::string_view body)
                        {
                            return protocol.read_start_answer(body);
+                       },
+                       [&protocol](absl::string_view body)
+                       {
+                           return protocol.is_whole_start_answer(body);
                        }});
 }
 
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -158,7 +158,14 @@
     start_->is_missing = answered.status >= status_server_error ||
                          answered.status == status_too_many ||
                          answered.status == status_timeout;
-    if (is_success(answered.status))
+    const bool is_cut = answered.framing.kind == body_kind::until_close &&
+                        !call_->options_.question->is_whole(question_answer_);
+    if (is_success(answered.status) && is_cut)
+    {
+        start_->is_missing = true;
+        start_->is_unanswered = true;
+    }
+    else if (is_success(answered.status))
     {
         start_->started_ms = call_->options_.question->read_answer(question_answer_);
     }
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -162,6 +162,7 @@
     CPPUNIT_TEST_SUITE(an_answer_that_ends_with_its_connection);
     CPPUNIT_TEST(is_not_whole_when_the_process_of_its_target_has_ended);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_answers_at_the_address);
+    CPPUNIT_TEST(is_not_whole_when_the_next_process_cuts_its_report);
     CPPUNIT_TEST(goes_on_at_another_target_when_the_process_has_ended);
     CPPUNIT_TEST(is_no_plain_answer_when_the_process_has_ended);
     CPPUNIT_TEST(is_repeated_when_the_process_has_ended_and_it_may_be);
@@ -201,6 +202,29 @@
         }
     }
 
+    void is_not_whole_when_the_next_process_cuts_its_report()
+    {
+        for (const std::string framing : {"", "Content-Length: 100\r\n"})
+        {
+            mortal_targets it;
+            const auto got = it.begin_request("/u/x");
+            mortal_target& target = it.running_target();
+            target.restart();
+            target.report_handler =
+                [framing, cuts = 0](session& from, const request_head&) mutable
+            {
+                if (++cuts == 1)
+                {
+                    from.write(absl::StrCat("HTTP/1.1 200 OK\r\n", framing, "\r\n{\"bo"));
+                    from.finish();
+                    return;
+                }
+                from.write_report();
+            };
+            it.expect_visibly_cut(got);
+        }
+    }
+
     void goes_on_at_another_target_when_the_process_has_ended()
     {
         mortal_targets it;
--- a/test/support/entry/mortal_target.hpp
+++ b/test/support/entry/mortal_target.hpp
@@ -47,6 +47,17 @@
                                "\r\n"));
         }
 
+        /// Answers a question for the report.
+        void write_report()
+        {
+            const std::string report =
+                nlohmann::json({{"born", target_.started_ms}}).dump();
+            write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                               report.size(),
+                               "\r\n\r\n",
+                               report));
+        }
+
         /// Ends the connection regularly.
         void finish()
         {
@@ -203,9 +214,7 @@
             report_handler(from, head);
             return;
         }
-        const std::string report = nlohmann::json({{"born", started_ms}}).dump();
-        from.write(absl::StrCat(
-            "HTTP/1.1 200 OK\r\nContent-Length: ", report.size(), "\r\n\r\n", report));
+        from.write_report();
     }
 
     event_loop& loop_;
