Do not count an answer that was cut against the next process

Where the check of an end finds the next process at the address, each answer that the one before had cut counted as a failure of the next: a target that has just started, or started after it had left, was left aside with its first requests still to come.

Cause: whether the target leaves was read after the start of the next process had been recorded, which begins its state anew; and failures are kept by the id, which both share.

Change: whether it leaves is read first, and where another process has answered, the failure counts against none.

Evidence: an_answer_that_ends_with_its_connection::is_no_failure_of_the_next_process fails on (one of two targets gets the next ten requests), passes.

Why it works: an answer with another start shows that the process that failed is not the one that serves now.

--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -52,6 +52,11 @@
     context_.metrics->add("medlar_end_checks_total",
                           {{"end", std::string(to_string(found.end))}});
     const target_state* const target = context_.targets.find(target_);
+    // one that leaves ends with its last answer, and has not crashed
+    const bool is_leaving = target == nullptr || !takes_work(*target);
+    // the entry may name the process that answers now, which has not failed
+    const bool is_next_process =
+        found.end == answer_end::cut && found.evidence.end == question_end::answered;
     if (found.evidence.started_ms && target != nullptr &&
         target->record.address == called_.address)
     {
@@ -62,9 +67,12 @@
         on_whole_answer();
         return;
     }
-    // one that leaves ends with its last answer, and has not crashed
-    const bool is_leaving = target == nullptr || !takes_work(*target);
-    on_call_failed(call_end::broken_off, !is_leaving);
+    if (is_next_process)
+    {
+        // says nothing of it
+        context_.record_target_call(target_, call_result::cancelled);
+    }
+    on_call_failed(call_end::broken_off, !is_leaving && !is_next_process);
 }
 
 } // namespace medlar
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -171,6 +171,7 @@
     CPPUNIT_TEST(is_whole_when_the_process_resets_new_connections);
     CPPUNIT_TEST(is_whole_when_the_process_resets_connections_as_it_accepts_them);
     CPPUNIT_TEST(is_no_crash_of_a_target_that_leaves_with_it);
+    CPPUNIT_TEST(is_no_failure_of_the_next_process);
     CPPUNIT_TEST(is_whole_when_the_entry_of_the_process_is_late);
     CPPUNIT_TEST(is_whole_when_the_process_states_no_start);
     CPPUNIT_TEST(is_whole_when_the_process_finishes_its_answers_before_it_leaves);
@@ -315,6 +316,33 @@
         }
     }
 
+    void is_no_failure_of_the_next_process()
+    {
+        // each target has more of them than failures after which it is left aside
+        constexpr int count = 10;
+        mortal_targets it;
+        std::vector<std::shared_ptr<received_answer>> all;
+        for (int i = 0; i < count; ++i)
+        {
+            all.push_back(it.begin_request("/n/x"));
+        }
+        for (const auto& each : it.targets)
+        {
+            each->restart();
+        }
+        for (const auto& each : all)
+        {
+            it.expect_ended(each);
+        }
+        std::set<mortal_target*> used;
+        for (int i = 0; i < count; ++i)
+        {
+            it.begin_request("/n/x");
+            used.insert(&it.running_target());
+        }
+        CPPUNIT_ASSERT_EQUAL(it.targets.size(), used.size());
+    }
+
     void is_whole_when_the_entry_of_the_process_is_late()
     {
         mortal_targets it;
