Keep a connection to a target that leaves, to ask it over

What callers saw: where a target that leaves accepts nothing more and ends within half a second of an answer without a length or chunks, the whole answer ends visibly broken.

Cause: whether the answer is whole is asked over a new connection, which such a target refuses; over an older one only if one happens to be idle.

Change: from the moment at which a host learns that a target leaves (its answers, its entry, or the end of that) until its last unframed answer has ended, one idle connection stays open, or is opened, as a witness. The question goes over it first, one after the other where several answers end together. What decides is unchanged: only a process that answers, or whose connections stay open, has ended its answer itself.

Weighed: going on at another target where the rest is empty (needs a route that can be resumed, and a rest that is framed: an unframed empty one may have been cut behind its head); asking another host (its connections are refused too, as the target accepts none); a witness for each unframed answer (a new connection each, which is priced).

Why it works: a question that is sent after the end, over a connection that the process accepted before, can only be answered by the process that ended the answer.

--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -86,6 +86,8 @@
     millis connect_timeout{1000};
     /// opens a new connection, also if there is an idle one
     bool needs_new_connection = false;
+    /// may use the connection that http_client::keep_witness() has kept
+    bool may_use_witness = false;
     /// asked on a connection before the first call with a question is sent on it; a call
     /// without one is sent at once. Null asks nothing
     std::shared_ptr<const start_question> question;
@@ -162,6 +164,17 @@
     /// @brief Closes the idle connections to @p where.
     void close_idle(const endpoint& where);
 
+    /// @brief Keeps an idle connection to @p where open while an answer from there is
+    /// read whose end only its connection marks, and opens one if there is none.
+    ///
+    /// A server that is going to stop accepts no more connections, so that it could not
+    /// be asked after the end of that answer. Calls use the connection only if they say
+    /// so.
+    void keep_witness(const endpoint& where);
+
+    /// @brief Returns whether a call uses the connection that keep_witness() has kept.
+    bool is_witness_busy(const endpoint& where) const;
+
     /// @brief Returns whether a connection to @p where that was established before @p
     /// when is still open.
     bool has_connection_from_before(const endpoint& where, steady_time when) const;
@@ -179,6 +192,8 @@
     {
         std::vector<std::shared_ptr<pooled_connection>> idle;
         std::vector<std::shared_ptr<pooled_connection>> busy;
+        /// see keep_witness(); while a call uses it, it is one of the busy ones too
+        std::shared_ptr<pooled_connection> witness;
     };
 
     void release(const std::shared_ptr<pooled_connection>& which, bool reusable);
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -44,6 +44,12 @@
         return expires_;
     }
 
+    /// @brief Returns whether the idle connection stands, however long it was idle.
+    bool is_standing() const;
+
+    /// @brief Returns whether it receives an answer whose end only its own end marks.
+    bool receives_unframed_answer() const;
+
     /// @brief Returns whether the connection was established before @p when, and has not
     /// ended.
     bool is_older_than(steady_time when) const;
--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -15,6 +15,9 @@
 // a target answers the question without a slot; one that does not in this time is silent
 constexpr millis answer_timeout{250};
 
+// interval for asking over a connection that another question uses
+constexpr millis witness_wait{2};
+
 // limit for the answer to the question
 constexpr std::size_t max_answer_bytes = 65536;
 
@@ -49,12 +52,23 @@
 
 void end_inquiry::ask()
 {
+    if (questions_ == 0 && context_.client.is_witness_busy(where_))
+    {
+        // another answer of the target has ended just before
+        timer_ = context_.loop.after(witness_wait,
+                                     [this]
+                                     {
+                                         ask();
+                                     });
+        return;
+    }
     has_head_ = false;
     is_unframed_ = false;
     answer_.clear();
     call_options options;
     options.connect_timeout = connect_timeout;
     options.needs_new_connection = questions_ > 0;
+    options.may_use_witness = true;
     ++questions_;
     call_callbacks events;
     events.accepts_head = [this](const answer_head& head)
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -124,6 +124,7 @@
                   {{"target", id.get()},
                    {"pool", record.pool.get()},
                    {"started_ms", record.started_ms}});
+        client.keep_witness(record.address);
         client.close_idle(record.address);
     }
 }
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -540,6 +540,11 @@
     const bool was_draining = before != nullptr && before->record.is_draining;
     if (item.is_deleted)
     {
+        if (before != nullptr)
+        {
+            // it may still finish its answers
+            context_.client.keep_witness(before->record.address);
+        }
         context_.targets.remove(id);
         log_event(entry_target_changed, {{"target", id.get()}, {"state", "gone"}});
         return;
@@ -558,6 +563,10 @@
     {
         context_.client.close_idle(record->address);
     }
+    if (record->is_draining && !was_draining)
+    {
+        context_.client.keep_witness(record->address);
+    }
     stream_origins_.handle_target(*record);
     if (is_serving_ && (is_new || was_draining != record->is_draining))
     {
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -420,6 +420,11 @@
         }
     }
     head_ = head;
+    const target_state* const target = context_.targets.find(target_);
+    if (target == nullptr || !takes_work(*target))
+    {
+        context_.client.keep_witness(called_.address);
+    }
     // only hosts say these
     for (const char* each :
          {forward_not_taken_header, forward_target_header, forward_target_start_header})
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -87,6 +87,10 @@
         {
             busy->close();
         }
+        if (each.second.witness)
+        {
+            each.second.witness->close();
+        }
     }
 }
 
@@ -115,6 +119,12 @@
     {
         remove_from(connections.idle, chosen);
     }
+    else if (options.may_use_witness && !options.needs_new_connection &&
+             connections.witness && connections.witness->is_standing() &&
+             !is_witness_busy(where))
+    {
+        chosen = connections.witness;
+    }
     else
     {
         chosen = std::make_shared<pooled_connection>(*this, where);
@@ -140,6 +150,52 @@
     found->second.idle.clear();
 }
 
+void http_client::keep_witness(const endpoint& where)
+{
+    const auto found = pools_.find(where);
+    if (found == pools_.end())
+    {
+        return;
+    }
+    pool& connections = found->second;
+    const bool is_needed = std::any_of(connections.busy.begin(),
+                                       connections.busy.end(),
+                                       [](const std::shared_ptr<pooled_connection>& each)
+                                       {
+                                           return each->receives_unframed_answer();
+                                       });
+    if (!is_needed || connections.witness)
+    {
+        return;
+    }
+    const auto idle = std::find_if(connections.idle.rbegin(),
+                                   connections.idle.rend(),
+                                   [](const std::shared_ptr<pooled_connection>& each)
+                                   {
+                                       return each->is_standing();
+                                   });
+    if (idle != connections.idle.rend())
+    {
+        connections.witness = *idle;
+        remove_from(connections.idle, connections.witness);
+        return;
+    }
+    connections.witness = std::make_shared<pooled_connection>(*this, where);
+    connections.witness->open(call_options().connect_timeout);
+    ++opened_;
+}
+
+bool http_client::is_witness_busy(const endpoint& where) const
+{
+    const auto found = pools_.find(where);
+    if (found == pools_.end() || !found->second.witness)
+    {
+        return false;
+    }
+    const std::vector<std::shared_ptr<pooled_connection>>& busy = found->second.busy;
+    return std::find(busy.begin(), busy.end(), found->second.witness) != busy.end();
+}
+
 bool http_client::has_connection_from_before(const endpoint& where,
                                              steady_time when) const
 {
@@ -153,7 +209,8 @@
         return each->is_older_than(when);
     };
     const pool& connections = found->second;
-    return std::any_of(connections.idle.begin(), connections.idle.end(), is_older) ||
+    return (connections.witness && is_older(connections.witness)) ||
+           std::any_of(connections.idle.begin(), connections.idle.end(), is_older) ||
            std::any_of(connections.busy.begin(), connections.busy.end(), is_older);
 }
 
@@ -162,12 +219,16 @@
     pool& connections = pools_[which->where()];
     remove_from(connections.busy, which);
     remove_from(connections.idle, which);
-    if (reusable)
+    if (reusable && connections.witness != which)
     {
         connections.idle.push_back(which);
     }
-    else
+    else if (!reusable)
     {
+        if (connections.witness == which)
+        {
+            connections.witness = nullptr;
+        }
         which->close();
     }
 }
@@ -193,6 +254,11 @@
                                                               millis(INT64_MAX));
                        }),
                    idle.end());
+        if (each->second.witness && each->second.busy.empty())
+        {
+            each->second.witness->close();
+            each->second.witness = nullptr;
+        }
         const bool empty = idle.empty() && each->second.busy.empty();
         each = empty ? pools_.erase(each) : std::next(each);
     }
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -244,8 +244,18 @@
 bool pooled_connection::is_usable(steady_time now, millis max_idle) const
 {
     // a server may have ended while this process did not run
-    return stream_->is_established() && now < expires_ && now - idle_since_ <= max_idle &&
-           !stream_->has_unread_event();
+    return is_standing() && now < expires_ && now - idle_since_ <= max_idle;
+}
+
+bool pooled_connection::is_standing() const
+{
+    return stream_->is_established() && !stream_->has_unread_event();
+}
+
+bool pooled_connection::receives_unframed_answer() const
+{
+    return head_ && !is_asking_ && !skipping_answer_ &&
+           head_->framing.kind == body_kind::until_close;
 }
 
 bool pooled_connection::is_older_than(steady_time when) const
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -16,6 +16,9 @@
 constexpr int event_count = 6;
 constexpr int events_before_end = 3;
 
+// time from the last answer of a process that leaves to its end
+constexpr millis time_to_end{30};
+
 std::string events(int first, int last)
 {
     std::string text;
@@ -175,8 +178,32 @@
     CPPUNIT_TEST(is_whole_when_the_entry_of_the_process_is_late);
     CPPUNIT_TEST(is_whole_when_the_process_states_no_start);
     CPPUNIT_TEST(is_whole_when_the_process_finishes_its_answers_before_it_leaves);
+    CPPUNIT_TEST(is_whole_when_a_process_that_says_it_leaves_ends_soon_after_it);
+    CPPUNIT_TEST(is_whole_when_a_listed_process_that_leaves_ends_soon_after_it);
+    CPPUNIT_TEST(is_not_whole_when_a_process_that_leaves_has_ended);
     CPPUNIT_TEST_SUITE_END();
 
+    static void announce_end(mortal_targets& it, const std::string& announcement)
+    {
+        for (const auto& each : it.targets)
+        {
+            if (announcement == "gone")
+            {
+                it.store.remove(each->key());
+            }
+            else
+            {
+                it.store.put(each->key(), each->entry(announcement));
+            }
+        }
+        // time for the host to learn of it
+        it.run_for(millis(600));
+        for (const auto& each : it.targets)
+        {
+            each->stop_listening();
+        }
+    }
+
   public:
     // guards against ORDER of issue 41: a stream that ends as complete before its last
     void is_not_whole_when_the_process_of_its_target_has_ended()
@@ -378,6 +405,71 @@
         }
     }
 
+    void is_whole_when_a_process_that_says_it_leaves_ends_soon_after_it()
+    {
+        mortal_targets it;
+        for (const auto& each : it.targets)
+        {
+            each->is_leaving = true;
+        }
+        const auto got = it.begin_request("/u/x");
+        it.running_target().stop_listening();
+        it.finish_answer();
+        it.run_for(time_to_end);
+        it.running_target().end_process();
+        it.expect_whole(got);
+    }
+
+    void is_whole_when_a_listed_process_that_leaves_ends_soon_after_it()
+    {
+        for (const std::string announcement : {"draining", "gone"})
+        {
+            mortal_targets it;
+            std::vector<std::shared_ptr<received_answer>> all;
+            for (int i = 0; i < 6; ++i)
+            {
+                all.push_back(it.begin_request("/u/x"));
+            }
+            announce_end(it, announcement);
+            for (const auto& each : it.waiting)
+            {
+                each.from->write(events(events_before_end + 1, event_count));
+                each.from->finish();
+            }
+            it.run_for(time_to_end);
+            for (const auto& each : it.targets)
+            {
+                each->end_process();
+            }
+            for (const auto& each : all)
+            {
+                it.expect_whole(each);
+            }
+        }
+    }
+
+    void is_not_whole_when_a_process_that_leaves_has_ended()
+    {
+        for (const std::string announcement : {"draining", "gone"})
+        {
+            mortal_targets it;
+            std::vector<std::shared_ptr<received_answer>> all;
+            for (int i = 0; i < 6; ++i)
+            {
+                all.push_back(it.begin_request("/u/x"));
+            }
+            announce_end(it, announcement);
+            for (const auto& each : it.targets)
+            {
+                each->end_process();
+            }
+            for (const auto& each : all)
+            {
+                it.expect_visibly_cut(each);
+            }
+        }
+    }
+
     void is_whole_when_the_process_finishes_its_answers_before_it_leaves()
     {
         mortal_targets it;
--- a/test/support/entry/mortal_target.hpp
+++ b/test/support/entry/mortal_target.hpp
@@ -130,14 +130,14 @@
         return "servers/" + id_;
     }
 
-    std::string entry() const
+    std::string entry(const std::string& state = "ready") const
     {
         return nlohmann::json({{"service", pool_},
                                {"address", to_string(where_)},
                                {"zone", "a"},
                                {"version", "v1"},
                                {"slots", 6},
-                               {"state", "ready"},
+                               {"state", state},
                                {"sequence", 1},
                                {"born", started_ms}})
             .dump();
