--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -15,6 +15,9 @@
 // a target answers the question without a slot; one that does not in this time is silent
 constexpr millis answer_timeout{250};
 
+// interval for asking over a connection that another question uses
+constexpr millis witness_wait{2};
+
 // limit for the answer to the question
 constexpr std::size_t max_answer_bytes = 65536;
 
@@ -49,20 +52,33 @@
 
 void end_inquiry::ask()
 {
+    if (questions_ == 0 && context_.client.is_witness_busy(where_))
+    {
+        // another answer of the target has ended just before
+        timer_ = context_.loop.after(witness_wait,
+                                     [this]
+                                     {
+                                         ask();
+                                     });
+        return;
+    }
     has_head_ = false;
+    is_unframed_ = false;
     answer_.clear();
     call_options options;
     options.connect_timeout = connect_timeout;
     options.needs_new_connection = questions_ > 0;
+    options.may_use_witness = true;
     ++questions_;
     call_callbacks events;
     events.accepts_head = [this](const answer_head& head)
     {
         return context_.protocol.read_answer(head).attempt.empty();
     };
-    events.on_head = [this](const answer_head&)
+    events.on_head = [this](const answer_head& head)
     {
         has_head_ = true;
+        is_unframed_ = head.framing.kind == body_kind::until_close;
     };
     events.on_data = [this](absl::string_view data)
     {
@@ -104,7 +120,8 @@
 void end_inquiry::on_answer_end(call_end how)
 {
     end_evidence evidence;
-    if (how == call_end::complete)
+    const bool is_cut = is_unframed_ && !context_.protocol.is_whole_start_answer(answer_);
+    if (how == call_end::complete && !is_cut)
     {
         evidence.started_ms = context_.protocol.read_start_answer(answer_);
     }
@@ -115,7 +132,7 @@
                        : by == connection_end::reset ? question_end::broken_off
                                                      : question_end::unreachable;
     }
-    else if (!has_head_ && how != call_end::malformed)
+    else if (how != call_end::malformed)
     {
         evidence.end = question_end::broken_off;
     }
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -170,7 +170,14 @@
     start_->is_missing = answered.status >= status_server_error ||
                          answered.status == status_too_many ||
                          answered.status == status_timeout;
-    if (is_success(answered.status))
+    const bool is_cut = answered.framing.kind == body_kind::until_close &&
+                        !call_->options_.question->is_whole(question_answer_);
+    if (is_success(answered.status) && is_cut)
+    {
+        start_->is_missing = true;
+        start_->is_unanswered = true;
+    }
+    else if (is_success(answered.status))
     {
         start_->started_ms = call_->options_.question->read_answer(question_answer_);
     }
@@ -249,8 +256,18 @@
 bool pooled_connection::is_usable(steady_time now, millis max_idle) const
 {
     // a server may have ended while this process did not run
-    return stream_->is_established() && now < expires_ && now - idle_since_ <= max_idle &&
-           !stream_->has_unread_event();
+    return is_standing() && now < expires_ && now - idle_since_ <= max_idle;
+}
+
+bool pooled_connection::is_standing() const
+{
+    return stream_->is_established() && !stream_->has_unread_event();
+}
+
+bool pooled_connection::receives_unframed_answer() const
+{
+    return head_ && !is_asking_ && !skipping_answer_ &&
+           head_->framing.kind == body_kind::until_close;
 }
 
 bool pooled_connection::is_older_than(steady_time when) const
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -16,6 +16,9 @@
 constexpr int event_count = 6;
 constexpr int events_before_end = 3;
 
+// time from the last answer of a process that leaves to its end
+constexpr millis time_to_end{30};
+
 std::string events(int first, int last)
 {
     std::string text;
@@ -162,6 +165,7 @@
     CPPUNIT_TEST_SUITE(an_answer_that_ends_with_its_connection);
     CPPUNIT_TEST(is_not_whole_when_the_process_of_its_target_has_ended);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_answers_at_the_address);
+    CPPUNIT_TEST(is_not_whole_when_the_next_process_cuts_its_report);
     CPPUNIT_TEST(goes_on_at_another_target_when_the_process_has_ended);
     CPPUNIT_TEST(is_no_plain_answer_when_the_process_has_ended);
     CPPUNIT_TEST(is_repeated_when_the_process_has_ended_and_it_may_be);
@@ -170,11 +174,36 @@
     CPPUNIT_TEST(is_whole_when_the_process_resets_new_connections);
     CPPUNIT_TEST(is_whole_when_the_process_resets_connections_as_it_accepts_them);
     CPPUNIT_TEST(is_no_crash_of_a_target_that_leaves_with_it);
+    CPPUNIT_TEST(is_no_failure_of_the_next_process);
     CPPUNIT_TEST(is_whole_when_the_entry_of_the_process_is_late);
     CPPUNIT_TEST(is_whole_when_the_process_states_no_start);
     CPPUNIT_TEST(is_whole_when_the_process_finishes_its_answers_before_it_leaves);
+    CPPUNIT_TEST(is_whole_when_a_process_that_says_it_leaves_ends_soon_after_it);
+    CPPUNIT_TEST(is_whole_when_a_listed_process_that_leaves_ends_soon_after_it);
+    CPPUNIT_TEST(is_not_whole_when_a_process_that_leaves_has_ended);
     CPPUNIT_TEST_SUITE_END();
 
+    static void announce_end(mortal_targets& it, const std::string& announcement)
+    {
+        for (const auto& each : it.targets)
+        {
+            if (announcement == "gone")
+            {
+                it.store.remove(each->key());
+            }
+            else
+            {
+                it.store.put(each->key(), each->entry(announcement));
+            }
+        }
+        // time for the host to learn of it
+        it.run_for(millis(600));
+        for (const auto& each : it.targets)
+        {
+            each->stop_listening();
+        }
+    }
+
   public:
     // guards against ORDER of issue 41: a stream that ends as complete before its last
     void is_not_whole_when_the_process_of_its_target_has_ended()
@@ -201,6 +230,29 @@
         }
     }
 
+    void is_not_whole_when_the_next_process_cuts_its_report()
+    {
+        for (const std::string framing : {"", "Content-Length: 100\r\n"})
+        {
+            mortal_targets it;
+            const auto got = it.begin_request("/u/x");
+            mortal_target& target = it.running_target();
+            target.restart();
+            target.report_handler =
+                [framing, cuts = 0](session& from, const request_head&) mutable
+            {
+                if (++cuts == 1)
+                {
+                    from.write(absl::StrCat("HTTP/1.1 200 OK\r\n", framing, "\r\n{\"bo"));
+                    from.finish();
+                    return;
+                }
+                from.write_report();
+            };
+            it.expect_visibly_cut(got);
+        }
+    }
+
     void goes_on_at_another_target_when_the_process_has_ended()
     {
         mortal_targets it;
@@ -291,6 +343,33 @@
         }
     }
 
+    void is_no_failure_of_the_next_process()
+    {
+        // each target has more of them than failures after which it is left aside
+        constexpr int count = 10;
+        mortal_targets it;
+        std::vector<std::shared_ptr<received_answer>> all;
+        for (int i = 0; i < count; ++i)
+        {
+            all.push_back(it.begin_request("/n/x"));
+        }
+        for (const auto& each : it.targets)
+        {
+            each->restart();
+        }
+        for (const auto& each : all)
+        {
+            it.expect_ended(each);
+        }
+        std::set<mortal_target*> used;
+        for (int i = 0; i < count; ++i)
+        {
+            it.begin_request("/n/x");
+            used.insert(&it.running_target());
+        }
+        CPPUNIT_ASSERT_EQUAL(it.targets.size(), used.size());
+    }
+
     void is_whole_when_the_entry_of_the_process_is_late()
     {
         mortal_targets it;
@@ -326,6 +405,71 @@
         }
     }
 
+    void is_whole_when_a_process_that_says_it_leaves_ends_soon_after_it()
+    {
+        mortal_targets it;
+        for (const auto& each : it.targets)
+        {
+            each->is_leaving = true;
+        }
+        const auto got = it.begin_request("/u/x");
+        it.running_target().stop_listening();
+        it.finish_answer();
+        it.run_for(time_to_end);
+        it.running_target().end_process();
+        it.expect_whole(got);
+    }
+
+    void is_whole_when_a_listed_process_that_leaves_ends_soon_after_it()
+    {
+        for (const std::string announcement : {"draining", "gone"})
+        {
+            mortal_targets it;
+            std::vector<std::shared_ptr<received_answer>> all;
+            for (int i = 0; i < 6; ++i)
+            {
+                all.push_back(it.begin_request("/u/x"));
+            }
+            announce_end(it, announcement);
+            for (const auto& each : it.waiting)
+            {
+                each.from->write(events(events_before_end + 1, event_count));
+                each.from->finish();
+            }
+            it.run_for(time_to_end);
+            for (const auto& each : it.targets)
+            {
+                each->end_process();
+            }
+            for (const auto& each : all)
+            {
+                it.expect_whole(each);
+            }
+        }
+    }
+
+    void is_not_whole_when_a_process_that_leaves_has_ended()
+    {
+        for (const std::string announcement : {"draining", "gone"})
+        {
+            mortal_targets it;
+            std::vector<std::shared_ptr<received_answer>> all;
+            for (int i = 0; i < 6; ++i)
+            {
+                all.push_back(it.begin_request("/u/x"));
+            }
+            announce_end(it, announcement);
+            for (const auto& each : it.targets)
+            {
+                each->end_process();
+            }
+            for (const auto& each : all)
+            {
+                it.expect_visibly_cut(each);
+            }
+        }
+    }
+
     void is_whole_when_the_process_finishes_its_answers_before_it_leaves()
     {
         mortal_targets it;
--- a/test/support/entry/mortal_target.hpp
+++ b/test/support/entry/mortal_target.hpp
@@ -47,6 +47,17 @@
                                "\r\n"));
         }
 
+        /// Answers a question for the report.
+        void write_report()
+        {
+            const std::string report =
+                nlohmann::json({{"born", target_.started_ms}}).dump();
+            write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                               report.size(),
+                               "\r\n\r\n",
+                               report));
+        }
+
         /// Ends the connection regularly.
         void finish()
         {
@@ -119,14 +130,14 @@
         return "servers/" + id_;
     }
 
-    std::string entry() const
+    std::string entry(const std::string& state = "ready") const
     {
         return nlohmann::json({{"service", pool_},
                                {"address", to_string(where_)},
                                {"zone", "a"},
                                {"version", "v1"},
                                {"slots", 6},
-                               {"state", "ready"},
+                               {"state", state},
                                {"sequence", 1},
                                {"born", started_ms}})
             .dump();
@@ -203,9 +214,7 @@
             report_handler(from, head);
             return;
         }
-        const std::string report = nlohmann::json({{"born", started_ms}}).dump();
-        from.write(absl::StrCat(
-            "HTTP/1.1 200 OK\r\nContent-Length: ", report.size(), "\r\n\r\n", report));
+        from.write_report();
     }
 
     event_loop& loop_;
