Take only connections that are known to be of the process for its life

Cause: another open connection outweighs that the process which answers has another start than the entry says. "Older" was counted from when the host reads the end, not from when it came: a connection that the host has just opened to the next process was older. One whose own end waits behind bytes that are not read yet counted as open.

Change: a connection counts if it was established before the last time at which that of the answer was seen to be open. That is asked when its request is sent and when another connection to the target is established. A connection with bytes left to be read counts as open no more: its end may wait behind them, here or at the target.

Weighed: only connections older than that of the answer (a target that accepts nothing more, and finishes its answers, would lose its oldest one); asking each process for its start also where streams may not go on (a question more for each new connection).

Evidence: is_not_whole_when_its_end_is_seen_late failed before, and is_not_whole_when_the_rest_of_another_one_is_not_read_yet where unread bytes counted for an open connection; both pass.

--- a/include/medlar/detail/dispatch/end_check.hpp
+++ b/include/medlar/detail/dispatch/end_check.hpp
@@ -31,7 +31,8 @@
     question_end end = question_end::answered;
     /// start of the process that answers, Unix time in ms; unset if it states none
     std::optional<std::int64_t> started_ms;
-    /// another connection that is older than that end is still open
+    /// another connection is still open, which is so old that it is to the process that
+    /// has sent the answer
     bool has_older_connection = false;
 };
 
--- a/include/medlar/detail/entry/end_inquiry.hpp
+++ b/include/medlar/detail/entry/end_inquiry.hpp
@@ -29,10 +29,13 @@
   public:
     /// @param where address of the target
     /// @param sender process that has sent the answer
+    /// @param seen_open_at when the connection was last seen to be open: another one that
+    /// is older and lives on is to the same process
     /// @param on_found called once, not within this call; it may destroy the inquiry
     end_inquiry(entry_context& context,
                 const endpoint& where,
                 const sender_start& sender,
+                steady_time seen_open_at,
                 std::function<void(const end_finding&)> on_found);
     ~end_inquiry();
 
@@ -48,6 +51,7 @@
     entry_context& context_;
     endpoint where_;
     end_check check_;
+    steady_time seen_open_at_;
     std::function<void(const end_finding&)> on_found_;
     steady_time began_;
     int questions_ = 0;
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -127,8 +127,8 @@
     /// has not been told of yet.
     bool has_unread_event() const;
 
-    /// @brief Returns whether the peer is not known to have ended the connection; an end
-    /// behind input that is not read yet is not known.
+    /// @brief Returns whether the connection is open with nothing left to be read, behind
+    /// which its end may wait.
     bool is_alive() const;
 
     void on_ready(readiness ready) override;
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -121,6 +121,13 @@
         return process_start_;
     }
 
+    /// @brief Returns when the connection was last seen to be open, which may be long
+    /// before its end is read; set once the call is complete.
+    steady_time seen_open_at() const
+    {
+        return seen_open_at_;
+    }
+
     /// @brief Returns how the connection ended during the call; unset if it did not.
     std::optional<connection_end> ended_by() const
     {
@@ -136,6 +143,7 @@
     pooled_connection* connection_ = nullptr;
     std::optional<std::int64_t> process_start_;
     std::optional<connection_end> ended_by_;
+    steady_time seen_open_at_;
 };
 
 /// @brief HTTP/1.1 client with a pool of persistent connections for each endpoint.
@@ -159,9 +167,9 @@
     /// @brief Closes the idle connections to @p where.
     void close_idle(const endpoint& where);
 
-    /// @brief Returns whether a connection to @p where that was established before @p
-    /// when is still open.
-    bool has_connection_from_before(const endpoint& where, steady_time when) const;
+    /// @brief Returns whether a connection to @p where that was established at @p when or
+    /// before is still open.
+    bool has_connection_since(const endpoint& where, steady_time when) const;
 
     /// @brief Returns the number of connections opened so far.
     std::uint64_t opened_connections() const
@@ -179,6 +187,8 @@
     };
 
     void release(const std::shared_ptr<pooled_connection>& which, bool reusable);
+    /// records which connections with a call are open while another one is established
+    void record_open(const endpoint& where);
     void sweep();
 
     event_loop& loop_;
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -44,9 +44,12 @@
         return expires_;
     }
 
-    /// @brief Returns whether the connection was established before @p when, and has not
-    /// ended.
-    bool is_older_than(steady_time when) const;
+    /// @brief Returns whether the connection was established at @p when or before, and
+    /// has not ended.
+    bool is_open_since(steady_time when) const;
+
+    /// @brief Records that the connection is open, if nothing is left to be read.
+    void record_open();
 
     void on_connected() override;
     void on_input() override;
@@ -99,6 +102,8 @@
     std::optional<start_answer> start_;
     std::string decoded_;
     std::optional<steady_time> established_at_;
+    /// last time at which it was seen to be open
+    steady_time seen_open_at_;
     steady_time idle_since_;
     steady_time expires_;
     millis keep_alive_;
--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -23,10 +23,12 @@
 end_inquiry::end_inquiry(entry_context& context,
                          const endpoint& where,
                          const sender_start& sender,
+                         steady_time seen_open_at,
                          std::function<void(const end_finding&)> on_found)
     : context_(context),
       where_(where),
       check_(end_check::create(sender)),
+      seen_open_at_(seen_open_at),
       on_found_(std::move(on_found)),
       began_(context.loop.now())
 {
@@ -127,7 +129,7 @@
     context_.loop.cancel(timer_);
     call_ = nullptr;
     evidence.has_older_connection =
-        context_.client.has_connection_from_before(where_, began_);
+        context_.client.has_connection_since(where_, seen_open_at_);
     const std::variant<answer_end, ask_again> decided = check_.consider(evidence);
     if (const auto* again = std::get_if<ask_again>(&decided))
     {
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -13,6 +13,7 @@
     end_inquiry_ = std::make_unique<end_inquiry>(context_,
                                                  called_.address,
                                                  start_of_called_process(),
+                                                 call_->seen_open_at(),
                                                  [this](const end_finding& found)
                                                  {
                                                      on_end_checked(found);
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -364,10 +364,11 @@
     {
         return false;
     }
+    // the end may wait behind what is not read yet, here or at the peer
     char next = 0;
     const ssize_t peeked =
         ::recv(socket_.impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 io_status connection::read_input()
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -140,21 +140,28 @@
     found->second.idle.clear();
 }
 
-bool http_client::has_connection_from_before(const endpoint& where,
-                                             steady_time when) const
+void http_client::record_open(const endpoint& where)
+{
+    for (const auto& each : pools_[where].busy)
+    {
+        each->record_open();
+    }
+}
+
+bool http_client::has_connection_since(const endpoint& where, steady_time when) const
 {
     const auto found = pools_.find(where);
     if (found == pools_.end())
     {
         return false;
     }
-    const auto is_older = [when](const std::shared_ptr<pooled_connection>& each)
+    const auto is_since = [when](const std::shared_ptr<pooled_connection>& each)
     {
-        return each->is_older_than(when);
+        return each->is_open_since(when);
     };
     const pool& connections = found->second;
-    return std::any_of(connections.idle.begin(), connections.idle.end(), is_older) ||
-           std::any_of(connections.busy.begin(), connections.busy.end(), is_older);
+    return std::any_of(connections.idle.begin(), connections.idle.end(), is_since) ||
+           std::any_of(connections.busy.begin(), connections.busy.end(), is_since);
 }
 
 void http_client::release(const std::shared_ptr<pooled_connection>& which, bool reusable)
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -70,6 +70,7 @@
     skipped_answers_ = 0;
     skipped_bytes_ = 0;
     was_established_ = stream_->is_established();
+    record_open();
     if (!call->options_.question)
     {
         stream_->send(request);
@@ -117,6 +118,7 @@
 void pooled_connection::on_connected()
 {
     established_at_ = client_.loop_.now();
+    client_.record_open(where_);
     if (is_asking_)
     {
         limit_question();
@@ -241,9 +243,17 @@
            !stream_->has_unread_event();
 }
 
-bool pooled_connection::is_older_than(steady_time when) const
+bool pooled_connection::is_open_since(steady_time when) const
 {
-    return established_at_ && *established_at_ < when && stream_->is_alive();
+    return established_at_ && *established_at_ <= when && stream_->is_alive();
+}
+
+void pooled_connection::record_open()
+{
+    if (stream_->is_alive())
+    {
+        seen_open_at_ = client_.loop_.now();
+    }
 }
 
 void pooled_connection::on_input()
@@ -366,6 +376,7 @@
     const std::shared_ptr<client_call> call = std::move(call_);
     call_ = nullptr;
     call->connection_ = nullptr;
+    call->seen_open_at_ = seen_open_at_;
     // not reusable after an early answer, which leaves a part of the request unsent, nor
     // with unsolicited input
     const bool reusable = head_->keeps_connection() && stream_->unsent() == 0 &&
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -162,6 +162,8 @@
     CPPUNIT_TEST_SUITE(an_answer_that_ends_with_its_connection);
     CPPUNIT_TEST(is_not_whole_when_the_process_of_its_target_has_ended);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_answers_at_the_address);
+    CPPUNIT_TEST(is_not_whole_when_its_end_is_seen_late);
+    CPPUNIT_TEST(is_not_whole_when_the_rest_of_another_one_is_not_read_yet);
     CPPUNIT_TEST(goes_on_at_another_target_when_the_process_has_ended);
     CPPUNIT_TEST(is_no_plain_answer_when_the_process_has_ended);
     CPPUNIT_TEST(is_repeated_when_the_process_has_ended_and_it_may_be);
@@ -201,6 +203,65 @@
         }
     }
 
+    void is_not_whole_when_its_end_is_seen_late()
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            mortal_targets it;
+            const auto got = it.begin_request("/u/x");
+            mortal_target& target = it.running_target();
+            it.freeze(it.host);
+            // takes several turns to read, and only then is the end seen
+            it.waiting.back().from->write(
+                absl::StrCat("id: 4\ndata: ", std::string(120000, 'x'), "\n\n"));
+            it.run_for(millis(20));
+            target.restart();
+            for (int other = 0; other < 6; ++other)
+            {
+                it.begin(
+                    it.host_settings.caller_endpoint,
+                    request_text("POST", "/u/y", absl::StrCat("other-", other), "b"));
+            }
+            it.run_for(millis(20));
+            it.thaw(it.host);
+            it.expect_ended(got);
+            CPPUNIT_ASSERT(got->end != call_end::complete);
+        }
+    }
+
+    void is_not_whole_when_the_rest_of_another_one_is_not_read_yet()
+    {
+        mortal_targets it;
+        std::vector<std::shared_ptr<received_answer>> all;
+        for (int i = 0; i < 3; ++i)
+        {
+            all.push_back(it.begin_request("/u/x"));
+        }
+        it.freeze(it.host);
+        std::set<mortal_target*> written;
+        for (const auto& each : it.waiting)
+        {
+            // the end of the first one of a target is seen later than the others
+            if (written.insert(each.target).second)
+            {
+                each.from->write(
+                    absl::StrCat("id: 4\ndata: ", std::string(240000, 'x'), "\n\n"));
+            }
+        }
+        it.run_for(millis(20));
+        for (const auto& each : it.targets)
+        {
+            each->restart();
+        }
+        it.run_for(millis(20));
+        it.thaw(it.host);
+        for (const auto& each : all)
+        {
+            it.expect_ended(each);
+            CPPUNIT_ASSERT(each->end != call_end::complete);
+        }
+    }
+
     void goes_on_at_another_target_when_the_process_has_ended()
     {
         mortal_targets it;
