Ask a silent target longer before its answer counts as whole

Cause: a target that accepts the question and does not answer it in 250 ms was believed to live on, since a listener ends with its process. The next process has a listener as well: the first question is broken off by the process that ends, and the second, 100 ms later, reaches it.

Change: without an older connection that is open, a silent target is asked up to four times, a second in all. A process that goes on answers then, and so does the next one, with another start.

Weighed: to take silence for a cut (a sound target may fall silent for a second or so, and one whose reports hang would serve no such answer).

Evidence: is_not_whole_when_the_next_process_is_slow_to_answer fails before and passes after.

--- a/include/medlar/detail/dispatch/end_check.hpp
+++ b/include/medlar/detail/dispatch/end_check.hpp
@@ -82,6 +82,7 @@
     bool is_of_other_process(const end_evidence& evidence) const;
 
     sender_start sender_;
+    int silent_ = 0;
     int broken_off_ = 0;
     int refusals_ = 0;
     int unreachable_ = 0;
--- a/src/dispatch/end_check.cpp
+++ b/src/dispatch/end_check.cpp
@@ -14,6 +14,10 @@
 // about to leave and finishes its answers
 constexpr int max_refusals = 4;
 
+// a sound target that falls silent goes on after a second or so, and then answers; one
+// that has just started may take as long before it reads
+constexpr int max_silent = 4;
+
 // one packet of a handshake may be lost
 constexpr int max_unreachable = 3;
 
@@ -78,7 +82,10 @@
         case question_end::answered:
             return is_of_other_process(evidence) ? answer_end::cut : answer_end::whole;
         case question_end::silent:
-            // a listener ends with its process
+            if (!evidence.has_older_connection && ++silent_ < max_silent)
+            {
+                return ask_again{millis(0)};
+            }
             return answer_end::whole;
         case question_end::broken_off:
             if (++broken_off_ < max_broken_off)
@@ -89,7 +96,8 @@
         case question_end::refused:
             if (!evidence.has_older_connection)
             {
-                return answer_end::cut;
+                // one that was silent may have left since
+                return silent_ > 0 ? answer_end::whole : answer_end::cut;
             }
             if (++refusals_ < max_refusals)
             {
--- a/test/decisions/dispatch/end_check_test.cpp
+++ b/test/decisions/dispatch/end_check_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(is_its_own_if_the_process_answers);
     CPPUNIT_TEST(is_its_own_if_something_keeps_listening);
     CPPUNIT_TEST(is_that_of_the_process_if_another_one_answers);
+    CPPUNIT_TEST(is_that_of_the_process_if_the_next_one_answers_late);
     CPPUNIT_TEST(is_its_own_if_only_the_entry_names_another_start);
     CPPUNIT_TEST(is_that_of_the_process_if_nothing_listens);
     CPPUNIT_TEST(is_its_own_if_only_the_listener_has_ended);
@@ -54,8 +55,22 @@
     void is_its_own_if_something_keeps_listening()
     {
         end_check silent = end_check::create({start_ms, true});
-        CPPUNIT_ASSERT(is_end(silent.consider({question_end::silent, {}, false}),
-                              answer_end::whole));
+        decision decided = silent.consider({question_end::silent, {}, false});
+        CPPUNIT_ASSERT(asks_again(decided));
+        while (asks_again(decided))
+        {
+            decided = silent.consider({question_end::silent, {}, false});
+        }
+        CPPUNIT_ASSERT(is_end(decided, answer_end::whole));
+        // it has left meanwhile
+        end_check left = end_check::create({start_ms, true});
+        CPPUNIT_ASSERT(asks_again(left.consider({question_end::silent, {}, false})));
+        CPPUNIT_ASSERT(
+            is_end(left.consider({question_end::refused, {}, false}), answer_end::whole));
+        // a connection that lives on says that the process does
+        end_check older = end_check::create({start_ms, true});
+        CPPUNIT_ASSERT(
+            is_end(older.consider({question_end::silent, {}, true}), answer_end::whole));
         // a target resets connections beyond its limit
         end_check full = end_check::create({start_ms, true});
         CPPUNIT_ASSERT(asks_again(full.consider({question_end::broken_off, {}, false})));
@@ -71,6 +86,15 @@
                    answer_end::cut));
     }
 
+    void is_that_of_the_process_if_the_next_one_answers_late()
+    {
+        end_check check = end_check::create({start_ms, true});
+        CPPUNIT_ASSERT(asks_again(check.consider({question_end::silent, {}, false})));
+        CPPUNIT_ASSERT(
+            is_end(check.consider({question_end::answered, start_ms + 1, false}),
+                   answer_end::cut));
+    }
+
     void is_its_own_if_only_the_entry_names_another_start()
     {
         // the entry is late, and a connection from before lives on
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -162,6 +162,7 @@
     CPPUNIT_TEST_SUITE(an_answer_that_ends_with_its_connection);
     CPPUNIT_TEST(is_not_whole_when_the_process_of_its_target_has_ended);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_answers_at_the_address);
+    CPPUNIT_TEST(is_not_whole_when_the_next_process_is_slow_to_answer);
     CPPUNIT_TEST(is_not_whole_when_its_end_is_seen_late);
     CPPUNIT_TEST(is_not_whole_when_the_rest_of_another_one_is_not_read_yet);
     CPPUNIT_TEST(goes_on_at_another_target_when_the_process_has_ended);
@@ -203,6 +204,20 @@
         }
     }
 
+    void is_not_whole_when_the_next_process_is_slow_to_answer()
+    {
+        for (const std::string path : {"/u/x", "/n/x"})
+        {
+            mortal_targets it;
+            const auto got = it.begin_request(path);
+            // it listens, and reads only after it has loaded what it serves
+            it.running_target().reads_from = it.loop.now() + millis(700);
+            it.running_target().restart();
+            it.expect_ended(got);
+            CPPUNIT_ASSERT(got->status != status_ok || got->end != call_end::complete);
+        }
+    }
+
     void is_not_whole_when_its_end_is_seen_late()
     {
         for (int i = 0; i < 5; ++i)
--- a/test/support/entry/mortal_target.hpp
+++ b/test/support/entry/mortal_target.hpp
@@ -183,6 +183,8 @@
     /// what is done with a question for its report; may be empty
     behaviour report_handler;
     int reports = 0;
+    /// time from which it answers questions for its report
+    steady_time reads_from;
     /// whether it says that it is going to stop
     bool is_leaving = false;
     /// whether it resets new connections, as beyond the number that it takes
@@ -203,6 +205,18 @@
             report_handler(from, head);
             return;
         }
+        loop_.after(std::max(millis(0), reads_from - loop_.now()),
+                    [this, asking = &from]
+                    {
+                        if (sessions_.count(asking) > 0)
+                        {
+                            answer_report(*asking);
+                        }
+                    });
+    }
+
+    void answer_report(session& from) const
+    {
         const std::string report = nlohmann::json({{"born", started_ms}}).dump();
         from.write(absl::StrCat(
             "HTTP/1.1 200 OK\r\nContent-Length: ", report.size(), "\r\n\r\n", report));
