Name the target in the question whether its process lives on

Cause: whoever answers the question at the address, without a start, was taken for the process that had sent the answer.

Change: the question names the target, as requests do. Another one answers 421, and the answer is cut.

Evidence: is_not_whole_when_another_target_answers_that_states_no_start failed before and passes after.

What remains: a target that starts again under its id and states no start.

--- a/include/medlar/detail/dispatch/end_check.hpp
+++ b/include/medlar/detail/dispatch/end_check.hpp
@@ -16,6 +16,7 @@
 enum class question_end
 {
     answered,    ///< a process at its address answers
+    misdirected, ///< the process at its address is that of another target
     silent,      ///< it has accepted the connection, which stays open without an answer
     broken_off,  ///< it has accepted the connection, which ended without an answer
     refused,     ///< nothing listens at its address
--- a/include/medlar/detail/entry/end_inquiry.hpp
+++ b/include/medlar/detail/entry/end_inquiry.hpp
@@ -27,12 +27,13 @@
 class end_inquiry
 {
   public:
-    /// @param where address of the target
+    /// @param target target that has sent the answer, and its address
     /// @param sender process that has sent the answer
     /// @param seen_open_at when the connection was last seen to be open: another one that
     /// is older and lives on is to the same process
     /// @param on_found called once, not within this call; it may destroy the inquiry
     end_inquiry(entry_context& context,
+                const target_id& target,
                 const endpoint& where,
                 const sender_start& sender,
                 steady_time seen_open_at,
@@ -49,6 +50,7 @@
     void take_in(end_evidence evidence);
 
     entry_context& context_;
+    target_id target_;
     endpoint where_;
     end_check check_;
     steady_time seen_open_at_;
@@ -57,6 +59,7 @@
     int questions_ = 0;
     std::shared_ptr<client_call> call_;
     bool has_head_ = false;
+    bool is_misdirected_ = false;
     std::string answer_;
     timer_id timer_{0};
 };
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -230,7 +230,9 @@
                                       const header_list& additions) const = 0;
     virtual answer_fields read_answer(const answer_head& head) const = 0;
     /// @brief Returns the HTTP request that asks a target when it has started.
-    virtual std::string write_start_question(const endpoint& where) const = 0;
+    /// @param expected target that is to answer; empty if any may
+    virtual std::string write_start_question(const endpoint& where,
+                                             const target_id& expected) const = 0;
     /// @brief Reads the answer to a start question.
     /// @return Unix time in ms; unset if the answer does not state it
     virtual std::optional<std::int64_t>
--- a/src/dispatch/end_check.cpp
+++ b/src/dispatch/end_check.cpp
@@ -32,6 +32,8 @@
     {
         case question_end::answered:
             return "answered";
+        case question_end::misdirected:
+            return "misdirected";
         case question_end::silent:
             return "silent";
         case question_end::broken_off:
@@ -81,6 +83,8 @@
     {
         case question_end::answered:
             return is_of_other_process(evidence) ? answer_end::cut : answer_end::whole;
+        case question_end::misdirected:
+            return answer_end::cut;
         case question_end::silent:
             if (!evidence.has_older_connection && ++silent_ < max_silent)
             {
--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -21,11 +21,13 @@
 } // namespace
 
 end_inquiry::end_inquiry(entry_context& context,
+                         const target_id& target,
                          const endpoint& where,
                          const sender_start& sender,
                          steady_time seen_open_at,
                          std::function<void(const end_finding&)> on_found)
     : context_(context),
+      target_(target),
       where_(where),
       check_(end_check::create(sender)),
       seen_open_at_(seen_open_at),
@@ -52,6 +54,7 @@
 void end_inquiry::ask()
 {
     has_head_ = false;
+    is_misdirected_ = false;
     answer_.clear();
     call_options options;
     options.connect_timeout = connect_timeout;
@@ -62,9 +65,10 @@
     {
         return context_.protocol.read_answer(head).attempt.empty();
     };
-    events.on_head = [this](const answer_head&)
+    events.on_head = [this](const answer_head& head)
     {
         has_head_ = true;
+        is_misdirected_ = context_.protocol.read_answer(head).is_of_other_target;
     };
     events.on_data = [this](absl::string_view data)
     {
@@ -79,34 +83,39 @@
     };
     wait_for_answer();
     call_ = context_.client.start(where_,
-                                  context_.protocol.write_start_question(where_),
+                                  context_.protocol.write_start_question(where_, target_),
                                   options,
                                   std::move(events));
 }
 
 void end_inquiry::wait_for_answer()
 {
-    timer_ = context_.loop.after(
-        answer_timeout,
-        [this]
-        {
-            if (!call_->has_sent())
-            {
-                // connecting has a timeout of its own
-                wait_for_answer();
-                return;
-            }
-            call_->cancel();
-            take_in({has_head_ ? question_end::answered : question_end::silent,
-                     std::nullopt,
-                     false});
-        });
+    timer_ = context_.loop.after(answer_timeout,
+                                 [this]
+                                 {
+                                     if (!call_->has_sent())
+                                     {
+                                         // connecting has a timeout of its own
+                                         wait_for_answer();
+                                         return;
+                                     }
+                                     call_->cancel();
+                                     take_in({is_misdirected_ ? question_end::misdirected
+                                              : has_head_     ? question_end::answered
+                                                              : question_end::silent,
+                                              std::nullopt,
+                                              false});
+                                 });
 }
 
 void end_inquiry::on_answer_end(call_end how)
 {
     end_evidence evidence;
-    if (how == call_end::complete)
+    if (is_misdirected_)
+    {
+        evidence.end = question_end::misdirected;
+    }
+    else if (how == call_end::complete)
     {
         evidence.started_ms = context_.protocol.read_start_answer(answer_);
     }
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -262,7 +262,7 @@
 {
     const entry_protocol& protocol = context_.protocol;
     return std::make_shared<const start_question>(
-        start_question{protocol.write_start_question(where),
+        start_question{protocol.write_start_question(where, {}),
                        [&protocol](const answer_head& head)
                        {
                            return protocol.read_answer(head).attempt.empty();
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -11,6 +11,7 @@
 {
     // the target and its call stay those of this request until its end is known
     end_inquiry_ = std::make_unique<end_inquiry>(context_,
+                                                 target_,
                                                  called_.address,
                                                  start_of_called_process(),
                                                  call_->seen_open_at(),
--- a/test/decisions/dispatch/end_check_test.cpp
+++ b/test/decisions/dispatch/end_check_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(is_its_own_if_the_process_answers);
     CPPUNIT_TEST(is_its_own_if_something_keeps_listening);
     CPPUNIT_TEST(is_that_of_the_process_if_another_one_answers);
+    CPPUNIT_TEST(is_that_of_the_process_if_another_target_answers);
     CPPUNIT_TEST(is_that_of_the_process_if_the_next_one_answers_late);
     CPPUNIT_TEST(is_its_own_if_only_the_entry_names_another_start);
     CPPUNIT_TEST(is_that_of_the_process_if_nothing_listens);
@@ -86,6 +87,13 @@
                    answer_end::cut));
     }
 
+    void is_that_of_the_process_if_another_target_answers()
+    {
+        end_check check = end_check::create({});
+        CPPUNIT_ASSERT(is_end(check.consider({question_end::misdirected, {}, false}),
+                              answer_end::cut));
+    }
+
     void is_that_of_the_process_if_the_next_one_answers_late()
     {
         end_check check = end_check::create({start_ms, true});
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -162,6 +162,7 @@
     CPPUNIT_TEST_SUITE(an_answer_that_ends_with_its_connection);
     CPPUNIT_TEST(is_not_whole_when_the_process_of_its_target_has_ended);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_answers_at_the_address);
+    CPPUNIT_TEST(is_not_whole_when_another_target_answers_that_states_no_start);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_is_slow_to_answer);
     CPPUNIT_TEST(is_not_whole_when_its_end_is_seen_late);
     CPPUNIT_TEST(is_not_whole_when_the_rest_of_another_one_is_not_read_yet);
@@ -204,6 +205,25 @@
         }
     }
 
+    void is_not_whole_when_another_target_answers_that_states_no_start()
+    {
+        for (const std::string path : {"/u/x", "/n/x"})
+        {
+            mortal_targets it;
+            for (const auto& each : it.targets)
+            {
+                each->report_handler = [](session& from, const request_head&)
+                {
+                    from.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+                };
+            }
+            const auto got = it.begin_request(path);
+            it.running_target().restart_as("i-3");
+            it.expect_ended(got);
+            CPPUNIT_ASSERT(got->status != status_ok || got->end != call_end::complete);
+        }
+    }
+
     void is_not_whole_when_the_next_process_is_slow_to_answer()
     {
         for (const std::string path : {"/u/x", "/n/x"})
--- a/test/support/entry/mortal_target.hpp
+++ b/test/support/entry/mortal_target.hpp
@@ -178,6 +178,13 @@
         start();
     }
 
+    /// Ends the process, and starts that of another target at its address.
+    void restart_as(std::string id)
+    {
+        id_ = std::move(id);
+        restart();
+    }
+
     std::int64_t started_ms = 5;
     std::vector<request_head> requests;
     /// what is done with a question for its report; may be empty
@@ -199,6 +206,13 @@
             handler_(from, head);
             return;
         }
+        const absl::string_view expected = head.headers.get("Expect-Instance");
+        if (!expected.empty() && expected != id_)
+        {
+            from.write("HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n");
+            return;
+        }
         ++reports;
         if (report_handler)
         {
