--- a/include/medlar/detail/dispatch/end_check.hpp
+++ b/include/medlar/detail/dispatch/end_check.hpp
@@ -16,6 +16,7 @@
 enum class question_end
 {
     answered,    ///< a process at its address answers
+    misdirected, ///< the process at its address is that of another target
     silent,      ///< it has accepted the connection, which stays open without an answer
     broken_off,  ///< it has accepted the connection, which ended without an answer
     refused,     ///< nothing listens at its address
@@ -31,7 +32,8 @@
     question_end end = question_end::answered;
     /// start of the process that answers, Unix time in ms; unset if it states none
     std::optional<std::int64_t> started_ms;
-    /// another connection that is older than that end is still open
+    /// another connection is still open, which is so old that it is to the process that
+    /// has sent the answer
     bool has_older_connection = false;
 };
 
@@ -81,6 +83,7 @@
     bool is_of_other_process(const end_evidence& evidence) const;
 
     sender_start sender_;
+    int silent_ = 0;
     int broken_off_ = 0;
     int refusals_ = 0;
     int unreachable_ = 0;
--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -24,12 +24,16 @@
 } // namespace
 
 end_inquiry::end_inquiry(entry_context& context,
+                         const target_id& target,
                          const endpoint& where,
                          const sender_start& sender,
+                         steady_time seen_open_at,
                          std::function<void(const end_finding&)> on_found)
     : context_(context),
+      target_(target),
       where_(where),
       check_(end_check::create(sender)),
+      seen_open_at_(seen_open_at),
       on_found_(std::move(on_found)),
       began_(context.loop.now())
 {
@@ -64,6 +68,7 @@
     }
     has_head_ = false;
     is_unframed_ = false;
+    is_misdirected_ = false;
     answer_.clear();
     call_options options;
     options.connect_timeout = connect_timeout;
@@ -79,6 +84,7 @@
     {
         has_head_ = true;
         is_unframed_ = head.framing.kind == body_kind::until_close;
+        is_misdirected_ = context_.protocol.read_answer(head).is_of_other_target;
     };
     events.on_data = [this](absl::string_view data)
     {
@@ -93,35 +99,40 @@
     };
     wait_for_answer();
     call_ = context_.client.start(where_,
-                                  context_.protocol.write_start_question(where_),
+                                  context_.protocol.write_start_question(where_, target_),
                                   options,
                                   std::move(events));
 }
 
 void end_inquiry::wait_for_answer()
 {
-    timer_ = context_.loop.after(
-        answer_timeout,
-        [this]
-        {
-            if (!call_->has_sent())
-            {
-                // connecting has a timeout of its own
-                wait_for_answer();
-                return;
-            }
-            call_->cancel();
-            take_in({has_head_ ? question_end::answered : question_end::silent,
-                     std::nullopt,
-                     false});
-        });
+    timer_ = context_.loop.after(answer_timeout,
+                                 [this]
+                                 {
+                                     if (!call_->has_sent())
+                                     {
+                                         // connecting has a timeout of its own
+                                         wait_for_answer();
+                                         return;
+                                     }
+                                     call_->cancel();
+                                     take_in({is_misdirected_ ? question_end::misdirected
+                                              : has_head_     ? question_end::answered
+                                                              : question_end::silent,
+                                              std::nullopt,
+                                              false});
+                                 });
 }
 
 void end_inquiry::on_answer_end(call_end how)
 {
     end_evidence evidence;
     const bool is_cut = is_unframed_ && !context_.protocol.is_whole_start_answer(answer_);
-    if (how == call_end::complete && !is_cut)
+    if (is_misdirected_)
+    {
+        evidence.end = question_end::misdirected;
+    }
+    else if (how == call_end::complete && !is_cut)
     {
         evidence.started_ms = context_.protocol.read_start_answer(answer_);
     }
@@ -144,7 +155,7 @@
     context_.loop.cancel(timer_);
     call_ = nullptr;
     evidence.has_older_connection =
-        context_.client.has_connection_from_before(where_, began_);
+        context_.client.has_connection_since(where_, seen_open_at_);
     const std::variant<answer_end, ask_again> decided = check_.consider(evidence);
     if (const auto* again = std::get_if<ask_again>(&decided))
     {
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -196,22 +196,29 @@
     return std::find(busy.begin(), busy.end(), found->second.witness) != busy.end();
 }
 
-bool http_client::has_connection_from_before(const endpoint& where,
-                                             steady_time when) const
+void http_client::record_open(const endpoint& where)
+{
+    for (const auto& each : pools_[where].busy)
+    {
+        each->record_open();
+    }
+}
+
+bool http_client::has_connection_since(const endpoint& where, steady_time when) const
 {
     const auto found = pools_.find(where);
     if (found == pools_.end())
     {
         return false;
     }
-    const auto is_older = [when](const std::shared_ptr<pooled_connection>& each)
+    const auto is_since = [when](const std::shared_ptr<pooled_connection>& each)
     {
-        return each->is_older_than(when);
+        return each->is_open_since(when);
     };
     const pool& connections = found->second;
-    return (connections.witness && is_older(connections.witness)) ||
-           std::any_of(connections.idle.begin(), connections.idle.end(), is_older) ||
-           std::any_of(connections.busy.begin(), connections.busy.end(), is_older);
+    return (connections.witness && is_since(connections.witness)) ||
+           std::any_of(connections.idle.begin(), connections.idle.end(), is_since) ||
+           std::any_of(connections.busy.begin(), connections.busy.end(), is_since);
 }
 
 void http_client::release(const std::shared_ptr<pooled_connection>& which, bool reusable)
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -82,6 +82,7 @@
     skipped_answers_ = 0;
     skipped_bytes_ = 0;
     was_established_ = stream_->is_established();
+    record_open();
     if (!call->options_.question)
     {
         stream_->send(request);
@@ -129,6 +130,7 @@
 void pooled_connection::on_connected()
 {
     established_at_ = client_.loop_.now();
+    client_.record_open(where_);
     if (is_asking_)
     {
         limit_question();
@@ -270,9 +272,17 @@
            head_->framing.kind == body_kind::until_close;
 }
 
-bool pooled_connection::is_older_than(steady_time when) const
+bool pooled_connection::is_open_since(steady_time when) const
 {
-    return established_at_ && *established_at_ < when && stream_->is_alive();
+    return established_at_ && *established_at_ <= when && stream_->is_alive();
+}
+
+void pooled_connection::record_open()
+{
+    if (stream_->is_alive())
+    {
+        seen_open_at_ = client_.loop_.now();
+    }
 }
 
 void pooled_connection::on_input()
@@ -395,6 +405,7 @@
     const std::shared_ptr<client_call> call = std::move(call_);
     call_ = nullptr;
     call->connection_ = nullptr;
+    call->seen_open_at_ = seen_open_at_;
     // not reusable after an early answer, which leaves a part of the request unsent, nor
     // with unsolicited input
     const bool reusable = head_->keeps_connection() && stream_->unsent() == 0 &&
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -166,6 +166,10 @@
     CPPUNIT_TEST(is_not_whole_when_the_process_of_its_target_has_ended);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_answers_at_the_address);
     CPPUNIT_TEST(is_not_whole_when_the_next_process_cuts_its_report);
+    CPPUNIT_TEST(is_not_whole_when_another_target_answers_that_states_no_start);
+    CPPUNIT_TEST(is_not_whole_when_the_next_process_is_slow_to_answer);
+    CPPUNIT_TEST(is_not_whole_when_its_end_is_seen_late);
+    CPPUNIT_TEST(is_not_whole_when_the_rest_of_another_one_is_not_read_yet);
     CPPUNIT_TEST(goes_on_at_another_target_when_the_process_has_ended);
     CPPUNIT_TEST(is_no_plain_answer_when_the_process_has_ended);
     CPPUNIT_TEST(is_repeated_when_the_process_has_ended_and_it_may_be);
@@ -253,6 +257,98 @@
         }
     }
 
+    void is_not_whole_when_another_target_answers_that_states_no_start()
+    {
+        for (const std::string path : {"/u/x", "/n/x"})
+        {
+            mortal_targets it;
+            for (const auto& each : it.targets)
+            {
+                each->report_handler = [](session& from, const request_head&)
+                {
+                    from.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+                };
+            }
+            const auto got = it.begin_request(path);
+            it.running_target().restart_as("i-3");
+            it.expect_ended(got);
+            CPPUNIT_ASSERT(got->status != status_ok || got->end != call_end::complete);
+        }
+    }
+
+    void is_not_whole_when_the_next_process_is_slow_to_answer()
+    {
+        for (const std::string path : {"/u/x", "/n/x"})
+        {
+            mortal_targets it;
+            const auto got = it.begin_request(path);
+            // it listens, and reads only after it has loaded what it serves
+            it.running_target().reads_from = it.loop.now() + millis(700);
+            it.running_target().restart();
+            it.expect_ended(got);
+            CPPUNIT_ASSERT(got->status != status_ok || got->end != call_end::complete);
+        }
+    }
+
+    void is_not_whole_when_its_end_is_seen_late()
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            mortal_targets it;
+            const auto got = it.begin_request("/u/x");
+            mortal_target& target = it.running_target();
+            it.freeze(it.host);
+            // takes several turns to read, and only then is the end seen
+            it.waiting.back().from->write(
+                absl::StrCat("id: 4\ndata: ", std::string(120000, 'x'), "\n\n"));
+            it.run_for(millis(20));
+            target.restart();
+            for (int other = 0; other < 6; ++other)
+            {
+                it.begin(
+                    it.host_settings.caller_endpoint,
+                    request_text("POST", "/u/y", absl::StrCat("other-", other), "b"));
+            }
+            it.run_for(millis(20));
+            it.thaw(it.host);
+            it.expect_ended(got);
+            CPPUNIT_ASSERT(got->end != call_end::complete);
+        }
+    }
+
+    void is_not_whole_when_the_rest_of_another_one_is_not_read_yet()
+    {
+        mortal_targets it;
+        std::vector<std::shared_ptr<received_answer>> all;
+        for (int i = 0; i < 3; ++i)
+        {
+            all.push_back(it.begin_request("/u/x"));
+        }
+        it.freeze(it.host);
+        std::set<mortal_target*> written;
+        for (const auto& each : it.waiting)
+        {
+            // the end of the first one of a target is seen later than the others
+            if (written.insert(each.target).second)
+            {
+                each.from->write(
+                    absl::StrCat("id: 4\ndata: ", std::string(240000, 'x'), "\n\n"));
+            }
+        }
+        it.run_for(millis(20));
+        for (const auto& each : it.targets)
+        {
+            each->restart();
+        }
+        it.run_for(millis(20));
+        it.thaw(it.host);
+        for (const auto& each : all)
+        {
+            it.expect_ended(each);
+            CPPUNIT_ASSERT(each->end != call_end::complete);
+        }
+    }
+
     void goes_on_at_another_target_when_the_process_has_ended()
     {
         mortal_targets it;
--- a/test/support/entry/mortal_target.hpp
+++ b/test/support/entry/mortal_target.hpp
@@ -189,11 +189,20 @@
         start();
     }
 
+    /// Ends the process, and starts that of another target at its address.
+    void restart_as(std::string id)
+    {
+        id_ = std::move(id);
+        restart();
+    }
+
     std::int64_t started_ms = 5;
     std::vector<request_head> requests;
     /// what is done with a question for its report; may be empty
     behaviour report_handler;
     int reports = 0;
+    /// time from which it answers questions for its report
+    steady_time reads_from;
     /// whether it says that it is going to stop
     bool is_leaving = false;
     /// whether it resets new connections, as beyond the number that it takes
@@ -208,13 +217,27 @@
             handler_(from, head);
             return;
         }
+        const absl::string_view expected = head.headers.get("Expect-Instance");
+        if (!expected.empty() && expected != id_)
+        {
+            from.write("HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n");
+            return;
+        }
         ++reports;
         if (report_handler)
         {
             report_handler(from, head);
             return;
         }
-        from.write_report();
+        loop_.after(std::max(millis(0), reads_from - loop_.now()),
+                    [this, asking = &from]
+                    {
+                        if (sessions_.count(asking) > 0)
+                        {
+                            asking->write_report();
+                        }
+                    });
     }
 
     event_loop& loop_;
