--- a/test/soak/ending_callers.cpp
+++ b/test/soak/ending_callers.cpp
@@ -150,9 +150,11 @@
     }
     ended->is_done = true;
     ended->ended_at = loop_.now();
+    const bool had_events = stream->seen.has_events();
+    stream->was_taken_up = stream->was_taken_up || had_events;
     if (ended->status == status_ok)
     {
-        const bool had_events = stream->seen.has_events();
+        stream->went_on = stream->went_on || had_events;
         stream->seen.add_answer(ended->body, ended->is_complete);
         if (!had_events && stream->seen.has_events())
         {
@@ -289,6 +291,8 @@
         report(stream, "has data of another stream");
     }
     counts.joined = seen.versions.size() > 1 ? 1 : 0;
+    counts.taken_up = stream.was_taken_up ? 1 : 0;
+    counts.went_on = stream.went_on ? 1 : 0;
     check_end(stream, is_strict, counts);
     return counts;
 }
--- a/test/soak/ending_callers.hpp
+++ b/test/soak/ending_callers.hpp
@@ -72,6 +72,8 @@
         bool takes_up = false;
         /// attempt that brought the first event
         std::string began_with;
+        bool was_taken_up = false;
+        bool went_on = false;
         std::vector<std::shared_ptr<stream_try>> tries;
     };
 
--- a/test/soak/ending_table.cpp
+++ b/test/soak/ending_table.cpp
@@ -19,6 +19,8 @@
         to.repeated += counts.repeated;
         to.foreign += counts.foreign;
         to.joined += counts.joined;
+        to.taken_up += counts.taken_up;
+        to.went_on += counts.went_on;
         to.sound_broken += counts.sound_broken;
         to.latest_end = std::max(to.latest_end, counts.latest_end);
     }
@@ -29,7 +31,7 @@
     if (!table.empty())
     {
         to << "class: streams whole broken not_begun early_as_whole missing repeated "
-              "foreign joined sound_broken late_ms\n";
+              "foreign joined sound_broken late_ms taken_up went_on\n";
     }
     for (const auto& [name, counts] : table)
     {
@@ -37,7 +39,8 @@
            << counts.visibly_broken << ' ' << counts.not_begun << ' '
            << counts.early_as_whole << ' ' << counts.missing << ' ' << counts.repeated
            << ' ' << counts.foreign << ' ' << counts.joined << ' ' << counts.sound_broken
-           << ' ' << counts.latest_end.count() << '\n';
+           << ' ' << counts.latest_end.count() << ' ' << counts.taken_up << ' '
+           << counts.went_on << '\n';
     }
 }
 
--- a/test/soak/ending_table.hpp
+++ b/test/soak/ending_table.hpp
@@ -22,6 +22,9 @@
     int repeated = 0;
     int foreign = 0;
     int joined = 0;
+    /// taken up by their callers, and those of them that went on
+    int taken_up = 0;
+    int went_on = 0;
     /// broken off for the caller, but not by a target
     int sound_broken = 0;
     /// longest time from the end at the target until the end at the caller
--- a/test/soak/ending_targets.cpp
+++ b/test/soak/ending_targets.cpp
@@ -25,6 +25,10 @@
 // time from an entry that says that the target leaves until it accepts no more
 constexpr millis leaving_time{300};
 
+// how long the store is away and back, where nothing states a start
+constexpr millis outage{5000};
+constexpr millis outage_gap{2500};
+
 // time until a target that has started again writes its entry, if it is late
 constexpr millis listing_delay{800};
 
@@ -40,12 +44,14 @@
 ending_targets::ending_targets(event_loop& loop,
                                test::stand_in_store& store,
                                std::uint64_t seed,
+                               start_report reports,
                                std::function<void(const std::string&)> record)
     : loop_(loop),
       store_(store),
       random_(seed),
+      reports_(reports),
       record_(std::move(record)),
-      has_versions_(seed % 2 == 0)
+      has_versions_(seed % 2 == 0 || reports == start_report::missing)
 {
     for (std::size_t i = 0; i < target_count; ++i)
     {
@@ -68,12 +74,9 @@
     added.server->report_handler = [this, &added](const exchange_ptr& exchange)
     {
         when_not_silent(added,
-                        [&added, exchange]
+                        [this, &added, exchange]
                         {
-                            const nlohmann::json said{{"busy", false},
-                                                      {"sequence", added.sequence},
-                                                      {"born", added.server->started_ms}};
-                            exchange->answer(status_ok, {}, said.dump());
+                            exchange->answer(status_ok, {}, report_of(added).dump());
                         });
     };
     added.path = std::make_unique<test::fault_proxy>(
@@ -82,6 +85,16 @@
     write_entry(added);
 }
 
+nlohmann::json ending_targets::report_of(const ending_target& target) const
+{
+    nlohmann::json said{{"busy", false}, {"sequence", target.sequence}};
+    if (reports_ == start_report::stated)
+    {
+        said["born"] = target.server->started_ms;
+    }
+    return said;
+}
+
 void ending_targets::write_entry(ending_target& target)
 {
     nlohmann::json entry = nlohmann::json::parse(target.server->entry(
@@ -262,6 +275,31 @@
 {
     is_ending_ = true;
     schedule_end();
+    if (reports_ == start_report::missing)
+    {
+        schedule_outage();
+    }
+}
+
+void ending_targets::schedule_outage()
+{
+    loop_.after(outage_gap,
+                [this]
+                {
+                    if (!is_ending_)
+                    {
+                        return;
+                    }
+                    record_("the store is away");
+                    store_.set_down(true);
+                    loop_.after(outage,
+                                [this]
+                                {
+                                    record_("the store is back");
+                                    store_.set_down(false);
+                                    schedule_outage();
+                                });
+                });
 }
 
 void ending_targets::schedule_end()
--- a/test/soak/ending_targets.hpp
+++ b/test/soak/ending_targets.hpp
@@ -53,6 +53,13 @@
     }
 };
 
+/// @brief What targets that end say of themselves, besides their entries.
+enum class start_report
+{
+    stated,
+    missing, ///< their reports lack the time of their start
+};
+
 /// @brief Targets that answer streams of numbered events, and end as processes do: the
 /// listener and all connections close at once, the entry stays, and after a time without
 /// anything at the address the next process starts there under the same id.
@@ -69,6 +76,7 @@
     ending_targets(event_loop& loop,
                    test::stand_in_store& store,
                    std::uint64_t seed,
+                   start_report reports,
                    std::function<void(const std::string&)> record);
 
     void start_ends();
@@ -114,7 +122,10 @@
     void begin_stream(ending_target& target, const exchange_ptr& exchange);
     void send_event(ending_target& target, const answer_ptr& answer);
     void finish(ending_target& target, const answer_ptr& answer);
+    nlohmann::json report_of(const ending_target& target) const;
     void schedule_end();
+    /// has the store away for most of the time
+    void schedule_outage();
     void end_one();
     void end_process(ending_target& target, answer_end how);
     void close_connections(ending_target& target, answer_end how);
@@ -126,6 +137,7 @@
     event_loop& loop_;
     test::stand_in_store& store_;
     random_source random_;
+    start_report reports_;
     std::function<void(const std::string&)> record_;
     std::vector<std::unique_ptr<ending_target>> targets_;
     std::map<std::string, std::vector<answer_ptr>> answers_;
--- a/test/soak/medlar_soak.cpp
+++ b/test/soak/medlar_soak.cpp
@@ -37,6 +37,10 @@
 DEFINE_bool(end_targets,
             false,
             "targets of numbered streams end as processes do, and start again");
+DEFINE_bool(state_start,
+            true,
+            "with --end_targets: their reports state their start; if not, the store is "
+            "away for most of the time");
 DEFINE_bool(other_faults, true, "with --end_targets: inject the other faults too");
 DEFINE_string(keep, "", "directory in which settings and logs of failed runs are kept");
 
@@ -75,6 +79,7 @@
     settings.crash_under_request = FLAGS_crash_under_request;
     settings.release_versions = FLAGS_release_versions;
     settings.end_targets = FLAGS_end_targets;
+    settings.state_start = FLAGS_state_start;
     settings.inject_other_faults = FLAGS_other_faults;
     const std::string parent_directory =
         FLAGS_keep.empty() ? std::filesystem::temp_directory_path().string() : FLAGS_keep;
--- a/test/soak/soak_endings.cpp
+++ b/test/soak/soak_endings.cpp
@@ -28,13 +28,15 @@
 
 void soak_run::begin_endings()
 {
-    ending_targets_ = std::make_unique<ending_targets>(loop_,
-                                                       store_,
-                                                       settings_.seed ^ 0xc2b2ae35U,
-                                                       [this](const std::string& what)
-                                                       {
-                                                           record_event(what);
-                                                       });
+    ending_targets_ = std::make_unique<ending_targets>(
+        loop_,
+        store_,
+        settings_.seed ^ 0xc2b2ae35U,
+        settings_.state_start ? start_report::stated : start_report::missing,
+        [this](const std::string& what)
+        {
+            record_event(what);
+        });
     second_store_ = test::free_endpoint();
     store_.add_address(second_store_);
     store_.second_view = [this](const std::string& key, const std::string& value)
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -52,6 +52,8 @@
     bool release_versions = false;
     /// whether targets of numbered streams end as processes do, and start again
     bool end_targets = false;
+    /// whether their reports state their start; else the store is away at times, too
+    bool state_start = true;
     /// whether faults other than these ends are injected
     bool inject_other_faults = true;
 };
