Doubt the entry of a target whose process was seen to end, on all hosts

Cause: where the answer states no start the entry was believed, also if the process that had written it was gone.

An older connection that is open, and an entry written on since, weigh more. A host of an earlier build passes the message over.

Why it works: what ends with a process is now noticed by one host for all.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_DISPATCH_TARGET_TABLE_HPP
 
 #include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/dispatch/process_evidence.hpp>
 #include <medlar/detail/dispatch/start_inquiry.hpp>
 #include <medlar/detail/entry/protocol.hpp>
 #include <medlar/detail/policy/target_health.hpp>
@@ -40,6 +41,9 @@
     /// which process answers at its address is unknown, and so is the version
     bool is_start_unknown = false;
     start_inquiry inquiry;
+    /// whether its process has left the question for its start without one
+    bool states_no_start = false;
+    process_evidence evidence;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
     /// set if its registration expired during an outage of the store; it is removed then
@@ -53,7 +57,10 @@
     /// @brief Adds a target or updates its record.
     /// @return whether the target is new, has restarted, or has another address or pool;
     /// its health and load are reset then
-    bool put(const target_record& record);
+    bool put(const target_record& record, steady_time now = steady_time());
+
+    /// @brief Records that the process at an address may have ended.
+    void record_loss(const endpoint& where, steady_time at);
 
     /// @brief Removes a target whose registration was removed.
     void remove(const target_id& id);
--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -8,6 +8,7 @@
 #include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
+#include <medlar/detail/entry/process_ends.hpp>
 #include <medlar/detail/entry/request_run.hpp>
 #include <medlar/detail/entry/store_controller.hpp>
 #include <medlar/detail/entry/store_mirror.hpp>
@@ -100,6 +101,7 @@
     store_controller store_controller_;
     crash_controller crash_controller_;
     stream_origins stream_origins_;
+    process_ends process_ends_;
     /// hosts whose registrations lapsed in an outage of the store, and until when they
     /// are kept
     std::map<host_id, steady_time> lapsed_hosts_;
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -132,6 +132,10 @@
     void record_inquiry(target_state& target, const start_answer& answer) const;
     /// whether a process of which nothing is known may get the request
     bool accepts_unknown_start(const start_answer& answer);
+    /// whether another process than that of its entry may answer at the target
+    bool may_have_restarted();
+    /// whether the target may answer nothing at all, and another one may be tried
+    bool may_be_silent(const start_answer& answer);
     /// whether a target that was not tried is expected to answer for its start
     bool has_untried_known_target();
     /// sends the request to another target, since this one's process was not accepted
--- a/include/medlar/detail/entry/stream_origins.hpp
+++ b/include/medlar/detail/entry/stream_origins.hpp
@@ -99,6 +99,9 @@
               millis store_wait,
               origin_action on_found);
 
+    /// @brief Returns the hosts that are told where streams begin.
+    std::vector<host_id> keepers() const;
+
     /// @brief Handles that a target was added or has changed.
     void handle_target(const target_record& target);
 
@@ -182,7 +185,6 @@
     static nlohmann::json to_json(const streams_by_origin& streams);
     static streams_by_origin read_streams(const nlohmann::json& message);
 
-    std::vector<host_id> keepers() const;
     /// once a second: versions that have appeared or left, and what is too old
     void update();
     void update_versions();
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -120,12 +120,14 @@
 /// @brief an answer has ended with its connection, and its target was asked whether the
 /// process that sent it lives on
 inline constexpr event entry_end_checked{1746, severity::info, "entry_end_checked"};
+/// @brief nothing listens at a target that states no start, here or for another host
+inline constexpr event entry_target_ended{1748, severity::info, "entry_target_ended"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 46> entry_events{entry_started,
+inline constexpr std::array<event, 47> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -170,7 +172,8 @@
                                                     entry_target_refusals_limited,
                                                     entry_target_unlisted,
                                                     entry_end_checked,
-                                                    entry_target_start_unknown};
+                                                    entry_target_start_unknown,
+                                                    entry_target_ended};
 
 } // namespace medlar
 
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -19,6 +19,14 @@
 namespace medlar
 {
 
+/// @brief How the last connection to a server has ended.
+enum class connection_loss
+{
+    regular, ///< as those of a server that lives may end, too
+    early,   ///< within an answer, or before the idle timeout that the server states
+    refused, ///< nothing listens at its address
+};
+
 /// @brief Outcome of a call.
 enum class call_end
 {
@@ -42,7 +50,8 @@
     /// the server has not answered the question; which of its processes it is stays
     /// unknown
     bool is_missing = false;
-    /// missing, since no answer came in time or none was waited for
+    /// no answer came in time, or none was waited for; it is not missing if another
+    /// connection shows that the process is the one that it was
     bool is_unanswered = false;
     /// whether the question was sent for this call, not for one before it
     bool was_asked = false;
@@ -163,6 +172,13 @@
     /// when is still open.
     bool has_connection_from_before(const endpoint& where, steady_time when) const;
 
+    /// @brief Sets the function that is called when the process at an endpoint may have
+    /// ended, since the last connection to it has.
+    void set_loss_handler(std::function<void(const endpoint&, connection_loss)> action)
+    {
+        on_lost_ = std::move(action);
+    }
+
     /// @brief Returns the number of connections opened so far.
     std::uint64_t opened_connections() const
     {
@@ -179,11 +195,14 @@
     };
 
     void release(const std::shared_ptr<pooled_connection>& which, bool reusable);
+    /// handles a connection that ended as those of a process do that ends
+    void handle_loss(const pooled_connection& which, connection_loss how);
     void sweep();
 
     event_loop& loop_;
     std::size_t max_head_bytes_;
     std::map<endpoint, pool> pools_;
+    std::function<void(const endpoint&, connection_loss)> on_lost_;
     std::uint64_t opened_ = 0;
     timer_id sweep_timer_{0};
 };
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -35,6 +35,11 @@
         return where_;
     }
 
+    bool is_established() const
+    {
+        return stream_->is_established();
+    }
+
     /// @brief Returns whether the idle connection may be reused at @p now.
     bool is_usable(steady_time now, millis max_idle) const;
 
@@ -60,10 +65,14 @@
     void complete();
     void fail(call_end reason);
     void record_keep_alive(const header_list& headers);
+    /// whether the connection ended as those of a process do that ends, and how
+    std::optional<connection_loss> loss_of(connection_end reason) const;
     /// whether any byte of the request of the call may have been sent
     bool has_sent_request() const;
     void ask_for_start();
     void limit_question();
+    /// what is known of the process without its answer
+    start_answer unanswered_start(bool was_asked) const;
     /// goes on without the answer to the question
     void give_up_question();
     /// handles the complete answer to the question
@@ -102,6 +111,7 @@
     steady_time idle_since_;
     steady_time expires_;
     millis keep_alive_;
+    bool is_keep_alive_stated_ = false;
 };
 
 } // namespace medlar
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-bool target_table::put(const target_record& record)
+bool target_table::put(const target_record& record, steady_time now)
 {
     const auto found = targets_.find(record.id);
     const bool is_same =
@@ -68,11 +68,26 @@
     {
         found->second.answering_start.reset();
     }
+    const bool is_new_version = found->second.record.version != record.version;
+    if (found->second.evidence.record_write(is_new_version, now))
+    {
+        found->second.is_start_unknown = false;
+    }
     found->second.record = record;
     found->second.expires_at.reset();
     return false;
 }
 
+void target_table::record_loss(const endpoint& where, steady_time at)
+{
+    const auto indexed = by_address_.find(where);
+    if (target_state* const target =
+            indexed == by_address_.end() ? nullptr : find(indexed->second))
+    {
+        target->evidence.record_loss(at);
+    }
+}
+
 bool target_table::mark_leaving(const target_id& id)
 {
     target_state* const target = find(id);
@@ -98,6 +113,7 @@
         return;
     }
     target->is_start_unknown = false;
+    target->evidence = {};
     if (started_ms == target->record.started_ms)
     {
         target->answering_start.reset();
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -117,7 +117,8 @@
           }),
       store_controller_(context_, peers_, store_mirror_, registration_text(settings)),
       crash_controller_(context_, peers_, store_controller_),
-      stream_origins_(context_, peers_, store_controller_)
+      stream_origins_(context_, peers_, store_controller_),
+      process_ends_(context_, peers_, path_controller_, stream_origins_)
 {
     path_controller_.set_lost_handler(
         [this](const pool_id& pool)
@@ -159,6 +160,7 @@
                 !path_controller_.handle_message(message) &&
                 !crash_controller_.handle_request(from, message) &&
                 !limit_controller_.handle_request(from, message) &&
+                !process_ends_.handle_message(message) &&
                 !stream_origins_.handle_request(from, message))
             {
                 store_controller_.handle_request(from, message);
@@ -553,7 +555,7 @@
         context_.targets.remove(id);
         return;
     }
-    const bool is_new = context_.targets.put(*record);
+    const bool is_new = context_.targets.put(*record, loop_.now());
     if (is_new)
     {
         context_.client.close_idle(record->address);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -280,15 +280,26 @@
     {
         target_record_ = target->record;
         record_inquiry(*target, answer);
+        if (answer.is_missing && answer.is_unanswered)
+        {
+            target->evidence.record_loss(context_.loop.now());
+        }
     }
     target_version_ = target_record_.version;
-    if (answer.is_missing)
+    const bool is_stated = answer.started_ms && target_record_.started_ms != 0;
+    // what has answered with a failure may be anything
+    const bool has_failed = answer.is_missing && !answer.is_unanswered;
+    if (has_failed || (!is_stated && may_have_restarted()))
     {
         target_version_ = origins_.version_of(pool_, {target_, unknown_start_ms});
         context_.record_unknown_start(target_);
         return accepts_unknown_start(answer);
     }
-    if (answer.started_ms && target_record_.started_ms != 0)
+    if (answer.is_unanswered && may_be_silent(answer))
+    {
+        return false;
+    }
+    if (is_stated)
     {
         if (*answer.started_ms != target_record_.started_ms)
         {
@@ -296,6 +307,10 @@
         }
         context_.record_target_start(target_, *answer.started_ms);
     }
+    else if (target_state* const target = context_.targets.find(target_))
+    {
+        target->is_start_unknown = false;
+    }
     if (origin_ && is_of_unknown_start(origin_->version))
     {
         // it goes on nowhere, so that any process may begin it
@@ -316,6 +331,7 @@
     {
         return;
     }
+    target.states_no_start = !answer.started_ms;
     if (answer.is_unanswered)
     {
         target.inquiry.record_unanswered(context_.loop.now());
@@ -332,11 +348,7 @@
     {
         return origins_.is_of(*origin_, target_version_);
     }
-    const bool has_other = has_untried_known_target();
-    const bool has_waited = answer.was_asked && answer.is_unanswered;
-    const bool is_first = tried_targets_.size() == 1;
-    // it may be silent altogether; one more answer is waited for
-    if (has_waited && is_first && has_other)
+    if (may_be_silent(answer))
     {
         return false;
     }
@@ -345,10 +357,24 @@
         // a stream that goes on nowhere else may begin there
         return true;
     }
-    begins_at_unknown_start_ = !has_other || (has_waited && !is_first);
+    begins_at_unknown_start_ =
+        !has_untried_known_target() || (answer.was_asked && answer.is_unanswered);
     return false;
 }
 
+bool request_run::may_have_restarted()
+{
+    const target_state* const target = context_.targets.find(target_);
+    return target == nullptr || target->evidence.may_have_restarted();
+}
+
+bool request_run::may_be_silent(const start_answer& answer)
+{
+    // one more answer is waited for
+    return answer.was_asked && answer.is_unanswered && tried_targets_.size() == 1 &&
+           has_untried_known_target();
+}
+
 bool request_run::has_untried_known_target()
 {
     const std::vector<target_state*> serving = context_.targets.serving(pool_);
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -172,6 +172,22 @@
     }
 }
 
+void http_client::handle_loss(const pooled_connection& which, connection_loss how)
+{
+    const pool& connections = pools_[which.where()];
+    const auto is_other = [&which](const std::shared_ptr<pooled_connection>& each)
+    {
+        return each.get() != &which && each->is_established();
+    };
+    const bool lives =
+        std::any_of(connections.idle.begin(), connections.idle.end(), is_other) ||
+        std::any_of(connections.busy.begin(), connections.busy.end(), is_other);
+    if (!lives && on_lost_)
+    {
+        on_lost_(which.where(), how);
+    }
+}
+
 void http_client::sweep()
 {
     for (auto each = pools_.begin(); each != pools_.end();)
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace medlar
@@ -76,7 +77,7 @@
         return;
     }
     waiting_request_ = std::move(request);
-    const bool is_known = start_ && !start_->is_missing;
+    const bool is_known = start_ && !start_->is_missing && !start_->is_unanswered;
     if (!is_known && call->options_.may_ask)
     {
         ask_for_start();
@@ -84,7 +85,7 @@
     }
     if (!is_known)
     {
-        start_ = start_answer{std::nullopt, true, true, false};
+        start_ = unanswered_start(false);
     }
     start_->was_asked = false;
     // deferred: the caller does not have the call yet
@@ -136,14 +137,28 @@
                                           });
 }
 
+start_answer pooled_connection::unanswered_start(bool was_asked) const
+{
+    const auto& connections = client_.pools_[where_];
+    const auto is_open = [](const std::shared_ptr<pooled_connection>& each)
+    {
+        return each->is_established();
+    };
+    // a process whose connections are open is the one that it was
+    const bool is_same =
+        std::any_of(connections.idle.begin(), connections.idle.end(), is_open) ||
+        std::any_of(connections.busy.begin(), connections.busy.end(), is_open);
+    return {std::nullopt, !is_same, true, was_asked};
+}
+
 void pooled_connection::give_up_question()
 {
     is_asking_ = false;
     head_.reset();
     skipping_answer_ = false;
-    start_ = start_answer{std::nullopt, true, true, true};
     // the answer may still come, in place of that to the request
     end_stream();
+    start_ = unanswered_start(true);
     send_waiting_request();
 }
 
@@ -314,6 +329,7 @@
     if (const std::optional<millis> stated = parse_keep_alive(headers))
     {
         keep_alive_ = *stated;
+        is_keep_alive_stated_ = true;
     }
 }
 
@@ -412,9 +428,33 @@
     }
 }
 
+std::optional<connection_loss> pooled_connection::loss_of(connection_end reason) const
+{
+    if (reason == connection_end::refused)
+    {
+        return connection_loss::refused;
+    }
+    if (reason == connection_end::connect_failed)
+    {
+        return std::nullopt;
+    }
+    const bool ends_answer =
+        call_ && head_ && head_->framing.kind == body_kind::until_close;
+    const bool is_early =
+        call_ || (is_keep_alive_stated_ && client_.loop_.now() - idle_since_ <
+                                               keep_alive_ * keep_alive_tenths / 10);
+    return is_early && (reason != connection_end::closed || !ends_answer)
+               ? connection_loss::early
+               : connection_loss::regular;
+}
+
 void pooled_connection::on_end(connection_end reason)
 {
     const std::shared_ptr<pooled_connection> self = shared_from_this();
+    if (const std::optional<connection_loss> how = loss_of(reason))
+    {
+        client_.handle_loss(*this, *how);
+    }
     if (!call_)
     {
         client_.release(self, false);
--- a/test/entry/unanswered_question_test.cpp
+++ b/test/entry/unanswered_question_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(begins);
     CPPUNIT_TEST(begins_where_there_are_two_versions);
     CPPUNIT_TEST(begins_at_an_engine_that_answers);
+    CPPUNIT_TEST(goes_on_while_its_connections_live);
     CPPUNIT_TEST(goes_on_once_they_answer);
     CPPUNIT_TEST(does_not_go_on_at_a_newer_engine);
     CPPUNIT_TEST(does_not_go_on_elsewhere_if_it_began_at_a_newer_engine);
@@ -87,6 +88,17 @@
         CPPUNIT_ASSERT_EQUAL(0, it.joined);
     }
 
+    void goes_on_while_its_connections_live()
+    {
+        hanging_pool it(1);
+        it.begin_streams(4);
+        it.hang_reports();
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams(12);
+        it.store.set_down(true);
+        CPPUNIT_ASSERT_EQUAL(12, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
     void begins_at_an_engine_that_answers()
     {
         hanging_pool it(1);
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -81,6 +81,12 @@
         listen();
     }
 
+    /// Ends its connections; nothing listens at its address until it starts again.
+    void stop()
+    {
+        server_.reset();
+    }
+
     /// Ends its connections, and starts again under its id.
     void restart(std::int64_t when_started_ms)
     {
--- a/test/support/entry/versioned_pool.hpp
+++ b/test/support/entry/versioned_pool.hpp
@@ -105,6 +105,20 @@
         engines.erase(id);
     }
 
+    /// Breaks off the oldest stream of an engine.
+    void end_one_stream(const std::string& id)
+    {
+        const auto oldest = std::find_if(waiting_.begin(),
+                                         waiting_.end(),
+                                         [&](const waiting_stream& each)
+                                         {
+                                             return each.engine == id &&
+                                                    !each.exchange->is_disconnected();
+                                         });
+        CPPUNIT_ASSERT(oldest != waiting_.end());
+        oldest->exchange->abort();
+    }
+
     /// Ends all engines of a version.
     void stop_version(const std::string& version)
     {
@@ -285,6 +299,12 @@
     int resumed = 0;
 
   private:
+    struct waiting_stream
+    {
+        std::string engine;
+        exchange_ptr exchange;
+    };
+
     void answer(const stand_in_target& engine, const exchange_ptr& exchange)
     {
         const header_list& asked = exchange->head().headers;
@@ -297,7 +317,7 @@
         {
             began_at[attempt] = version;
             exchange->write("id: 1\ndata: x\n\n");
-            waiting_.push_back(exchange);
+            waiting_.push_back({engine.id(), exchange});
             return;
         }
         const std::string origin = asked.find("Resumes") == nullptr
@@ -310,7 +330,7 @@
         exchange->finish();
     }
 
-    std::vector<exchange_ptr> waiting_;
+    std::vector<waiting_stream> waiting_;
     int attempts_ = 0;
 };
 
