--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -125,12 +125,14 @@
 /// @brief a message of another host is of an unknown type or cannot be read
 inline constexpr event entry_message_passed_over{
     1748, severity::warning, "entry_message_passed_over"};
+/// @brief nothing listens at a target that states no start, here or for another host
+inline constexpr event entry_target_ended{1749, severity::info, "entry_target_ended"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 48> entry_events{entry_started,
+inline constexpr std::array<event, 49> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -177,7 +179,8 @@
                                                     entry_end_checked,
                                                     entry_target_start_unknown,
                                                     entry_peer_ahead,
-                                                    entry_message_passed_over};
+                                                    entry_message_passed_over,
+                                                    entry_target_ended};
 
 } // namespace medlar
 
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -19,6 +19,14 @@
 namespace medlar
 {
 
+/// @brief How the last connection to a server has ended.
+enum class connection_loss
+{
+    regular, ///< as those of a server that lives may end, too
+    early,   ///< within an answer, or before the idle timeout that the server states
+    refused, ///< nothing listens at its address
+};
+
 /// @brief Outcome of a call.
 enum class call_end
 {
@@ -42,7 +50,8 @@
     /// the server has not answered the question; which of its processes it is stays
     /// unknown
     bool is_missing = false;
-    /// missing, since no answer came in time or none was waited for
+    /// no answer came in time, or none was waited for; it is not missing if another
+    /// connection shows that the process is the one that it was
     bool is_unanswered = false;
     /// whether the question was sent for this call, not for one before it
     bool was_asked = false;
@@ -187,6 +196,13 @@
     /// before is still open.
     bool has_connection_since(const endpoint& where, steady_time when) const;
 
+    /// @brief Sets the function that is called when the process at an endpoint may have
+    /// ended, since the last connection to it has.
+    void set_loss_handler(std::function<void(const endpoint&, connection_loss)> action)
+    {
+        on_lost_ = std::move(action);
+    }
+
     /// @brief Returns the number of connections opened so far.
     std::uint64_t opened_connections() const
     {
@@ -207,11 +223,16 @@
     void release(const std::shared_ptr<pooled_connection>& which, bool reusable);
     /// records which connections with a call are open while another one is established
     void record_open(const endpoint& where);
+    /// handles a connection that ended as those of a process do that ends
+    void handle_loss(const pooled_connection& which, connection_loss how);
+    /// whether another connection to the server is open
+    bool has_other_connection(const pooled_connection& which) const;
     void sweep();
 
     event_loop& loop_;
     std::size_t max_head_bytes_;
     std::map<endpoint, pool> pools_;
+    std::function<void(const endpoint&, connection_loss)> on_lost_;
     std::uint64_t opened_ = 0;
     timer_id sweep_timer_{0};
 };
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -240,6 +240,31 @@
     }
 }
 
+bool http_client::has_other_connection(const pooled_connection& which) const
+{
+    const auto found = pools_.find(which.where());
+    if (found == pools_.end())
+    {
+        return false;
+    }
+    const auto is_other = [&which](const std::shared_ptr<pooled_connection>& each)
+    {
+        return each && each.get() != &which && each->is_established();
+    };
+    const pool& connections = found->second;
+    return is_other(connections.witness) ||
+           std::any_of(connections.idle.begin(), connections.idle.end(), is_other) ||
+           std::any_of(connections.busy.begin(), connections.busy.end(), is_other);
+}
+
+void http_client::handle_loss(const pooled_connection& which, connection_loss how)
+{
+    if (on_lost_ && !has_other_connection(which))
+    {
+        on_lost_(which.where(), how);
+    }
+}
+
 void http_client::sweep()
 {
     for (auto each = pools_.begin(); each != pools_.end();)
