Keep no removed target in use after one failed call of the store

Cause: each failed call, or 2.2 s without one, counted as an outage in which entries of live targets lapse; what was removed in the 2.3 s after it was kept in use.

Weighed: a shorter window (entries that lapsed are back only after about two seconds), and a window only after several failures (says nothing about time). An entry lapses after three heartbeats without a write, and its last write is up to one heartbeat older than the outage. So store_absence, which has no network, opens the window after an absence of two heartbeats: from the last answer before it, to this host or to its relay, to the first one after it. Absences count as one until the store has answered for a heartbeat, since each may hit the write of the same target. heartbeat_ms is read from the settings, 1 s if they do not state it.

Test: a_host_that_the_store_turned_away::sends_nothing_to_a_target_that_leaves_after_ one_failed_call, before: 5 of 12 requests one second after the removal reached the target; after: none. keeps_a_target_whose_entry_lapsed_in_an_outage passes before and after.

--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -42,6 +42,8 @@
     pool_retry_rule retry_rule;
     /// time within which a change in the store has to be in force on this host
     millis change_bound{2000};
+    /// time between two writes of a target's entry
+    millis target_heartbeat{1000};
 };
 
 } // namespace medlar
--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/entry/store_controller.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
 
 #include <medlar/detail/dispatch/change_source.hpp>
+#include <medlar/detail/dispatch/store_absence.hpp>
 #include <medlar/detail/entry/change_relay.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/peer_inquiry.hpp>
@@ -184,6 +185,7 @@
     change_source_choice source_choice_;
     change_source source_;
     peer_inquiry inquiry_;
+    store_absence absence_;
     std::string registration_;
     std::vector<std::string> prefixes_;
     std::optional<store_lease> lease_;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -705,6 +705,7 @@
     settings_.shutdown_grace = read->shutdown_grace;
     settings_.retry_rule = read->retry_rule;
     settings_.change_bound = read->change_bound;
+    settings_.target_heartbeat = read->target_heartbeat;
     peers_.set_seeds(settings_.seeds);
     store_controller_.apply_settings();
     log_event(entry_settings_read, {{"store", to_string(settings_.store_endpoint)}});
--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -78,6 +78,7 @@
                      max_age_of(context.settings.change_bound),
                      context.loop.now()),
       inquiry_(context.loop.now()),
+      absence_(context.settings.target_heartbeat, context.loop.now()),
       registration_(std::move(registration)),
       last_contact_(context.loop.now()),
       retry_delay_(min_retry_delay)
@@ -114,6 +115,7 @@
 void store_controller::apply_settings()
 {
     source_choice_.set_max_age(max_age_of(context_.settings.change_bound));
+    absence_.set_heartbeat(context_.settings.target_heartbeat);
     choose_source();
 }
 
@@ -140,10 +142,12 @@
     if (answered)
     {
         retry_delay_ = min_retry_delay;
-        if (is_store_lost_ || now - last_contact_ > renewal_gap())
+        const bool is_return = is_store_lost_ || now - last_contact_ > renewal_gap();
+        const bool may_have_lapsed = absence_.record_answer(now, is_return);
+        if (is_return)
         {
             is_store_lost_ = false;
-            if (now - served_others_at_ > contact_timeout)
+            if (may_have_lapsed && now - served_others_at_ > contact_timeout)
             {
                 mirror_.record_outage_end(now);
             }
--- a/src/entry/store_controller_peers.cpp
+++ b/src/entry/store_controller_peers.cpp
@@ -299,6 +299,7 @@
     if (steady_time() <= asked_at && asked_at <= now)
     {
         source_choice_.record_report(from, asked_at - age, now);
+        absence_.record_relay_answer(asked_at - age);
     }
 }
 
--- a/test/entry/adapter_test.cpp
+++ b/test/entry/adapter_test.cpp
@@ -17,7 +17,7 @@
   "listen": {"front": "10.1.0.41:8625", "ready": "10.1.0.41:8621",
              "control": "10.1.0.41:8628"},
   "port_range": [7740, 7755], "seeds": ["10.1.0.41:8628"],
-  "limits": {"cpu_share": 0.25}, "unknown": {"x": 1},
+  "heartbeat_ms": 1200, "limits": {"cpu_share": 0.25}, "unknown": {"x": 1},
   "bounds": {"grace_s": 8, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56},
   "platform": {"address": "10.200.1.7:8624"}})";
 
@@ -43,6 +43,7 @@
         CPPUNIT_ASSERT(settings->link_endpoint == (endpoint{"10.1.0.41", 8628}));
         CPPUNIT_ASSERT(settings->metrics_endpoint == (endpoint{"10.1.0.41", 7741}));
         CPPUNIT_ASSERT(settings->shutdown_grace == millis(8000));
+        CPPUNIT_ASSERT(settings->target_heartbeat == millis(1200));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(56.0, settings->retry_rule.slack, 0.001);
     }
 
--- a/test/entry/changes_test.cpp
+++ b/test/entry/changes_test.cpp
@@ -214,6 +214,8 @@
 {
     CPPUNIT_TEST_SUITE(a_host_that_the_store_turned_away);
     CPPUNIT_TEST(sends_nothing_to_a_target_that_leaves_just_after);
+    CPPUNIT_TEST(sends_nothing_to_a_target_that_leaves_after_one_failed_call);
+    CPPUNIT_TEST(keeps_a_target_whose_entry_lapsed_in_an_outage);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -246,6 +248,48 @@
         }
         CPPUNIT_ASSERT_EQUAL(before, leaving.requests.size());
     }
+
+    void sends_nothing_to_a_target_that_leaves_after_one_failed_call()
+    {
+        changing_fixture it(2);
+        const endpoint second = free_endpoint();
+        it.store.add_address(second);
+        it.add_host("host-2", {}, second);
+        CPPUNIT_ASSERT(it.until_ready(2));
+        stand_in_target leaving(it.loop, "i-2", "plain", answer_signed);
+        it.store.put(leaving.key(), leaving.entry());
+        it.run_for(millis(1500));
+        it.store.set_second_cut(true);
+        it.run_for(millis(20));
+        it.store.set_second_cut(false);
+        // the host tries again after 250 ms
+        it.run_for(millis(500));
+        it.store.remove(leaving.key());
+        it.run_for(millis(1000));
+        const std::size_t before = leaving.requests.size();
+        for (int i = 0; i < 12; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(2, "/a/x"));
+        }
+        CPPUNIT_ASSERT_EQUAL(before, leaving.requests.size());
+    }
+
+    void keeps_a_target_whose_entry_lapsed_in_an_outage()
+    {
+        changing_fixture it(1);
+        it.run_for(millis(1500));
+        it.store.set_down(true);
+        it.run_for(millis(3000));
+        it.store.remove(it.target.key());
+        it.store.set_down(false);
+        const steady_time returned = it.time.steady_now();
+        while (it.time.steady_now() - returned < millis(2000))
+        {
+            CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(0, "/a/x"));
+            it.run_for(millis(50));
+        }
+        CPPUNIT_ASSERT(it.until_status(0, "/a/x", 503));
+    }
 };
 
 class a_store_back_from_an_old_copy : public CppUnit::TestFixture
