Read the store again from the start when its era changes

Cause: on_era_begun() started a reading only on a host without a relay. The one that went on had read targets in the old era, and counted its revision from there; revisions of the new era are lower. The host took itself to know all changes up to the last page, and never learnt of a removal before it.

Weighed: to reset the revision only, which leaves the prefixes before unread in the new era. A reading that goes on now starts again in any case; a host that reads nothing still gets the new era from its relay.

--- a/src/entry/store_controller.cpp
+++ b/src/entry/store_controller.cpp
@@ -232,7 +232,8 @@
                             }
                         });
     stop_watching();
-    if (!source_.relay)
+    // a reading that goes on has pages of the era before
+    if (!source_.relay || is_reading_)
     {
         read_all(read_mode::linearizable);
     }
--- a/test/entry/changes_test.cpp
+++ b/test/entry/changes_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace
 {
 
@@ -302,8 +304,30 @@
     CPPUNIT_TEST(is_known_to_a_host_that_starts_afterwards);
     CPPUNIT_TEST(states_no_era_or_an_older_one);
     CPPUNIT_TEST(brings_nothing_back_on_hosts_that_were_cut_off);
+    CPPUNIT_TEST(hides_no_removal_from_a_host_that_was_reading_it);
     CPPUNIT_TEST_SUITE_END();
 
+    /// the name of one more host that is none of the relays
+    static std::string name_of_no_relay(const changing_fixture& it)
+    {
+        std::vector<peer_host> peers(it.all_settings.size() + 1);
+        for (std::size_t i = 0; i < it.all_settings.size(); ++i)
+        {
+            peers[i].id = it.all_settings[i].host;
+            peers[i].domain = it.all_settings[i].domain;
+        }
+        peers.back().domain = it.all_settings[0].domain;
+        std::string name = "host-x";
+        std::vector<host_id> relays;
+        do
+        {
+            name += "x";
+            peers.back().id = host_id(name);
+            relays = relays_of(peers.back().domain, peers);
+        } while (std::count(relays.begin(), relays.end(), host_id(name)) > 0);
+        return name;
+    }
+
   public:
     void brings_back_no_dropped_route()
     {
@@ -421,6 +445,46 @@
         it.time_until_all_serve("/b/x");
     }
 
+    void hides_no_removal_from_a_host_that_was_reading_it()
+    {
+        changing_fixture it(5);
+        const endpoint second = free_endpoint();
+        it.store.add_address(second);
+        stand_in_target leaving(it.loop, "i-2", "plain", answer_signed);
+        it.store.put(leaving.key(), leaving.entry());
+        it.store.save_copy();
+        // revisions of the old era run ahead of those that are given out again
+        for (int i = 0; i < 40; ++i)
+        {
+            it.store.put("servers/other-" + std::to_string(i), "{}");
+        }
+        it.run_for(millis(600));
+        it.store.refused_prefix = "medlar/hosts/";
+        it.add_host(name_of_no_relay(it), {it.all_settings[0].link_endpoint}, second);
+        CPPUNIT_ASSERT(it.until_ready(5));
+        it.run_for(millis(2500));
+        it.store.return_from_copy();
+        it.put_configuration(4, {"/a/", "/b/"});
+        CPPUNIT_ASSERT(it.until_status(5, "/b/x", 200));
+        it.run_for(millis(1000));
+
+        // nobody but the store tells it of the removal
+        for (std::size_t i = 0; i < 5; ++i)
+        {
+            it.freeze(it.hosts[i]);
+        }
+        it.store.remove(leaving.key());
+        it.store.refused_prefix.reset();
+        // a new era permits more time than an outage of a call
+        it.run_for(millis(6000));
+        const std::size_t before = leaving.requests.size();
+        for (int i = 0; i < 12; ++i)
+        {
+            CPPUNIT_ASSERT_EQUAL(200, it.fetch_status(5, "/b/x"));
+        }
+        CPPUNIT_ASSERT_EQUAL(before, leaving.requests.size());
+    }
+
     void states_no_era_or_an_older_one()
     {
         changing_fixture it(2);
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -176,6 +176,9 @@
     /// what is put below it reaches no watch, as if it came just after each of them
     std::optional<std::string> withheld_prefix;
 
+    /// ranges below it are refused at the second address
+    std::optional<std::string> refused_prefix;
+
     /// number of calls received, renewals of leases left out
     std::size_t calls = 0;
 
@@ -306,6 +309,11 @@
     void range(caller_exchange& exchange)
     {
         const std::string prefix = query_of(exchange)["prefix"];
+        if (refused_prefix == prefix && uses_second_address(exchange))
+        {
+            reply(exchange, 503);
+            return;
+        }
         nlohmann::json items = nlohmann::json::array();
         for (auto each = items_.lower_bound(prefix);
              each != items_.end() && absl::StartsWith(each->first, prefix);
