Ask also where a stream may not go on when its process has started

Cause: the start of the process was asked only for streams that may go on. The check of an unframed end then compares the start that the entry names, which is that of the process before, and takes the answer for cut unless an older connection is open.

Change: the question is asked for all streams; one that goes on nowhere is sent whatever the answer. One question a connection, as before, and none for a while where it hangs.

Weighed: a witness connection for each such stream (a connection more in place of a question); to believe the entry less (a restart under the id would pass as the same process).

Evidence: is_whole_when_the_entry_is_late_and_no_other_connection_is_open fails before (broken_off in place of complete; the 22 others of its suite pass), 23 pass with it.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -130,6 +130,9 @@
     /// whether the process that answers at the address of the target may get the request
     bool accepts_start(const start_answer& answer);
     void record_inquiry(target_state& target, const start_answer& answer) const;
+    /// accepts any process for a stream that goes on nowhere; its start tells, once the
+    /// answer has ended with its connection, whether the process lives on
+    bool accepts_any_start(const start_answer& answer);
     /// whether a process of which nothing is known may get the request
     bool accepts_unknown_start(const start_answer& answer);
     /// whether another process than that of its entry may answer at the target
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -185,13 +185,13 @@
     options.is_head_request = exchange_->head().method == "HEAD";
     options.connect_timeout = target_connect_timeout;
     call_callbacks events;
-    if (is_stream() && route_.may_retry())
+    if (is_stream())
     {
         options.question = make_start_question(target.record.address);
         options.may_ask = target.inquiry.begin(context_.loop.now());
         events.accepts_start = [this](const start_answer& answer)
         {
-            return accepts_start(answer);
+            return route_.may_retry() ? accepts_start(answer) : accepts_any_start(answer);
         };
     }
     events.accepts_head = [this](const answer_head& head)
@@ -278,6 +278,15 @@
                        }});
 }
 
+bool request_run::accepts_any_start(const start_answer& answer)
+{
+    if (target_state* const target = context_.targets.find(target_))
+    {
+        record_inquiry(*target, answer);
+    }
+    return true;
+}
+
 bool request_run::accepts_start(const start_answer& answer)
 {
     // the entry may have changed since the target was chosen
--- a/test/entry/ended_process_test.cpp
+++ b/test/entry/ended_process_test.cpp
@@ -180,6 +180,7 @@
     CPPUNIT_TEST(is_no_crash_of_a_target_that_leaves_with_it);
     CPPUNIT_TEST(is_no_failure_of_the_next_process);
     CPPUNIT_TEST(is_whole_when_the_entry_of_the_process_is_late);
+    CPPUNIT_TEST(is_whole_when_the_entry_is_late_and_no_other_connection_is_open);
     CPPUNIT_TEST(is_whole_when_the_process_states_no_start);
     CPPUNIT_TEST(is_whole_when_the_process_finishes_its_answers_before_it_leaves);
     CPPUNIT_TEST(is_whole_when_a_process_that_says_it_leaves_ends_soon_after_it);
@@ -485,6 +486,18 @@
         it.expect_whole(got);
     }
 
+    void is_whole_when_the_entry_is_late_and_no_other_connection_is_open()
+    {
+        mortal_targets it;
+        for (const auto& each : it.targets)
+        {
+            each->restart();
+        }
+        const auto got = it.begin_request("/u/x");
+        it.finish_answer();
+        it.expect_whole(got);
+    }
+
     void is_whole_when_the_process_states_no_start()
     {
         for (const std::string status : {"200 OK", "404 Not Found", "503 Full"})
