Move what hosts know and tell each other into src/hosts

src/entry had 26 files: the way of a request, and the controllers of the state that hosts share. The second kind moves to src/hosts, where new controllers go; nothing but paths, include lines and include guards changes.

--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -1,18 +1,18 @@
 #ifndef MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
 #define MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
 
-#include <medlar/detail/entry/crash_controller.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/limit_controller.hpp>
-#include <medlar/detail/entry/path_controller.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
-#include <medlar/detail/entry/process_ends.hpp>
 #include <medlar/detail/entry/request_run.hpp>
-#include <medlar/detail/entry/store_controller.hpp>
-#include <medlar/detail/entry/store_mirror.hpp>
-#include <medlar/detail/entry/stream_origins.hpp>
+#include <medlar/detail/hosts/crash_controller.hpp>
+#include <medlar/detail/hosts/limit_controller.hpp>
+#include <medlar/detail/hosts/path_controller.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
+#include <medlar/detail/hosts/process_ends.hpp>
+#include <medlar/detail/hosts/store_controller.hpp>
+#include <medlar/detail/hosts/store_mirror.hpp>
+#include <medlar/detail/hosts/stream_origins.hpp>
 #include <medlar/detail/loop/http_server.hpp>
 
 #include <absl/status/statusor.h>
--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -1,8 +1,8 @@
 #ifndef MEDLAR_DETAIL_ENTRY_PIECE_BROKER_HPP
 #define MEDLAR_DETAIL_ENTRY_PIECE_BROKER_HPP
 
-#include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
 
 #include <functional>
 #include <map>
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -5,8 +5,8 @@
 #include <medlar/detail/dispatch/piece_queue.hpp>
 #include <medlar/detail/dispatch/refused_requests.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/limit_controller.hpp>
-#include <medlar/detail/entry/path_controller.hpp>
+#include <medlar/detail/hosts/limit_controller.hpp>
+#include <medlar/detail/hosts/path_controller.hpp>
 
 #include <deque>
 #include <functional>
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -4,15 +4,15 @@
 #include <medlar/detail/dispatch/attempt_limit.hpp>
 #include <medlar/detail/dispatch/request_key.hpp>
 #include <medlar/detail/dispatch/target_choice.hpp>
-#include <medlar/detail/entry/crash_controller.hpp>
 #include <medlar/detail/entry/end_inquiry.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/limit_controller.hpp>
-#include <medlar/detail/entry/path_controller.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/request_forward.hpp>
 #include <medlar/detail/entry/stage_pipeline.hpp>
-#include <medlar/detail/entry/stream_origins.hpp>
+#include <medlar/detail/hosts/crash_controller.hpp>
+#include <medlar/detail/hosts/limit_controller.hpp>
+#include <medlar/detail/hosts/path_controller.hpp>
+#include <medlar/detail/hosts/stream_origins.hpp>
 #include <medlar/detail/http/event_stream.hpp>
 #include <medlar/detail/loop/http_server.hpp>
 
--- a/include/medlar/detail/entry/change_relay.hpp
+++ b/include/medlar/detail/hosts/change_relay.hpp
@@ -1,7 +1,7 @@
-#ifndef MEDLAR_DETAIL_ENTRY_CHANGE_RELAY_HPP
-#define MEDLAR_DETAIL_ENTRY_CHANGE_RELAY_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_CHANGE_RELAY_HPP
+#define MEDLAR_DETAIL_HOSTS_CHANGE_RELAY_HPP
 
-#include <medlar/detail/entry/store_mirror.hpp>
+#include <medlar/detail/hosts/store_mirror.hpp>
 #include <medlar/detail/loop/message_link.hpp>
 
 #include <nlohmann/json.hpp>
@@ -61,4 +61,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_CHANGE_RELAY_HPP
+#endif // MEDLAR_DETAIL_HOSTS_CHANGE_RELAY_HPP
--- a/include/medlar/detail/entry/connection_probe.hpp
+++ b/include/medlar/detail/hosts/connection_probe.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLAR_DETAIL_ENTRY_CONNECTION_PROBE_HPP
-#define MEDLAR_DETAIL_ENTRY_CONNECTION_PROBE_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_CONNECTION_PROBE_HPP
+#define MEDLAR_DETAIL_HOSTS_CONNECTION_PROBE_HPP
 
 #include <medlar/detail/loop/connection.hpp>
 
@@ -47,4 +47,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_CONNECTION_PROBE_HPP
+#endif // MEDLAR_DETAIL_HOSTS_CONNECTION_PROBE_HPP
--- a/include/medlar/detail/entry/crash_controller.hpp
+++ b/include/medlar/detail/hosts/crash_controller.hpp
@@ -1,11 +1,11 @@
-#ifndef MEDLAR_DETAIL_ENTRY_CRASH_CONTROLLER_HPP
-#define MEDLAR_DETAIL_ENTRY_CRASH_CONTROLLER_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_CRASH_CONTROLLER_HPP
+#define MEDLAR_DETAIL_HOSTS_CRASH_CONTROLLER_HPP
 
 #include <medlar/detail/dispatch/crash_evidence.hpp>
-#include <medlar/detail/entry/connection_probe.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
-#include <medlar/detail/entry/store_controller.hpp>
+#include <medlar/detail/hosts/connection_probe.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
+#include <medlar/detail/hosts/store_controller.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -170,4 +170,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_CRASH_CONTROLLER_HPP
+#endif // MEDLAR_DETAIL_HOSTS_CRASH_CONTROLLER_HPP
--- a/include/medlar/detail/entry/limit_controller.hpp
+++ b/include/medlar/detail/hosts/limit_controller.hpp
@@ -1,9 +1,9 @@
-#ifndef MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
-#define MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_LIMIT_CONTROLLER_HPP
+#define MEDLAR_DETAIL_HOSTS_LIMIT_CONTROLLER_HPP
 
 #include <medlar/detail/dispatch/permit_issuer.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -84,4 +84,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_LIMIT_CONTROLLER_HPP
+#endif // MEDLAR_DETAIL_HOSTS_LIMIT_CONTROLLER_HPP
--- a/include/medlar/detail/entry/message_fields.hpp
+++ b/include/medlar/detail/hosts/message_fields.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLAR_DETAIL_ENTRY_MESSAGE_FIELDS_HPP
-#define MEDLAR_DETAIL_ENTRY_MESSAGE_FIELDS_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_MESSAGE_FIELDS_HPP
+#define MEDLAR_DETAIL_HOSTS_MESSAGE_FIELDS_HPP
 
 #include <medlar/detail/base/clock.hpp>
 
@@ -32,4 +32,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_MESSAGE_FIELDS_HPP
+#endif // MEDLAR_DETAIL_HOSTS_MESSAGE_FIELDS_HPP
--- a/include/medlar/detail/entry/path_controller.hpp
+++ b/include/medlar/detail/hosts/path_controller.hpp
@@ -1,10 +1,10 @@
-#ifndef MEDLAR_DETAIL_ENTRY_PATH_CONTROLLER_HPP
-#define MEDLAR_DETAIL_ENTRY_PATH_CONTROLLER_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_PATH_CONTROLLER_HPP
+#define MEDLAR_DETAIL_HOSTS_PATH_CONTROLLER_HPP
 
 #include <medlar/detail/dispatch/path_evidence.hpp>
-#include <medlar/detail/entry/connection_probe.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
+#include <medlar/detail/hosts/connection_probe.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
 
 #include <functional>
 #include <map>
@@ -104,4 +104,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_PATH_CONTROLLER_HPP
+#endif // MEDLAR_DETAIL_HOSTS_PATH_CONTROLLER_HPP
--- a/include/medlar/detail/entry/peer_inquiry.hpp
+++ b/include/medlar/detail/hosts/peer_inquiry.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLAR_DETAIL_ENTRY_PEER_INQUIRY_HPP
-#define MEDLAR_DETAIL_ENTRY_PEER_INQUIRY_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_PEER_INQUIRY_HPP
+#define MEDLAR_DETAIL_HOSTS_PEER_INQUIRY_HPP
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/ids.hpp>
@@ -54,4 +54,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_PEER_INQUIRY_HPP
+#endif // MEDLAR_DETAIL_HOSTS_PEER_INQUIRY_HPP
--- a/include/medlar/detail/entry/peer_network.hpp
+++ b/include/medlar/detail/hosts/peer_network.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLAR_DETAIL_ENTRY_PEER_NETWORK_HPP
-#define MEDLAR_DETAIL_ENTRY_PEER_NETWORK_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_PEER_NETWORK_HPP
+#define MEDLAR_DETAIL_HOSTS_PEER_NETWORK_HPP
 
 #include <medlar/detail/dispatch/piece_owner.hpp>
 #include <medlar/detail/loop/listener.hpp>
@@ -146,4 +146,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_PEER_NETWORK_HPP
+#endif // MEDLAR_DETAIL_HOSTS_PEER_NETWORK_HPP
--- a/include/medlar/detail/entry/process_ends.hpp
+++ b/include/medlar/detail/hosts/process_ends.hpp
@@ -1,11 +1,11 @@
-#ifndef MEDLAR_DETAIL_ENTRY_PROCESS_ENDS_HPP
-#define MEDLAR_DETAIL_ENTRY_PROCESS_ENDS_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_PROCESS_ENDS_HPP
+#define MEDLAR_DETAIL_HOSTS_PROCESS_ENDS_HPP
 
-#include <medlar/detail/entry/connection_probe.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/path_controller.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
-#include <medlar/detail/entry/stream_origins.hpp>
+#include <medlar/detail/hosts/connection_probe.hpp>
+#include <medlar/detail/hosts/path_controller.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
+#include <medlar/detail/hosts/stream_origins.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -55,4 +55,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_PROCESS_ENDS_HPP
+#endif // MEDLAR_DETAIL_HOSTS_PROCESS_ENDS_HPP
--- a/include/medlar/detail/entry/store_controller.hpp
+++ b/include/medlar/detail/hosts/store_controller.hpp
@@ -1,13 +1,13 @@
-#ifndef MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
-#define MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_STORE_CONTROLLER_HPP
+#define MEDLAR_DETAIL_HOSTS_STORE_CONTROLLER_HPP
 
 #include <medlar/detail/dispatch/change_source.hpp>
 #include <medlar/detail/dispatch/store_absence.hpp>
-#include <medlar/detail/entry/change_relay.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/peer_inquiry.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
-#include <medlar/detail/entry/store_mirror.hpp>
+#include <medlar/detail/hosts/change_relay.hpp>
+#include <medlar/detail/hosts/peer_inquiry.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
+#include <medlar/detail/hosts/store_mirror.hpp>
 
 #include <functional>
 #include <optional>
@@ -222,4 +222,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_STORE_CONTROLLER_HPP
+#endif // MEDLAR_DETAIL_HOSTS_STORE_CONTROLLER_HPP
--- a/include/medlar/detail/entry/store_mirror.hpp
+++ b/include/medlar/detail/hosts/store_mirror.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLAR_DETAIL_ENTRY_STORE_MIRROR_HPP
-#define MEDLAR_DETAIL_ENTRY_STORE_MIRROR_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_STORE_MIRROR_HPP
+#define MEDLAR_DETAIL_HOSTS_STORE_MIRROR_HPP
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/entry/protocol.hpp>
@@ -151,4 +151,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_STORE_MIRROR_HPP
+#endif // MEDLAR_DETAIL_HOSTS_STORE_MIRROR_HPP
--- a/include/medlar/detail/entry/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -1,13 +1,13 @@
-#ifndef MEDLAR_DETAIL_ENTRY_STREAM_ORIGINS_HPP
-#define MEDLAR_DETAIL_ENTRY_STREAM_ORIGINS_HPP
+#ifndef MEDLAR_DETAIL_HOSTS_STREAM_ORIGINS_HPP
+#define MEDLAR_DETAIL_HOSTS_STREAM_ORIGINS_HPP
 
 #include <medlar/detail/dispatch/target_starts.hpp>
 #include <medlar/detail/dispatch/unsaved_streams.hpp>
 #include <medlar/detail/dispatch/version_history.hpp>
 #include <medlar/detail/dispatch/version_shares.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
-#include <medlar/detail/entry/store_controller.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
+#include <medlar/detail/hosts/store_controller.hpp>
 
 #include <absl/strings/string_view.h>
 #include <nlohmann/json.hpp>
@@ -269,4 +269,4 @@
 
 } // namespace medlar
 
-#endif // MEDLAR_DETAIL_ENTRY_STREAM_ORIGINS_HPP
+#endif // MEDLAR_DETAIL_HOSTS_STREAM_ORIGINS_HPP
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -1,5 +1,5 @@
-#include <medlar/detail/entry/message_fields.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
+#include <medlar/detail/hosts/message_fields.hpp>
 
 #include <algorithm>
 
--- a/src/entry/change_relay.cpp
+++ b/src/hosts/change_relay.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/entry/change_relay.hpp>
+#include <medlar/detail/hosts/change_relay.hpp>
 
 namespace medlar
 {
--- a/src/entry/connection_probe.cpp
+++ b/src/hosts/connection_probe.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/entry/connection_probe.hpp>
+#include <medlar/detail/hosts/connection_probe.hpp>
 #include <medlar/detail/loop/event_loop.hpp>
 
 #include <utility>
--- a/src/entry/crash_controller.cpp
+++ b/src/hosts/crash_controller.cpp
@@ -1,5 +1,5 @@
-#include <medlar/detail/entry/crash_controller.hpp>
-#include <medlar/detail/entry/message_fields.hpp>
+#include <medlar/detail/hosts/crash_controller.hpp>
+#include <medlar/detail/hosts/message_fields.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <absl/strings/numbers.h>
--- a/src/entry/limit_controller.cpp
+++ b/src/hosts/limit_controller.cpp
@@ -1,5 +1,5 @@
-#include <medlar/detail/entry/limit_controller.hpp>
-#include <medlar/detail/entry/message_fields.hpp>
+#include <medlar/detail/hosts/limit_controller.hpp>
+#include <medlar/detail/hosts/message_fields.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/entry/path_controller.cpp
+++ b/src/hosts/path_controller.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/entry/path_controller.hpp>
+#include <medlar/detail/hosts/path_controller.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
--- a/src/entry/peer_inquiry.cpp
+++ b/src/hosts/peer_inquiry.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/entry/peer_inquiry.hpp>
+#include <medlar/detail/hosts/peer_inquiry.hpp>
 
 #include <algorithm>
 
--- a/src/entry/peer_network.cpp
+++ b/src/hosts/peer_network.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/entry/peer_network.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
--- a/src/entry/process_ends.cpp
+++ b/src/hosts/process_ends.cpp
@@ -1,5 +1,5 @@
-#include <medlar/detail/entry/message_fields.hpp>
-#include <medlar/detail/entry/process_ends.hpp>
+#include <medlar/detail/hosts/message_fields.hpp>
+#include <medlar/detail/hosts/process_ends.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
--- a/src/entry/store_controller.cpp
+++ b/src/hosts/store_controller.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/entry/store_controller.hpp>
+#include <medlar/detail/hosts/store_controller.hpp>
 #include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
--- a/src/entry/store_controller_peers.cpp
+++ b/src/hosts/store_controller_peers.cpp
@@ -1,7 +1,7 @@
 // Part of store_controller: changes that come from other hosts, and go to them.
 
-#include <medlar/detail/entry/message_fields.hpp>
-#include <medlar/detail/entry/store_controller.hpp>
+#include <medlar/detail/hosts/message_fields.hpp>
+#include <medlar/detail/hosts/store_controller.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
--- a/src/entry/store_mirror.cpp
+++ b/src/hosts/store_mirror.cpp
@@ -1,5 +1,5 @@
-#include <medlar/detail/entry/message_fields.hpp>
-#include <medlar/detail/entry/store_mirror.hpp>
+#include <medlar/detail/hosts/message_fields.hpp>
+#include <medlar/detail/hosts/store_mirror.hpp>
 
 #include <absl/strings/match.h>
 
--- a/src/entry/stream_origins.cpp
+++ b/src/hosts/stream_origins.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/entry/stream_origins.hpp>
+#include <medlar/detail/hosts/stream_origins.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <absl/strings/escaping.h>
--- a/test/decisions/entry/store_mirror_test.cpp
+++ b/test/decisions/entry/store_mirror_test.cpp
@@ -1,5 +1,5 @@
 #include <medlar/detail/entry/serving_configuration.hpp>
-#include <medlar/detail/entry/store_mirror.hpp>
+#include <medlar/detail/hosts/store_mirror.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/entry/limit_test.cpp
+++ b/test/entry/limit_test.cpp
@@ -1,7 +1,7 @@
 #include "support/entry/limited_pool.hpp"
 #include "support/entry/stalling_peer.hpp"
 
-#include <medlar/detail/entry/limit_controller.hpp>
+#include <medlar/detail/hosts/limit_controller.hpp>
 #include <medlar/detail/loop/listener.hpp>
 #include <medlar/detail/loop/message_link.hpp>
 
--- a/test/entry/peer_network_test.cpp
+++ b/test/entry/peer_network_test.cpp
@@ -1,10 +1,10 @@
 #include "support/entry/stalling_peer.hpp"
 
-#include <medlar/detail/entry/limit_controller.hpp>
-#include <medlar/detail/entry/path_controller.hpp>
-#include <medlar/detail/entry/peer_network.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
+#include <medlar/detail/hosts/limit_controller.hpp>
+#include <medlar/detail/hosts/path_controller.hpp>
+#include <medlar/detail/hosts/peer_network.hpp>
 
 #include <absl/strings/str_cat.h>
 #include <cppunit/extensions/HelperMacros.h>
