Keep work from the targets of evacuated failure domains

Nothing read op/evacuate/ZONE: requests went on to targets of a failure domain that the operator had evacuated.

With bounds.evacuate_ms in its settings, a host mirrors the keys, read before the targets, and target_table marks the targets of these failure domains; takes_work() is false for them, so that requests, retries, resumed and forwarded requests, permits and pieces pass over them. Deltas between hosts say whether they cover evacuations, and hosts follow only relays that mirror them, since hosts of an older build miss their changes. A store that comes back without a key leaves the evacuation in force for two heartbeats. Requests whose targets are all evacuated are refused before their stages begin. Without the setting, no further prefix is read.

--- a/include/medlar/detail/dispatch/piece_owner.hpp
+++ b/include/medlar/detail/dispatch/piece_owner.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/base/endpoint.hpp>
 #include <medlar/detail/base/ids.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
     double link_mbps = default_link_mbps;
     /// address to which its peers forward requests; port 0 if it accepts none
     endpoint forward = {};
+    /// whether what it passes on of the store includes evacuations
+    bool mirrors_evacuations = false;
 };
 
 /// @brief Targets of one pool whose batched calls are built by one host, the owner
@@ -56,14 +59,16 @@
 /// collected at the owner of a group. A small pool is one group; a large pool has one
 /// group for each failure domain, so that the load of an owner does not grow with the
 /// pool.
-/// @param request_domain failure domain of the request; if the pool has no target there,
-/// the first domain in order of name is used
+/// @param request_domain failure domain of the request
 /// @param target_domains failure domain of each target of the pool
 /// @param max_targets largest pool that is one group, see max_targets_per_group()
+/// @param spread selects the domain if the pool has no target in that of the request,
+/// each by its number of targets: all requests of an evacuated domain would overload one
 piece_group select_group(const pool_id& pool,
                          const failure_domain_id& request_domain,
                          const std::vector<failure_domain_id>& target_domains,
-                         std::size_t max_targets);
+                         std::size_t max_targets,
+                         std::uint64_t spread = 0);
 
 /// @brief Returns the hosts in order of preference as owner of a group.
 ///
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace medlar
@@ -46,6 +47,8 @@
     process_evidence evidence;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
+    /// its failure domain is evacuated
+    bool is_evacuated = false;
     /// set if its registration expired during an outage of the store; it is removed then
     std::optional<steady_time> expires_at;
 };
@@ -93,6 +96,22 @@
     /// @return whether it is longer than what was known
     bool mark_paused(const target_id& id, millis pause, millis spread, steady_time now);
 
+    /// @brief Records whether a failure domain is evacuated; its targets, also those that
+    /// are added later, get no work meanwhile.
+    void set_evacuated(const failure_domain_id& domain, bool is_evacuated);
+
+    bool is_evacuated(const failure_domain_id& domain) const
+    {
+        return evacuated_.count(domain) != 0;
+    }
+
+    /// @brief Returns the number of targets of a failure domain.
+    std::size_t count_in(const failure_domain_id& domain) const;
+
+    /// @brief Returns whether a pool has no target that takes work, but would have one
+    /// without evacuations.
+    bool is_evacuated(const pool_id& pool) const;
+
     /// @brief Makes all targets of a pool healthy, since the calls that failed did not
     /// reach them.
     void reset_health(const pool_id& pool);
@@ -118,6 +137,7 @@
     std::map<endpoint, target_id> by_address_;
     /// start times of the targets that are leaving; remembered when their entries lapse
     std::map<target_id, std::int64_t> leaving_;
+    std::set<failure_domain_id> evacuated_;
 };
 
 /// @brief Returns the latest known start time of the process at the address of a target.
@@ -128,8 +148,12 @@
 /// its address, as far as this host knows.
 bool is_listed(const target_state& target);
 
-/// @brief Returns whether a target takes new work, as far as its entry and its answers
+/// @brief Returns whether a target is going to stop, as far as its entry and its answers
 /// say.
+bool is_stopping(const target_state& target);
+
+/// @brief Returns whether a target takes new work: it is not going to stop, and its
+/// failure domain is not evacuated.
 bool takes_work(const target_state& target);
 
 /// @brief Records the result of a call to a target, and ejects the target if its health
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -58,6 +58,10 @@
     /// @brief Records the time from sending a request to the end of its answer.
     void record_answer_time(const pool_id& pool, millis took);
 
+    /// @brief Returns the least time until a target of a pool can be called: 0 if that is
+    /// now or unknown.
+    millis time_until_callable(const pool_id& pool);
+
     /// @brief Records the result of a call to a target; does nothing if the target is no
     /// longer registered.
     void record_target_call(const target_id& id, call_result result);
--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -6,6 +6,7 @@
 #include <medlar/detail/entry/piece_service.hpp>
 #include <medlar/detail/entry/request_run.hpp>
 #include <medlar/detail/hosts/crash_controller.hpp>
+#include <medlar/detail/hosts/evacuation_controller.hpp>
 #include <medlar/detail/hosts/limit_controller.hpp>
 #include <medlar/detail/hosts/path_controller.hpp>
 #include <medlar/detail/hosts/peer_network.hpp>
@@ -111,6 +112,7 @@
     piece_service piece_service_;
     piece_broker broker_;
     store_mirror store_mirror_;
+    evacuation_controller evacuations_;
     store_controller store_controller_;
     crash_controller crash_controller_;
     stream_origins stream_origins_;
--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -8,6 +8,7 @@
 #include <medlar/detail/dispatch/pool_retry_budget.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace medlar
@@ -44,6 +45,9 @@
     millis change_bound{2000};
     /// time between two writes of a target's entry
     millis target_heartbeat{1000};
+    /// time within which the evacuation of a failure domain has to be in force on this
+    /// host; unset if evacuations are not read
+    std::optional<millis> evacuate_bound;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -114,7 +114,10 @@
         host_id owner;
     };
 
-    owned_group owner_for(const pool_id& pool, const failure_domain_id& domain);
+    /// @param key input of the job, or its attempt, see select_group()
+    owned_group owner_for(const pool_id& pool,
+                          const failure_domain_id& domain,
+                          const std::string& key);
     void dispatch(broker_ticket ticket);
     void dispatch_locally(broker_ticket ticket, open_job& open);
     void record_expected(const open_job& open, bool is_late, millis expected);
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -270,6 +270,8 @@
     read_content_version(const store_item& item) const = 0;
     virtual std::string configuration_key() const = 0;
     virtual std::string target_prefix() const = 0;
+    /// @brief Returns the prefix of the items that name evacuated failure domains.
+    virtual std::string evacuation_prefix() const = 0;
     virtual std::string host_prefix() const = 0;
     /// @brief Returns the prefix of the items that name what targets crash under.
     virtual std::string blocked_suspect_prefix() const = 0;
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -122,6 +122,9 @@
     void send_with_permit(const target_id& id);
     /// sends a stream to a target of some version once the store names that as its origin
     void send_once_saved(const stream_origin& origin);
+    /// refuses the request if all targets of a pool that it needs are evacuated
+    /// @return whether it did
+    bool refuse_if_evacuated();
     /// refuses or fails the request if targets crash under it or a part of its prompt
     /// @return whether it did
     bool end_if_blocked();
--- a/include/medlar/detail/hosts/store_controller.hpp
+++ b/include/medlar/detail/hosts/store_controller.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/dispatch/store_absence.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/hosts/change_relay.hpp>
+#include <medlar/detail/hosts/evacuation_controller.hpp>
 #include <medlar/detail/hosts/peer_inquiry.hpp>
 #include <medlar/detail/hosts/peer_network.hpp>
 #include <medlar/detail/hosts/store_mirror.hpp>
@@ -27,6 +28,7 @@
     store_controller(entry_context& context,
                      peer_network& peers,
                      store_mirror& mirror,
+                     evacuation_controller& evacuations,
                      std::string registration);
     ~store_controller();
 
@@ -37,7 +39,8 @@
     void start();
 
     /// @brief Applies the settings after they were read again.
-    void apply_settings();
+    /// @param registration states what this host does by these settings
+    void apply_settings(std::string registration);
 
     /// @brief Ends the registration, so that other hosts stop using this one.
     void leave();
@@ -158,12 +161,21 @@
     void schedule_watch(millis delay);
     millis watch_hold_time() const;
     void register_host();
+    /// writes another registration if this host has one
+    void set_registration(std::string registration);
     /// @param asked_at when the lease was asked for
     void write_registration(store_lease lease, steady_time asked_at);
     /// tries again after a failed call
     /// @param lease granted before; unset if none is usable
     void retry_registration(std::optional<store_lease> lease, steady_time asked_at);
     void renew();
+    /// sets the prefixes by the settings, those that other items depend on first
+    void set_prefixes();
+    /// reads the evacuations if a peer that does not mirror them was the last source
+    void read_missing_evacuations();
+    void read_evacuations_after(const std::string& after, store_page collected);
+    /// hosts of this failure domain whose changes include all that this host mirrors
+    std::vector<host_id> choose_relays() const;
     void poll_peers();
     /// asks other hosts for what the store may not show, see peer_inquiry
     void ask_peers();
@@ -183,6 +195,7 @@
     entry_context& context_;
     peer_network& peers_;
     store_mirror& mirror_;
+    evacuation_controller& evacuations_;
     change_relay relay_;
     change_source_choice source_choice_;
     change_source source_;
@@ -206,6 +219,7 @@
     bool is_settled_ = false;
     bool is_era_missing_ = false;
     bool is_verifying_era_ = false;
+    bool is_reading_evacuations_ = false;
     bool is_source_timer_set_ = false;
     millis retry_delay_{0};
     std::uint64_t registration_number_ = 0;
--- a/include/medlar/detail/hosts/store_mirror.hpp
+++ b/include/medlar/detail/hosts/store_mirror.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,6 +49,19 @@
                  lapse_handler on_lapse,
                  content_reader read_content);
 
+    /// @brief Sets the prefix of the evacuations, and whether this host mirrors them.
+    /// What other hosts send covers them only if it says so: hosts of an older build and
+    /// those whose settings ask for no evacuations miss their changes. Forgets the
+    /// evacuations if they are no longer mirrored.
+    void set_evacuations(const std::string& prefix, bool is_mirrored);
+
+    /// @brief Returns whether a host that does not mirror the evacuations was the last
+    /// source: the store, or a host that does, has to be asked for them.
+    bool lacks_evacuations() const
+    {
+        return lacks_evacuations_;
+    }
+
     /// @brief Starts a new era. Items of the era before stay in force until they are read
     /// again; does nothing if @p era is not newer.
     void begin_era(std::int64_t era, steady_time now);
@@ -126,12 +140,18 @@
                           store_version as_of) const;
     void put(const store_item& item, std::int64_t era, bool is_held);
     void remove(const std::string& key, store_version at, steady_time now);
-    void remove_missing(const std::vector<std::string>& keys, steady_time now);
+    /// @param has_evacuations whether the keys include those of evacuations
+    void remove_missing(const std::vector<std::string>& keys,
+                        bool has_evacuations,
+                        steady_time now);
     void record_removal(const std::string& key, const removed_item& removed);
     /// records the removal of an item that is not in items_
     void record_unread_removal(const std::string& key, const removed_item& removed);
     static std::vector<std::pair<std::string, removed_item>>
     read_removals(const nlohmann::json& removals);
+    bool is_evacuation(const std::string& key) const;
+    nlohmann::json write_evacuations() const;
+    void remove_evacuations_except(const std::set<std::string>& keys, steady_time now);
     void apply_removals(const std::vector<std::pair<std::string, removed_item>>& removals,
                         steady_time now);
 
@@ -142,6 +162,10 @@
     std::map<std::string, removed_item> removals_;
     store_version version_;
     bool has_been_filled_ = false;
+    /// empty until it is set
+    std::string evacuation_prefix_;
+    bool mirrors_evacuations_ = false;
+    bool lacks_evacuations_ = false;
     /// the newest page that was read of each prefix
     std::map<std::string, store_version> pages_;
     /// removals after this revision of the era are all in removals_
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -127,12 +127,25 @@
     1748, severity::warning, "entry_message_passed_over"};
 /// @brief nothing listens at a target that states no start, here or for another host
 inline constexpr event entry_target_ended{1749, severity::info, "entry_target_ended"};
+/// @brief a failure domain is evacuated: its targets get no more work
+inline constexpr event entry_evacuation_begun{
+    1760, severity::info, "entry_evacuation_begun"};
+/// @brief an evacuation has ended: the targets of the failure domain take work again
+inline constexpr event entry_evacuation_ended{
+    1761, severity::info, "entry_evacuation_ended"};
+/// @brief the store no longer shows an evacuation after an outage or in a new era; it
+/// stays in force for a while, since the operator may write it again
+inline constexpr event entry_evacuation_held{
+    1762, severity::info, "entry_evacuation_held"};
+/// @brief an evacuated failure domain has no targets, or does not exist
+inline constexpr event entry_evacuation_without_targets{
+    1763, severity::warning, "entry_evacuation_without_targets"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 49> entry_events{entry_started,
+inline constexpr std::array<event, 53> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -180,7 +193,11 @@
                                                     entry_target_start_unknown,
                                                     entry_peer_ahead,
                                                     entry_message_passed_over,
-                                                    entry_target_ended};
+                                                    entry_target_ended,
+                                                    entry_evacuation_begun,
+                                                    entry_evacuation_ended,
+                                                    entry_evacuation_held,
+                                                    entry_evacuation_without_targets};
 
 } // namespace medlar
 
--- a/src/dispatch/piece_owner.cpp
+++ b/src/dispatch/piece_owner.cpp
@@ -61,7 +61,8 @@
 piece_group select_group(const pool_id& pool,
                          const failure_domain_id& request_domain,
                          const std::vector<failure_domain_id>& target_domains,
-                         std::size_t max_targets)
+                         std::size_t max_targets,
+                         std::uint64_t spread)
 {
     if (target_domains.size() <= max_targets)
     {
@@ -72,7 +73,11 @@
     {
         return {pool, request_domain.get()};
     }
-    return {pool, std::min_element(target_domains.begin(), target_domains.end())->get()};
+    std::vector<failure_domain_id> ordered = target_domains;
+    const auto chosen =
+        ordered.begin() + static_cast<std::ptrdiff_t>(spread % ordered.size());
+    std::nth_element(ordered.begin(), chosen, ordered.end());
+    return {pool, chosen->get()};
 }
 
 std::vector<host_id> rank_owners(const piece_group& group,
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -43,6 +43,7 @@
     {
         target_state added;
         added.record = record;
+        added.is_evacuated = evacuated_.count(record.domain) != 0;
         // without a start an entry says nothing of the process that answers
         if (record.started_ms != 0 && found != targets_.end() &&
             found->second.record.address == record.address &&
@@ -74,6 +75,7 @@
         found->second.is_start_unknown = false;
     }
     found->second.record = record;
+    found->second.is_evacuated = evacuated_.count(record.domain) != 0;
     found->second.expires_at.reset();
     return false;
 }
@@ -127,6 +129,7 @@
         started.expires_at = target->expires_at;
         started.answering_start = started_ms;
         started.inquiry = target->inquiry;
+        started.is_evacuated = target->is_evacuated;
         const auto leaving = leaving_.find(id);
         started.is_leaving = leaving != leaving_.end() && leaving->second == started_ms;
         *target = started;
@@ -220,6 +223,53 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+void target_table::set_evacuated(const failure_domain_id& domain, bool is_evacuated)
+{
+    if (is_evacuated)
+    {
+        evacuated_.insert(domain);
+    }
+    else
+    {
+        evacuated_.erase(domain);
+    }
+    for (auto& each : targets_)
+    {
+        if (each.second.record.domain == domain)
+        {
+            each.second.is_evacuated = is_evacuated;
+        }
+    }
+}
+
+std::size_t target_table::count_in(const failure_domain_id& domain) const
+{
+    return static_cast<std::size_t>(std::count_if(targets_.begin(),
+                                                  targets_.end(),
+                                                  [&](const auto& each)
+                                                  {
+                                                      return each.second.record.domain ==
+                                                             domain;
+                                                  }));
+}
+
+bool target_table::is_evacuated(const pool_id& pool) const
+{
+    bool is_any_evacuated = false;
+    for (const auto& each : targets_)
+    {
+        if (each.second.record.pool == pool && !is_stopping(each.second))
+        {
+            if (!each.second.is_evacuated)
+            {
+                return false;
+            }
+            is_any_evacuated = true;
+        }
+    }
+    return is_any_evacuated;
+}
+
 void target_table::reset_health(const pool_id& pool)
 {
     for (auto& each : targets_)
@@ -254,9 +304,14 @@
     return !target.answering_start;
 }
 
+bool is_stopping(const target_state& target)
+{
+    return target.record.is_draining || target.is_leaving;
+}
+
 bool takes_work(const target_state& target)
 {
-    return !target.record.is_draining && !target.is_leaving;
+    return !is_stopping(target) && !target.is_evacuated;
 }
 
 millis pause_after_refusal(std::optional<double> refusal_limit)
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -77,6 +77,16 @@
     answer_times_[pool].record(took);
 }
 
+millis entry_context::time_until_callable(const pool_id& pool)
+{
+    if (targets.is_evacuated(pool))
+    {
+        // the end of an evacuation takes up to this time to be in force here
+        return settings.evacuate_bound.value_or(millis(0));
+    }
+    return targets.time_until_callable(pool, loop.now()).value_or(millis(0));
+}
+
 void entry_context::record_target_answer(const target_id& id, const answer_fields& answer)
 {
     target_state* const target = targets.find(id);
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -53,7 +53,8 @@
                            {"forward_port", settings.forward_endpoint.port},
                            {"domain", settings.domain.get()},
                            {"share", settings.core_share},
-                           {"link_mbps", settings.link_mbps}})
+                           {"link_mbps", settings.link_mbps},
+                           {"evacuations", settings.evacuate_bound.has_value()}})
         .dump();
 }
 
@@ -86,6 +87,9 @@
     {
         host.forward = {host.link.address, forward_port->get<std::uint16_t>()};
     }
+    const auto evacuations = value.find("evacuations");
+    host.mirrors_evacuations = evacuations != value.end() && evacuations->is_boolean() &&
+                               evacuations->get<bool>();
     const auto link_mbps = value.find("link_mbps");
     if (link_mbps != value.end() && link_mbps->is_number())
     {
@@ -122,7 +126,9 @@
           {
               return protocol.read_content_version(item);
           }),
-      store_controller_(context_, peers_, store_mirror_, registration_text(settings)),
+      evacuations_(context_),
+      store_controller_(
+          context_, peers_, store_mirror_, evacuations_, registration_text(settings)),
       crash_controller_(context_, peers_, store_controller_),
       stream_origins_(context_, peers_, store_controller_),
       process_ends_(context_, peers_, path_controller_, stream_origins_)
@@ -486,6 +492,7 @@
     context_.metrics->set("medlar_target_connections_opened",
                           {},
                           static_cast<double>(context_.client.opened_connections()));
+    evacuations_.write_metrics();
     context_.metrics->set("medlar_blocked_suspects",
                           {},
                           static_cast<double>(crash_controller_.blocked_count()));
@@ -516,6 +523,10 @@
     {
         stream_origins_.handle_shares(item);
     }
+    else if (absl::StartsWith(item.key, context_.protocol.evacuation_prefix()))
+    {
+        evacuations_.handle_item(item);
+    }
     else if (absl::StartsWith(item.key, targets))
     {
         on_target_changed(target_id(item.key.substr(targets.size())), item);
@@ -538,6 +549,10 @@
     {
         lapsed_hosts_[host_id(key.substr(hosts.size()))] = until;
     }
+    else if (absl::StartsWith(key, context_.protocol.evacuation_prefix()))
+    {
+        evacuations_.handle_item_expired(key, until);
+    }
     else if (absl::StartsWith(key, context_.protocol.blocked_suspect_prefix()))
     {
         crash_controller_.handle_item_expired(key);
@@ -689,6 +704,7 @@
 {
     context_.targets.drop_lapsed(loop_.now());
     drop_lapsed_hosts();
+    evacuations_.tick();
     path_controller_.tick();
     if (!is_serving_ && has_started())
     {
@@ -696,6 +712,7 @@
         log_event(entry_serving,
                   {{"targets", static_cast<std::int64_t>(context_.targets.all().size())},
                    {"hosts", static_cast<std::int64_t>(peers_.registered_count())}});
+        evacuations_.begin_log();
     }
     if (const std::size_t dropped = take_dropped_lines())
     {
@@ -765,8 +782,9 @@
     settings_.retry_rule = read->retry_rule;
     settings_.change_bound = read->change_bound;
     settings_.target_heartbeat = read->target_heartbeat;
+    settings_.evacuate_bound = read->evacuate_bound;
     peers_.set_seeds(settings_.seeds);
-    store_controller_.apply_settings();
+    store_controller_.apply_settings(registration_text(settings_));
     log_event(entry_settings_read, {{"store", to_string(settings_.store_endpoint)}});
 }
 
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -1,6 +1,8 @@
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/hosts/message_fields.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace medlar
@@ -146,15 +148,18 @@
 }
 
 piece_broker::owned_group piece_broker::owner_for(const pool_id& pool,
-                                                  const failure_domain_id& domain)
+                                                  const failure_domain_id& domain,
+                                                  const std::string& key)
 {
     std::vector<failure_domain_id> domains;
     for (const target_state* each : context_.targets.serving(pool))
     {
         domains.push_back(each->record.domain);
     }
-    const piece_group group =
-        select_group(pool, domain, domains, max_targets_per_group(peers_.live_hosts()));
+    const std::uint64_t spread =
+        context_.targets.is_evacuated(domain) ? XXH3_64bits(key.data(), key.size()) : 0;
+    const piece_group group = select_group(
+        pool, domain, domains, max_targets_per_group(peers_.live_hosts()), spread);
     return {group, rank_owners(group, paths_.hosts_with_path(pool)).front()};
 }
 
@@ -175,7 +180,10 @@
 void piece_broker::dispatch(broker_ticket ticket)
 {
     open_job& open = open_jobs_.at(ticket);
-    const owned_group placed = owner_for(open.pool, open.job.preferred_domain);
+    const owned_group placed =
+        owner_for(open.pool,
+                  open.job.preferred_domain,
+                  open.job.key.empty() ? open.job.attempt.get() : open.job.key);
     open.group = placed.group;
     const bool is_remote =
         placed.owner != peers_.self().id && open.reassignments <= max_reassignments &&
@@ -257,7 +265,7 @@
                                   const failure_domain_id& domain,
                                   const std::string& key)
 {
-    const auto [group, owner] = owner_for(pool, domain);
+    const auto [group, owner] = owner_for(pool, domain, key);
     if (owner == peers_.self().id)
     {
         service_.record_refusal(group, key);
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -65,10 +65,15 @@
 void piece_service::refresh_targets(const piece_group& group, group_state& state)
 {
     std::vector<piece_target> targets;
+    // pieces that wait, or come from hosts that do not know of the evacuation, would wait
+    // until their deadlines
+    const bool is_whole_pool =
+        group.domain.empty() ||
+        context_.targets.is_evacuated(failure_domain_id(group.domain));
     for (const target_state* each : context_.targets.serving(group.pool))
     {
         const bool is_in_group =
-            group.domain.empty() || each->record.domain.get() == group.domain;
+            is_whole_pool || each->record.domain.get() == group.domain;
         if (is_in_group && may_call(*each, context_.loop.now()))
         {
             targets.push_back(
@@ -93,10 +98,8 @@
     decision.time_since_refusal = time_since_refusal;
     if (!decision.accepted)
     {
-        const std::optional<millis> callable_in =
-            context_.targets.time_until_callable(group.pool, now);
         decision.retry_after =
-            std::max(decision.retry_after, callable_in.value_or(millis(0)));
+            std::max(decision.retry_after, context_.time_until_callable(group.pool));
     }
     return decision;
 }
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -456,7 +456,7 @@
     }
     head_ = head;
     const target_state* const target = context_.targets.find(target_);
-    if (target == nullptr || !takes_work(*target))
+    if (target == nullptr || is_stopping(*target))
     {
         context_.client.keep_witness(called_.address);
     }
@@ -554,10 +554,8 @@
 
 void request_run::on_attempts_failed(absl::string_view why)
 {
-    const std::optional<millis> callable_in =
-        context_.targets.time_until_callable(pool_, context_.loop.now());
     refuse_or_fail(status_bad_gateway,
-                   std::max(retry_after_no_target, callable_in.value_or(millis(0))),
+                   std::max(retry_after_no_target, context_.time_until_callable(pool_)),
                    why);
 }
 
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -55,7 +55,7 @@
                           {{"end", std::string(to_string(found.end))}});
     const target_state* const target = context_.targets.find(target_);
     // one that leaves ends with its last answer, and has not crashed
-    const bool is_leaving = target == nullptr || !takes_work(*target);
+    const bool is_leaving = target == nullptr || is_stopping(*target);
     // the entry may name the process that answers now, which has not failed
     const bool is_next_process =
         found.end == answer_end::cut && found.evidence.end == question_end::answered;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -223,6 +223,10 @@
 
 void request_run::begin_work()
 {
+    if (refuse_if_evacuated())
+    {
+        return;
+    }
     if (!has_target_of_origin())
     {
         refuse(retry_after_no_target,
--- a/src/hosts/store_controller.cpp
+++ b/src/hosts/store_controller.cpp
@@ -69,10 +69,12 @@
 store_controller::store_controller(entry_context& context,
                                    peer_network& peers,
                                    store_mirror& mirror,
+                                   evacuation_controller& evacuations,
                                    std::string registration)
     : context_(context),
       peers_(peers),
       mirror_(mirror),
+      evacuations_(evacuations),
       relay_(mirror),
       source_choice_(context.settings.host,
                      max_age_of(context.settings.change_bound),
@@ -83,12 +85,7 @@
       last_contact_(context.loop.now()),
       retry_delay_(min_retry_delay)
 {
-    prefixes_ = {context_.protocol.configuration_key(),
-                 context_.protocol.target_prefix(),
-                 context_.protocol.blocked_suspect_prefix(),
-                 context_.protocol.version_prefix(),
-                 context_.protocol.share_prefix(),
-                 context_.protocol.host_prefix()};
+    set_prefixes();
 }
 
 store_controller::~store_controller()
@@ -112,10 +109,18 @@
                         });
 }
 
-void store_controller::apply_settings()
+void store_controller::apply_settings(std::string registration)
 {
     source_choice_.set_max_age(max_age_of(context_.settings.change_bound));
     absence_.set_heartbeat(context_.settings.target_heartbeat);
+    const std::size_t prefixes_before = prefixes_.size();
+    set_prefixes();
+    if (is_reading_ && prefixes_.size() != prefixes_before)
+    {
+        read_all(read_mode::linearizable);
+    }
+    set_registration(std::move(registration));
+    relays_ranked_at_ = steady_time();
     choose_source();
 }
 
@@ -319,8 +324,11 @@
                                        read_mode mode,
                                        store_page collected)
 {
-    // keys and routes may change at any time: an old configuration is no start
-    const read_mode page_mode = prefix == 0 ? read_mode::linearizable : mode;
+    // keys, routes and evacuations may change at any time: an old state of them is no
+    // start
+    const bool must_be_current =
+        prefix == 0 || prefixes_[prefix] == context_.protocol.evacuation_prefix();
+    const read_mode page_mode = must_be_current ? read_mode::linearizable : mode;
     // what is known now is in a page that is read now, unless it may be old
     const store_version known =
         page_mode == read_mode::linearizable ? mirror_.version() : store_version{};
--- a/src/hosts/store_controller_peers.cpp
+++ b/src/hosts/store_controller_peers.cpp
@@ -45,7 +45,7 @@
     {
         return;
     }
-    send_question(1, false);
+    send_question(1, mirror_.lacks_evacuations());
 }
 
 void store_controller::ask_peers()
@@ -76,10 +76,10 @@
     if (now - relays_ranked_at_ >= rank_interval)
     {
         relays_ranked_at_ = now;
-        source_choice_.set_relays(
-            relays_of(context_.settings.domain, peers_.live_hosts()));
+        source_choice_.set_relays(choose_relays());
         relay_.drop_silent(now);
     }
+    read_missing_evacuations();
     source_choice_.set_followed(relay_.followers() > 0);
     apply_source(source_choice_.choose(now));
     if (!is_source_timer_set_)
@@ -219,6 +219,10 @@
     const bool needs_all = is_starting && mirror_.knows_more_than_store();
     nlohmann::json news = mirror_.delta_since(needs_all ? store_version{} : since, now);
     news["type"] = "news";
+    if (is_starting)
+    {
+        evacuations_.write_held(news);
+    }
     return news;
 }
 
@@ -255,6 +259,7 @@
 {
     const store_version before = mirror_.version();
     const steady_time now = context_.loop.now();
+    const auto held = evacuation_controller::read_held(message);
     const delta_result result = mirror_.apply_delta(message, now);
     if (result == delta_result::no_base)
     {
@@ -270,6 +275,7 @@
         return;
     }
     inquiry_.record_knowledge();
+    evacuations_.apply_held(held);
     if (mirror_.version().era != before.era && (before.era > 0 || before.revision > 0))
     {
         on_era_begun(before);
--- a/src/hosts/store_mirror.cpp
+++ b/src/hosts/store_mirror.cpp
@@ -24,6 +24,10 @@
 // has sent a malformed message
 constexpr std::int64_t max_era_step = 1000;
 
+// all evacuations that the sender of a delta knows. Without it, the sender does not
+// mirror them: what the delta says of them may be outdated, and it may lack some
+constexpr char evacuations_field[] = "evacuations";
+
 nlohmann::json to_json(const store_version& version)
 {
     return {{"era", version.era}, {"revision", version.revision}};
@@ -35,6 +39,17 @@
             object.at("revision").get<std::int64_t>()};
 }
 
+nlohmann::json
+write_item(const store_item& item, const store_version& version, bool is_held)
+{
+    nlohmann::json written = to_json(version);
+    written["key"] = item.key;
+    written["held"] = is_held;
+    written["value"] = nlohmann::json::binary(
+        std::vector<std::uint8_t>(item.value.begin(), item.value.end()));
+    return written;
+}
+
 struct changed_item
 {
     store_item item;
@@ -99,6 +114,65 @@
     lapse_window_end_ = std::max(lapse_window_end_, now + lapse_window);
 }
 
+void store_mirror::set_evacuations(const std::string& prefix, bool is_mirrored)
+{
+    // what was missed so far has to be read
+    lacks_evacuations_ =
+        is_mirrored && (mirrors_evacuations_ ? lacks_evacuations_ : has_been_filled_);
+    mirrors_evacuations_ = is_mirrored;
+    evacuation_prefix_ = prefix;
+    if (is_mirrored)
+    {
+        return;
+    }
+    for (auto each = items_.lower_bound(prefix);
+         each != items_.end() && is_evacuation(each->first);)
+    {
+        store_item forgotten = std::move(each->second.item);
+        each = items_.erase(each);
+        forgotten.is_deleted = true;
+        forgotten.value.clear();
+        on_change_(forgotten);
+    }
+}
+
+bool store_mirror::is_evacuation(const std::string& key) const
+{
+    return !evacuation_prefix_.empty() && absl::StartsWith(key, evacuation_prefix_);
+}
+
+nlohmann::json store_mirror::write_evacuations() const
+{
+    nlohmann::json evacuations = nlohmann::json::array();
+    for (auto each = items_.lower_bound(evacuation_prefix_);
+         each != items_.end() && is_evacuation(each->first);
+         ++each)
+    {
+        const mirrored_item& known = each->second;
+        evacuations.push_back(write_item(known.item, known.version, known.is_held));
+    }
+    return evacuations;
+}
+
+void store_mirror::remove_evacuations_except(const std::set<std::string>& keys,
+                                             steady_time now)
+{
+    std::vector<std::string> missing;
+    for (auto each = items_.lower_bound(evacuation_prefix_);
+         each != items_.end() && is_evacuation(each->first);
+         ++each)
+    {
+        if (keys.count(each->first) == 0 && each->second.version <= version_)
+        {
+            missing.push_back(each->first);
+        }
+    }
+    for (const std::string& each : missing)
+    {
+        remove(each, version_, now);
+    }
+}
+
 store_version store_mirror::known_until(const std::string& key) const
 {
     store_version known = version_;
@@ -283,6 +357,10 @@
     {
         remove(each, read_at, now);
     }
+    if (prefix == evacuation_prefix_)
+    {
+        lacks_evacuations_ = false;
+    }
     store_version& newest = pages_[std::string(prefix)];
     newest = newest < read_at ? read_at : newest;
 }
@@ -352,12 +430,7 @@
         const mirrored_item& known = each.second;
         if (base < known.version)
         {
-            nlohmann::json item = to_json(known.version);
-            item["key"] = each.first;
-            item["held"] = known.is_held;
-            item["value"] = nlohmann::json::binary(std::vector<std::uint8_t>(
-                known.item.value.begin(), known.item.value.end()));
-            changed.push_back(std::move(item));
+            changed.push_back(write_item(known.item, known.version, known.is_held));
         }
     }
     nlohmann::json removed = nlohmann::json::array();
@@ -380,6 +453,10 @@
     delta["changed"] = std::move(changed);
     delta["removed"] = std::move(removed);
     delta["lapse_ms"] = std::max<std::int64_t>(0, (lapse_window_end_ - now).count());
+    if (mirrors_evacuations_ && !lacks_evacuations_)
+    {
+        delta[evacuations_field] = write_evacuations();
+    }
     if (!is_same_era || since.revision < removals_known_after_)
     {
         nlohmann::json keys = nlohmann::json::array();
@@ -433,13 +510,16 @@
     }
 }
 
-void store_mirror::remove_missing(const std::vector<std::string>& keys, steady_time now)
+void store_mirror::remove_missing(const std::vector<std::string>& keys,
+                                  bool has_evacuations,
+                                  steady_time now)
 {
     const std::set<std::string> present(keys.begin(), keys.end());
     std::vector<std::string> missing;
     for (const auto& each : items_)
     {
-        if (present.count(each.first) == 0 && each.second.version <= version_)
+        if (present.count(each.first) == 0 && each.second.version <= version_ &&
+            (has_evacuations || !is_evacuation(each.first)))
         {
             missing.push_back(each.first);
         }
@@ -468,8 +548,31 @@
     }
     // read as a whole before anything changes
     const millis lapse = read_span(delta, "lapse_ms");
-    const std::vector<changed_item> changes = read_changes(delta.at("changed"));
-    const auto removals = read_removals(delta.at("removed"));
+    std::vector<changed_item> changes = read_changes(delta.at("changed"));
+    auto removals = read_removals(delta.at("removed"));
+    std::vector<changed_item> evacuations;
+    const bool has_evacuations =
+        mirrors_evacuations_ && delta.contains(evacuations_field);
+    if (has_evacuations)
+    {
+        evacuations = read_changes(delta.at(evacuations_field));
+    }
+    else
+    {
+        const auto is_of_evacuation = [this](const changed_item& each)
+        {
+            return is_evacuation(each.item.key);
+        };
+        changes.erase(std::remove_if(changes.begin(), changes.end(), is_of_evacuation),
+                      changes.end());
+        const auto is_end_of_evacuation = [this](const auto& each)
+        {
+            return is_evacuation(each.first);
+        };
+        removals.erase(
+            std::remove_if(removals.begin(), removals.end(), is_end_of_evacuation),
+            removals.end());
+    }
     std::optional<std::vector<std::string>> keys;
     if (delta.contains("keys"))
     {
@@ -501,8 +604,21 @@
         {
             // the sender does not know all that was removed before, but what is left
             removals_known_after_ = reached.revision;
-            remove_missing(*keys, now);
+            remove_missing(*keys, has_evacuations, now);
+        }
+        lacks_evacuations_ =
+            mirrors_evacuations_ && (lacks_evacuations_ || !has_evacuations);
+    }
+    if (has_evacuations && lacks_evacuations_ && version_ == reached)
+    {
+        std::set<std::string> present;
+        for (const changed_item& each : evacuations)
+        {
+            present.insert(each.item.key);
+            put(each.item, each.era, each.is_held);
         }
+        remove_evacuations_except(present, now);
+        lacks_evacuations_ = false;
     }
     return is_newer ? delta_result::applied : delta_result::older;
 }
--- a/test/decisions/dispatch/target_choice_test.cpp
+++ b/test/decisions/dispatch/target_choice_test.cpp
@@ -248,6 +248,14 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), select_group(pool, b, many, 32).domain);
         CPPUNIT_ASSERT_EQUAL(std::string("a"),
                              select_group(pool, failure_domain_id("c"), many, 32).domain);
+        // an evacuated domain is spread over the others, by the number of their targets
+        std::map<std::string, int> chosen;
+        for (std::uint64_t key = 0; key < many.size(); ++key)
+        {
+            ++chosen[select_group(pool, failure_domain_id("c"), many, 32, key).domain];
+        }
+        CPPUNIT_ASSERT_EQUAL(20, chosen["a"]);
+        CPPUNIT_ASSERT_EQUAL(20, chosen["b"]);
     }
 
     void has_as_many_targets_as_the_fastest_link_carries()
--- a/test/decisions/dispatch/target_table_test.cpp
+++ b/test/decisions/dispatch/target_table_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(gives_a_paused_target_no_work_until_its_pause_ends);
     CPPUNIT_TEST(cuts_an_absurd_pause);
     CPPUNIT_TEST(knows_when_the_first_target_of_a_pool_is_back);
+    CPPUNIT_TEST(gives_targets_of_an_evacuated_domain_no_work);
     CPPUNIT_TEST_SUITE_END();
 
     const steady_time now_{1000000};
@@ -35,6 +36,32 @@
     }
 
   public:
+    void gives_targets_of_an_evacuated_domain_no_work()
+    {
+        const failure_domain_id domain("d");
+        const auto put = [&](const std::string& id, std::int64_t started_ms)
+        {
+            target_record made = record(id, started_ms);
+            made.domain = domain;
+            table_.put(made);
+        };
+        put("a", 5);
+        CPPUNIT_ASSERT(!table_.is_evacuated(pool_));
+        table_.set_evacuated(domain, true);
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        CPPUNIT_ASSERT(table_.is_evacuated(pool_));
+        // neither a new target, nor a restart that the entry or an answer tells of
+        put("b", 5);
+        put("a", 6);
+        table_.record_start(target_id("a"), 7);
+        CPPUNIT_ASSERT(table_.serving(pool_).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table_.count_in(domain));
+        table_.put(record("c"));
+        CPPUNIT_ASSERT(!table_.is_evacuated(pool_));
+        table_.set_evacuated(domain, false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table_.serving(pool_).size());
+    }
+
     void gives_a_leaving_target_no_work_until_it_restarts()
     {
         table_.put(record("a"));
--- a/test/entry/adapter_test.cpp
+++ b/test/entry/adapter_test.cpp
@@ -30,6 +30,7 @@
 {
     CPPUNIT_TEST_SUITE(the_settings_file);
     CPPUNIT_TEST(is_read_and_unknown_fields_are_ignored);
+    CPPUNIT_TEST(bounds_evacuations_only_if_it_says_so);
     CPPUNIT_TEST(is_rejected_with_the_name_of_the_invalid_field);
     CPPUNIT_TEST_SUITE_END();
 
@@ -45,6 +46,24 @@
         CPPUNIT_ASSERT(settings->shutdown_grace == millis(8000));
         CPPUNIT_ASSERT(settings->target_heartbeat == millis(1200));
         CPPUNIT_ASSERT_DOUBLES_EQUAL(56.0, settings->retry_rule.slack, 0.001);
+        CPPUNIT_ASSERT(!settings->evacuate_bound);
+    }
+
+    void bounds_evacuations_only_if_it_says_so()
+    {
+        const auto with = [](const std::string& field)
+        {
+            const auto settings = platform::read_settings(
+                replaced(settings_text, R"("grace_s")", field + R"(, "grace_s")"));
+            CPPUNIT_ASSERT_MESSAGE(settings.status().ToString(), settings.ok());
+            return *settings;
+        };
+        CPPUNIT_ASSERT(with(R"("evacuate_ms": 5000)").evacuate_bound == millis(5000));
+        CPPUNIT_ASSERT(with(R"("evacuate_ms": 5000)").change_bound == millis(2000));
+        CPPUNIT_ASSERT(with(R"("evacuate_ms": 900)").change_bound == millis(900));
+        CPPUNIT_ASSERT(!with(R"("evacuate_ms": 0)").evacuate_bound);
+        CPPUNIT_ASSERT(!with(R"("evacuate_ms": -3)").evacuate_bound);
+        CPPUNIT_ASSERT(with(R"("evacuate_ms": 1e300)").evacuate_bound);
     }
 
     void is_rejected_with_the_name_of_the_invalid_field()
--- a/test/support/entry/entry_fixture.hpp
+++ b/test/support/entry/entry_fixture.hpp
@@ -58,7 +58,7 @@
     {
         return nlohmann::json({{"service", pool_},
                                {"address", to_string(where_)},
-                               {"zone", "a"},
+                               {"zone", domain},
                                {"version", version},
                                {"slots", 6},
                                {"state", state},
@@ -98,6 +98,8 @@
     std::int64_t started_ms = 5;
     /// version of its software, as its entry states it
     nlohmann::json version = "v1";
+    /// failure domain that its entry states
+    std::string domain = "a";
     /// the heads and bodies of the requests received
     std::vector<request_head> requests;
     std::vector<std::string> bodies;
@@ -208,6 +210,7 @@
         result.store_value_bytes = store.max_value_bytes;
         result.retry_rule = {0.2, 50, millis(10000)};
         result.shutdown_grace = shutdown_grace;
+        result.evacuate_bound = evacuate_bound;
         return result;
     }
 
@@ -343,6 +346,8 @@
     event_loop loop{time};
     /// grace period of the hosts that are started from now on
     millis shutdown_grace{8000};
+    /// bound on evacuations of the hosts that are started from now on
+    std::optional<millis> evacuate_bound;
     platform::adapter protocol;
     http_client client{loop, 65536};
 
