Keep the error of a connection that a check for its end has taken

connection::is_alive() looks for unread bytes by a recv with MSG_PEEK. Where the peer had reset the connection, that took the error from the socket, and the next read found a regular end: a part of an answer without a length or chunks could pass as whole. The check now notes the error, as a failed write does, and the end is reported as a reset.

Test: a_connection::is_not_closed_by_its_peer_when_a_check_finds_it_reset failed before (1 of 6 of the suite), passes now (6 of 6).

--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -129,7 +129,7 @@
 
     /// @brief Returns whether the connection is open with nothing left to be read, behind
     /// which its end may wait.
-    bool is_alive() const;
+    bool is_alive();
 
     void on_ready(readiness ready) override;
 
@@ -161,8 +161,9 @@
     std::string output_;
     std::size_t sent_ = 0;
     bool has_sent_ = false;
-    /// a failed write takes the error from the socket, which then reports a regular end
-    bool has_write_failed_ = false;
+    /// a failed write or peek takes the error from the socket, which then reports a
+    /// regular end
+    bool has_failed_ = false;
     bool closing_ = false;
     bool watching_read_ = true;
     bool watching_write_ = false;
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -176,7 +176,7 @@
     }
     if (result.status == io_status::failed)
     {
-        has_write_failed_ = true;
+        has_failed_ = true;
         loop_.after(millis(0),
                     [self]
                     {
@@ -358,7 +358,7 @@
     }
 }
 
-bool connection::is_alive() const
+bool connection::is_alive()
 {
     if (state_ != state::open)
     {
@@ -368,7 +368,14 @@
     char next = 0;
     const ssize_t peeked =
         ::recv(socket_.impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (peeked >= 0)
+    {
+        return false;
+    }
+    const bool is_open = errno == EAGAIN || errno == EWOULDBLOCK;
+    // an error is reported once, and reading finds a regular end after that
+    has_failed_ = has_failed_ || (!is_open && errno != EINTR);
+    return is_open;
 }
 
 io_status connection::read_input()
@@ -414,7 +421,7 @@
     if (state_ != state::ended && (ready.readable || ready.failed))
     {
         const io_status status = read_input();
-        if (status == io_status::closed && !has_write_failed_)
+        if (status == io_status::closed && !has_failed_)
         {
             end(connection_end::closed);
         }
--- a/test/entry/connection_test.cpp
+++ b/test/entry/connection_test.cpp
@@ -120,6 +120,7 @@
     CPPUNIT_TEST(is_closed_by_the_end_of_its_peer_only);
     CPPUNIT_TEST(is_not_closed_by_its_peer_when_tcp_has_given_it_up);
     CPPUNIT_TEST(is_not_closed_by_its_peer_when_a_write_finds_it_reset);
+    CPPUNIT_TEST(is_not_closed_by_its_peer_when_a_check_finds_it_reset);
     CPPUNIT_TEST(outlasts_a_peer_that_is_silent_for_two_seconds);
     CPPUNIT_TEST(of_a_caller_outlasts_one_that_is_silent_for_two_seconds);
     CPPUNIT_TEST_SUITE_END();
@@ -163,6 +164,24 @@
         CPPUNIT_ASSERT(it.ended == connection_end::reset);
     }
 
+    // guards against MIXED: asking whether it is open takes the error, and reading then
+    // finds a regular end
+    void is_not_closed_by_its_peer_when_a_check_finds_it_reset()
+    {
+        connected_fixture it;
+        it.peer.write("a part");
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.received == "a part";
+            }));
+        CPPUNIT_ASSERT(it.stream->is_alive());
+        it.peer.reset();
+        CPPUNIT_ASSERT(!it.stream->is_alive());
+        CPPUNIT_ASSERT(it.until_ended());
+        CPPUNIT_ASSERT(it.ended == connection_end::reset);
+    }
+
     void outlasts_a_peer_that_is_silent_for_two_seconds()
     {
         connected_fixture it;
