Take no reset of a question as proof that a target lives

An answer that ends with its connection is whole if its target is seen to live on. A question that was accepted and reset twice counted as that, though the listener of a process that ends, or a load balancer, does the same: streams cut between two events ended as complete.

A reset shows nothing now. The question is asked again for up to 1.6 s, until an answer, a refusal or another start decides. An older connection that outlives four resets is proof; hosts keep one idle connection to a target while they read such an answer from it. Without proof the end is unknown, and the answer does not look complete.

--- a/include/medlar/detail/dispatch/end_check.hpp
+++ b/include/medlar/detail/dispatch/end_check.hpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/string_view.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -35,6 +36,8 @@
     /// another connection is still open, which is so old that it is to the process that
     /// has sent the answer
     bool has_older_connection = false;
+    /// the question was sent over a connection that was open before
+    bool is_kept_connection = false;
 };
 
 /// @brief The start of the process that has sent an answer, as far as it is known.
@@ -68,7 +71,9 @@
 ///
 /// A regular end says that the process has ended its answer, or that the process itself
 /// has ended: its kernel then ends all its connections in the same way. An answer to a
-/// question that was asked after the end tells the two apart.
+/// question that was asked after the end tells the two apart. A question that is accepted
+/// and then reset does not: it is asked again until an answer or a refusal comes, or an
+/// older connection has outlived several of them.
 class end_check
 {
   public:
@@ -80,11 +85,17 @@
   private:
     explicit end_check(const sender_start& sender);
 
+    std::variant<answer_end, ask_again> consider_reset(const end_evidence& evidence);
     bool is_of_other_process(const end_evidence& evidence) const;
+    /// whether both starts are known, and are the same
+    bool is_of_same_process(const end_evidence& evidence) const;
+    /// whether nothing but an answer of the same process shows that it lives, since a
+    /// process that ends has its new connections reset, too
+    bool is_proof_needed(const end_evidence& evidence) const;
 
     sender_start sender_;
     int silent_ = 0;
-    int broken_off_ = 0;
+    std::size_t resets_ = 0;
     int refusals_ = 0;
     int unreachable_ = 0;
 };
--- a/include/medlar/detail/entry/end_inquiry.hpp
+++ b/include/medlar/detail/entry/end_inquiry.hpp
@@ -58,6 +58,8 @@
     steady_time began_;
     int questions_ = 0;
     std::shared_ptr<client_call> call_;
+    /// whether the question is asked over a connection that was open before
+    bool is_kept_connection_ = false;
     bool has_head_ = false;
     /// whether only the end of the connection marks the end of the answer
     bool is_unframed_ = false;
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -184,9 +184,9 @@
     /// @brief Keeps an idle connection to @p where open while an answer from there is
     /// read whose end only its connection marks, and opens one if there is none.
     ///
-    /// A server that is going to stop accepts no more connections, so that it could not
-    /// be asked after the end of that answer. Calls use the connection only if they say
-    /// so.
+    /// A server that is going to stop accepts no more connections, and one that has many
+    /// may reset new ones, so that it could not be asked after the end of that answer.
+    /// Calls use the connection only if they say so.
     void keep_witness(const endpoint& where);
 
     /// @brief Returns whether a call uses the connection that keep_witness() has kept.
@@ -218,11 +218,14 @@
         std::vector<std::shared_ptr<pooled_connection>> busy;
         /// see keep_witness(); while a call uses it, it is one of the busy ones too
         std::shared_ptr<pooled_connection> witness;
+        std::optional<steady_time> witness_opened_at;
     };
 
     void release(const std::shared_ptr<pooled_connection>& which, bool reusable);
     /// records which connections with a call are open while another one is established
     void record_open(const endpoint& where);
+    /// whether the witness was established after @p when
+    bool is_witness_newer(const endpoint& where, steady_time when) const;
     /// handles a connection that ended as those of a process do that ends
     void handle_loss(const pooled_connection& which, connection_loss how);
     /// whether another connection to the server is open
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -65,6 +65,12 @@
     /// has not ended.
     bool is_open_since(steady_time when) const;
 
+    /// @brief Returns whether the connection was established after @p when.
+    bool is_established_after(steady_time when) const
+    {
+        return established_at_ && *established_at_ > when;
+    }
+
     /// @brief Records that the connection is open, if nothing is left to be read.
     void record_open();
 
--- a/src/dispatch/end_check.cpp
+++ b/src/dispatch/end_check.cpp
@@ -1,5 +1,7 @@
 #include <medlar/detail/dispatch/end_check.hpp>
 
+#include <array>
+
 namespace medlar
 {
 
@@ -21,8 +23,15 @@
 // one packet of a handshake may be lost
 constexpr int max_unreachable = 3;
 
-// a target resets connections beyond its limit, and goes on doing so
-constexpr int max_broken_off = 2;
+// waits before the next question when new connections are accepted and then reset: the
+// address of a process that has ended did so for 300 ms, until the next one answered; a
+// target that resets connections beyond its limit accepts one once another has ended
+constexpr std::array<millis, 6> waits_after_reset{
+    millis(100), millis(100), millis(100), millis(300), millis(500), millis(500)};
+
+// resets after which an older connection that is still open is to a process that lives;
+// its end would have come within that time
+constexpr std::size_t resets_beside_older_connection = 4;
 
 } // namespace
 
@@ -77,12 +86,49 @@
     return differs && (sender_.is_stated || !evidence.has_older_connection);
 }
 
+bool end_check::is_of_same_process(const end_evidence& evidence) const
+{
+    return sender_.started_ms && sender_.started_ms == evidence.started_ms;
+}
+
+bool end_check::is_proof_needed(const end_evidence& evidence) const
+{
+    return resets_ > 0 && !evidence.has_older_connection;
+}
+
+std::variant<answer_end, ask_again>
+end_check::consider_reset(const end_evidence& evidence)
+{
+    if (evidence.is_kept_connection)
+    {
+        // a server may end an idle connection at any moment
+        return ask_again{millis(0)};
+    }
+    ++resets_;
+    if (evidence.has_older_connection && resets_ >= resets_beside_older_connection)
+    {
+        return answer_end::whole;
+    }
+    if (resets_ > waits_after_reset.size())
+    {
+        return answer_end::unknown;
+    }
+    return ask_again{waits_after_reset.at(resets_ - 1)};
+}
+
 std::variant<answer_end, ask_again> end_check::consider(const end_evidence& evidence)
 {
     switch (evidence.end)
     {
         case question_end::answered:
-            return is_of_other_process(evidence) ? answer_end::cut : answer_end::whole;
+            if (is_of_other_process(evidence))
+            {
+                return answer_end::cut;
+            }
+            // the next process may have answered after those resets
+            return is_proof_needed(evidence) && !is_of_same_process(evidence)
+                       ? answer_end::unknown
+                       : answer_end::whole;
         case question_end::misdirected:
             return answer_end::cut;
         case question_end::silent:
@@ -90,18 +136,14 @@
             {
                 return ask_again{millis(0)};
             }
-            return answer_end::whole;
+            return is_proof_needed(evidence) ? answer_end::unknown : answer_end::whole;
         case question_end::broken_off:
-            if (++broken_off_ < max_broken_off)
-            {
-                return ask_again{settle_time};
-            }
-            return answer_end::whole;
+            return consider_reset(evidence);
         case question_end::refused:
             if (!evidence.has_older_connection)
             {
                 // one that was silent may have left since
-                return silent_ > 0 ? answer_end::whole : answer_end::cut;
+                return silent_ > 0 && resets_ == 0 ? answer_end::whole : answer_end::cut;
             }
             if (++refusals_ < max_refusals)
             {
--- a/src/entry/end_inquiry.cpp
+++ b/src/entry/end_inquiry.cpp
@@ -56,7 +56,9 @@
 
 void end_inquiry::ask()
 {
-    if (questions_ == 0 && context_.client.is_witness_busy(where_))
+    const target_state* const target = context_.targets.find(target_);
+    const bool is_leaving = target == nullptr || !takes_work(*target);
+    if (questions_ == 0 && is_leaving && context_.client.is_witness_busy(where_))
     {
         // another answer of the target has ended just before
         timer_ = context_.loop.after(witness_wait,
@@ -73,7 +75,9 @@
     call_options options;
     options.connect_timeout = connect_timeout;
     options.needs_new_connection = questions_ > 0;
-    options.may_use_witness = true;
+    // the question may end the witness, which is better evidence while it lives; a target
+    // that leaves may not accept another connection
+    options.may_use_witness = is_leaving;
     ++questions_;
     call_callbacks events;
     events.accepts_head = [this](const answer_head& head)
@@ -98,10 +102,12 @@
         on_answer_end(how);
     };
     wait_for_answer();
+    const std::uint64_t opened_before = context_.client.opened_connections();
     call_ = context_.client.start(where_,
                                   context_.protocol.write_start_question(where_, target_),
                                   options,
                                   std::move(events));
+    is_kept_connection_ = context_.client.opened_connections() == opened_before;
 }
 
 void end_inquiry::wait_for_answer()
@@ -119,8 +125,7 @@
                                      take_in({is_misdirected_ ? question_end::misdirected
                                               : has_head_     ? question_end::answered
                                                               : question_end::silent,
-                                              std::nullopt,
-                                              false});
+                                              std::nullopt});
                                  });
 }
 
@@ -156,6 +161,7 @@
     call_ = nullptr;
     evidence.has_older_connection =
         context_.client.has_connection_since(where_, seen_open_at_);
+    evidence.is_kept_connection = is_kept_connection_;
     const std::variant<answer_end, ask_again> decided = check_.consider(evidence);
     if (const auto* again = std::get_if<ask_again>(&decided))
     {
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -456,8 +456,10 @@
     }
     head_ = head;
     const target_state* const target = context_.targets.find(target_);
-    if (target == nullptr || !takes_work(*target))
+    const bool is_unframed = head.framing.kind == body_kind::until_close;
+    if (is_unframed || target == nullptr || !takes_work(*target))
     {
+        // shows at the end of the answer whether the process lives on
         context_.client.keep_witness(called_.address);
     }
     // only hosts say these
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -12,6 +12,9 @@
 // interval for closing expired idle connections
 constexpr millis sweep_interval{1000};
 
+// a server that is at its limit of connections resets a witness each time
+constexpr millis witness_interval{1000};
+
 void remove_from(std::vector<std::shared_ptr<pooled_connection>>& list,
                  const std::shared_ptr<pooled_connection>& which)
 {
@@ -180,6 +183,12 @@
         remove_from(connections.idle, connections.witness);
         return;
     }
+    if (connections.witness_opened_at &&
+        loop_.now() - *connections.witness_opened_at < witness_interval)
+    {
+        return;
+    }
+    connections.witness_opened_at = loop_.now();
     connections.witness = std::make_shared<pooled_connection>(*this, where);
     connections.witness->open(call_options().connect_timeout);
     ++opened_;
@@ -204,6 +213,13 @@
     }
 }
 
+bool http_client::is_witness_newer(const endpoint& where, steady_time when) const
+{
+    const auto found = pools_.find(where);
+    return found != pools_.end() && found->second.witness &&
+           found->second.witness->is_established_after(when);
+}
+
 bool http_client::has_connection_since(const endpoint& where, steady_time when) const
 {
     const auto found = pools_.find(where);
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -306,6 +306,12 @@
         parse_body();
         if (call_ && (head_ || stream_->input().empty()))
         {
+            if (receives_unframed_answer() &&
+                client_.is_witness_newer(where_, seen_open_at_))
+            {
+                // bytes were left to be read when the witness was established
+                record_open();
+            }
             return;
         }
     }
--- a/test/support/entry/mortal_target.hpp
+++ b/test/support/entry/mortal_target.hpp
@@ -189,6 +189,34 @@
         start();
     }
 
+    /// Ends the process, and starts the next one at its address, which resets new
+    /// connections for some time, as the queue of a listener that ends or a load balancer
+    /// does.
+    void restart_after_resets(millis span)
+    {
+        is_resetting = true;
+        restart();
+        loop_.after(span,
+                    [this]
+                    {
+                        is_resetting = false;
+                    });
+    }
+
+    /// Resets all connections but one.
+    void reset_all_but(session& kept)
+    {
+        const auto all = std::exchange(sessions_, {});
+        sessions_[&kept] = all.at(&kept);
+        for (const auto& each : all)
+        {
+            if (each.first != &kept)
+            {
+                each.second->reset();
+            }
+        }
+    }
+
     /// Ends the process, and starts that of another target at its address.
     void restart_as(std::string id)
     {
