Decide in one place which status codes the protocol has

parse_answer_head() refused codes below 100 only, so that an answer with status 600 to 999 was passed on. is_of_protocol() in http/status.hpp says now which codes there are, 100 to 599; the entry host uses it for callers' answers, the hop to a peer, targets of stages and its store, which all read heads by parse_answer_head().

Test: the_head_of_an_answer::has_a_status_code_of_the_protocol failed before (600), passes now; decisions_test 423 passed, 0 failed.

--- a/include/medlar/detail/http/status.hpp
+++ b/include/medlar/detail/http/status.hpp
@@ -20,6 +20,19 @@
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
+/// @brief Returns whether @p status is one that the protocol has; a server that sends
+/// another one has not answered.
+constexpr bool is_of_protocol(int status)
+{
+    return status >= 100 && status < 600;
+}
+
+/// @brief Returns whether @p status is a 1xx status, which precedes that of the answer.
+constexpr bool is_informational(int status)
+{
+    return status >= 100 && status < 200;
+}
+
 /// @brief Returns whether @p status is a 2xx status.
 constexpr bool is_success(int status)
 {
--- a/src/http/head_parser.cpp
+++ b/src/http/head_parser.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/http/head_parser.hpp>
+#include <medlar/detail/http/status.hpp>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -168,7 +169,8 @@
     constexpr std::size_t status_end = 12;
     const std::optional<int> minor = parse_minor_version(line.substr(0, status_at - 1));
     if (!minor || line.size() < status_end || line[status_at - 1] != ' ' ||
-        !absl::SimpleAtoi(line.substr(status_at, 3), &head.status) || head.status < 100 ||
+        !absl::SimpleAtoi(line.substr(status_at, 3), &head.status) ||
+        !is_of_protocol(head.status) ||
         (line.size() > status_end && line[status_end] != ' ') ||
         has_control_character(line))
     {
@@ -273,7 +275,7 @@
         return result;
     }
     answer_head& head = parsed->head;
-    const bool bodiless = is_head_request || head.status < 200 ||
+    const bool bodiless = is_head_request || is_informational(head.status) ||
                           head.status == no_content || head.status == not_modified;
     if (bodiless)
     {
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -338,7 +338,7 @@
     stream_->consume(parsed->consumed);
     head_ = std::move(parsed->head);
     decoder_ = body_decoder(head_->framing);
-    const bool informational = head_->status < 200;
+    const bool informational = is_informational(head_->status);
     const std::function<bool(const answer_head&)>& accepts_head =
         is_asking_ ? call->options_.question->accepts_head
                    : call->callbacks_.accepts_head;
--- a/test/decisions/http/head_parser_test.cpp
+++ b/test/decisions/http/head_parser_test.cpp
@@ -136,6 +136,7 @@
     CPPUNIT_TEST(may_end_with_the_connection);
     CPPUNIT_TEST(has_no_body_by_its_status);
     CPPUNIT_TEST(is_not_read_from_other_bytes);
+    CPPUNIT_TEST(has_a_status_code_of_the_protocol);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -160,6 +161,24 @@
         const auto result = parse_answer_head("garbage\r\n\r\n", limit, false);
         CPPUNIT_ASSERT(std::holds_alternative<head_error>(result));
     }
+
+    // guards against MIXED: an answer with status 600 was passed on
+    void has_a_status_code_of_the_protocol()
+    {
+        for (const std::string status : {"100", "103", "200", "599"})
+        {
+            const medlar::answer_head head =
+                answer("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n");
+            CPPUNIT_ASSERT_EQUAL(status, std::to_string(head.status));
+        }
+        for (const std::string status :
+             {"000", "099", "600", "999", "1000", "2x0", "-20", "+200", " 20", "20", ""})
+        {
+            const auto result = parse_answer_head(
+                "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n", limit, false);
+            CPPUNIT_ASSERT_MESSAGE(status, std::holds_alternative<head_error>(result));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(the_head_of_a_request);
