--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -306,6 +306,12 @@
         parse_body();
         if (call_ && (head_ || stream_->input().empty()))
         {
+            if (receives_unframed_answer() &&
+                client_.is_witness_newer(where_, seen_open_at_))
+            {
+                // bytes were left to be read when the witness was established
+                record_open();
+            }
             return;
         }
     }
@@ -332,7 +338,7 @@
     stream_->consume(parsed->consumed);
     head_ = std::move(parsed->head);
     decoder_ = body_decoder(head_->framing);
-    const bool informational = head_->status < 200;
+    const bool informational = is_informational(head_->status);
     const std::function<bool(const answer_head&)>& accepts_head =
         is_asking_ ? call->options_.question->accepts_head
                    : call->callbacks_.accepts_head;
