Test medlar-entry under crowds of uncontrolled clients

Clients that stop short of the end of a body, send far more than the limit, read nothing or hold connections make the process grow without a bound. overload_test starts medlar-entry as a real process with memory_mb 60, max_fds 600 and a limit of 1 MiB for bodies, and checks that it lives, that VmHWM stays below 61,440 kB and its descriptors at most 600, and that an ordinary request is answered afterwards.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -53,6 +53,7 @@
 [ -x build/runtime_test ] && run_tests "runtime" build/runtime_test
 [ -x build-asan/runtime_test ] &&
     run_tests "runtime under AddressSanitizer" build-asan/runtime_test
+run_tests "overload" build/overload_test
 run_tests "soak" build/medlar-soak --failed_seeds=test/soak/failed_seeds.txt --seeds=3 \
     --fault_ms=4000 --nocheck_times --crash_targets --crash_under_request
 run_tests "soak of ending targets" build/medlar-soak --end_targets --noother_faults \
--- a/test/soak/entry_process.hpp
+++ b/test/soak/entry_process.hpp
@@ -34,6 +34,12 @@
     /// @return whether the process is running
     bool is_running();
 
+    /// @brief id of the process; 0 while it does not run
+    pid_t pid() const
+    {
+        return pid_;
+    }
+
     bool exited_unexpectedly() const
     {
         return exited_unexpectedly_;
