Keep the memory of a host within a budget

Clients that stop short of the end of their bodies, send far more than the limit or read nothing made the process grow without a bound. All connections of an event loop, the bodies of requests and kept parts of answers are now charged to a memory_budget of two fifths of limits.memory_mb. When it gets short, large bodies are read no further; then stalled holders are ended, and bodies that waited for 1 s are refused, the largest first.

A body is kept once: calls send it from the request instead of a copy. Buffers keep no consumed input, and freed blocks return to the system.

--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
 
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/memory_controller.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
 #include <medlar/detail/entry/request_run.hpp>
@@ -118,6 +119,7 @@
     /// hosts whose registrations lapsed in an outage of the store, and until when they
     /// are kept
     std::map<host_id, steady_time> lapsed_hosts_;
+    memory_controller memory_controller_;
     std::map<std::string, passed_over_messages> passed_over_;
     /// whether the start is over, and each change is logged
     bool is_serving_ = false;
--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -35,6 +35,10 @@
     std::vector<endpoint> seeds;
     /// share of a CPU core that the host may use
     double core_share = 1;
+    /// memory that the process may have, in MB; the default is that of the smallest hosts
+    std::size_t memory_mb = 120;
+    /// file descriptors that the process may have open; 0: as many as the system allows
+    std::size_t max_descriptors = 0;
     /// bandwidth of the host's network link, in Mbit/s
     double link_mbps = default_link_mbps;
     /// time from the termination signal until the process is killed
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -214,18 +214,21 @@
 
     // callers and targets
     virtual request_fields read_request(const request_head& head) const = 0;
-    /// @brief Returns the HTTP request that forwards a caller's request to a target,
-    /// without what only hosts say, see is_host_header().
+    /// @brief Returns the head of the HTTP request that forwards a caller's request to a
+    /// target, without what only hosts say, see is_host_header().
+    /// @param body_bytes size of the body that follows the head
     virtual std::string write_call(const request_head& head,
-                                   absl::string_view body,
+                                   std::size_t body_bytes,
                                    const endpoint& where,
                                    const call_additions& additions) const = 0;
-    /// @brief Returns the HTTP request that has another entry host handle a caller's
-    /// request, which stays as it is but for its deadline and what only hosts say.
+    /// @brief Returns the head of the HTTP request that has another entry host handle a
+    /// caller's request, which stays as it is but for its deadline and what only hosts
+    /// say.
+    /// @param body_bytes size of the body that follows the head
     /// @param remaining time until the deadline
     /// @param additions headers that are added
     virtual std::string write_forward(const request_head& head,
-                                      absl::string_view body,
+                                      std::size_t body_bytes,
                                       millis remaining,
                                       const header_list& additions) const = 0;
     virtual answer_fields read_answer(const answer_head& head) const = 0;
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -239,6 +239,8 @@
 
     std::optional<answer_head> head_;
     std::string buffered_body_;
+    /// for the parts of the answer that are kept
+    memory_charge answer_charge_;
     event_splitter events_;
     /// the last event that the caller has; unset before the first one
     std::optional<std::int64_t> last_event_id_;
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -127,12 +127,14 @@
     1748, severity::warning, "entry_message_passed_over"};
 /// @brief nothing listens at a target that states no start, here or for another host
 inline constexpr event entry_target_ended{1749, severity::info, "entry_target_ended"};
+/// @brief memory or connections are short: what waited and was ended since the last line
+inline constexpr event entry_memory_short{1770, severity::warning, "entry_memory_short"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 49> entry_events{entry_started,
+inline constexpr std::array<event, 50> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -180,7 +182,8 @@
                                                     entry_target_start_unknown,
                                                     entry_peer_ahead,
                                                     entry_message_passed_over,
-                                                    entry_target_ended};
+                                                    entry_target_ended,
+                                                    entry_memory_short};
 
 } // namespace medlar
 
--- a/include/medlar/detail/loop/caller_connection.hpp
+++ b/include/medlar/detail/loop/caller_connection.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/loop/http_server.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace medlar
 {
@@ -24,6 +25,23 @@
     /// @brief Closes the connection at once, also during a request.
     void close();
 
+    /// @brief Returns what ending the connection would free; unset if it holds little, or
+    /// its request is handled and its caller reads.
+    std::optional<memory_holder> held_memory() const;
+
+    /// @brief Refuses the body that is being received, or resets the connection of a
+    /// caller that does not read.
+    /// @param is_stalled whether the caller has stopped sending its body
+    void end_for_memory(bool is_stalled);
+
+    /// @brief Receives a paused body further.
+    /// @param is_granted whether it is not paused again
+    void resume_body(bool is_granted);
+
+    /// @brief Returns since when no request has begun or the head of one is incomplete;
+    /// unset while a body is received or a request handled.
+    std::optional<steady_time> waiting_since() const;
+
     bool has_exchange() const
     {
         return exchange_ != nullptr;
@@ -39,7 +57,11 @@
     void parse();
     bool parse_head();
     bool parse_body();
-    void reject(int status, const std::string& message);
+    bool is_output_congested() const;
+    void pause_body();
+    void clear_pause();
+    void
+    reject(int status, const std::string& message, absl::string_view more_headers = {});
     void deliver_request();
     void finish_exchange();
     void close_after_answer();
@@ -56,6 +78,10 @@
     body_decoder decoder_;
     timer_id timer_{0};
     bool head_begun_ = false;
+    bool is_paused_ = false;
+    bool is_granted_ = false;
+    /// when bytes of a request were last read, its body was paused, or an answer ended
+    steady_time last_progress_;
     bool keep_alive_ = true;
 };
 
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -87,10 +87,26 @@
     /// accepts.
     void send(absl::string_view bytes);
 
-    /// @brief Returns the number of buffered output bytes.
+    /// @brief Sends @p head, and then @p body without copying it.
+    /// @param body may be null
+    void send(std::string head, std::shared_ptr<const std::string> body);
+
+    /// @brief Returns the number of output bytes that wait to be sent.
     std::size_t unsent() const
     {
-        return output_.size() - sent_;
+        return output_.size() - sent_ + unsent_body();
+    }
+
+    /// @brief Returns the bytes of memory that the connection is charged for.
+    std::size_t charged() const
+    {
+        return charge_.bytes();
+    }
+
+    /// @brief Returns when the socket last took output.
+    steady_time last_sent() const
+    {
+        return last_sent_;
     }
 
     /// @brief Returns whether any byte was written to the socket.
@@ -144,6 +160,16 @@
 
     connection(event_loop& loop, const Poco::Net::StreamSocket& socket, state initial);
 
+    std::size_t unsent_body() const
+    {
+        return body_ ? body_->size() - sent_body_ : 0;
+    }
+
+    /// writes a part of the output, or of the body after it
+    io_result write_some();
+    /// takes the rest of the body into the output buffer, since more follows it
+    void buffer_body();
+    void update_charge();
     void finish_connect();
     io_status read_input();
     /// reads what is left after a failed write, and ends the connection
@@ -160,6 +186,11 @@
     std::size_t consumed_ = 0;
     std::string output_;
     std::size_t sent_ = 0;
+    /// sent after the output buffer
+    std::shared_ptr<const std::string> body_;
+    std::size_t sent_body_ = 0;
+    steady_time last_sent_;
+    memory_charge charge_;
     bool has_sent_ = false;
     /// a failed write takes the error from the socket, which then reports a regular end
     bool has_write_failed_ = false;
--- a/include/medlar/detail/loop/event_loop.hpp
+++ b/include/medlar/detail/loop/event_loop.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/strong_type.hpp>
+#include <medlar/detail/dispatch/memory_budget.hpp>
 
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
@@ -53,6 +54,12 @@
         return now_;
     }
 
+    /// @brief Returns the budget that all connections of the loop are charged to.
+    const std::shared_ptr<memory_budget>& memory() const
+    {
+        return memory_;
+    }
+
     /// @brief Registers @p handler for read and write readiness of a socket.
     void watch(const Poco::Net::Socket& socket,
                std::shared_ptr<socket_handler> handler,
@@ -87,6 +94,7 @@
     std::map<timer_key, std::function<void()>> timers_;
     std::unordered_map<std::uint64_t, std::int64_t> due_times_;
     std::uint64_t last_timer_ = 0;
+    std::shared_ptr<memory_budget> memory_ = std::make_shared<memory_budget>();
 };
 
 } // namespace medlar
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -172,11 +172,13 @@
     http_client& operator=(const http_client&) = delete;
 
     /// @brief Sends a request over an idle or a new connection.
-    /// @param request serialised head and body
+    /// @param request serialised head, and the body unless it is in @p body
+    /// @param body sent after @p request without being copied; may be null
     std::shared_ptr<client_call> start(const endpoint& where,
                                        std::string request,
                                        const call_options& options,
-                                       call_callbacks callbacks);
+                                       call_callbacks callbacks,
+                                       std::shared_ptr<const std::string> body = nullptr);
 
     /// @brief Closes the idle connections to @p where.
     void close_idle(const endpoint& where);
--- a/include/medlar/detail/loop/http_server.hpp
+++ b/include/medlar/detail/loop/http_server.hpp
@@ -9,6 +9,8 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -34,6 +36,13 @@
         return body_;
     }
 
+    /// @brief Returns the body of @p exchange, which lives as long as the result.
+    static std::shared_ptr<const std::string>
+    shared_body(const std::shared_ptr<caller_exchange>& exchange)
+    {
+        return {exchange, &exchange->body_};
+    }
+
     /// @brief Returns the time at which the last byte of the request was read.
     steady_time arrived() const
     {
@@ -94,8 +103,14 @@
   private:
     friend class caller_connection;
 
+    /// makes room for more of the body
+    void reserve_body(std::size_t more_bytes);
+    void grow_body(std::size_t capacity);
+    void update_charge();
+
     request_head head_;
     std::string body_;
+    memory_charge charge_;
     steady_time arrived_;
     caller_connection* connection_ = nullptr;
     bool head_sent_ = false;
@@ -107,6 +122,15 @@
     std::function<void()> on_drained_;
 };
 
+/// @brief A connection of a server whose ending frees memory.
+struct held_memory
+{
+    memory_holder holder;
+    std::shared_ptr<caller_connection> caller;
+    /// set in place of @p caller where only output is left
+    std::shared_ptr<connection> closing;
+};
+
 /// @brief HTTP/1.1 server at one address.
 class http_server
 {
@@ -148,6 +172,33 @@
     /// @brief Returns the number of connections that are open or have unsent output.
     std::size_t connections() const;
 
+    /// @brief Bounds the open connections.
+    ///
+    /// Beyond the bound, those that wait longest for a request or its head are closed; if
+    /// there are none, no connection is accepted until one ends.
+    void set_max_connections(std::size_t most)
+    {
+        max_connections_ = most;
+    }
+
+    /// @brief Accepts connections again if fewer are open by now.
+    void update_accepting();
+
+    /// @brief Returns the number of connections that were closed for new ones.
+    std::uint64_t evicted_connections() const
+    {
+        return evicted_;
+    }
+
+    /// @brief Returns the number of bodies whose receiving is stopped.
+    std::size_t paused_bodies() const
+    {
+        return paused_bodies_;
+    }
+
+    /// @brief Adds the connections whose ending frees memory.
+    void list_held_memory(std::vector<held_memory>& to) const;
+
     /// @brief Sets the function that is called for each rejected input.
     ///
     /// Called with the HTTP status sent to the caller before the request reached the
@@ -163,6 +214,11 @@
 
     http_server(event_loop& loop, const server_limits& limits, request_action on_request);
 
+    void accept(const std::shared_ptr<connection>& stream);
+    /// closes some of the connections without a request, those that wait longest first
+    void evict_connections();
+    bool is_crowded();
+    void remove_expired_closing();
     void remove(const std::shared_ptr<caller_connection>& ended);
     /// counts a connection until its output is sent
     void add_closing(const std::shared_ptr<connection>& stream);
@@ -175,6 +231,9 @@
     std::set<std::shared_ptr<caller_connection>> connections_;
     std::vector<std::weak_ptr<connection>> closing_;
     bool draining_ = false;
+    std::size_t max_connections_ = SIZE_MAX;
+    std::uint64_t evicted_ = 0;
+    std::size_t paused_bodies_ = 0;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/loop/listener.hpp
+++ b/include/medlar/detail/loop/listener.hpp
@@ -14,7 +14,7 @@
 {
 
 /// @brief Listening TCP socket that accepts connections until it is closed.
-class listener : public socket_handler
+class listener : public socket_handler, public std::enable_shared_from_this<listener>
 {
   public:
     using accept_action = std::function<void(std::shared_ptr<connection>)>;
@@ -28,12 +28,17 @@
                                                           accept_action on_accept,
                                                           error_action on_error);
 
+    /// @brief Stops or resumes accepting; connections wait in the backlog meanwhile.
+    void set_paused(bool paused);
+
     /// @brief Closes the listening socket.
     void close();
 
     void on_ready(readiness ready) override;
 
   private:
+    void update_watch();
+
     listener(event_loop& loop, accept_action on_accept, error_action on_error);
 
     event_loop& loop_;
@@ -41,6 +46,9 @@
     error_action on_error_;
     Poco::Net::ServerSocket socket_;
     bool open_ = false;
+    bool is_paused_ = false;
+    /// whether accepting has failed a moment ago
+    bool has_failed_ = false;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -28,7 +28,9 @@
 
     /// @brief Sends the request of @p call, after its question if this connection has not
     /// answered one yet; the connection must be idle.
-    void send_request(const std::shared_ptr<client_call>& call, std::string request);
+    void send_request(const std::shared_ptr<client_call>& call,
+                      std::string request,
+                      std::shared_ptr<const std::string> body);
 
     /// @brief Closes the connection of a cancelled call without calling its callbacks.
     void cancel_call();
@@ -115,6 +117,7 @@
     bool was_established_ = false;
     /// request of a call whose question is not answered yet
     std::optional<std::string> waiting_request_;
+    std::shared_ptr<const std::string> waiting_body_;
     /// whether the next answer is that to a question
     bool is_asking_ = false;
     timer_id question_timer_{0};
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -125,7 +125,8 @@
       store_controller_(context_, peers_, store_mirror_, registration_text(settings)),
       crash_controller_(context_, peers_, store_controller_),
       stream_origins_(context_, peers_, store_controller_),
-      process_ends_(context_, peers_, path_controller_, stream_origins_)
+      process_ends_(context_, peers_, path_controller_, stream_origins_),
+      memory_controller_(context_)
 {
     path_controller_.set_lost_handler(
         [this](const pool_id& pool)
@@ -221,6 +222,7 @@
             return server.status();
         }
         to = *std::move(server);
+        memory_controller_.add_server(*to);
         to->set_rejection_handler(
             [this](int status, const std::string& why)
             {
@@ -491,6 +493,7 @@
                           static_cast<double>(crash_controller_.blocked_count()));
     context_.metrics->set(
         "medlar_entry_hosts_live", {}, static_cast<double>(peers_.live_hosts().size()));
+    memory_controller_.write_metrics();
     header_list headers;
     headers.add("Content-Type", "text/plain; version=0.0.4");
     exchange->answer(status_ok, headers, context_.metrics->write());
@@ -690,6 +693,7 @@
     context_.targets.drop_lapsed(loop_.now());
     drop_lapsed_hosts();
     path_controller_.tick();
+    memory_controller_.tick();
     if (!is_serving_ && has_started())
     {
         is_serving_ = true;
@@ -765,6 +769,9 @@
     settings_.retry_rule = read->retry_rule;
     settings_.change_bound = read->change_bound;
     settings_.target_heartbeat = read->target_heartbeat;
+    settings_.memory_mb = read->memory_mb;
+    settings_.max_descriptors = read->max_descriptors;
+    memory_controller_.apply_settings();
     peers_.set_seeds(settings_.seeds);
     store_controller_.apply_settings();
     log_event(entry_settings_read, {{"store", to_string(settings_.store_endpoint)}});
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -48,6 +48,7 @@
             buffered_body_.clear();
         }
     }
+    answer_charge_.set(buffered_body_.capacity() + events_.incomplete_event().size());
     if (exchange_->is_congested() && call_)
     {
         call_->set_paused(true);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -250,12 +250,14 @@
                                 }
                             });
     }
-    call_ = context_.client.start(
-        target.record.address,
-        context_.protocol.write_call(
-            exchange_->head(), exchange_->body(), target.record.address, additions),
-        options,
-        std::move(events));
+    call_ = context_.client.start(target.record.address,
+                                  context_.protocol.write_call(exchange_->head(),
+                                                               exchange_->body().size(),
+                                                               target.record.address,
+                                                               additions),
+                                  options,
+                                  std::move(events),
+                                  caller_exchange::shared_body(exchange_));
 }
 
 std::shared_ptr<const start_question>
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -79,9 +79,10 @@
     call_ = context_.client.start(
         to.forward,
         context_.protocol.write_forward(
-            exchange_->head(), exchange_->body(), terms.remaining, additions),
+            exchange_->head(), exchange_->body().size(), terms.remaining, additions),
         options,
-        std::move(events));
+        std::move(events),
+        caller_exchange::shared_body(exchange_));
 }
 
 request_forward::~request_forward()
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -50,7 +50,8 @@
           is_forwarded
               ? max_sends_of_forwarded(exchange_->head(), matched_route.max_attempts)
               : matched_route.max_attempts)),
-      is_forwarded_(is_forwarded)
+      is_forwarded_(is_forwarded),
+      answer_charge_(context.loop.memory())
 {
 }
 
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace medlar
 {
 
@@ -14,6 +16,24 @@
 // buffered bytes of pipelined requests above which reading pauses while a request runs
 constexpr std::size_t max_pipelined_bytes = 65536;
 
+// A larger body of unknown size grows by a quarter at a time. The allocator maps blocks
+// of this size separately, so that what a body has outgrown returns to the system.
+constexpr std::size_t mapped_block_bytes = 131072;
+
+// Room for a long body of a stated size is reserved at once when this much of it has
+// come: pages that were not written take no memory, but address space may be limited.
+constexpr std::size_t reserving_bytes = 65536;
+
+// holders of fewer bytes are not ended: there are many, and they free next to nothing
+constexpr std::size_t least_held_bytes = 4096;
+
+// unsent bytes of an answer above which its target is read no further: 256 KiB take some
+// tenths of a second on the slowest network paths
+constexpr std::size_t congested_bytes = 262144;
+constexpr std::size_t congested_bytes_if_short = 16384;
+
+constexpr absl::string_view retry_after_refused_body = "Retry-After: 1\r\n";
+
 std::string reason_phrase(int status)
 {
     return Poco::Net::HTTPResponse::getReasonForStatus(
@@ -24,7 +44,7 @@
 
 caller_connection::caller_connection(http_server& server,
                                      std::shared_ptr<connection> stream)
-    : server_(server), stream_(std::move(stream))
+    : server_(server), stream_(std::move(stream)), last_progress_(server.loop_.now())
 {
 }
 
@@ -74,9 +94,15 @@
     const std::shared_ptr<caller_connection> self = shared_from_this();
     if (exchange_)
     {
-        stream_->set_input_paused(stream_->input().size() > max_pipelined_bytes);
+        const std::size_t most =
+            server_.loop_.memory()->is_short() ? 0 : max_pipelined_bytes;
+        stream_->set_input_paused(stream_->input().size() > most);
         return;
     }
+    if (incoming_ || !head_begun_)
+    {
+        last_progress_ = server_.loop_.now();
+    }
     parse();
 }
 
@@ -123,9 +149,11 @@
         reject(status_too_large, "the body is too large");
         return false;
     }
+    last_progress_ = server_.loop_.now();
     keep_alive_ = parsed->head.keeps_connection();
     incoming_ = std::make_shared<caller_exchange>();
     incoming_->head_ = std::move(parsed->head);
+    incoming_->charge_.set_budget(server_.loop_.memory());
     decoder_ = body_decoder(framing);
     if (absl::EqualsIgnoreCase(incoming_->head_.headers.get("expect"), "100-continue"))
     {
@@ -136,8 +164,10 @@
 
 bool caller_connection::parse_body()
 {
+    incoming_->reserve_body(stream_->input().size());
     const std::size_t used = decoder_.decode(stream_->input(), incoming_->body_);
     stream_->consume(used);
+    incoming_->update_charge();
     if (decoder_.failed())
     {
         reject(400, "the chunks of the body are not valid");
@@ -151,21 +181,123 @@
     if (!decoder_.done())
     {
         arm_timer(server_.limits_.idle_timeout);
+        if (!is_granted_ && !server_.loop_.memory()->may_receive(incoming_->body_.size()))
+        {
+            pause_body();
+        }
     }
     return decoder_.done();
 }
 
+bool caller_connection::is_output_congested() const
+{
+    return stream_->unsent() > (server_.loop_.memory()->is_short()
+                                    ? congested_bytes_if_short
+                                    : congested_bytes);
+}
+
+void caller_connection::pause_body()
+{
+    if (!is_paused_)
+    {
+        is_paused_ = true;
+        ++server_.paused_bodies_;
+        stream_->set_input_paused(true);
+    }
+}
+
+void caller_connection::clear_pause()
+{
+    if (is_paused_)
+    {
+        is_paused_ = false;
+        --server_.paused_bodies_;
+    }
+}
+
+void caller_connection::resume_body(bool is_granted)
+{
+    if (is_paused_)
+    {
+        clear_pause();
+        is_granted_ = is_granted;
+        last_progress_ = server_.loop_.now();
+        stream_->set_input_paused(false);
+    }
+}
+
+std::optional<memory_holder> caller_connection::held_memory() const
+{
+    memory_holder holder;
+    holder.last_progress = last_progress_;
+    if (incoming_)
+    {
+        const body_framing framing = incoming_->head_.framing;
+        const std::size_t received = incoming_->body_.size();
+        const std::size_t largest = framing.kind == body_kind::length
+                                        ? static_cast<std::size_t>(framing.length)
+                                        : server_.limits_.max_body_bytes;
+        holder.use = is_paused_ ? memory_use::paused_body : memory_use::incoming_body;
+        holder.bytes = incoming_->charge_.bytes() + stream_->charged();
+        holder.remaining = largest - std::min(received, largest);
+        holder.is_granted = is_granted_;
+    }
+    else if (head_begun_ && !exchange_)
+    {
+        holder.bytes = stream_->charged();
+    }
+    else if (stream_->unsent() > 0)
+    {
+        holder.use = memory_use::unread_output;
+        holder.bytes = stream_->charged();
+        holder.last_progress = stream_->last_sent();
+    }
+    const bool is_holder = is_paused_ || holder.bytes >= least_held_bytes;
+    return is_holder ? std::optional<memory_holder>(holder) : std::nullopt;
+}
+
+void caller_connection::end_for_memory(bool is_stalled)
+{
+    const std::shared_ptr<caller_connection> self = shared_from_this();
+    const bool is_receiving = incoming_ || (head_begun_ && !exchange_);
+    if (is_receiving && is_stalled)
+    {
+        reject(status_timeout, "the request did not arrive in time");
+    }
+    else if (is_receiving)
+    {
+        reject(status_unavailable,
+               "this host has no memory left for the request",
+               retry_after_refused_body);
+    }
+    else
+    {
+        // a regular end would make the part of the answer look whole
+        stream_->reset();
+        on_end(connection_end::reset);
+    }
+}
+
+std::optional<steady_time> caller_connection::waiting_since() const
+{
+    const bool is_busy = exchange_ || incoming_ || stream_->unsent() > 0;
+    return is_busy ? std::nullopt : std::optional<steady_time>(last_progress_);
+}
+
 void caller_connection::deliver_request()
 {
     server_.loop_.cancel(timer_);
     exchange_ = std::move(incoming_);
     incoming_ = nullptr;
+    is_granted_ = false;
     exchange_->connection_ = this;
     exchange_->arrived_ = server_.loop_.now();
     server_.on_request_(exchange_);
 }
 
-void caller_connection::reject(int status, const std::string& message)
+void caller_connection::reject(int status,
+                               const std::string& message,
+                               absl::string_view more_headers)
 {
     if (server_.on_rejected_)
     {
@@ -176,7 +308,8 @@
                                status,
                                " ",
                                reason_phrase(status),
-                               "\r\nConnection: close\r\nContent-Type: text/plain\r\n"
+                               "\r\nConnection: close\r\nContent-Type: text/plain\r\n",
+                               more_headers,
                                "Content-Length: ",
                                message.size() + 1,
                                "\r\n\r\n",
@@ -191,6 +324,7 @@
     exchange_->connection_ = nullptr;
     exchange_ = nullptr;
     head_begun_ = false;
+    last_progress_ = server_.loop_.now();
     if (!keep_alive_ || server_.draining_)
     {
         close_after_answer();
@@ -282,6 +416,7 @@
 void caller_connection::detach()
 {
     server_.loop_.cancel(timer_);
+    clear_pause();
     stream_->set_handler(nullptr);
     exchange_ = nullptr;
     incoming_ = nullptr;
@@ -380,9 +515,41 @@
 
 bool caller_exchange::is_congested() const
 {
-    // 256 KiB take some tenths of a second on the slowest network paths
-    constexpr std::size_t congested_bytes = 262144;
-    return connection_ != nullptr && connection_->stream_->unsent() > congested_bytes;
+    return connection_ != nullptr && connection_->is_output_congested();
+}
+
+void caller_exchange::reserve_body(std::size_t more_bytes)
+{
+    const std::size_t needed = body_.size() + more_bytes;
+    if (head_.framing.kind == body_kind::chunked)
+    {
+        if (needed > body_.capacity() && needed >= mapped_block_bytes)
+        {
+            grow_body(needed + body_.size() / 4);
+        }
+        return;
+    }
+    const auto length = static_cast<std::size_t>(head_.framing.length);
+    if (body_.capacity() < length &&
+        (length <= mapped_block_bytes || needed >= reserving_bytes))
+    {
+        grow_body(length);
+    }
+}
+
+void caller_exchange::grow_body(std::size_t capacity)
+{
+    // reserve() of a string that has a capacity would at least double it
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(body_);
+    body_.swap(larger);
+}
+
+void caller_exchange::update_charge()
+{
+    // the rest of a large block was never written
+    charge_.set(std::min(body_.capacity(), 2 * body_.size()));
 }
 
 } // namespace medlar
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -29,6 +29,12 @@
 // larger buffers are released when they become empty
 constexpr std::size_t max_idle_capacity = 4096;
 
+// limit for one read event once the memory of the process is used up
+constexpr int max_read_bytes_if_full = 4096;
+
+// memory of a connection without its buffers, with its entries in the event loop
+constexpr std::size_t object_bytes = 2048;
+
 constexpr int whole_seconds(millis span)
 {
     constexpr std::int64_t ms_per_s = 1000;
@@ -78,8 +84,13 @@
 connection::connection(event_loop& loop,
                        const Poco::Net::StreamSocket& socket,
                        state initial)
-    : loop_(loop), socket_(socket), state_(initial)
+    : loop_(loop),
+      socket_(socket),
+      state_(initial),
+      last_sent_(loop.now()),
+      charge_(loop.memory())
 {
+    update_charge();
 }
 
 std::shared_ptr<connection>
@@ -135,19 +146,32 @@
     loop_.cancel(timer_);
 }
 
+void connection::update_charge()
+{
+    charge_.set(object_bytes + input_.capacity() + output_.capacity());
+}
+
 void connection::consume(std::size_t size)
 {
     consumed_ += size;
-    if (consumed_ == input_.size())
+    const std::size_t remaining = input_.size() - consumed_;
+    if (remaining == 0)
     {
         clear_and_shrink(input_);
         consumed_ = 0;
     }
+    else if (remaining <= max_idle_capacity && input_.capacity() > max_idle_capacity)
+    {
+        // a body in small chunks leaves a part of one behind each read
+        input_ = std::string(input_, consumed_);
+        consumed_ = 0;
+    }
     else if (consumed_ > compact_threshold)
     {
         input_.erase(0, consumed_);
         consumed_ = 0;
     }
+    update_charge();
 }
 
 void connection::send(absl::string_view bytes)
@@ -156,24 +180,79 @@
     {
         return;
     }
+    buffer_body();
     output_.append(bytes.data(), bytes.size());
+    update_charge();
     if (state_ == state::open && !watching_write_)
     {
         flush();
     }
 }
 
-void connection::flush()
+void connection::send(std::string head, std::shared_ptr<const std::string> body)
+{
+    if (state_ == state::ended || state_ == state::lingering || closing_)
+    {
+        return;
+    }
+    buffer_body();
+    if (output_.empty())
+    {
+        output_ = std::move(head);
+    }
+    else
+    {
+        output_ += head;
+    }
+    body_ = std::move(body);
+    sent_body_ = 0;
+    update_charge();
+    if (state_ == state::open && !watching_write_)
+    {
+        flush();
+    }
+}
+
+void connection::buffer_body()
+{
+    if (body_)
+    {
+        output_.append(*body_, sent_body_);
+        body_.reset();
+    }
+}
+
+io_result connection::write_some()
 {
-    const std::shared_ptr<connection> self = shared_from_this();
     io_result result{io_status::done, 0};
-    while (sent_ < output_.size() && result.status == io_status::done)
+    if (sent_ < output_.size())
     {
         result = send_some(
             socket_, output_.data() + sent_, static_cast<int>(output_.size() - sent_));
-        has_sent_ = has_sent_ || result.bytes > 0;
         sent_ += result.bytes;
     }
+    else
+    {
+        result = send_some(
+            socket_, body_->data() + sent_body_, static_cast<int>(unsent_body()));
+        sent_body_ += result.bytes;
+    }
+    if (result.bytes > 0)
+    {
+        has_sent_ = true;
+        last_sent_ = loop_.now();
+    }
+    return result;
+}
+
+void connection::flush()
+{
+    const std::shared_ptr<connection> self = shared_from_this();
+    io_result result{io_status::done, 0};
+    while (unsent() > 0 && result.status == io_status::done)
+    {
+        result = write_some();
+    }
     if (result.status == io_status::failed)
     {
         has_write_failed_ = true;
@@ -184,13 +263,17 @@
                     });
         clear_and_shrink(output_);
         sent_ = 0;
+        body_.reset();
+        update_charge();
         return;
     }
-    const bool drained = sent_ == output_.size();
+    const bool drained = unsent() == 0;
     if (drained)
     {
         clear_and_shrink(output_);
         sent_ = 0;
+        body_.reset();
+        update_charge();
     }
     const bool was_blocked = watching_write_;
     if (watching_write_ != !drained)
@@ -272,6 +355,7 @@
     const std::shared_ptr<connection> self = shared_from_this();
     state_ = state::ended;
     handler_ = nullptr;
+    body_.reset();
     loop_.cancel(timer_);
     loop_.unwatch(socket_);
     try
@@ -374,10 +458,12 @@
 io_status connection::read_input()
 {
     std::array<char, max_read_bytes> buffer;
-    const io_result received = receive_some(socket_, buffer.data(), max_read_bytes);
+    const int most = loop_.memory()->is_full() ? max_read_bytes_if_full : max_read_bytes;
+    const io_result received = receive_some(socket_, buffer.data(), most);
     if (received.status == io_status::done && state_ != state::lingering)
     {
         input_.append(buffer.data(), received.bytes);
+        update_charge();
         if (handler_ != nullptr)
         {
             handler_->on_input();
--- a/src/loop/http_client.cpp
+++ b/src/loop/http_client.cpp
@@ -97,7 +97,8 @@
 std::shared_ptr<client_call> http_client::start(const endpoint& where,
                                                 std::string request,
                                                 const call_options& options,
-                                                call_callbacks callbacks)
+                                                call_callbacks callbacks,
+                                                std::shared_ptr<const std::string> body)
 {
     auto call = std::make_shared<client_call>();
     call->callbacks_ = std::move(callbacks);
@@ -132,7 +133,7 @@
         ++opened_;
     }
     connections.busy.push_back(chosen);
-    chosen->send_request(call, std::move(request));
+    chosen->send_request(call, std::move(request), std::move(body));
     return call;
 }
 
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -14,6 +14,9 @@
 // one connection is accepted for each event, so a burst of callers waits in the backlog
 constexpr int accept_backlog = 1024;
 
+// Without a descriptor left, accepting fails at each event until one is closed.
+constexpr millis pause_after_failure{100};
+
 } // namespace
 
 listener::listener(event_loop& loop, accept_action on_accept, error_action on_error)
@@ -46,6 +49,23 @@
     return created;
 }
 
+void listener::update_watch()
+{
+    if (open_)
+    {
+        loop_.change(socket_, !is_paused_ && !has_failed_, false);
+    }
+}
+
+void listener::set_paused(bool paused)
+{
+    if (is_paused_ != paused)
+    {
+        is_paused_ = paused;
+        update_watch();
+    }
+}
+
 void listener::close()
 {
     if (open_)
@@ -73,6 +93,18 @@
     }
     catch (const Poco::Exception& error)
     {
+        has_failed_ = true;
+        update_watch();
+        const std::weak_ptr<listener> weak = weak_from_this();
+        loop_.after(pause_after_failure,
+                    [weak]
+                    {
+                        if (const auto self = weak.lock())
+                        {
+                            self->has_failed_ = false;
+                            self->update_watch();
+                        }
+                    });
         on_error_(error.displayText());
     }
 }
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -73,7 +73,8 @@
 }
 
 void pooled_connection::send_request(const std::shared_ptr<client_call>& call,
-                                     std::string request)
+                                     std::string request,
+                                     std::shared_ptr<const std::string> body)
 {
     call_ = call;
     call_->connection_ = this;
@@ -85,10 +86,11 @@
     record_open();
     if (!call->options_.question)
     {
-        stream_->send(request);
+        stream_->send(std::move(request), std::move(body));
         return;
     }
     waiting_request_ = std::move(request);
+    waiting_body_ = std::move(body);
     const bool is_known = start_ && !start_->is_missing && !start_->is_unanswered;
     if (!is_known && call->options_.may_ask)
     {
@@ -231,12 +233,14 @@
         was_established_ = stream_->is_established();
         skipped_answers_ = 0;
         skipped_bytes_ = 0;
-        stream_->send(*std::exchange(waiting_request_, std::nullopt));
+        stream_->send(*std::exchange(waiting_request_, std::nullopt),
+                      std::move(waiting_body_));
         return;
     }
     call_ = nullptr;
     call->connection_ = nullptr;
     waiting_request_.reset();
+    waiting_body_.reset();
     release_after_answer(stream_->is_open());
     if (call->callbacks_.on_end)
     {
@@ -438,6 +442,7 @@
 void pooled_connection::drop_question()
 {
     waiting_request_.reset();
+    waiting_body_.reset();
     is_asking_ = false;
     client_.loop_.cancel(question_timer_);
 }
