Count bodies as stalled that only trickle in

A client that sends a byte twice a second kept its memory, since any byte was progress. A body now has to get 4 KB in the time of a stall while memory is short. Connections of callers take half of the descriptors in place of two thirds, so that each has one for its call to a target.

--- a/include/medlar/detail/loop/caller_connection.hpp
+++ b/include/medlar/detail/loop/caller_connection.hpp
@@ -58,6 +58,7 @@
     bool parse_head();
     bool parse_body();
     bool is_output_congested() const;
+    void record_body_progress(std::size_t bytes);
     void pause_body();
     void clear_pause();
     void
@@ -80,8 +81,10 @@
     bool head_begun_ = false;
     bool is_paused_ = false;
     bool is_granted_ = false;
-    /// when bytes of a request were last read, its body was paused, or an answer ended
+    /// when a request last made progress, its body was resumed, or an answer ended
     steady_time last_progress_;
+    /// bytes of the body read since then
+    std::size_t progress_bytes_ = 0;
     bool keep_alive_ = true;
 };
 
--- a/src/entry/memory_controller.cpp
+++ b/src/entry/memory_controller.cpp
@@ -31,7 +31,7 @@
                : 1024;
 }
 
-/// the number of connections of callers that leaves descriptors for calls to targets
+/// the number of connections that leaves a descriptor to each for a call to a target
 std::size_t connections_for(const entry_settings& settings)
 {
     const std::size_t descriptors =
@@ -42,7 +42,7 @@
         descriptors - std::min(descriptors / 2, reserved_descriptors);
     return std::max<std::size_t>(
         1,
-        std::min(usable / 3 * 2,
+        std::min(usable / 2,
                  budget_bytes_of(settings.memory_mb) / budget_bytes_per_connection));
 }
 
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -24,6 +24,10 @@
 // come: pages that were not written take no memory, but address space may be limited.
 constexpr std::size_t reserving_bytes = 65536;
 
+// A body that gets fewer bytes in the time of a stall counts as stalled, so that a client
+// cannot hold memory by a byte now and then.
+constexpr std::size_t least_progress_bytes = 4096;
+
 // holders of fewer bytes are not ended: there are many, and they free next to nothing
 constexpr std::size_t least_held_bytes = 4096;
 
@@ -99,7 +103,7 @@
         stream_->set_input_paused(stream_->input().size() > most);
         return;
     }
-    if (incoming_ || !head_begun_)
+    if (!incoming_ && !head_begun_)
     {
         last_progress_ = server_.loop_.now();
     }
@@ -150,6 +154,7 @@
         return false;
     }
     last_progress_ = server_.loop_.now();
+    progress_bytes_ = 0;
     keep_alive_ = parsed->head.keeps_connection();
     incoming_ = std::make_shared<caller_exchange>();
     incoming_->head_ = std::move(parsed->head);
@@ -168,6 +173,7 @@
     const std::size_t used = decoder_.decode(stream_->input(), incoming_->body_);
     stream_->consume(used);
     incoming_->update_charge();
+    record_body_progress(used);
     if (decoder_.failed())
     {
         reject(400, "the chunks of the body are not valid");
@@ -196,11 +202,22 @@
                                     : congested_bytes);
 }
 
+void caller_connection::record_body_progress(std::size_t bytes)
+{
+    progress_bytes_ += bytes;
+    if (progress_bytes_ >= least_progress_bytes)
+    {
+        progress_bytes_ = 0;
+        last_progress_ = server_.loop_.now();
+    }
+}
+
 void caller_connection::pause_body()
 {
     if (!is_paused_)
     {
         is_paused_ = true;
+        last_progress_ = server_.loop_.now();
         ++server_.paused_bodies_;
         stream_->set_input_paused(true);
     }
