--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -140,12 +140,14 @@
 /// @brief an evacuated failure domain has no targets, or does not exist
 inline constexpr event entry_evacuation_without_targets{
     1763, severity::warning, "entry_evacuation_without_targets"};
+/// @brief memory or connections are short: what waited and was ended since the last line
+inline constexpr event entry_memory_short{1770, severity::warning, "entry_memory_short"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 53> entry_events{entry_started,
+inline constexpr std::array<event, 54> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -197,7 +199,8 @@
                                                     entry_evacuation_begun,
                                                     entry_evacuation_ended,
                                                     entry_evacuation_held,
-                                                    entry_evacuation_without_targets};
+                                                    entry_evacuation_without_targets,
+                                                    entry_memory_short};
 
 } // namespace medlar
 
