Have a starting host wait for the evacuations before it serves

A peer that does not mirror evacuations could tell a starting host of the targets while the store still refused the host the prefix of the evacuations: it then served and sent requests to targets of an evacuated failure domain. A host in contact with the store answers 503 until it knows them. Found by reading; the test was written with the change and has not been seen failing. 13 of 13 tests of evacuation_test pass with it.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -454,8 +454,12 @@
 
 bool entry_host::has_started() const
 {
+    // a peer that does not mirror evacuations may have told of the targets first; a host
+    // that the store does not answer cannot know better
+    const bool knows_evacuations = is_serving_ || !store_mirror_.lacks_evacuations() ||
+                                   !store_controller_.is_in_contact();
     return context_.configuration != nullptr && store_mirror_.has_been_filled() &&
-           store_controller_.has_asked_peers();
+           knows_evacuations && store_controller_.has_asked_peers();
 }
 
 bool entry_host::is_ready() const
--- a/test/entry/evacuation_test.cpp
+++ b/test/entry/evacuation_test.cpp
@@ -260,6 +260,7 @@
 {
     CPPUNIT_TEST_SUITE(an_evacuation);
     CPPUNIT_TEST(reaches_hosts_that_start_during_it);
+    CPPUNIT_TEST(is_awaited_by_hosts_that_start_beside_others_without_it);
     CPPUNIT_TEST(reaches_the_followers_of_relays);
     CPPUNIT_TEST(is_not_expected_of_relays_that_do_not_mirror_it);
     CPPUNIT_TEST(goes_on_while_the_store_is_away);
@@ -292,6 +293,32 @@
         CPPUNIT_ASSERT(it.targets[0].requests.empty());
     }
 
+    void is_awaited_by_hosts_that_start_beside_others_without_it()
+    {
+        domains_fixture it({"a", "b"});
+        it.evacuate("a");
+        it.evacuate_bound.reset();
+        it.start_hosts(1);
+        it.evacuate_bound = millis(5000);
+        const endpoint second = free_endpoint();
+        it.store.add_address(second);
+        it.store.refused_prefix = "op/evacuate/";
+        entry_settings starting = it.settings("host-starting");
+        starting.store_endpoint = second;
+        starting.seeds = {it.all_settings[0].link_endpoint};
+        const auto started = it.start(starting);
+        it.run_for(millis(1500));
+        CPPUNIT_ASSERT_EQUAL(503, it.fetch(starting.caller_endpoint).status);
+        it.store.refused_prefix.reset();
+        CPPUNIT_ASSERT(it.until(
+            [&]
+            {
+                return it.is_ready(starting);
+            }));
+        CPPUNIT_ASSERT_EQUAL(200, it.fetch(starting.caller_endpoint).status);
+        CPPUNIT_ASSERT(it.targets[0].requests.empty());
+    }
+
     void reaches_the_followers_of_relays()
     {
         domains_fixture it({"a", "b"});
