--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -456,8 +456,12 @@
 
 bool entry_host::has_started() const
 {
+    // a peer that does not mirror evacuations may have told of the targets first; a host
+    // that the store does not answer cannot know better
+    const bool knows_evacuations = is_serving_ || !store_mirror_.lacks_evacuations() ||
+                                   !store_controller_.is_in_contact();
     return context_.configuration != nullptr && store_mirror_.has_been_filled() &&
-           store_controller_.has_asked_peers();
+           knows_evacuations && store_controller_.has_asked_peers();
 }
 
 bool entry_host::is_ready() const
@@ -801,12 +805,11 @@
     {
         return false;
     }
-    const std::pair<std::size_t, std::size_t> load = piece_service_.load();
     const bool is_forward_idle =
         forward_server_ == nullptr || forward_server_->open_exchanges() == 0;
     const bool idle = is_forward_idle && caller_server_->open_exchanges() == 0 &&
-                      caller_server_->connections() == 0 && load.first == 0 &&
-                      load.second == 0;
+                      caller_server_->connections() == 0 &&
+                      !piece_service_.has_unfinished_jobs();
     return (!accepts_requests() && idle) || context_.shutdown->is_over(loop_.now());
 }
 
