--- a/test/overload/entry_under_load.hpp
+++ b/test/overload/entry_under_load.hpp
@@ -149,7 +149,7 @@
     }
 
     /// @brief Answers of the plain target wait for this time.
-    millis answer_delay{0};
+    millis answer_delay_{0};
 
     event_loop& loop()
     {
@@ -171,7 +171,7 @@
 
     void serve(const std::shared_ptr<caller_exchange>& exchange)
     {
-        loop_.after(answer_delay,
+        loop_.after(answer_delay_,
                     [exchange]
                     {
                         exchange->answer(200, signed_headers(*exchange), "done");
--- a/test/overload/uncontrolled_clients_test.cpp
+++ b/test/overload/uncontrolled_clients_test.cpp
@@ -123,7 +123,7 @@
   public:
     void stay_within_the_memory_of_both_hosts_on_the_hop_to_a_peer()
     {
-        answer_delay = millis(3000);
+        answer_delay_ = millis(3000);
         host& peer = start("peer");
         host& under_load = start("without-path", false);
         run_crowd({under_load.callers,
@@ -131,7 +131,7 @@
                    std::string(piece_bytes, 'x'),
                    16},
                   100);
-        answer_delay = millis(0);
+        answer_delay_ = millis(0);
         check(under_load, "the host without a path");
         check(peer, "its peer");
     }
