Refuse odd answers in the sessions of the gateway and its store, too

http_session took any status for that of an answer, and informational ones other than 100 for the final one: a target's 600 or 000 settled a call, a 103 before a 200 was taken as a failure. It uses is_of_protocol() now, and passes over informational heads. http_pool reused a connection whose server had said that it closes it; the next call was lost where the server closed it late.

--- a/include/medlar/detail/client/http_session.hpp
+++ b/include/medlar/detail/client/http_session.hpp
@@ -33,11 +33,14 @@
 
     /// @return the body, whose buffer throws Poco::Exception if it does not end as its
     ///     framing states; to be read with the functions of body_reader.hpp
-    /// @throws Poco::Exception if the head did not arrive up to its empty line
+    /// @throws Poco::Exception if the head did not arrive up to its empty line, or has a
+    ///     status that the protocol does not have; informational ones are passed over
     std::istream& receiveResponse(Poco::Net::HTTPResponse& response) override;
 
   private:
     http_session();
+
+    std::istream& receive_head(Poco::Net::HTTPResponse& response);
 };
 
 } // namespace medlar
--- a/include/medlar/detail/store/http_pool.hpp
+++ b/include/medlar/detail/store/http_pool.hpp
@@ -34,6 +34,8 @@
     /// value of X-Consul-Index; 0: none
     std::uint64_t index = 0;
     std::string body;
+    /// whether the server serves further calls on the connection
+    bool keeps_connection = false;
 };
 
 /// @brief Pool of keep-alive connections to one address, each used by one call at a time.
--- a/src/client/http_session.cpp
+++ b/src/client/http_session.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/client/http_session.hpp>
+#include <medlar/detail/http/status.hpp>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -21,6 +22,10 @@
 constexpr std::int64_t us_per_ms = 1000;
 constexpr millis min_timeout{1};
 
+// heads with an informational status that may precede the one of the answer; a server
+// that sends more does not answer
+constexpr int max_informational = 16;
+
 Poco::Timespan timespan_of(millis span)
 {
     return {std::max(span, min_timeout).count() * us_per_ms};
@@ -99,6 +104,21 @@
 
 std::istream& http_session::receiveResponse(Poco::Net::HTTPResponse& response)
 {
+    std::istream* body = &receive_head(response);
+    for (int i = 0; i < max_informational && is_informational(response.getStatus()); ++i)
+    {
+        body = &receive_head(response);
+    }
+    if (!is_of_protocol(response.getStatus()) || is_informational(response.getStatus()))
+    {
+        throw Poco::Net::MessageException("the status of the answer is not valid");
+    }
+    return *body;
+}
+
+std::istream& http_session::receive_head(Poco::Net::HTTPResponse& response)
+{
+    answer_socket_of(*this).allow_end(false);
     std::istream& body = HTTPClientSession::receiveResponse(response);
     // the stream that POCO parses the head from hides the errors of the socket
     if (const Poco::Exception* error = networkException())
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -62,6 +62,7 @@
         return absl::DataLossError("the answer is too large");
     }
     answer.body = std::move(*body);
+    answer.keeps_connection = response.getKeepAlive();
     return answer;
 }
 
@@ -110,7 +111,7 @@
     }
     absl::StatusOr<http_answer> answer = send_and_receive(*connection, where_, request);
     mark_inactive(connection.get());
-    if (answer.ok() && connection->getKeepAlive())
+    if (answer.ok() && answer->keeps_connection)
     {
         push_idle(std::move(connection));
     }
--- a/test/support/cut_answer_server.hpp
+++ b/test/support/cut_answer_server.hpp
@@ -29,14 +29,24 @@
     silence, ///< the connection stays open
 };
 
+/// @brief When a server sends its answer
+enum class answer_time
+{
+    after_request,
+    after_head, ///< the body of the request is not read
+};
+
 /// @brief Answers the first request of each connection with given bytes, then ends the
 /// connection.
 class cut_answer_server
 {
   public:
-    cut_answer_server(std::string answer, answer_end end)
+    cut_answer_server(std::string answer,
+                      answer_end end,
+                      answer_time when = answer_time::after_request)
         : answer_(std::move(answer)),
           end_(end),
+          when_(when),
           socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
           thread_(
               [this]
@@ -60,6 +70,12 @@
         return {"127.0.0.1", socket_.address().port()};
     }
 
+    /// Returns how many requests were read.
+    int requests() const
+    {
+        return requests_;
+    }
+
   private:
     void run()
     {
@@ -82,6 +98,7 @@
             {
                 return;
             }
+            ++requests_;
             connection.sendBytes(answer_.data(), static_cast<int>(answer_.size()));
         }
         catch (const Poco::Exception&)
@@ -100,14 +117,15 @@
         connection.close();
     }
 
-    static bool read_request(Poco::Net::StreamSocket& connection)
+    bool read_request(Poco::Net::StreamSocket& connection)
     {
         constexpr std::size_t max_head_bytes = 16384;
         std::string received;
         std::array<char, 4096> part{};
         for (;;)
         {
-            const int size = connection.receiveBytes(part.data(), part.size());
+            const int size =
+                connection.receiveBytes(part.data(), static_cast<int>(part.size()));
             if (size <= 0)
             {
                 return false;
@@ -115,6 +133,10 @@
             received.append(part.data(), static_cast<std::size_t>(size));
             const auto parsed = parse_request_head(received, max_head_bytes);
             const auto* head = std::get_if<parsed_head<request_head>>(&parsed);
+            if (head != nullptr && when_ == answer_time::after_head)
+            {
+                return true;
+            }
             if (head != nullptr &&
                 received.size() >= head->consumed + head->head.framing.length)
             {
@@ -125,8 +147,10 @@
 
     const std::string answer_;
     const answer_end end_;
+    const answer_time when_;
     Poco::Net::ServerSocket socket_;
     std::vector<Poco::Net::StreamSocket> open_;
+    std::atomic<int> requests_{0};
     std::atomic<bool> stopped_{false};
     std::thread thread_;
 };
