Take no body that is not read for the next request

medlar-gateway and the metrics page answered requests such as GET /healthz without reading their body, and kept the connection: POCO took the bytes of the body for the next request. The connection ends now after an answer to a request whose body is not read.

--- a/src/controller/metrics_page.cpp
+++ b/src/controller/metrics_page.cpp
@@ -1,5 +1,6 @@
 #include <medlar/detail/base/error.hpp>
 #include <medlar/detail/controller/metrics_page.hpp>
+#include <medlar/detail/http/unread_body.hpp>
 #include <medlar/detail/loop/listening_socket.hpp>
 
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -35,6 +36,7 @@
     void handleRequest(Poco::Net::HTTPServerRequest& request,
                        Poco::Net::HTTPServerResponse& response) override
     {
+        close_after_unread_body(request, response);
         const bool known = request.getURI() == "/metrics";
         const std::string text = known ? write_() : "no such page\n";
         response.setStatus(known ? Poco::Net::HTTPResponse::HTTP_OK
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -3,6 +3,7 @@
 #include <medlar/detail/gateway/caller_server.hpp>
 #include <medlar/detail/gateway/caller_stream.hpp>
 #include <medlar/detail/http/status.hpp>
+#include <medlar/detail/http/unread_body.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
 #include <medlar/detail/loop/request_socket.hpp>
 #include <medlar/detail/request/answer_text.hpp>
@@ -203,9 +204,11 @@
             path[1] == "pipelines" && path[3] == "requests")
         {
             handle_submit(pipeline_id(path[2]), request, response);
+            return;
         }
-        else if (method == "GET" && path.size() == 4 && path[0] == "v1" &&
-                 path[1] == "requests")
+        close_after_unread_body(request, response);
+        if (method == "GET" && path.size() == 4 && path[0] == "v1" &&
+            path[1] == "requests")
         {
             handle_lookup(
                 {organisation_id(path[2]), request_id(path[3])}, request, response);
