Share the requests to cold targets among all hosts by permits

Nothing read cold_start_s, cold_per_s, cold_ms and Cold-Ms, so a target that had just started got its full share from each host at once.

A target is cold as its entry, any of its answers or another host says, and for cold_start_s after a start that only its own reply tells. In pools with a rule hosts ask for the start on each new connection, plain requests and stage calls too, so a process that has started gets no request of a host that does not know it as cold. One host gives out the permits for a cold target, chosen among the registered hosts, so that hosts that are cut off get none. Permits are spaced evenly at a rate at which two issuers stay within the bound, and are dropped 200 ms after they were asked for.

Tests: with the decision whether a target is cold switched off (as before this change), 7 of 8 tests of targets_that_are_cold failed: 20, 25, 38, 47, 53 and 55 requests in a second where 12 are allowed, and more than 12 calls with pieces. With it all 8 pass.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_DISPATCH_TARGET_TABLE_HPP
 
 #include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/dispatch/cold_target.hpp>
 #include <medlar/detail/dispatch/process_evidence.hpp>
 #include <medlar/detail/dispatch/start_inquiry.hpp>
 #include <medlar/detail/entry/protocol.hpp>
@@ -32,6 +33,10 @@
     steady_time limit_stated_at;
     /// no call is sent before this time, since the hosts have used up its limit
     steady_time limited_until;
+    /// until when it is cold; hosts need permits to call it then
+    cold_phase cold;
+    /// whether a cold time that cannot be read was logged
+    bool has_malformed_cold = false;
     /// refusals per second, of all hosts together, above which it breaks down; unset if
     /// it bears any number
     std::optional<double> refusal_limit;
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -75,6 +75,9 @@
     /// going to stop, wants no calls for a while, or takes no more than some a second.
     void record_target_answer(const target_id& id, const answer_fields& answer);
 
+    /// @brief Records how much longer a target says it is cold.
+    void record_cold_time(const target_id& id, const answer_fields& answer);
+
     /// @brief Records that the process which answers at a target is going to stop.
     void record_target_leaving(const target_id& id);
 
@@ -93,6 +96,10 @@
     std::size_t host_count = 1;
     /// called when a target has stated its first limit, or none any more; may be empty
     std::function<void(const target_id&)> on_limit_changed;
+    /// called when a target has stated how much longer it is cold; may be empty
+    std::function<void(const target_id&, millis left)> on_cold_stated;
+    /// called when a target has stated a later start than was known; may be empty
+    std::function<void(const target_id&)> on_start_stated;
     /// called when a target that bears few refusals has refused a call; may be empty
     std::function<void(const target_state&)> on_refused;
     /// the requests in progress; they end with the host
--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/endpoint.hpp>
 #include <medlar/detail/base/ids.hpp>
+#include <medlar/detail/dispatch/cold_target.hpp>
 #include <medlar/detail/dispatch/piece_owner.hpp>
 #include <medlar/detail/dispatch/pool_retry_budget.hpp>
 
@@ -40,6 +41,7 @@
     /// time from the termination signal until the process is killed
     millis shutdown_grace{8000};
     pool_retry_rule retry_rule;
+    cold_bound cold;
     /// time within which a change in the store has to be in force on this host
     millis change_bound{2000};
     /// time between two writes of a target's entry
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/dispatch/piece_queue.hpp>
 #include <medlar/detail/dispatch/refused_requests.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/piece_permits.hpp>
 #include <medlar/detail/hosts/limit_controller.hpp>
 #include <medlar/detail/hosts/path_controller.hpp>
 
@@ -39,7 +40,7 @@
     piece_service(entry_context& context,
                   limit_controller& limits,
                   path_controller& paths)
-        : context_(context), limits_(limits), paths_(paths)
+        : context_(context), limits_(limits), paths_(paths), permits_(context, limits)
     {
     }
 
@@ -100,7 +101,14 @@
     };
 
     group_state& state_of(const piece_group& group);
-    void refresh_targets(const piece_group& group, group_state& state);
+    /// @param is_for_sending whether cold targets need a permit now
+    void
+    refresh_targets(const piece_group& group, group_state& state, bool is_for_sending);
+    /// whether a target is not cold, or a permit for it is held; asks for one if pieces
+    /// wait
+    bool may_send_to(const piece_group& group,
+                     const group_state& state,
+                     const target_state& target);
     void schedule_pump(const piece_group& group);
     void pump(const piece_group& group);
     void send(const piece_group& group, const piece_call& call);
@@ -120,6 +128,7 @@
     entry_context& context_;
     limit_controller& limits_;
     path_controller& paths_;
+    piece_permits permits_;
     std::map<piece_group, std::unique_ptr<group_state>> groups_;
     std::set<std::shared_ptr<sent_call>> sent_calls_;
     /// hashes of the newest answers of each target
--- a/include/medlar/detail/entry/protocol.hpp
+++ b/include/medlar/detail/entry/protocol.hpp
@@ -89,6 +89,10 @@
     std::optional<double> refusal_limit;
     /// the target states a limit that cannot be read
     bool is_rate_limit_malformed = false;
+    /// how much longer the target is cold; unset if it does not say
+    std::optional<millis> cold;
+    /// the target states a cold time that cannot be read
+    bool is_cold_malformed = false;
 };
 
 /// @brief One piece of a stage, as sent to the target that executes it.
@@ -133,6 +137,11 @@
     /// start time; changes when the target restarts under the same id
     std::int64_t started_ms = 0;
     software_version version;
+    /// how much longer it is cold, as of the writing of the entry; unset if the entry
+    /// does not say
+    std::optional<millis> cold;
+    /// name of a field that was ignored or cut since its value is not a sensible one
+    std::string unusable_field;
 };
 
 /// @brief A state of the store.
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -120,16 +120,23 @@
     /// sends the request to a target with a limit if the hosts have not used that up, or
     /// else to another target
     void send_with_permit(const target_id& id);
+    void on_permit_answer(const target_id& id, bool is_granted, bool is_cold);
+    bool needs_permit(const target_state& target) const;
+    /// whether the request has waited for permits of cold targets for long enough
+    bool is_left_out_as_cold(const target_state& target) const;
+    /// whether the target is not cold, or the permit for it can be used for @p spare
+    bool has_valid_permit(const target_state& target, millis spare) const;
+    /// a connection that opens after the end of the permit is of no use
+    void limit_connect_time(const target_state& target, call_options& options) const;
     /// sends a stream to a target of some version once the store names that as its origin
     void send_once_saved(const stream_origin& origin);
     /// refuses or fails the request if targets crash under it or a part of its prompt
     /// @return whether it did
     bool end_if_blocked();
-    std::shared_ptr<const start_question>
-    make_start_question(const endpoint& where) const;
+    /// whether the process that answers may get the request now
+    bool accepts_process(const start_answer& answer);
     /// whether the process that answers at the address of the target may get the request
     bool accepts_start(const start_answer& answer);
-    void record_inquiry(target_state& target, const start_answer& answer) const;
     /// accepts any process for a stream that goes on nowhere; its start tells, once the
     /// answer has ended with its connection, whether the process lives on
     bool accepts_any_start(const start_answer& answer);
@@ -230,6 +237,12 @@
     steady_time sent_at_;
     std::vector<target_id> tried_targets_;
     attempt_limit attempts_;
+    /// end of the permit for a cold target that the request holds
+    steady_time cold_permit_until_;
+    /// permits for cold targets that were refused
+    int cold_refusals_ = 0;
+    /// whether the current call was declined since its target turned out to be cold
+    bool is_declined_as_cold_ = false;
     bool may_have_run_ = false;
 
     bool is_forwarded_;
--- a/include/medlar/detail/entry/serving_configuration.hpp
+++ b/include/medlar/detail/entry/serving_configuration.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/ids.hpp>
 #include <medlar/detail/base/strong_type.hpp>
+#include <medlar/detail/dispatch/cold_target.hpp>
 #include <medlar/detail/loop/server_limits.hpp>
 
 #include <absl/strings/string_view.h>
@@ -107,6 +108,7 @@
     /// connections that one target accepts from all hosts together
     int max_connections = 0;
     std::optional<piece_rule> pieces;
+    cold_rule cold;
 };
 
 /// @brief An organisation and the priority of its requests, if it has its own.
@@ -127,6 +129,8 @@
     std::unordered_map<std::string, organisation_rule> organisations_by_key;
     /// limits on the size and timing of requests
     server_limits limits;
+    /// values that were ignored or cut since they are no sensible ones
+    std::vector<std::string> unusable_values;
 
     /// @brief Builds the index that find_route() uses; must be called after the routes
     /// are set.
--- a/include/medlar/detail/hosts/limit_controller.hpp
+++ b/include/medlar/detail/hosts/limit_controller.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/dispatch/permit_issuer.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/hosts/cold_controller.hpp>
 #include <medlar/detail/hosts/peer_network.hpp>
 
 #include <nlohmann/json.hpp>
@@ -31,8 +32,15 @@
     limit_controller(const limit_controller&) = delete;
     limit_controller& operator=(const limit_controller&) = delete;
 
-    /// @brief Asks for a permit to send one request to a target with a limit. If it is
-    /// not granted, the target may not be called until a permit can be had.
+    /// @brief Returns what is known of cold targets.
+    cold_controller& cold()
+    {
+        return cold_;
+    }
+
+    /// @brief Asks for a permit to send one request to a target with a limit, or to a
+    /// cold one. If it is not granted, the target may not be called until a permit can be
+    /// had.
     /// @param on_answer called once, also before this function returns
     void request_permit(const target_id& target, permit_action on_answer);
 
@@ -76,6 +84,7 @@
 
     entry_context& context_;
     peer_network& peers_;
+    cold_controller cold_;
     /// those that this host gives out
     permit_issuer permits_;
     std::map<std::uint64_t, pending_request> pending_;
--- a/include/medlar/detail/hosts/peer_network.hpp
+++ b/include/medlar/detail/hosts/peer_network.hpp
@@ -60,6 +60,10 @@
     /// @brief Returns the other registered hosts that are not suspected.
     std::vector<peer_host> live_peers() const;
 
+    /// @brief Returns this host and the other registered hosts, also if they are
+    /// suspected. A host that leaves is left out while another one is registered.
+    std::vector<peer_host> registered_hosts() const;
+
     /// @brief Leaves the duties of this host to its peers.
     void leave()
     {
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -49,6 +49,8 @@
 inline constexpr event entry_target_paused{1717, severity::info, "entry_target_paused"};
 /// @brief a target has stated how many requests a second it takes, or no longer does
 inline constexpr event entry_target_limited{1719, severity::info, "entry_target_limited"};
+/// @brief a target is cold: all hosts together send it only some requests a second
+inline constexpr event entry_target_cold{1760, severity::info, "entry_target_cold"};
 /// @brief this host knows the configuration, the targets and the other hosts, and serves
 /// requests; changes after this are logged one by one
 inline constexpr event entry_serving{1718, severity::info, "entry_serving"};
@@ -132,7 +134,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 49> entry_events{entry_started,
+inline constexpr std::array<event, 50> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -164,6 +166,7 @@
                                                     entry_suspect_blocked,
                                                     entry_suspect_unblocked,
                                                     entry_target_limited,
+                                                    entry_target_cold,
                                                     entry_origin_found,
                                                     entry_version_appeared,
                                                     entry_shares_set,
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -50,6 +50,10 @@
         {
             added.answering_start = start_of(found->second);
         }
+        if (found != targets_.end())
+        {
+            added.cold = found->second.cold;
+        }
         const auto leaving = leaving_.find(record.id);
         if (leaving != leaving_.end())
         {
@@ -127,6 +131,7 @@
         started.expires_at = target->expires_at;
         started.answering_start = started_ms;
         started.inquiry = target->inquiry;
+        started.cold = target->cold;
         const auto leaving = leaving_.find(id);
         started.is_leaving = leaving != leaving_.end() && leaving->second == started_ms;
         *target = started;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <cmath>
+#include <utility>
 
 namespace medlar
 {
@@ -104,6 +105,7 @@
         record_rate_limit(*target, answer.rate_limit);
     }
     record_refusal_limit(*target, answer.refusal_limit);
+    record_cold_time(id, answer);
     const millis spread(static_cast<std::int64_t>(random.below(max_return_spread_ms)));
     if (answer.pause && targets.mark_paused(id, *answer.pause, spread, loop.now()))
     {
@@ -115,6 +117,22 @@
     }
 }
 
+void entry_context::record_cold_time(const target_id& id, const answer_fields& answer)
+{
+    if (answer.cold && on_cold_stated)
+    {
+        on_cold_stated(id, *answer.cold);
+    }
+    target_state* const target = targets.find(id);
+    if (answer.is_cold_malformed && target != nullptr &&
+        !std::exchange(target->has_malformed_cold, true))
+    {
+        log_event(entry_item_unreadable,
+                  {{"what", absl::StrCat("answer of target ", id.get())},
+                   {"why", "its cold time is no number, negative or too large"}});
+    }
+}
+
 void entry_context::record_target_leaving(const target_id& id)
 {
     if (targets.mark_leaving(id))
@@ -133,7 +151,12 @@
 {
     const target_state* const target = targets.find(id);
     const bool was_listed = target != nullptr && is_listed(*target);
+    const std::int64_t known_start = target == nullptr ? 0 : start_of(*target);
     targets.record_start(id, started_ms);
+    if (target != nullptr && start_of(*target) > known_start && on_start_stated)
+    {
+        on_start_stated(id);
+    }
     if (was_listed && !is_listed(*target))
     {
         client.close_idle(target->record.address);
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <random>
@@ -489,6 +490,9 @@
     context_.metrics->set("medlar_blocked_suspects",
                           {},
                           static_cast<double>(crash_controller_.blocked_count()));
+    context_.metrics->set("medlar_targets_cold",
+                          {},
+                          static_cast<double>(limit_controller_.cold().cold_count()));
     context_.metrics->set(
         "medlar_entry_hosts_live", {}, static_cast<double>(peers_.live_hosts().size()));
     header_list headers;
@@ -572,6 +576,13 @@
     {
         return;
     }
+    if (!read->unusable_values.empty())
+    {
+        log_event(entry_item_unreadable,
+                  {{"what", item.key},
+                   {"revision", item.revision},
+                   {"why", absl::StrJoin(read->unusable_values, "; ")}});
+    }
     caller_limits_ = read->limits;
     forward_limits_ = read->limits;
     forward_limits_.max_head_bytes += max_forward_header_bytes;
@@ -608,6 +619,14 @@
         context_.targets.remove(id);
         return;
     }
+    const std::string unusable_before =
+        before != nullptr ? before->record.unusable_field : "";
+    if (!record->unusable_field.empty() && record->unusable_field != unusable_before)
+    {
+        log_event(entry_item_unreadable,
+                  {{"what", item.key},
+                   {"why", record->unusable_field + " is no sensible value"}});
+    }
     const bool is_new = context_.targets.put(*record, loop_.now());
     if (is_new)
     {
@@ -617,6 +636,7 @@
     {
         context_.client.keep_witness(record->address);
     }
+    limit_controller_.cold().record_entry(*record, is_serving_ && is_new);
     stream_origins_.handle_target(*record);
     if (is_serving_ && (is_new || was_draining != record->is_draining))
     {
@@ -763,6 +783,7 @@
     settings_.seeds = read->seeds;
     settings_.shutdown_grace = read->shutdown_grace;
     settings_.retry_rule = read->retry_rule;
+    settings_.cold = read->cold;
     settings_.change_bound = read->change_bound;
     settings_.target_heartbeat = read->target_heartbeat;
     peers_.set_seeds(settings_.seeds);
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -62,14 +62,17 @@
     return *state;
 }
 
-void piece_service::refresh_targets(const piece_group& group, group_state& state)
+void piece_service::refresh_targets(const piece_group& group,
+                                    group_state& state,
+                                    bool is_for_sending)
 {
     std::vector<piece_target> targets;
     for (const target_state* each : context_.targets.serving(group.pool))
     {
         const bool is_in_group =
             group.domain.empty() || each->record.domain.get() == group.domain;
-        if (is_in_group && may_call(*each, context_.loop.now()))
+        if (is_in_group && may_call(*each, context_.loop.now()) &&
+            (!is_for_sending || may_send_to(group, state, *each)))
         {
             targets.push_back(
                 {each->record.id, each->record.address, each->record.domain});
@@ -81,7 +84,7 @@
 job_decision piece_service::evaluate(const piece_group& group, piece_job& job)
 {
     group_state& state = state_of(group);
-    refresh_targets(group, state);
+    refresh_targets(group, state, false);
     const steady_time now = context_.loop.now();
     millis time_since_refusal{0};
     if (job.is_refusable && !job.key.empty())
@@ -132,6 +135,26 @@
     return found != groups_.end() && found->second->queue.is_waiting(ticket.job);
 }
 
+bool piece_service::may_send_to(const piece_group& group,
+                                const group_state& state,
+                                const target_state& target)
+{
+    const std::size_t running = static_cast<std::size_t>(
+        std::count_if(sent_calls_.begin(),
+                      sent_calls_.end(),
+                      [&target](const std::shared_ptr<sent_call>& each)
+                      {
+                          return each->target == target.record.id;
+                      }));
+    const bool is_wanted = state.queue.waiting_pieces() > 0 && running == 0;
+    return permits_.may_send(target,
+                             is_wanted,
+                             [this, group]
+                             {
+                                 schedule_pump(group);
+                             });
+}
+
 void piece_service::schedule_pump(const piece_group& group)
 {
     group_state& state = *groups_.at(group);
@@ -153,16 +176,17 @@
 {
     group_state& state = state_of(group);
     const steady_time now = context_.loop.now();
-    refresh_targets(group, state);
+    refresh_targets(group, state, true);
     deliver(state, state.queue.expire(now));
     while (const std::optional<piece_call> call = state.queue.next_call(now))
     {
         send(group, *call);
         const target_state* const target = context_.targets.find(call->target.id);
-        if (target != nullptr && !may_call(*target, now))
+        if (target != nullptr &&
+            (!may_call(*target, now) || limits_.cold().rate_of(*target)))
         {
-            // it has used up its limit
-            refresh_targets(group, state);
+            // it has used up its limit, or its permit
+            refresh_targets(group, state, true);
         }
     }
     context_.loop.cancel(state.retry_timer);
@@ -179,7 +203,8 @@
 void piece_service::send(const piece_group& group, const piece_call& call)
 {
     target_state* const target = context_.targets.find(call.target.id);
-    if (target != nullptr && target->rate_limit)
+    const steady_time permit_until = permits_.take(call.target.id);
+    if (target != nullptr && target->rate_limit && !limits_.cold().rate_of(*target))
     {
         limits_.take_permit(*target);
     }
@@ -221,6 +246,10 @@
     paths_.record_call(group.pool);
     call_options options;
     options.connect_timeout = target_connect_timeout;
+    if (target != nullptr)
+    {
+        permits_.prepare_call(*target, permit_until, options, events);
+    }
     sent->call = context_.client.start(
         call.target.where,
         context_.protocol.write_piece_call(call.target.where, call.target.id, call.items),
@@ -337,17 +366,21 @@
             return;
         }
     }
-    // the answer may be the copy of an earlier one: the call's own would then be taken
-    // for that of the next call
-    context_.client.close_idle(call->where);
     const bool full = how == call_end::complete && call->status == status_unavailable;
+    const bool is_declined = how == call_end::declined;
+    if (!is_declined)
+    {
+        // the answer may be the copy of an earlier one: the call's own would then be
+        // taken for that of the next call
+        context_.client.close_idle(call->where);
+    }
     log_event(entry_piece_call_failed,
               {{"pool", call->group.pool.get()},
                {"target", call->target.get()},
                {"status", std::int64_t{call->status}},
                {"end", to_string(how)},
                {"pieces", static_cast<std::int64_t>(call->pieces)}});
-    if (!full)
+    if (!full && !is_declined)
     {
         context_.record_target_call(call->target, call_result::failed);
     }
@@ -356,14 +389,16 @@
     {
         context_.record_refusal(call->target);
     }
-    if (call->status == 0)
+    if (call->status == 0 && !is_declined)
     {
         paths_.record_failure(call->group.pool, call->target, how != call_end::not_sent);
     }
     context_.metrics->add("medlar_piece_calls_failed_total",
                           {{"pool", call->group.pool.get()}, {"full", full ? "1" : "0"}});
-    state.queue.handle_failure(
-        call->id, now, full ? busy_target_pause : failed_target_pause);
+    const millis pause = is_declined ? millis(0)
+                         : full      ? busy_target_pause
+                                     : failed_target_pause;
+    state.queue.handle_failure(call->id, now, pause);
     schedule_pump(call->group);
 }
 
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -1,6 +1,7 @@
 // Part of request_run: sends the request to targets and retries it.
 
 #include <medlar/detail/entry/request_run.hpp>
+#include <medlar/detail/entry/start_question.hpp>
 #include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
 
@@ -101,7 +102,7 @@
         send_once_saved({pool_, origins_.version_of(*target)});
         return;
     }
-    if (target->rate_limit)
+    if (needs_permit(*target))
     {
         send_with_permit(target->record.id);
         return;
@@ -133,33 +134,6 @@
                         });
 }
 
-void request_run::send_with_permit(const target_id& id)
-{
-    const std::weak_ptr<request_run> weak = weak_from_this();
-    limits_.request_permit(id,
-                           [weak, id](bool is_granted)
-                           {
-                               const auto self = weak.lock();
-                               if (!self || self->ended_)
-                               {
-                                   return;
-                               }
-                               target_state* const target =
-                                   self->context_.targets.find(id);
-                               if (is_granted && target != nullptr &&
-                                   takes_work(*target) && self->may_run_at(*target))
-                               {
-                                   self->send_to(*target);
-                                   return;
-                               }
-                               if (target != nullptr)
-                               {
-                                   target->health = cancel_probe(target->health);
-                               }
-                               self->send();
-                           });
-}
-
 void request_run::send_to(target_state& target)
 {
     target_ = target.record.id;
@@ -185,13 +159,14 @@
     options.is_head_request = exchange_->head().method == "HEAD";
     options.connect_timeout = target_connect_timeout;
     call_callbacks events;
-    if (is_stream())
+    limit_connect_time(target, options);
+    if (is_stream() || limits_.cold().has_rule(pool_))
     {
-        options.question = make_start_question(target.record.address);
+        options.question = make_start_question(context_, target.record);
         options.may_ask = target.inquiry.begin(context_.loop.now());
         events.accepts_start = [this](const start_answer& answer)
         {
-            return route_.may_retry() ? accepts_start(answer) : accepts_any_start(answer);
+            return accepts_process(answer);
         };
     }
     events.accepts_head = [this](const answer_head& head)
@@ -258,31 +233,15 @@
         std::move(events));
 }
 
-std::shared_ptr<const start_question>
-request_run::make_start_question(const endpoint& where) const
-{
-    const entry_protocol& protocol = context_.protocol;
-    return std::make_shared<const start_question>(
-        start_question{protocol.write_start_question(where, {}),
-                       [&protocol](const answer_head& head)
-                       {
-                           return protocol.read_answer(head).attempt.empty();
-                       },
-                       [&protocol](absl::string_view body)
-                       {
-                           return protocol.read_start_answer(body);
-                       },
-                       [&protocol](absl::string_view body)
-                       {
-                           return protocol.is_whole_start_answer(body);
-                       }});
-}
-
 bool request_run::accepts_any_start(const start_answer& answer)
 {
     if (target_state* const target = context_.targets.find(target_))
     {
-        record_inquiry(*target, answer);
+        record_inquiry(context_, *target, answer);
+    }
+    if (answer.started_ms && limits_.cold().has_rule(pool_))
+    {
+        context_.record_target_start(target_, *answer.started_ms);
     }
     return true;
 }
@@ -293,7 +252,7 @@
     if (target_state* const target = context_.targets.find(target_))
     {
         target_record_ = target->record;
-        record_inquiry(*target, answer);
+        record_inquiry(context_, *target, answer);
         if (answer.is_missing && answer.is_unanswered)
         {
             target->evidence.record_loss(context_.loop.now());
@@ -339,23 +298,6 @@
     return !version || *version == target_version_;
 }
 
-void request_run::record_inquiry(target_state& target, const start_answer& answer) const
-{
-    if (!answer.was_asked)
-    {
-        return;
-    }
-    target.states_no_start = !answer.started_ms;
-    if (answer.is_unanswered)
-    {
-        target.inquiry.record_unanswered(context_.loop.now());
-    }
-    else
-    {
-        target.inquiry.record_answered();
-    }
-}
-
 bool request_run::accepts_unknown_start(const start_answer& answer)
 {
     if (origin_)
@@ -603,6 +545,12 @@
         send_once_saved({pool_, target_version_});
         return;
     }
+    if (std::exchange(is_declined_as_cold_, false))
+    {
+        // with a permit it may go there
+        tried_targets_.pop_back();
+        ++cold_refusals_;
+    }
     if (tried_targets_.size() <= max_unsent_sends && remaining_time() > millis(0))
     {
         send();
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -300,15 +300,15 @@
 {
     target_choice_input input;
     input.candidates = context_.targets.serving(pool_);
-    input.candidates.erase(std::remove_if(input.candidates.begin(),
-                                          input.candidates.end(),
-                                          [this](const target_state* each)
-                                          {
-                                              return !may_run_at(*each) ||
-                                                     has_used_share(*each,
-                                                                    context_.host_count);
-                                          }),
-                           input.candidates.end());
+    input.candidates.erase(
+        std::remove_if(input.candidates.begin(),
+                       input.candidates.end(),
+                       [this](const target_state* each)
+                       {
+                           return !may_run_at(*each) || is_left_out_as_cold(*each) ||
+                                  has_used_share(*each, context_.host_count);
+                       }),
+        input.candidates.end());
     prefer_version_of_stream(input);
     if (const std::optional<failure_domain_id> near = inputs_domain())
     {
--- a/src/hosts/limit_controller.cpp
+++ b/src/hosts/limit_controller.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 limit_controller::limit_controller(entry_context& context, peer_network& peers)
-    : context_(context), peers_(peers)
+    : context_(context), peers_(peers), cold_(context, peers)
 {
     context_.on_limit_changed = [this](const target_id& target)
     {
@@ -127,6 +127,12 @@
 
 void limit_controller::request_permit(const target_id& target, permit_action on_answer)
 {
+    const target_state* const state = context_.targets.find(target);
+    if (state != nullptr && cold_.rate_of(*state))
+    {
+        cold_.request_permit(target, std::move(on_answer));
+        return;
+    }
     const std::uint64_t number = ++last_number_;
     pending_request& added = pending_[number];
     added.target = target;
@@ -174,6 +180,7 @@
 
 void limit_controller::handle_peer_lost(const host_id& host)
 {
+    cold_.handle_peer_lost(host);
     std::vector<std::uint64_t> affected;
     for (const auto& each : pending_)
     {
@@ -220,6 +227,10 @@
 bool limit_controller::handle_request(const std::shared_ptr<message_link>& from,
                                       const nlohmann::json& message)
 {
+    if (cold_.handle_request(from, message))
+    {
+        return true;
+    }
     const std::string type = message.at("type").get<std::string>();
     if (type == "full")
     {
@@ -262,6 +273,10 @@
 
 bool limit_controller::handle_answer(const nlohmann::json& message)
 {
+    if (cold_.handle_answer(message))
+    {
+        return true;
+    }
     if (message.at("type").get<std::string>() != "permit")
     {
         return false;
--- a/src/hosts/peer_network.cpp
+++ b/src/hosts/peer_network.cpp
@@ -116,6 +116,20 @@
     return hosts;
 }
 
+std::vector<peer_host> peer_network::registered_hosts() const
+{
+    std::vector<peer_host> hosts;
+    if (!is_leaving_ || others_.empty())
+    {
+        hosts.push_back(self_);
+    }
+    for (const auto& each : others_)
+    {
+        hosts.push_back(each.second);
+    }
+    return hosts;
+}
+
 void peer_network::suspect(const host_id& host)
 {
     suspected_until_[host] = loop_.now() + suspicion_time;
