--- a/include/medlar/detail/hosts/evacuation_controller.hpp
+++ b/include/medlar/detail/hosts/evacuation_controller.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -23,6 +24,12 @@
 
     explicit evacuation_controller(entry_context& context);
 
+    /// @brief Sets the handler of targets that may get work again.
+    void set_return_handler(std::function<void(const target_id&)> handler)
+    {
+        on_return_ = std::move(handler);
+    }
+
     /// @brief Handles an item of the store that names an evacuated failure domain. Only
     /// its presence counts; a value that is not a JSON object is logged.
     void handle_item(const store_item& item);
@@ -57,12 +64,14 @@
     }
     failure_domain_id domain_of(const std::string& key) const;
     void log_unreadable(const store_item& item);
+    void end(const failure_domain_id& domain);
     void log_begin(const failure_domain_id& domain) const;
     void log_end(const failure_domain_id& domain) const;
 
     entry_context& context_;
     evacuation_list evacuations_;
     bool is_logging_ = false;
+    std::function<void(const target_id&)> on_return_ = [](const target_id&) {};
     /// hashes of the unreadable values that were logged; a writer may repeat them
     std::map<std::string, std::size_t> unreadable_;
 };
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -51,6 +51,10 @@
         {
             added.answering_start = start_of(found->second);
         }
+        if (found != targets_.end())
+        {
+            added.cold = found->second.cold;
+        }
         const auto leaving = leaving_.find(record.id);
         if (leaving != leaving_.end())
         {
@@ -130,6 +134,7 @@
         started.answering_start = started_ms;
         started.inquiry = target->inquiry;
         started.is_evacuated = target->is_evacuated;
+        started.cold = target->cold;
         const auto leaving = leaving_.find(id);
         started.is_leaving = leaving != leaving_.end() && leaving->second == started_ms;
         *target = started;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <random>
@@ -139,6 +140,12 @@
         {
             broker_.handle_path_lost(pool);
         });
+    evacuations_.set_return_handler(
+        [this](const target_id& target)
+        {
+            // they may have become cold before their entries say so
+            limit_controller_.cold().record_return(target);
+        });
     store_controller_.set_era_handler(
         [this]
         {
@@ -502,6 +509,9 @@
     context_.metrics->set("medlar_blocked_suspects",
                           {},
                           static_cast<double>(crash_controller_.blocked_count()));
+    context_.metrics->set("medlar_targets_cold",
+                          {},
+                          static_cast<double>(limit_controller_.cold().cold_count()));
     context_.metrics->set(
         "medlar_entry_hosts_live", {}, static_cast<double>(peers_.live_hosts().size()));
     memory_controller_.write_metrics();
@@ -594,6 +604,13 @@
     {
         return;
     }
+    if (!read->unusable_values.empty())
+    {
+        log_event(entry_item_unreadable,
+                  {{"what", item.key},
+                   {"revision", item.revision},
+                   {"why", absl::StrJoin(read->unusable_values, "; ")}});
+    }
     caller_limits_ = read->limits;
     forward_limits_ = read->limits;
     forward_limits_.max_head_bytes += max_forward_header_bytes;
@@ -630,6 +647,14 @@
         context_.targets.remove(id);
         return;
     }
+    const std::string unusable_before =
+        before != nullptr ? before->record.unusable_field : "";
+    if (!record->unusable_field.empty() && record->unusable_field != unusable_before)
+    {
+        log_event(entry_item_unreadable,
+                  {{"what", item.key},
+                   {"why", record->unusable_field + " is no sensible value"}});
+    }
     const bool is_new = context_.targets.put(*record, loop_.now());
     if (is_new)
     {
@@ -639,6 +664,7 @@
     {
         context_.client.keep_witness(record->address);
     }
+    limit_controller_.cold().record_entry(*record, is_serving_ && is_new);
     stream_origins_.handle_target(*record);
     if (is_serving_ && (is_new || was_draining != record->is_draining))
     {
@@ -788,6 +814,7 @@
     settings_.seeds = read->seeds;
     settings_.shutdown_grace = read->shutdown_grace;
     settings_.retry_rule = read->retry_rule;
+    settings_.cold = read->cold;
     settings_.change_bound = read->change_bound;
     settings_.target_heartbeat = read->target_heartbeat;
     settings_.evacuate_bound = read->evacuate_bound;
--- a/src/hosts/evacuation_controller.cpp
+++ b/src/hosts/evacuation_controller.cpp
@@ -36,8 +36,7 @@
         unreadable_.erase(item.key);
         if (evacuations_.end(domain))
         {
-            context_.targets.set_evacuated(domain, false);
-            log_end(domain);
+            end(domain);
         }
         return;
     }
@@ -97,8 +96,7 @@
 {
     for (const failure_domain_id& each : evacuations_.end_held(context_.loop.now()))
     {
-        context_.targets.set_evacuated(each, false);
-        log_end(each);
+        end(each);
     }
 }
 
@@ -123,6 +121,19 @@
         {{"domain", domain.get()}, {"targets", static_cast<std::int64_t>(targets)}});
 }
 
+void evacuation_controller::end(const failure_domain_id& domain)
+{
+    context_.targets.set_evacuated(domain, false);
+    log_end(domain);
+    for (const auto& each : context_.targets.all())
+    {
+        if (each.second.record.domain == domain)
+        {
+            on_return_(each.first);
+        }
+    }
+}
+
 void evacuation_controller::log_end(const failure_domain_id& domain) const
 {
     log_event(
