Weigh engines by the pace of their streams, which all hosts share

What was suspected before, the stages, takes 317 ms of 1,000 (median).

Change: event_pace takes the lower quartile of the times between the events of a stream, target_speeds those of the last streams of each engine; speed_controller of one host a pool collects them and tells the others what has changed. choose_engine ranks by weighted rendezvous hashing, in uneven pools only. first_event_delay expects the first event by the size of the prompt, where one mean for all refused short ones in bursts.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -50,6 +50,8 @@
     /// whether its process has left the question for its start without one
     bool states_no_start = false;
     process_evidence evidence;
+    /// share of the prompts that it is to get, relative to a target of median speed
+    double speed_weight = 1;
     /// it has said in an answer that it is going to stop
     bool is_leaving = false;
     /// its failure domain is evacuated
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_ENTRY_ENTRY_CONTEXT_HPP
 
 #include <medlar/detail/dispatch/answer_time.hpp>
+#include <medlar/detail/dispatch/first_event_delay.hpp>
 #include <medlar/detail/dispatch/pool_retry_budget.hpp>
 #include <medlar/detail/dispatch/refusal_backoff.hpp>
 #include <medlar/detail/dispatch/shutdown_plan.hpp>
@@ -46,11 +47,11 @@
     pool_retry_budget& budget_for(const pool_id& pool);
 
     /// @brief Returns the expected time from sending a request to an engine to its first
-    /// event: a moving average for the pool.
-    millis expected_first_event_delay(const pool_id& pool) const;
+    /// event.
+    millis expected_first_event_delay(const pool_id& pool, token_count prompt) const;
 
     /// @brief Records the measured time until an engine's first event.
-    void record_first_event_delay(const pool_id& pool, millis took);
+    void record_first_event_delay(const pool_id& pool, token_count prompt, millis took);
 
     /// @brief Returns the time in which targets of a pool complete nearly all answers.
     millis expected_answer_time(const pool_id& pool) const;
@@ -116,7 +117,7 @@
     static void record_refusal_limit(target_state& target, std::optional<double> per_s);
 
     std::map<pool_id, pool_retry_budget> budgets_;
-    std::map<pool_id, double> first_event_ms_;
+    std::map<pool_id, first_event_delay> first_event_delays_;
     std::map<pool_id, answer_time> answer_times_;
 };
 
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_ENTRY_REQUEST_RUN_HPP
 
 #include <medlar/detail/dispatch/attempt_limit.hpp>
+#include <medlar/detail/dispatch/event_pace.hpp>
 #include <medlar/detail/dispatch/request_key.hpp>
 #include <medlar/detail/dispatch/target_choice.hpp>
 #include <medlar/detail/entry/end_inquiry.hpp>
@@ -12,6 +13,7 @@
 #include <medlar/detail/hosts/crash_controller.hpp>
 #include <medlar/detail/hosts/limit_controller.hpp>
 #include <medlar/detail/hosts/path_controller.hpp>
+#include <medlar/detail/hosts/speed_controller.hpp>
 #include <medlar/detail/hosts/stream_origins.hpp>
 #include <medlar/detail/http/event_stream.hpp>
 #include <medlar/detail/loop/http_server.hpp>
@@ -34,6 +36,7 @@
     limit_controller& limits;
     stream_origins& origins;
     path_controller& paths;
+    speed_controller& speeds;
 };
 
 /// @brief Processes one request of a caller, from its arrival to the end of its answer:
@@ -216,6 +219,7 @@
     limit_controller& limits_;
     stream_origins& origins_;
     path_controller& paths_;
+    speed_controller& speeds_;
     std::shared_ptr<caller_exchange> exchange_;
     request_fields fields_;
     configuration_ptr configuration_;
@@ -277,6 +281,7 @@
     /// where the stream has begun, or has to begin; unset before
     std::optional<stream_origin> origin_;
     bool has_first_event_ = false;
+    event_pace pace_;
     /// whether the current call has brought an event
     bool has_call_begun_ = false;
     bool has_event_gap_ = false;
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -129,6 +129,9 @@
     1748, severity::warning, "entry_message_passed_over"};
 /// @brief nothing listens at a target that states no start, here or for another host
 inline constexpr event entry_target_ended{1749, severity::info, "entry_target_ended"};
+/// @brief targets of a pool are known to be slower or faster than most, or no longer
+inline constexpr event entry_target_speeds_changed{
+    1780, severity::info, "entry_target_speeds_changed"};
 /// @brief a failure domain is evacuated: its targets get no more work
 inline constexpr event entry_evacuation_begun{
     1760, severity::info, "entry_evacuation_begun"};
@@ -149,7 +152,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 55> entry_events{entry_started,
+inline constexpr std::array<event, 56> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -199,6 +202,7 @@
                                                     entry_peer_ahead,
                                                     entry_message_passed_over,
                                                     entry_target_ended,
+                                                    entry_target_speeds_changed,
                                                     entry_evacuation_begun,
                                                     entry_evacuation_ended,
                                                     entry_evacuation_held,
--- a/src/dispatch/target_choice.cpp
+++ b/src/dispatch/target_choice.cpp
@@ -4,6 +4,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace medlar
 {
@@ -36,7 +38,38 @@
 double calls_per_slot(const target_state& target)
 {
     return static_cast<double>(target.in_flight) /
-           static_cast<double>(std::max(1, target.record.slots));
+           (static_cast<double>(std::max(1, target.record.slots)) * target.speed_weight);
+}
+
+/// indexes of the targets in the order in which a prefix prefers them: weighted
+/// rendezvous hashing, so that a change of one weight moves only the prefixes of that
+/// target
+std::vector<std::size_t> weighted_order(std::uint64_t prefix,
+                                        const std::vector<target_state*>& targets)
+{
+    constexpr double two_to_64 = 18446744073709551616.0;
+    std::vector<std::pair<double, std::size_t>> scored;
+    scored.reserve(targets.size());
+    for (std::size_t i = 0; i < targets.size(); ++i)
+    {
+        const auto score =
+            static_cast<double>(rendezvous_score(prefix, targets[i]->record.id));
+        const double uniform = std::min((score + 0.5) / two_to_64, 1 - 1e-16);
+        scored.emplace_back(std::log(uniform) / targets[i]->speed_weight, i);
+    }
+    std::sort(scored.begin(),
+              scored.end(),
+              [](const auto& a, const auto& b)
+              {
+                  return a.first > b.first;
+              });
+    std::vector<std::size_t> order;
+    order.reserve(scored.size());
+    for (const auto& each : scored)
+    {
+        order.push_back(each.second);
+    }
+    return order;
 }
 
 /// sends an ejected target whose probe is due one request, to test if it has recovered
@@ -107,18 +140,17 @@
         return choose_least_busy(input, random);
     }
     double total = 0;
-    std::vector<target_id> ids;
+    double total_weight = 0;
     for (const target_state* each : usable)
     {
         total += each->in_flight;
-        ids.push_back(each->record.id);
+        total_weight += each->speed_weight;
     }
-    const double bound =
-        load_bound_factor * total / static_cast<double>(usable.size()) + load_bound_slack;
+    const double bound = load_bound_factor * total / total_weight;
     target_state* chosen = nullptr;
-    for (const std::size_t i : rendezvous_order(*input.prefix, ids))
+    for (const std::size_t i : weighted_order(*input.prefix, usable))
     {
-        if (usable[i]->in_flight < bound)
+        if (usable[i]->in_flight < bound * usable[i]->speed_weight + load_bound_slack)
         {
             chosen = usable[i];
             break;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -3,7 +3,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <cmath>
 #include <utility>
 
 namespace medlar
@@ -22,12 +21,6 @@
 // gone lapses in about this time
 constexpr millis replaced_target_pause{3000};
 
-// assumed until the first measurement: time to process a prompt of a few thousand tokens
-constexpr double initial_first_event_ms = 400;
-
-// weight of the newest measurement in the moving average
-constexpr double first_event_smoothing = 0.05;
-
 } // namespace
 
 entry_context::entry_context(event_loop& with_loop,
@@ -52,18 +45,19 @@
     return budget;
 }
 
-millis entry_context::expected_first_event_delay(const pool_id& pool) const
+millis entry_context::expected_first_event_delay(const pool_id& pool,
+                                                 token_count prompt) const
 {
-    const auto found = first_event_ms_.find(pool);
-    return millis(std::lround(found == first_event_ms_.end() ? initial_first_event_ms
-                                                             : found->second));
+    const auto found = first_event_delays_.find(pool);
+    return found == first_event_delays_.end() ? first_event_delay().estimate(prompt)
+                                              : found->second.estimate(prompt);
 }
 
-void entry_context::record_first_event_delay(const pool_id& pool, millis took)
+void entry_context::record_first_event_delay(const pool_id& pool,
+                                             token_count prompt,
+                                             millis took)
 {
-    double& mean =
-        first_event_ms_.try_emplace(pool, initial_first_event_ms).first->second;
-    mean += first_event_smoothing * (static_cast<double>(took.count()) - mean);
+    first_event_delays_[pool].record(prompt, took);
 }
 
 millis entry_context::expected_answer_time(const pool_id& pool) const
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -112,6 +112,7 @@
       peers_(loop, own_peer_host(settings)),
       path_controller_(context_, peers_),
       limit_controller_(context_, peers_),
+      speed_controller_(context_, peers_),
       piece_service_(context_, limit_controller_, path_controller_),
       broker_(context_, peers_, piece_service_, path_controller_),
       store_mirror_(
@@ -184,6 +185,7 @@
                                     path_controller_.handle_message(message) ||
                                     crash_controller_.handle_request(from, message) ||
                                     limit_controller_.handle_request(from, message) ||
+                                    speed_controller_.handle_request(from, message) ||
                                     process_ends_.handle_message(message) ||
                                     stream_origins_.handle_request(from, message) ||
                                     store_controller_.handle_request(from, message);
@@ -198,6 +200,7 @@
                              return broker_.handle_answer(from, message) ||
                                     crash_controller_.handle_answer(message) ||
                                     limit_controller_.handle_answer(message) ||
+                                    speed_controller_.handle_answer(message) ||
                                     stream_origins_.handle_answer(from, message) ||
                                     store_controller_.handle_answer(from, message);
                          });
@@ -428,7 +431,8 @@
                          crash_controller_,
                          limit_controller_,
                          stream_origins_,
-                         path_controller_},
+                         path_controller_,
+                         speed_controller_},
                         exchange,
                         fields,
                         configuration,
@@ -739,6 +743,7 @@
     drop_lapsed_hosts();
     evacuations_.tick();
     path_controller_.tick();
+    speed_controller_.tick();
     memory_controller_.tick();
     if (!is_serving_ && has_started())
     {
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -84,6 +84,7 @@
 
 void request_run::forward_event(absl::string_view event, std::optional<std::int64_t> id)
 {
+    pace_.record(context_.loop.now());
     if (!has_call_begun_)
     {
         has_call_begun_ = true;
@@ -120,7 +121,8 @@
         {
             origins_.record(fields_.attempt, *origin_);
         }
-        context_.record_first_event_delay(pool_, context_.loop.now() - sent_at_);
+        context_.record_first_event_delay(
+            pool_, fields_.prompt_tokens, context_.loop.now() - sent_at_);
         free_stage_results();
     }
     if (!exchange_->has_begun())
@@ -160,6 +162,10 @@
 {
     free_stage_results();
     context_.record_answer_time(pool_, context_.loop.now() - sent_at_);
+    if (const std::optional<double> gap_ms = pace_.typical_gap_ms())
+    {
+        speeds_.record_stream(pool_, target_record_.id, *gap_ms);
+    }
     const int status = head_->status;
     if (!exchange_->has_begun())
     {
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -194,6 +194,7 @@
     has_event_gap_ = false;
     goes_on_ = last_event_id_.has_value();
     has_call_begun_ = false;
+    pace_.begin_target();
     attempts_.record_send();
     if (attempts_.sends() == 1)
     {
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -39,6 +39,7 @@
       limits_(services.limits),
       origins_(services.origins),
       paths_(services.paths),
+      speeds_(services.speeds),
       exchange_(std::move(exchange)),
       fields_(std::move(fields)),
       configuration_(std::move(configuration)),
@@ -420,9 +421,10 @@
     // the caller leaves if the answer begins later
     request.deadline =
         std::min(deadline_, exchange_->arrived() + route_.caller_timeout()) -
-        context_.expected_first_event_delay(pool_);
-    request.soft_deadline = exchange_->arrived() + route_.soft_timeout -
-                            context_.expected_first_event_delay(pool_);
+        context_.expected_first_event_delay(pool_, fields_.prompt_tokens);
+    request.soft_deadline =
+        exchange_->arrived() + route_.soft_timeout -
+        context_.expected_first_event_delay(pool_, fields_.prompt_tokens);
     request.planned_domain =
         planned == nullptr ? context_.settings.domain : planned->record.domain;
     if (context_.shutdown)
@@ -570,6 +572,12 @@
                {"sends", std::int64_t{attempts_.sends()}},
                {"framing", head_ ? to_string(head_->framing.kind) : ""},
                {"after_event", last_event_id_.value_or(-1)},
+               {"first_event_ms",
+                pace_.first() ? (*pace_.first() - exchange_->arrived()).count()
+                              : std::int64_t{-1}},
+               {"longest_gap_ms", pace_.longest_gap().count()},
+               {"typical_gap_ms",
+                static_cast<std::int64_t>(pace_.typical_gap_ms().value_or(-1))},
                {"took_ms", took.count()},
                {"aim_ms", route_.soft_timeout.count()}});
     context_.metrics->add("medlar_requests_total", {{"status", absl::StrCat(status)}});
