--- a/include/medlar/detail/client/http_session.hpp
+++ b/include/medlar/detail/client/http_session.hpp
@@ -43,6 +43,10 @@
     std::istream& receive_head(Poco::Net::HTTPResponse& response);
 };
 
+/// @return the status of @p response, also where POCO's enumeration does not have it
+/// @note HTTPResponse::getStatus() is undefined for statuses above 511.
+int status_of(const Poco::Net::HTTPResponse& response);
+
 } // namespace medlar
 
 #endif // MEDLAR_DETAIL_CLIENT_HTTP_SESSION_HPP
--- a/src/client/http_session.cpp
+++ b/src/client/http_session.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <sstream>
+#include <string>
 
 namespace medlar
 {
@@ -105,11 +107,11 @@
 std::istream& http_session::receiveResponse(Poco::Net::HTTPResponse& response)
 {
     std::istream* body = &receive_head(response);
-    for (int i = 0; i < max_informational && is_informational(response.getStatus()); ++i)
+    for (int i = 0; i < max_informational && is_informational(status_of(response)); ++i)
     {
         body = &receive_head(response);
     }
-    if (!is_of_protocol(response.getStatus()) || is_informational(response.getStatus()))
+    if (!is_of_protocol(status_of(response)) || is_informational(status_of(response)))
     {
         throw Poco::Net::MessageException("the status of the answer is not valid");
     }
@@ -131,4 +133,16 @@
     return body;
 }
 
+int status_of(const Poco::Net::HTTPResponse& response)
+{
+    // POCO writes the number itself: the status line is "HTTP/1.1 200 OK"
+    std::ostringstream head;
+    response.write(head);
+    std::istringstream line(head.str());
+    std::string version;
+    int status = 0;
+    line >> version >> status;
+    return status;
+}
+
 } // namespace medlar
--- a/src/gateway/stage_client.cpp
+++ b/src/gateway/stage_client.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/client/body_reader.hpp>
+#include <medlar/detail/client/http_session.hpp>
 #include <medlar/detail/gateway/stage_client.hpp>
 #include <medlar/detail/request/json_text.hpp>
 
@@ -206,7 +207,8 @@
 {
     HTTPResponse response;
     std::istream& stream = session.receiveResponse(response);
-    const bool succeeded = response.getStatus() == HTTPResponse::HTTP_OK;
+    const int status = status_of(response);
+    const bool succeeded = status == HTTPResponse::HTTP_OK;
     if (succeeded && attempt.message.kind == stage_kind::generate)
     {
         read_stream(attempt, stream, reply, reusable);
@@ -226,7 +228,7 @@
         set_output(attempt, *body, reply);
         return;
     }
-    set_refused_or_failed(reply, response.getStatus(), *body);
+    set_refused_or_failed(reply, status, *body);
 }
 
 void stage_client::read_stream(const call_attempt& attempt,
@@ -320,7 +322,7 @@
         {
             sessions_.give_back(remote, std::move(session));
         }
-        return target_answer{response.getStatus(), std::move(*text)};
+        return target_answer{status_of(response), std::move(*text)};
     }
     catch (const Poco::Exception&)
     {
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -1,4 +1,5 @@
 #include <medlar/detail/client/body_reader.hpp>
+#include <medlar/detail/client/http_session.hpp>
 #include <medlar/detail/store/http_pool.hpp>
 
 #include <Poco/Net/HTTPRequest.h>
@@ -50,7 +51,7 @@
     Poco::Net::HTTPResponse response;
     std::istream& in = session.receiveResponse(response);
     http_answer answer;
-    answer.status = response.getStatus();
+    answer.status = status_of(response);
     const std::string index = response.get("X-Consul-Index", "0");
     if (!absl::SimpleAtoi(index, &answer.index))
     {
--- a/test/runtime/odd_answer_test.cpp
+++ b/test/runtime/odd_answer_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST_SUITE(an_odd_answer);
     CPPUNIT_TEST(with_a_foreign_status_settles_no_call);
     CPPUNIT_TEST(with_a_foreign_status_is_none_of_the_store);
+    CPPUNIT_TEST(with_a_status_above_those_of_poco_is_a_failure);
     CPPUNIT_TEST(that_is_informational_precedes_that_of_a_target);
     CPPUNIT_TEST(that_is_informational_precedes_that_of_the_store);
     CPPUNIT_TEST(without_a_length_is_no_success_of_a_call_if_it_is_cut);
@@ -121,6 +122,16 @@
         }
     }
 
+    /// POCO's enumeration ends at 511; reading a greater one from it is undefined
+    void with_a_status_above_those_of_poco_is_a_failure()
+    {
+        const cut_answer_server target(sized_answer("520 X", whole_reply),
+                                       answer_end::close);
+        const stage_reply reply = stage_caller().call(target.where());
+        CPPUNIT_ASSERT(reply.result == call_result::failed);
+        CPPUNIT_ASSERT(reply.settled);
+    }
+
     void that_is_informational_precedes_that_of_a_target()
     {
         const cut_answer_server target(informational_answers +
