--- a/include/medlar/detail/dispatch/cold_permit_issuer.hpp
+++ b/include/medlar/detail/dispatch/cold_permit_issuer.hpp
@@ -22,6 +22,12 @@
     /// @param per_s see cold_permit_rate()
     permit issue(const target_id& target, double per_s, steady_time now);
 
+    /// @brief Returns what issue() would, without giving out a permit.
+    permit try_issue(const target_id& target, double per_s, steady_time now) const
+    {
+        return cold_permit_issuer(*this).issue(target, per_s, now);
+    }
+
   private:
     struct issued_permits
     {
--- a/include/medlar/detail/dispatch/permit_issuer.hpp
+++ b/include/medlar/detail/dispatch/permit_issuer.hpp
@@ -21,6 +21,16 @@
     bool has_ended = false;
 };
 
+/// @brief How permits for a target are to be had
+struct permit_terms
+{
+    /// requests per second of all hosts
+    double per_s = 0;
+    host_id issuer;
+    /// whether it is cold, or else has a limit
+    bool is_for_cold = false;
+};
+
 /// @brief Gives out the permits for calls to targets with a limit.
 ///
 /// Hosts may know different starts of a target. A call of a host that knows an earlier
@@ -39,6 +49,15 @@
                  steady_time stated_at,
                  steady_time now);
 
+    /// @brief Returns what issue() would, without giving out a permit.
+    permit try_issue(const process_start& start,
+                     double per_s,
+                     steady_time stated_at,
+                     steady_time now) const
+    {
+        return permit_issuer(*this).issue(start, per_s, stated_at, now);
+    }
+
     /// @brief Records that a target has stated no limit any more.
     void record_end(const process_start& start, steady_time now);
 
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/dispatch/cold_target.hpp>
 #include <medlar/detail/dispatch/process_evidence.hpp>
+#include <medlar/detail/dispatch/skip_reason.hpp>
 #include <medlar/detail/dispatch/start_inquiry.hpp>
 #include <medlar/detail/entry/protocol.hpp>
 #include <medlar/detail/policy/target_health.hpp>
@@ -84,6 +85,7 @@
 
     /// @brief Returns a target by id, nullptr if it is not registered.
     target_state* find(const target_id& id);
+    const target_state* find(const target_id& id) const;
 
     /// @brief Returns the target at an address, nullptr if there is none.
     const target_state* find_by_address(const endpoint& where) const;
@@ -126,10 +128,14 @@
     /// @brief Returns the targets of a pool that take work, in order of id.
     std::vector<target_state*> serving(const pool_id& pool);
 
+    /// @brief Returns all targets of a pool, in order of id.
+    std::vector<target_state*> of_pool(const pool_id& pool);
+    std::vector<const target_state*> of_pool(const pool_id& pool) const;
+
     /// @brief Returns the time until the first target of a pool may be called again.
     /// @return 0 if one may be called now; unset if the pool has no target that takes
     /// work
-    std::optional<millis> time_until_callable(const pool_id& pool, steady_time now);
+    std::optional<millis> time_until_callable(const pool_id& pool, steady_time now) const;
 
     /// @brief Returns all targets.
     const std::map<target_id, target_state>& all() const
@@ -159,8 +165,12 @@
 /// say.
 bool is_stopping(const target_state& target);
 
-/// @brief Returns whether a target takes new work: it is not going to stop, and its
-/// failure domain is not evacuated.
+/// @brief Returns why a target takes no new work: it is going to stop, or its failure
+/// domain is evacuated.
+/// @return none if it takes work
+skip_reason reason_without_work(const target_state& target);
+
+/// @brief Returns whether a target takes new work, see reason_without_work().
 bool takes_work(const target_state& target);
 
 /// @brief Records the result of a call to a target, and ejects the target if its health
@@ -180,7 +190,11 @@
 /// bears few refusals: the hosts together then have few more requests there than slots.
 bool has_used_share(const target_state& target, std::size_t host_count);
 
-/// @brief Returns whether a call may be sent to a target now.
+/// @brief Returns why no call may be sent to a target now, although it takes work.
+/// @return none if it may be called
+skip_reason reason_not_to_call(const target_state& target, steady_time now);
+
+/// @brief Returns whether a call may be sent to a target now, see reason_not_to_call().
 bool may_call(const target_state& target, steady_time now);
 
 } // namespace medlar
--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -1,6 +1,8 @@
 #ifndef MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
 #define MEDLAR_DETAIL_ENTRY_ENTRY_HOST_HPP
 
+#include <medlar/detail/dispatch/explain_question.hpp>
+#include <medlar/detail/dispatch/route_decision.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/memory_controller.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
@@ -69,17 +71,24 @@
 
     absl::Status listen();
     void serve(const std::shared_ptr<caller_exchange>& exchange, bool is_forwarded);
-    /// why this host does not take a request that another host forwarded; empty if it
-    /// does
-    std::string reason_not_to_take(const caller_exchange& exchange) const;
+    route_decision route_for(const request_head& head,
+                             const request_fields& fields,
+                             bool is_forwarded) const;
+    run_services services();
     /// whether this host has lost the path to a pool of a route
     bool lacks_path(const route& wanted) const;
     void serve_readiness(const std::shared_ptr<caller_exchange>& exchange) const;
     void serve_metrics(const std::shared_ptr<caller_exchange>& exchange);
+    // explanations, see entry_explanation.cpp
+    void serve_explanation(const std::shared_ptr<caller_exchange>& exchange);
+    nlohmann::json explain(const explain_question& question);
+    nlohmann::json explain_unrouted(const explain_question& question,
+                                    const route_decision& decided) const;
     void send_error_reply(const std::shared_ptr<caller_exchange>& exchange,
                           const request_fields& fields,
-                          int status,
-                          absl::string_view why);
+                          const route_decision& decided);
+    /// headers of the answer to a request that has no route
+    std::vector<header_field> headers_without_route(int status) const;
     /// whether this host knows what it needs to serve requests
     bool has_started() const;
     bool is_ready() const;
--- a/include/medlar/detail/entry/host_headers.hpp
+++ b/include/medlar/detail/entry/host_headers.hpp
@@ -11,6 +11,10 @@
 /// later builds too.
 inline constexpr char host_header_prefix[] = "Medlar-";
 
+/// @brief Why a host does not take a forwarded request: it has no path to the targets
+/// either.
+inline constexpr char forward_no_path[] = "no path";
+
 /// @brief Returns whether only hosts may say a header. One that a caller has sent means
 /// nothing, and no target gets one.
 inline bool is_host_header(absl::string_view name)
--- a/include/medlar/detail/entry/piece_broker.hpp
+++ b/include/medlar/detail/entry/piece_broker.hpp
@@ -40,6 +40,17 @@
     piece_broker(const piece_broker&) = delete;
     piece_broker& operator=(const piece_broker&) = delete;
 
+    /// a group and its current owner
+    struct owned_group
+    {
+        piece_group group;
+        host_id owner;
+    };
+
+    /// @brief Returns the group that executes a job of this host, and the host that owns
+    /// it now.
+    owned_group owner_of(const pool_id& pool, const piece_job& job) const;
+
     /// @brief Has the pieces of a stage executed by the owner of their group.
     broker_ticket submit(const pool_id& pool, piece_job job, broker_callbacks callbacks);
 
@@ -107,17 +118,10 @@
         std::set<int> missing;
     };
 
-    /// a group and its current owner
-    struct owned_group
-    {
-        piece_group group;
-        host_id owner;
-    };
-
     /// @param key input of the job, or its attempt, see select_group()
     owned_group owner_for(const pool_id& pool,
                           const failure_domain_id& domain,
-                          const std::string& key);
+                          const std::string& key) const;
     void dispatch(broker_ticket ticket);
     void dispatch_locally(broker_ticket ticket, open_job& open);
     void record_expected(const open_job& open, bool is_late, millis expected);
--- a/include/medlar/detail/entry/request_forward.hpp
+++ b/include/medlar/detail/entry/request_forward.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/dispatch/piece_owner.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/entry/host_headers.hpp>
 #include <medlar/detail/loop/http_server.hpp>
 
 #include <absl/strings/string_view.h>
@@ -39,9 +40,6 @@
 /// says why
 inline constexpr char forward_not_taken_header[] = "Medlar-Not-Taken";
 
-/// @brief value of that header if the host has no path to the targets either
-inline constexpr char forward_no_path[] = "no path";
-
 /// @brief What a host is told that is to run a request of another one.
 struct forward_terms
 {
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -3,8 +3,10 @@
 
 #include <medlar/detail/dispatch/attempt_limit.hpp>
 #include <medlar/detail/dispatch/event_pace.hpp>
+#include <medlar/detail/dispatch/explain_question.hpp>
+#include <medlar/detail/dispatch/request_explanation.hpp>
 #include <medlar/detail/dispatch/request_key.hpp>
-#include <medlar/detail/dispatch/target_choice.hpp>
+#include <medlar/detail/dispatch/target_selection.hpp>
 #include <medlar/detail/entry/end_inquiry.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/entry/piece_broker.hpp>
@@ -18,6 +20,8 @@
 #include <medlar/detail/http/event_stream.hpp>
 #include <medlar/detail/loop/http_server.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -63,11 +67,28 @@
 
     void apply(const shutdown_plan& plan) override;
 
+    /// @brief Explains where the request would go now, without sending it.
+    ///
+    /// Takes the decisions that start() would, with a copy of the random source. Nothing
+    /// outside this run changes, which must not be started before or after.
+    nlohmann::json explain(const explain_question& question);
+
   private:
+    /// A refusal, or the failure of a request that may have run
+    struct refusal
+    {
+        int status_if_run = 0;
+        millis retry_after{0};
+        std::string why;
+    };
+
     /// retry delay of a caller if no target could accept the request: some of the calls
     /// in progress end within this time
     static constexpr millis retry_after_no_target{400};
 
+    static constexpr char why_no_target[] = "no target can be called";
+    static constexpr char why_stopping[] = "this host is stopping";
+
     request_run(entry_context& context,
                 const run_services& services,
                 std::shared_ptr<caller_exchange> exchange,
@@ -91,30 +112,37 @@
     bool is_resumption() const;
     /// whether another host, which has broken off, may have begun this stream
     bool may_have_begun_elsewhere() const;
+    /// whether it is to be found out where this stream has begun
+    bool needs_origin() const;
+    /// the attempt that has begun this stream
+    const attempt_id& beginning_attempt() const;
+    std::vector<pool_id> pools_of_route() const;
     void find_origin();
+    /// the refusal of a stream that cannot go on where it has begun
+    std::optional<refusal>
+    refusal_of_origin(const std::optional<stream_origin>& found) const;
     /// begins the stages, or the first attempt if there are none
     void begin_work();
     /// whether a target that takes work may go on with the stream
-    bool has_target_of_origin();
+    bool has_target_of_origin() const;
     bool may_run_at(const target_state& target) const;
-    pool_id choose_pool();
     std::optional<failure_domain_id> inputs_domain() const;
+    /// the target that choose_target() would choose; records nothing
+    target_state* select(random_source& random, skip_record* skipped = nullptr) const;
     target_state* choose_target();
-    /// leaves out the targets of other versions than that at which the stream should
-    /// begin, if one of it can be called
-    void prefer_version_of_stream(target_choice_input& input) const;
-    /// removes the other targets if one of the preferred can be called
-    /// @return whether it did
-    bool
-    prefer_targets(target_choice_input& input,
-                   const std::function<bool(const target_state*)>& is_preferred) const;
     /// the version at which this stream should begin; unset if it may begin at any
     std::optional<software_version> version_of_new_stream() const;
 
     // the stages before the request
     void run_stages();
+    /// @param planned the target that the request is planned for; null if there is none
+    pipeline_request make_pipeline_request(const target_state* planned) const;
     void on_stages_done(const std::vector<result_handle>& inputs);
     void on_stages_failed(pipeline_failure why, millis retry_after);
+    /// @param backoff records the refusal
+    refusal refusal_of_stages(pipeline_failure why,
+                              millis retry_after,
+                              refusal_backoff& backoff) const;
     void free_stage_results();
 
     // attempts
@@ -133,12 +161,15 @@
     void limit_connect_time(const target_state& target, call_options& options) const;
     /// sends a stream to a target of some version once the store names that as its origin
     void send_once_saved(const stream_origin& origin);
-    /// refuses the request if all targets of a pool that it needs are evacuated
-    /// @return whether it did
-    bool refuse_if_evacuated();
-    /// refuses or fails the request if targets crash under it or a part of its prompt
-    /// @return whether it did
-    bool end_if_blocked();
+    /// the refusal of a request if all targets of a pool that it needs are evacuated, or
+    /// none may go on with its stream
+    std::optional<refusal> refusal_of_work() const;
+    /// the refusal of a request if targets crash under it or a part of its prompt
+    std::optional<refusal> refusal_of_suspect() const;
+    /// @return whether there was one
+    bool end_if_refused(const std::optional<refusal>& found);
+    bool is_refused_for_shutdown() const;
+    refusal refusal_without_target(absl::string_view why) const;
     /// whether the process that answers may get the request now
     bool accepts_process(const start_answer& answer);
     /// whether the process that answers at the address of the target may get the request
@@ -187,6 +218,9 @@
     /// one may have
     /// @return whether it did
     bool forward_if_no_path();
+    /// whether another host is to run the request, since this one has no path
+    bool lacks_path() const;
+    std::optional<peer_host> next_forwarder(random_source& random) const;
     /// @return false if no other host is left that may have a path
     bool forward();
     void on_forward_not_taken(absl::string_view why);
@@ -196,6 +230,20 @@
     void on_forward_broken_off();
     void release_forward();
 
+    // explanations, see request_explain.cpp
+    void explain_decisions(random_source& random, nlohmann::json& said);
+    bool explain_origin(random_source& random, nlohmann::json& said);
+    bool explain_forward(random_source& random, nlohmann::json& said) const;
+    void explain_stages(const target_state* planned,
+                        random_source& random,
+                        nlohmann::json& said);
+    void explain_owner(std::size_t stage, nlohmann::json& said) const;
+    bool explain_refusal(const std::optional<refusal>& found,
+                         random_source& random,
+                         nlohmann::json& said) const;
+    const target_state* explain_selection(random_source& random, nlohmann::json& said);
+    std::optional<permit_terms> permits_for(const target_state& target) const;
+
     // the answer
     void begin_answer();
     void forward_events(absl::string_view data);
--- a/include/medlar/detail/entry/serving_configuration.hpp
+++ b/include/medlar/detail/entry/serving_configuration.hpp
@@ -140,11 +140,16 @@
     /// @return nullptr if none matches
     const route* find_route(absl::string_view host, absl::string_view path) const;
 
+    /// @brief Returns the routes of a host, the longest prefix first.
+    std::vector<const route*> routes_of_host(absl::string_view host) const;
+
     /// @brief Finds the rule of a pool.
     /// @return nullptr if the configuration has no such pool
     const pool_rule* find_pool(const pool_id& name) const;
 
   private:
+    const std::vector<std::size_t>* find_indexes(absl::string_view host) const;
+
     /// indices into routes by host, the longest prefix first
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
 };
--- a/include/medlar/detail/entry/stage_pipeline.hpp
+++ b/include/medlar/detail/entry/stage_pipeline.hpp
@@ -79,6 +79,15 @@
     /// request reads; unset if they are too small for their location to matter.
     std::optional<failure_domain_id> results_domain() const;
 
+    /// @brief Returns what the start of the stages is decided by, see decide_start().
+    start_input make_start_input() const;
+
+    /// @brief Returns after what time a request that is refused at its start may succeed.
+    static millis time_until_retry(const start_input& input);
+
+    /// @brief Returns the job of a stage as it would be now, without its pieces.
+    piece_job make_job(std::size_t stage) const;
+
     /// @brief Frees all results; the request has read them.
     void free_results();
 
@@ -129,7 +138,6 @@
     millis service_time_after(std::size_t stage) const;
     /// Returns the expected time of a stage, including the current queueing delay.
     millis expected_time(std::size_t stage) const;
-    start_input make_start_input() const;
     void handle_retry(millis time_since_refusal);
     void record_refusal();
     /// Returns the expected time of the critical path.
--- a/include/medlar/detail/hosts/cold_controller.hpp
+++ b/include/medlar/detail/hosts/cold_controller.hpp
@@ -52,6 +52,13 @@
     /// as one that returns to service after it got no requests.
     void record_return(const target_id& target);
 
+    /// @brief Returns the host that gives out the permits for a target while it is cold.
+    host_id issuer_of(const target_id& target) const;
+
+    /// @brief Returns whether this host would give out a permit for a cold target now.
+    /// @return unset if another host gives them out
+    std::optional<bool> would_issue(const target_state& target) const;
+
     /// @brief Asks for a permit to send one request to a cold target, to be written
     /// within cold_permit_validity. If it is not granted, the target may not be called
     /// until a permit can be had.
@@ -81,7 +88,6 @@
     };
 
     const cold_rule* rule_of(const pool_id& pool) const;
-    host_id issuer_of(const target_id& target) const;
     millis time_left(const target_state& target) const;
     /// records a time that is not from the entry, and tells it to all hosts if the target
     /// was not known to be cold
--- a/include/medlar/detail/hosts/limit_controller.hpp
+++ b/include/medlar/detail/hosts/limit_controller.hpp
@@ -44,6 +44,14 @@
     /// @param on_answer called once, also before this function returns
     void request_permit(const target_id& target, permit_action on_answer);
 
+    /// @brief Returns what a target needs permits for, and who gives them out; unset if
+    /// it needs none.
+    std::optional<permit_terms> terms_of(const target_state& target) const;
+
+    /// @brief Returns whether this host would give out a permit for a target now.
+    /// @return unset if another host gives them out, or the target needs none
+    std::optional<bool> would_issue(const target_state& target) const;
+
     /// @brief Takes the permit for a call to a target to which only this host sends
     /// calls.
     void take_permit(target_state& target);
--- a/include/medlar/detail/hosts/path_controller.hpp
+++ b/include/medlar/detail/hosts/path_controller.hpp
@@ -55,7 +55,8 @@
     /// @param tried hosts that are left out
     /// @return unset if there is none
     std::optional<peer_host> choose_forwarder(const pool_id& pool,
-                                              const std::set<host_id>& tried);
+                                              const std::set<host_id>& tried,
+                                              random_source& random) const;
 
     /// @brief Counts the requests that are forwarded to a host.
     void record_forwarded(const host_id& host, int change);
--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -90,6 +90,9 @@
                     const stream_origin& origin,
                     std::function<void(bool)> on_saved);
 
+    /// @brief Returns the origin of a stream, as far as this host knows it.
+    std::optional<stream_origin> find_here(const attempt_id& attempt) const;
+
     /// @brief Finds the origin of a stream.
     /// @param attempt the attempt that brought its first event; empty if unknown
     /// @param pools where it may have begun
--- a/include/medlar/detail/loop/http_server.hpp
+++ b/include/medlar/detail/loop/http_server.hpp
@@ -26,6 +26,10 @@
 class caller_exchange
 {
   public:
+    /// @brief Returns a request that no caller has sent and that nobody can be answered.
+    static std::shared_ptr<caller_exchange>
+    describe(request_head head, std::string body, steady_time arrived);
+
     const request_head& head() const
     {
         return head_;
--- a/src/dispatch/target_choice.cpp
+++ b/src/dispatch/target_choice.cpp
@@ -19,18 +19,29 @@
 constexpr double load_bound_factor = 1.5;
 constexpr double load_bound_slack = 2;
 
-std::vector<target_state*> usable_targets(const target_choice_input& input)
+void skip(skip_record* skipped, const target_state& target, skip_reason why)
+{
+    if (skipped != nullptr)
+    {
+        skipped->push_back({&target, why});
+    }
+}
+
+std::vector<target_state*> usable_targets(const target_choice_input& input,
+                                          skip_record* skipped)
 {
     std::vector<target_state*> usable;
     for (target_state* each : input.candidates)
     {
-        const bool tried =
-            std::find(input.tried.begin(), input.tried.end(), each->record.id) !=
-            input.tried.end();
-        if (!tried && may_call(*each, input.now))
+        const skip_reason why = reason_unusable(*each, input);
+        if (why == skip_reason::none)
         {
             usable.push_back(each);
         }
+        else
+        {
+            skip(skipped, *each, why);
+        }
     }
     return usable;
 }
@@ -72,18 +83,10 @@
     return order;
 }
 
-/// sends an ejected target whose probe is due one request, to test if it has recovered
-void begin_probe_if_due(target_state& target, steady_time now)
-{
-    if (probe_is_due(target.health, now))
-    {
-        target.health = start_probe(target.health);
-    }
-}
-
 target_state* least_loaded(const std::vector<target_state*>& usable,
                            const failure_domain_id& own_domain,
-                           random_source& random)
+                           random_source& random,
+                           skip_record* skipped)
 {
     target_state* best = nullptr;
     std::uint64_t ties = 0;
@@ -104,11 +107,40 @@
             best = each;
         }
     }
+    for (const target_state* each : usable)
+    {
+        if (skipped != nullptr && each != best)
+        {
+            const bool is_busier = calls_per_slot(*each) > calls_per_slot(*best);
+            const bool is_equal = rank(*each) == rank(*best);
+            skip(skipped,
+                 *each,
+                 is_busier  ? skip_reason::busier
+                 : is_equal ? skip_reason::drawn
+                            : skip_reason::farther);
+        }
+    }
     return best;
 }
 
 } // namespace
 
+skip_reason reason_unusable(const target_state& target, const target_choice_input& input)
+{
+    const bool is_tried =
+        std::find(input.tried.begin(), input.tried.end(), target.record.id) !=
+        input.tried.end();
+    return is_tried ? skip_reason::tried : reason_not_to_call(target, input.now);
+}
+
+void begin_probe_if_due(target_state& target, steady_time now)
+{
+    if (probe_is_due(target.health, now))
+    {
+        target.health = start_probe(target.health);
+    }
+}
+
 std::optional<std::uint64_t> shared_prefix_hash(const std::vector<prompt_part>& prompt)
 {
     if (prompt.empty())
@@ -121,24 +153,23 @@
     return XXH3_64bits(last_shared.id.data(), last_shared.id.size());
 }
 
-target_state* choose_least_busy(const target_choice_input& input, random_source& random)
+target_state* choose_least_busy(const target_choice_input& input,
+                                random_source& random,
+                                skip_record* skipped)
 {
-    target_state* chosen =
-        least_loaded(usable_targets(input), input.local_domain, random);
-    if (chosen != nullptr)
-    {
-        begin_probe_if_due(*chosen, input.now);
-    }
-    return chosen;
+    return least_loaded(
+        usable_targets(input, skipped), input.local_domain, random, skipped);
 }
 
-target_state* choose_engine(const target_choice_input& input, random_source& random)
+target_state* choose_engine(const target_choice_input& input,
+                            random_source& random,
+                            skip_record* skipped)
 {
-    const std::vector<target_state*> usable = usable_targets(input);
-    if (!input.prefix || usable.empty())
+    if (!input.prefix)
     {
-        return choose_least_busy(input, random);
+        return choose_least_busy(input, random, skipped);
     }
+    const std::vector<target_state*> usable = usable_targets(input, skipped);
     double total = 0;
     double total_weight = 0;
     for (const target_state* each : usable)
@@ -146,21 +177,37 @@
         total += each->in_flight;
         total_weight += each->speed_weight;
     }
-    const double bound = load_bound_factor * total / total_weight;
+    const double bound = usable.empty() ? 0 : load_bound_factor * total / total_weight;
     target_state* chosen = nullptr;
+    skip_record passed;
     for (const std::size_t i : weighted_order(*input.prefix, usable))
     {
-        if (usable[i]->in_flight < bound * usable[i]->speed_weight + load_bound_slack)
+        target_state* const each = usable[i];
+        const bool is_below =
+            each->in_flight < bound * each->speed_weight + load_bound_slack;
+        if (chosen == nullptr && is_below)
+        {
+            chosen = each;
+        }
+        if (skipped == nullptr && chosen != nullptr)
         {
-            chosen = usable[i];
             break;
         }
+        if (skipped != nullptr && each != chosen)
+        {
+            passed.push_back(
+                {each,
+                 is_below ? skip_reason::less_preferred : skip_reason::above_load_bound});
+        }
     }
     if (chosen == nullptr)
     {
-        chosen = least_loaded(usable, input.local_domain, random);
+        return least_loaded(usable, input.local_domain, random, skipped);
+    }
+    if (skipped != nullptr)
+    {
+        skipped->insert(skipped->end(), passed.begin(), passed.end());
     }
-    begin_probe_if_due(*chosen, input.now);
     return chosen;
 }
 
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -157,11 +157,15 @@
 }
 
 std::optional<millis> target_table::time_until_callable(const pool_id& pool,
-                                                        steady_time now)
+                                                        steady_time now) const
 {
     std::optional<millis> first;
-    for (const target_state* each : serving(pool))
+    for (const target_state* each : of_pool(pool))
     {
+        if (!takes_work(*each))
+        {
+            continue;
+        }
         const steady_time from =
             std::max({each->paused_until, each->refused_until, each->limited_until});
         const millis wait = std::max(millis(0), from - now);
@@ -217,6 +221,12 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+const target_state* target_table::find(const target_id& id) const
+{
+    const auto found = targets_.find(id);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
 const target_state* target_table::find_by_address(const endpoint& where) const
 {
     const auto indexed = by_address_.find(where);
@@ -299,6 +309,32 @@
     return found;
 }
 
+std::vector<target_state*> target_table::of_pool(const pool_id& pool)
+{
+    std::vector<target_state*> found;
+    for (auto& each : targets_)
+    {
+        if (each.second.record.pool == pool)
+        {
+            found.push_back(&each.second);
+        }
+    }
+    return found;
+}
+
+std::vector<const target_state*> target_table::of_pool(const pool_id& pool) const
+{
+    std::vector<const target_state*> found;
+    for (const auto& each : targets_)
+    {
+        if (each.second.record.pool == pool)
+        {
+            found.push_back(&each.second);
+        }
+    }
+    return found;
+}
+
 std::int64_t start_of(const target_state& target)
 {
     return target.answering_start.value_or(target.record.started_ms);
@@ -314,9 +350,18 @@
     return target.record.is_draining || target.is_leaving;
 }
 
+skip_reason reason_without_work(const target_state& target)
+{
+    if (is_stopping(target))
+    {
+        return target.is_leaving ? skip_reason::leaving : skip_reason::draining;
+    }
+    return target.is_evacuated ? skip_reason::evacuated : skip_reason::none;
+}
+
 bool takes_work(const target_state& target)
 {
-    return !is_stopping(target) && !target.is_evacuated;
+    return reason_without_work(target) == skip_reason::none;
 }
 
 millis pause_after_refusal(std::optional<double> refusal_limit)
@@ -340,12 +385,31 @@
     return target.refusal_limit && target.in_flight >= std::max(1.0, share);
 }
 
+skip_reason reason_not_to_call(const target_state& target, steady_time now)
+{
+    if (now < target.refused_until)
+    {
+        return skip_reason::refused;
+    }
+    if (now < target.paused_until)
+    {
+        return skip_reason::paused;
+    }
+    if (now < target.limited_until)
+    {
+        return skip_reason::limited;
+    }
+    if (target.health.state == health_state::healthy || probe_is_due(target.health, now))
+    {
+        return skip_reason::none;
+    }
+    return target.health.state == health_state::probing ? skip_reason::probing
+                                                        : skip_reason::ejected;
+}
+
 bool may_call(const target_state& target, steady_time now)
 {
-    return now >= target.refused_until && now >= target.paused_until &&
-           now >= target.limited_until &&
-           (target.health.state == health_state::healthy ||
-            probe_is_due(target.health, now));
+    return reason_not_to_call(target, now) == skip_reason::none;
 }
 
 void record_call(target_state& target,
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -330,19 +330,6 @@
     }
 }
 
-std::string entry_host::reason_not_to_take(const caller_exchange& exchange) const
-{
-    if (!accepts_requests() || !has_started())
-    {
-        return "not serving";
-    }
-    std::int64_t version = 0;
-    const bool is_newer =
-        absl::SimpleAtoi(exchange.head().headers.get(forward_version_header), &version) &&
-        version > context_.configuration->version;
-    return is_newer ? "older configuration" : "";
-}
-
 bool entry_host::lacks_path(const route& wanted) const
 {
     return std::any_of(wanted.pools.begin(),
@@ -353,116 +340,100 @@
                        });
 }
 
+route_decision entry_host::route_for(const request_head& head,
+                                     const request_fields& fields,
+                                     bool is_forwarded) const
+{
+    route_input input{
+        context_.configuration.get(), head.headers.get("host"), head.path(), fields};
+    input.is_stopping = !accepts_requests();
+    input.has_started = has_started();
+    input.is_forwarded = is_forwarded;
+    std::int64_t version = 0;
+    if (absl::SimpleAtoi(head.headers.get(forward_version_header), &version))
+    {
+        input.version_of_sender = version;
+    }
+    input.lacks_path = [this](const route& wanted)
+    {
+        return lacks_path(wanted);
+    };
+    return decide_route(input);
+}
+
+run_services entry_host::services()
+{
+    return {broker_,
+            crash_controller_,
+            limit_controller_,
+            stream_origins_,
+            path_controller_,
+            speed_controller_};
+}
+
 void entry_host::serve(const std::shared_ptr<caller_exchange>& exchange,
                        bool is_forwarded)
 {
     const request_fields fields = context_.protocol.read_request(exchange->head());
-    const auto refuse_to_take = [&](const std::string& why)
+    const configuration_ptr configuration = context_.configuration;
+    const route_decision decided = route_for(exchange->head(), fields, is_forwarded);
+    if (decided.is_not_taken)
     {
         send_local_reply(context_.protocol,
                          *exchange,
                          fields.attempt,
                          status_unavailable,
-                         {{forward_not_taken_header, why}},
-                         why);
-    };
-    const std::string reason = is_forwarded ? reason_not_to_take(*exchange) : "";
-    if (!reason.empty())
-    {
-        refuse_to_take(reason);
-        return;
-    }
-    if (!accepts_requests())
-    {
-        send_error_reply(exchange, fields, status_unavailable, "this host is stopping");
-        return;
-    }
-    if (!has_started())
-    {
-        send_error_reply(exchange,
-                         fields,
-                         status_unavailable,
-                         context_.configuration ? "this host has not asked its peers yet"
-                                                : "this host has no configuration yet");
+                         {{forward_not_taken_header, decided.why}},
+                         decided.why);
         return;
     }
-    const configuration_ptr configuration = context_.configuration;
-    const route* const found = configuration->find_route(
-        exchange->head().headers.get("host"), exchange->head().path());
-    if (found == nullptr && is_forwarded)
-    {
-        refuse_to_take("no route matches");
-        return;
-    }
-    if (found == nullptr)
-    {
-        send_error_reply(exchange, fields, status_not_found, "no route matches");
-        return;
-    }
-    if (is_forwarded && lacks_path(*found))
-    {
-        refuse_to_take(forward_no_path);
-        return;
-    }
-    std::optional<organisation_rule> organisation;
-    const auto known = configuration->organisations_by_key.find(fields.access_key);
-    if (known != configuration->organisations_by_key.end())
-    {
-        organisation = known->second;
-    }
-    else if (configuration->has_organisations && !found->is_public)
-    {
-        if (is_forwarded)
-        {
-            refuse_to_take("the access key is unknown");
-            return;
-        }
-        send_error_reply(
-            exchange, fields, status_unauthorised, "the access key is unknown");
-        return;
-    }
-    if (fields.attempt.get().empty())
+    if (decided.matched == nullptr)
     {
-        send_error_reply(exchange, fields, status_bad_request, "the attempt has no id");
+        send_error_reply(exchange, fields, decided);
         return;
     }
     request_run::create(context_,
-                        {broker_,
-                         crash_controller_,
-                         limit_controller_,
-                         stream_origins_,
-                         path_controller_,
-                         speed_controller_},
+                        services(),
                         exchange,
                         fields,
                         configuration,
-                        *found,
-                        organisation,
+                        *decided.matched,
+                        decided.organisation,
                         is_forwarded)
         ->start();
 }
 
-void entry_host::send_error_reply(const std::shared_ptr<caller_exchange>& exchange,
-                                  const request_fields& fields,
-                                  int status,
-                                  absl::string_view why)
+std::vector<header_field> entry_host::headers_without_route(int status) const
 {
-    std::vector<header_field> more;
+    std::vector<header_field> headers;
     if (status == status_unavailable)
     {
-        more.push_back(context_.protocol.retry_after(retry_after_start));
+        headers.push_back(context_.protocol.retry_after(retry_after_start));
     }
     if (status == status_unauthorised)
     {
-        more.push_back({"WWW-Authenticate", "Bearer"});
+        headers.push_back({"WWW-Authenticate", "Bearer"});
     }
-    context_.metrics->add("medlar_requests_total", {{"status", absl::StrCat(status)}});
+    return headers;
+}
+
+void entry_host::send_error_reply(const std::shared_ptr<caller_exchange>& exchange,
+                                  const request_fields& fields,
+                                  const route_decision& decided)
+{
+    context_.metrics->add("medlar_requests_total",
+                          {{"status", absl::StrCat(decided.status)}});
     log_event(entry_request_ended,
               {{"attempt", fields.attempt.get()},
                {"version", context_.configuration ? context_.configuration->version : -1},
-               {"outcome", why},
-               {"status", std::int64_t{status}}});
-    send_local_reply(context_.protocol, *exchange, fields.attempt, status, more, why);
+               {"outcome", decided.why},
+               {"status", std::int64_t{decided.status}}});
+    send_local_reply(context_.protocol,
+                     *exchange,
+                     fields.attempt,
+                     decided.status,
+                     headers_without_route(decided.status),
+                     decided.why);
 }
 
 bool entry_host::has_started() const
@@ -499,6 +470,11 @@
 
 void entry_host::serve_metrics(const std::shared_ptr<caller_exchange>& exchange)
 {
+    if (exchange->head().path() == explain_path)
+    {
+        serve_explanation(exchange);
+        return;
+    }
     const std::pair<std::size_t, std::size_t> load = piece_service_.load();
     context_.metrics->set("medlar_pieces_waiting", {}, static_cast<double>(load.first));
     context_.metrics->set(
--- a/src/entry/piece_broker.cpp
+++ b/src/entry/piece_broker.cpp
@@ -149,7 +149,7 @@
 
 piece_broker::owned_group piece_broker::owner_for(const pool_id& pool,
                                                   const failure_domain_id& domain,
-                                                  const std::string& key)
+                                                  const std::string& key) const
 {
     std::vector<failure_domain_id> domains;
     for (const target_state* each : context_.targets.serving(pool))
@@ -163,6 +163,13 @@
     return {group, rank_owners(group, paths_.hosts_with_path(pool)).front()};
 }
 
+piece_broker::owned_group piece_broker::owner_of(const pool_id& pool,
+                                                 const piece_job& job) const
+{
+    return owner_for(
+        pool, job.preferred_domain, job.key.empty() ? job.attempt.get() : job.key);
+}
+
 broker_ticket
 piece_broker::submit(const pool_id& pool, piece_job job, broker_callbacks callbacks)
 {
@@ -180,10 +187,7 @@
 void piece_broker::dispatch(broker_ticket ticket)
 {
     open_job& open = open_jobs_.at(ticket);
-    const owned_group placed =
-        owner_for(open.pool,
-                  open.job.preferred_domain,
-                  open.job.key.empty() ? open.job.attempt.get() : open.job.key);
+    const owned_group placed = owner_of(open.pool, open.job);
     open.group = placed.group;
     const bool is_remote =
         placed.owner != peers_.self().id && open.reassignments <= max_reassignments &&
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -1,3 +1,4 @@
+#include <medlar/detail/dispatch/target_selection.hpp>
 #include <medlar/detail/entry/piece_service.hpp>
 #include <medlar/detail/http/status.hpp>
 #include <medlar/detail/log/entry_events.hpp>
@@ -67,16 +68,12 @@
                                     bool is_for_sending)
 {
     std::vector<piece_target> targets;
-    // pieces that wait, or come from hosts that do not know of the evacuation, would wait
-    // until their deadlines
-    const bool is_whole_pool =
-        group.domain.empty() ||
-        context_.targets.is_evacuated(failure_domain_id(group.domain));
-    for (const target_state* each : context_.targets.serving(group.pool))
+    const bool takes_all = is_whole_pool(group, context_.targets);
+    for (const target_state* each : context_.targets.of_pool(group.pool))
     {
-        const bool is_in_group =
-            is_whole_pool || each->record.domain.get() == group.domain;
-        if (is_in_group && may_call(*each, context_.loop.now()) &&
+        const skip_reason why =
+            reason_not_in_use(*each, group, takes_all, context_.loop.now());
+        if (why == skip_reason::none &&
             (!is_for_sending || may_send_to(group, state, *each)))
         {
             targets.push_back(
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -1,5 +1,6 @@
 // Part of request_run: forwards the answer of a target to the caller.
 
+#include <medlar/detail/dispatch/refusal_delay.hpp>
 #include <medlar/detail/entry/local_reply.hpp>
 #include <medlar/detail/entry/request_run.hpp>
 #include <medlar/detail/http/status.hpp>
@@ -195,14 +196,7 @@
         abort_answer(why);
         return;
     }
-    // Callers honour a delay of at most a third of their remaining time. A jitter of
-    // 25 % keeps requests that are refused together from being retried together.
-    const millis max_delay = remaining_time() / 3;
-    const double jitter = 0.75 + 0.5 * context_.random.fraction();
-    const millis delay(std::clamp<std::int64_t>(
-        static_cast<std::int64_t>(static_cast<double>(retry_after.count()) * jitter),
-        0,
-        std::max<std::int64_t>(0, max_delay.count())));
+    const millis delay = refusal_delay(retry_after, remaining_time(), context_.random);
     send_local_reply(context_.protocol,
                      *exchange_,
                      fields_.attempt,
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -39,17 +39,17 @@
 
 } // namespace
 
-bool request_run::end_if_blocked()
+std::optional<request_run::refusal> request_run::refusal_of_suspect() const
 {
     const std::optional<blocked_suspect> blocked = crashes_.find_blocked(suspects_);
     if (!blocked)
     {
-        return false;
+        return std::nullopt;
     }
     const auto part =
         std::find(suspects_.prompt.begin(), suspects_.prompt.end(), blocked->suspect);
     const bool is_part = part != suspects_.prompt.end();
-    refuse_or_fail(
+    return refusal{
         status_bad_gateway,
         blocked->left,
         is_part
@@ -61,17 +61,37 @@
                   "\" crashes targets")
             : absl::StrCat("request ",
                            absl::Hex(blocked->suspect.get(), absl::kZeroPad16),
-                           " crashes targets"));
-    return true;
+                           " crashes targets")};
+}
+
+bool request_run::end_if_refused(const std::optional<refusal>& found)
+{
+    if (found)
+    {
+        refuse_or_fail(found->status_if_run, found->retry_after, found->why);
+    }
+    return found.has_value();
+}
+
+bool request_run::is_refused_for_shutdown() const
+{
+    return !exchange_->has_begun() && has_not_run() && is_cut_by_shutdown();
+}
+
+request_run::refusal request_run::refusal_without_target(absl::string_view why) const
+{
+    return {status_bad_gateway,
+            std::max(retry_after_no_target, context_.time_until_callable(pool_)),
+            std::string(why)};
 }
 
 void request_run::send()
 {
-    if (end_if_blocked() || forward_if_no_path())
+    if (end_if_refused(refusal_of_suspect()) || forward_if_no_path())
     {
         return;
     }
-    if (!exchange_->has_begun() && has_not_run() && is_cut_by_shutdown())
+    if (is_refused_for_shutdown())
     {
         refuse_for_shutdown();
         return;
@@ -92,7 +112,7 @@
     }
     if (target == nullptr)
     {
-        on_attempts_failed("no target can be called");
+        on_attempts_failed(why_no_target);
         return;
     }
     const std::optional<software_version> version = version_of_new_stream();
@@ -501,9 +521,7 @@
 
 void request_run::on_attempts_failed(absl::string_view why)
 {
-    refuse_or_fail(status_bad_gateway,
-                   std::max(retry_after_no_target, context_.time_until_callable(pool_)),
-                   why);
+    end_if_refused(refusal_without_target(why));
 }
 
 void request_run::refuse_or_fail(int status_if_run,
--- a/src/entry/request_evacuation.cpp
+++ b/src/entry/request_evacuation.cpp
@@ -1,6 +1,7 @@
-// Part of request_run: refuses a request whose targets are all evacuated.
+// Part of request_run: refuses a request that no target can serve.
 
 #include <medlar/detail/entry/request_run.hpp>
+#include <medlar/detail/http/status.hpp>
 
 #include <absl/strings/str_cat.h>
 
@@ -10,7 +11,7 @@
 namespace medlar
 {
 
-bool request_run::refuse_if_evacuated()
+std::optional<request_run::refusal> request_run::refusal_of_work() const
 {
     std::vector<pool_id> needed{pool_};
     for (std::size_t i = 0; i < route_.stages.size(); ++i)
@@ -26,13 +27,22 @@
                                         {
                                             return context_.targets.is_evacuated(each);
                                         });
-    if (evacuated == needed.end())
+    if (evacuated != needed.end())
     {
-        return false;
+        return refusal{
+            status_unavailable,
+            std::max(retry_after_no_target, context_.time_until_callable(*evacuated)),
+            absl::StrCat("all targets of pool \"", evacuated->get(), "\" are evacuated")};
     }
-    refuse(std::max(retry_after_no_target, context_.time_until_callable(*evacuated)),
-           absl::StrCat("all targets of pool \"", evacuated->get(), "\" are evacuated"));
-    return true;
+    if (!has_target_of_origin())
+    {
+        return refusal{status_unavailable,
+                       retry_after_no_target,
+                       absl::StrCat("no target has version \"",
+                                    origin_->version.get(),
+                                    "\", which began the stream")};
+    }
+    return std::nullopt;
 }
 
 } // namespace medlar
--- a/src/entry/request_forwarding.cpp
+++ b/src/entry/request_forwarding.cpp
@@ -18,21 +18,27 @@
 } // namespace
 
 bool request_run::forward_if_no_path()
+{
+    return lacks_path() && forward();
+}
+
+bool request_run::lacks_path() const
 {
     // an answer that has begun can only go on at a target
-    return !is_forwarded_ && !exchange_->has_begun() && !paths_.has_path(pool_) &&
-           forward();
+    return !is_forwarded_ && !exchange_->has_begun() && !paths_.has_path(pool_);
+}
+
+std::optional<peer_host> request_run::next_forwarder(random_source& random) const
+{
+    const bool may_forward =
+        !attempts_.is_used_up() && tried_hosts_.size() < max_tried_hosts;
+    return may_forward ? paths_.choose_forwarder(pool_, tried_hosts_, random)
+                       : std::nullopt;
 }
 
 bool request_run::forward()
 {
-    if (attempts_.is_used_up())
-    {
-        return false;
-    }
-    const std::optional<peer_host> to = tried_hosts_.size() < max_tried_hosts
-                                            ? paths_.choose_forwarder(pool_, tried_hosts_)
-                                            : std::nullopt;
+    const std::optional<peer_host> to = next_forwarder(context_.random);
     if (!to)
     {
         return false;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -1,4 +1,4 @@
-#include <medlar/detail/dispatch/target_choice.hpp>
+#include <medlar/detail/dispatch/target_selection.hpp>
 #include <medlar/detail/entry/local_reply.hpp>
 #include <medlar/detail/entry/request_run.hpp>
 #include <medlar/detail/http/status.hpp>
@@ -54,6 +54,14 @@
       is_forwarded_(is_forwarded),
       answer_charge_(context.loop.memory())
 {
+    deadline_ =
+        exchange_->arrived() +
+        (fields_.deadline ? std::min(*fields_.deadline, route_.timeout) : route_.timeout);
+    std::int64_t resumed_after = 0;
+    if (is_resumption() && absl::SimpleAtoi(fields_.resume_after, &resumed_after))
+    {
+        last_event_id_ = resumed_after;
+    }
 }
 
 std::shared_ptr<request_run>
@@ -123,10 +131,7 @@
 void request_run::start()
 {
     context_.running_requests.insert(shared_from_this());
-    const millis timeout =
-        fields_.deadline ? std::min(*fields_.deadline, route_.timeout) : route_.timeout;
-    deadline_ = exchange_->arrived() + timeout;
-    timer_ = context_.loop.after(timeout,
+    timer_ = context_.loop.after(deadline_ - exchange_->arrived(),
                                  [this]
                                  {
                                      on_timeout();
@@ -136,21 +141,16 @@
         {
             on_caller_left();
         });
-    std::int64_t resumed_after = 0;
-    if (is_resumption() && absl::SimpleAtoi(fields_.resume_after, &resumed_after))
-    {
-        last_event_id_ = resumed_after;
-    }
-    if (end_if_blocked())
+    if (end_if_refused(refusal_of_suspect()))
     {
         return;
     }
-    pool_ = choose_pool();
+    pool_ = choose_pool(route_.pools, context_.random);
     if (forward_if_no_path())
     {
         return;
     }
-    if (is_resumption() || may_have_begun_elsewhere())
+    if (needs_origin())
     {
         find_origin();
         return;
@@ -169,21 +169,55 @@
            exchange_->head().headers.find(forward_repeated_header) != nullptr;
 }
 
-void request_run::find_origin()
+bool request_run::needs_origin() const
+{
+    return is_resumption() || may_have_begun_elsewhere();
+}
+
+const attempt_id& request_run::beginning_attempt() const
 {
     // the caller names the stream by this attempt later, whichever host has begun it
-    const attempt_id& begun_by =
-        is_resumption() ? fields_.resumed_attempt : fields_.attempt;
+    return is_resumption() ? fields_.resumed_attempt : fields_.attempt;
+}
+
+std::vector<pool_id> request_run::pools_of_route() const
+{
     std::vector<pool_id> pools;
     for (const weighted_pool& each : route_.pools)
     {
         pools.push_back(each.pool);
     }
+    return pools;
+}
+
+std::optional<request_run::refusal>
+request_run::refusal_of_origin(const std::optional<stream_origin>& found) const
+{
+    if (!found)
+    {
+        return refusal{status_unavailable,
+                       retry_after_no_target,
+                       "the version that began the stream is unknown"};
+    }
+    const std::vector<pool_id> pools = pools_of_route();
+    if (std::find(pools.begin(), pools.end(), found->pool) == pools.end())
+    {
+        return refusal{status_unavailable,
+                       retry_after_no_target,
+                       "the stream began in a pool that the route left"};
+    }
+    return std::nullopt;
+}
+
+void request_run::find_origin()
+{
+    const attempt_id& begun_by = beginning_attempt();
+    const std::vector<pool_id> pools = pools_of_route();
     const std::weak_ptr<request_run> weak = weak_from_this();
     origins_.find(begun_by,
                   pools,
                   is_resumption() ? resumption_store_wait : repetition_store_wait,
-                  [weak, pools, begun_by](const origin_result& found)
+                  [weak, begun_by](const origin_result& found)
                   {
                       const std::optional<stream_origin>& origin = found.origin;
                       const auto self = weak.lock();
@@ -197,17 +231,9 @@
                                  {"pool", origin ? origin->pool.get() : ""},
                                  {"version", origin ? origin->version.get() : ""},
                                  {"source", to_string(found.source)}});
-                      if (!origin)
+                      if (const auto refused = self->refusal_of_origin(origin))
                       {
-                          self->refuse(retry_after_no_target,
-                                       "the version that began the stream is unknown");
-                          return;
-                      }
-                      if (std::find(pools.begin(), pools.end(), origin->pool) ==
-                          pools.end())
-                      {
-                          self->refuse(retry_after_no_target,
-                                       "the stream began in a pool that the route left");
+                          self->refuse(refused->retry_after, refused->why);
                           return;
                       }
                       const auto unlisted = read_unlisted_version(origin->version);
@@ -225,16 +251,9 @@
 
 void request_run::begin_work()
 {
-    if (refuse_if_evacuated())
+    if (const std::optional<refusal> refused = refusal_of_work())
     {
-        return;
-    }
-    if (!has_target_of_origin())
-    {
-        refuse(retry_after_no_target,
-               absl::StrCat("no target has version \"",
-                            origin_->version.get(),
-                            "\", which began the stream"));
+        refuse(refused->retry_after, refused->why);
     }
     else if (route_.stages.empty())
     {
@@ -263,7 +282,7 @@
     return origins_.is_of(*origin_, origins_.version_of(target));
 }
 
-bool request_run::has_target_of_origin()
+bool request_run::has_target_of_origin() const
 {
     if (!origin_)
     {
@@ -278,77 +297,49 @@
                        });
 }
 
-pool_id request_run::choose_pool()
-{
-    double total = 0;
-    for (const weighted_pool& each : route_.pools)
-    {
-        total += each.weight;
-    }
-    double position = context_.random.fraction() * total;
-    for (const weighted_pool& each : route_.pools)
-    {
-        position -= each.weight;
-        if (position < 0)
-        {
-            return each.pool;
-        }
-    }
-    return route_.pools.back().pool;
-}
-
 std::optional<failure_domain_id> request_run::inputs_domain() const
 {
     return has_inputs_ ? pipeline_->results_domain() : std::nullopt;
 }
 
-target_state* request_run::choose_target()
+target_state* request_run::select(random_source& random, skip_record* skipped) const
 {
     target_choice_input input;
-    input.candidates = context_.targets.serving(pool_);
-    input.candidates.erase(
-        std::remove_if(input.candidates.begin(),
-                       input.candidates.end(),
-                       [this](const target_state* each)
-                       {
-                           return !may_run_at(*each) || is_left_out_as_cold(*each) ||
-                                  has_used_share(*each, context_.host_count);
-                       }),
-        input.candidates.end());
-    prefer_version_of_stream(input);
-    if (const std::optional<failure_domain_id> near = inputs_domain())
-    {
-        const auto other_domains =
-            std::stable_partition(input.candidates.begin(),
-                                  input.candidates.end(),
-                                  [&](const target_state* each)
-                                  {
-                                      return each->record.domain == *near;
-                                  });
-        const bool has_usable_near =
-            std::any_of(input.candidates.begin(),
-                        other_domains,
-                        [this](const target_state* each)
-                        {
-                            return may_call(*each, context_.loop.now()) &&
-                                   std::find(tried_targets_.begin(),
-                                             tried_targets_.end(),
-                                             each->record.id) == tried_targets_.end();
-                        });
-        if (has_usable_near)
-        {
-            input.candidates.erase(other_domains, input.candidates.end());
-        }
-    }
+    input.candidates = context_.targets.of_pool(pool_);
     input.tried = tried_targets_;
     input.local_domain = context_.settings.domain;
     input.now = context_.loop.now();
     if (is_stream())
     {
         input.prefix = shared_prefix_hash(fields_.prompt);
-        return choose_engine(input, context_.random);
     }
-    return choose_least_busy(input, context_.random);
+    selection_rules rules;
+    rules.may_run_at = [this](const target_state& each)
+    {
+        return may_run_at(each);
+    };
+    rules.is_left_out_as_cold = [this](const target_state& each)
+    {
+        return is_left_out_as_cold(each);
+    };
+    rules.host_count = context_.host_count;
+    rules.version = version_of_new_stream();
+    rules.version_of = [this](const target_state& each)
+    {
+        return origins_.version_of(each);
+    };
+    rules.inputs_domain = inputs_domain();
+    return select_target(std::move(input), rules, random, skipped);
+}
+
+target_state* request_run::choose_target()
+{
+    target_state* const chosen = select(context_.random);
+    if (chosen != nullptr)
+    {
+        begin_probe_if_due(*chosen, context_.loop.now());
+    }
+    return chosen;
 }
 
 std::optional<software_version> request_run::version_of_new_stream() const
@@ -358,59 +349,32 @@
                : std::nullopt;
 }
 
-void request_run::prefer_version_of_stream(target_choice_input& input) const
+void request_run::run_stages()
 {
-    const std::optional<software_version> version = version_of_new_stream();
-    if (!version)
+    if (const target_state* planned = choose_target())
     {
-        return;
+        planned_target_ = planned->record.id;
+        ++context_.targets.find(planned_target_)->in_flight;
     }
-    const auto is_of_version = [&](const target_state* each)
+    pipeline_callbacks callbacks;
+    callbacks.on_done = [this](const std::vector<result_handle>& inputs)
     {
-        return origins_.version_of(*each) == *version;
+        on_stages_done(inputs);
     };
-    const auto is_unknown = [](const target_state* each)
+    callbacks.on_failed = [this](pipeline_failure why, millis retry_after)
     {
-        return each->is_start_unknown;
+        on_stages_failed(why, retry_after);
     };
-    // a target of another version may turn out not to answer for its start
-    if (!prefer_targets(input, is_of_version))
-    {
-        prefer_targets(input, is_unknown);
-    }
-}
-
-bool request_run::prefer_targets(
-    target_choice_input& input,
-    const std::function<bool(const target_state*)>& is_preferred) const
-{
-    const auto others = std::stable_partition(
-        input.candidates.begin(), input.candidates.end(), is_preferred);
-    const bool has_usable =
-        std::any_of(input.candidates.begin(),
-                    others,
-                    [this](const target_state* each)
-                    {
-                        return may_call(*each, context_.loop.now()) &&
-                               std::find(tried_targets_.begin(),
-                                         tried_targets_.end(),
-                                         each->record.id) == tried_targets_.end();
-                    });
-    if (has_usable)
-    {
-        input.candidates.erase(others, input.candidates.end());
-    }
-    return has_usable;
+    pipeline_ = stage_pipeline::create(
+        context_,
+        broker_,
+        make_pipeline_request(context_.targets.find(planned_target_)),
+        std::move(callbacks));
+    pipeline_->start();
 }
 
-void request_run::run_stages()
+pipeline_request request_run::make_pipeline_request(const target_state* planned) const
 {
-    if (const target_state* planned = choose_target())
-    {
-        planned_target_ = planned->record.id;
-        ++context_.targets.find(planned_target_)->in_flight;
-    }
-    const target_state* const planned = context_.targets.find(planned_target_);
     pipeline_request request;
     request.attempt = fields_.attempt;
     request.piece_key = fields_.piece_key;
@@ -434,18 +398,7 @@
                                         context_.expected_answer_time(pool_));
         request.soft_deadline = std::min(request.soft_deadline, request.deadline);
     }
-    pipeline_callbacks callbacks;
-    callbacks.on_done = [this](const std::vector<result_handle>& inputs)
-    {
-        on_stages_done(inputs);
-    };
-    callbacks.on_failed = [this](pipeline_failure why, millis retry_after)
-    {
-        on_stages_failed(why, retry_after);
-    };
-    pipeline_ = stage_pipeline::create(
-        context_, broker_, std::move(request), std::move(callbacks));
-    pipeline_->start();
+    return request;
 }
 
 void request_run::on_stages_done(const std::vector<result_handle>& inputs)
@@ -457,15 +410,20 @@
 }
 
 void request_run::on_stages_failed(pipeline_failure why, millis retry_after)
+{
+    // the request may have run already: its stages may have run again for a retry
+    end_if_refused(refusal_of_stages(why, retry_after, context_.caller_backoff));
+}
+
+request_run::refusal request_run::refusal_of_stages(pipeline_failure why,
+                                                    millis retry_after,
+                                                    refusal_backoff& backoff) const
 {
     if (why == pipeline_failure::refused)
     {
-        retry_after = std::max(
-            retry_after, context_.caller_backoff.record_refusal(context_.loop.now()));
+        retry_after = std::max(retry_after, backoff.record_refusal(context_.loop.now()));
     }
-    // the request may have run already: its stages may have run again for a retry
-    refuse_or_fail(
-        status_gateway_timeout, retry_after, absl::StrCat("stages ", to_string(why)));
+    return {status_gateway_timeout, retry_after, absl::StrCat("stages ", to_string(why))};
 }
 
 void request_run::free_stage_results()
@@ -493,7 +451,7 @@
 
 void request_run::refuse_for_shutdown()
 {
-    constexpr absl::string_view why = "this host is stopping";
+    constexpr absl::string_view why = why_stopping;
     if (!is_forwarded_)
     {
         refuse(retry_after_no_target, why);
--- a/src/entry/serving_configuration.cpp
+++ b/src/entry/serving_configuration.cpp
@@ -49,16 +49,23 @@
     }
 }
 
-const route* serving_configuration::find_route(absl::string_view host,
-                                               absl::string_view path) const
+const std::vector<std::size_t>*
+serving_configuration::find_indexes(absl::string_view host) const
 {
     const std::string name = absl::AsciiStrToLower(host.substr(0, host.find(':')));
     const auto found = routes_by_host_.find(name);
-    if (found == routes_by_host_.end())
+    return found == routes_by_host_.end() ? nullptr : &found->second;
+}
+
+const route* serving_configuration::find_route(absl::string_view host,
+                                               absl::string_view path) const
+{
+    const std::vector<std::size_t>* const indexes = find_indexes(host);
+    if (indexes == nullptr)
     {
         return nullptr;
     }
-    for (const std::size_t i : found->second)
+    for (const std::size_t i : *indexes)
     {
         if (absl::StartsWith(path, routes[i].prefix))
         {
@@ -68,6 +75,18 @@
     return nullptr;
 }
 
+std::vector<const route*>
+serving_configuration::routes_of_host(absl::string_view host) const
+{
+    std::vector<const route*> found;
+    const std::vector<std::size_t>* const indexes = find_indexes(host);
+    for (std::size_t i = 0; indexes != nullptr && i < indexes->size(); ++i)
+    {
+        found.push_back(&routes[(*indexes)[i]]);
+    }
+    return found;
+}
+
 const pool_rule* serving_configuration::find_pool(const pool_id& name) const
 {
     const auto found = pools.find(name);
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -77,6 +77,11 @@
             any_done_};
 }
 
+millis stage_pipeline::time_until_retry(const start_input& input)
+{
+    return input.expected_time / retry_after_divisor;
+}
+
 void stage_pipeline::handle_retry(millis time_since_refusal)
 {
     if (ended_ || is_retry_)
@@ -96,7 +101,7 @@
                {"chosen", to_string(chosen)}});
     if (chosen == start_decision::refused)
     {
-        fail(pipeline_failure::refused, input.expected_time / retry_after_divisor);
+        fail(pipeline_failure::refused, time_until_retry(input));
         return;
     }
     is_background_ = is_background_ || chosen == start_decision::late;
@@ -132,7 +137,7 @@
         // deferred: the request is still being set up
         const std::weak_ptr<stage_pipeline> weak = weak_from_this();
         context_.loop.after(millis(0),
-                            [weak, wait = input.expected_time / retry_after_divisor]
+                            [weak, wait = time_until_retry(input)]
                             {
                                 if (const auto self = weak.lock())
                                 {
@@ -347,21 +352,12 @@
                         });
 }
 
-void stage_pipeline::start_stage(std::size_t stage)
+piece_job stage_pipeline::make_job(std::size_t stage) const
 {
     const stage_rule& rule = request_.stages[stage];
-    stage_state& state = stages_[stage];
-    state.status = stage_status::running;
-    state.results.assign(static_cast<std::size_t>(request_.pieces[stage]), std::nullopt);
-    state.missing = request_.pieces[stage];
-    state.started_at = context_.loop.now();
     piece_job job;
     job.attempt = request_.attempt;
     job.stage = stage;
-    for (int i = 0; i < request_.pieces[stage]; ++i)
-    {
-        job.pieces.push_back(i);
-    }
     if (rule.after.empty())
     {
         job.key = request_.piece_key;
@@ -383,6 +379,21 @@
     job.result_size = rule.result_size;
     job.is_refusable = !any_done_;
     job.is_background = is_background_;
+    return job;
+}
+
+void stage_pipeline::start_stage(std::size_t stage)
+{
+    stage_state& state = stages_[stage];
+    state.status = stage_status::running;
+    state.results.assign(static_cast<std::size_t>(request_.pieces[stage]), std::nullopt);
+    state.missing = request_.pieces[stage];
+    state.started_at = context_.loop.now();
+    piece_job job = make_job(stage);
+    for (int i = 0; i < request_.pieces[stage]; ++i)
+    {
+        job.pieces.push_back(i);
+    }
     const std::weak_ptr<stage_pipeline> weak = weak_from_this();
     broker_callbacks callbacks;
     callbacks.on_refused = [weak](millis retry_after)
@@ -406,7 +417,8 @@
             self->piece_done(stage, piece, result);
         }
     };
-    state.ticket = broker_.submit(rule.pool, std::move(job), std::move(callbacks));
+    state.ticket =
+        broker_.submit(request_.stages[stage].pool, std::move(job), std::move(callbacks));
 }
 
 void stage_pipeline::piece_done(std::size_t stage, int piece, const piece_result& result)
--- a/src/hosts/cold_controller.cpp
+++ b/src/hosts/cold_controller.cpp
@@ -92,6 +92,16 @@
         .front();
 }
 
+std::optional<bool> cold_controller::would_issue(const target_state& target) const
+{
+    const std::optional<double> per_s = rate_of(target);
+    if (!per_s || issuer_of(target.record.id) != peers_.self().id)
+    {
+        return std::nullopt;
+    }
+    return permits_.try_issue(target.record.id, *per_s, context_.loop.now()).is_granted;
+}
+
 void cold_controller::record_entry(const target_record& record, bool has_started)
 {
     target_state* const target = context_.targets.find(record.id);
--- a/src/hosts/limit_controller.cpp
+++ b/src/hosts/limit_controller.cpp
@@ -119,6 +119,37 @@
                           context_.loop.now());
 }
 
+std::optional<permit_terms> limit_controller::terms_of(const target_state& target) const
+{
+    if (const std::optional<double> per_s = cold_.rate_of(target))
+    {
+        return permit_terms{*per_s, cold_.issuer_of(target.record.id), true};
+    }
+    if (target.rate_limit)
+    {
+        return permit_terms{*target.rate_limit, issuer_of(target.record.id), false};
+    }
+    return std::nullopt;
+}
+
+std::optional<bool> limit_controller::would_issue(const target_state& target) const
+{
+    if (cold_.rate_of(target))
+    {
+        return cold_.would_issue(target);
+    }
+    if (!target.rate_limit || issuer_of(target.record.id) != peers_.self().id)
+    {
+        return std::nullopt;
+    }
+    return permits_
+        .try_issue({target.record.id, start_of(target)},
+                   *target.rate_limit,
+                   target.limit_stated_at,
+                   context_.loop.now())
+        .is_granted;
+}
+
 void limit_controller::take_permit(target_state& target)
 {
     const permit taken = issue(target);
--- a/src/hosts/path_controller.cpp
+++ b/src/hosts/path_controller.cpp
@@ -237,7 +237,8 @@
 }
 
 std::optional<peer_host> path_controller::choose_forwarder(const pool_id& pool,
-                                                           const std::set<host_id>& tried)
+                                                           const std::set<host_id>& tried,
+                                                           random_source& random) const
 {
     std::optional<peer_host> best;
     std::tuple<int, bool, std::uint64_t> best_rank;
@@ -253,7 +254,7 @@
         const std::tuple<int, bool, std::uint64_t> rank{
             forwarded == forwarded_.end() ? 0 : forwarded->second,
             each.domain != context_.settings.domain,
-            context_.random.next()};
+            random.next()};
         if (!best || rank < best_rank)
         {
             best = each;
--- a/src/hosts/stream_origins.cpp
+++ b/src/hosts/stream_origins.cpp
@@ -727,14 +727,18 @@
     on_saved(is_saved);
 }
 
+std::optional<stream_origin> stream_origins::find_here(const attempt_id& attempt) const
+{
+    return attempt.get().empty() ? std::nullopt : recall(key_of(attempt));
+}
+
 void stream_origins::find(const attempt_id& attempt,
                           const std::vector<pool_id>& pools,
                           millis store_wait,
                           origin_action on_found)
 {
     const stream_key stream = key_of(attempt);
-    if (const std::optional<stream_origin> known = recall(stream);
-        known && !attempt.get().empty())
+    if (const std::optional<stream_origin> known = find_here(attempt))
     {
         on_found({known, origin_source::memory});
         return;
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -440,6 +440,16 @@
     server_.remove(shared_from_this());
 }
 
+std::shared_ptr<caller_exchange>
+caller_exchange::describe(request_head head, std::string body, steady_time arrived)
+{
+    auto described = std::make_shared<caller_exchange>();
+    described->head_ = std::move(head);
+    described->body_ = std::move(body);
+    described->arrived_ = arrived;
+    return described;
+}
+
 void caller_exchange::begin(int status,
                             absl::string_view phrase,
                             const header_list& headers,
