--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -1,6 +1,7 @@
 #include <medlar/detail/metrics/registry.hpp>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_replace.h>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -140,7 +141,8 @@
     std::string text;
     for (const auto& [series, value] : lines)
     {
-        absl::StrAppend(&text, series, " ", value, "\n");
+        // six digits, as by StrAppend(), would hide most steps of counters above 999,999
+        absl::StrAppendFormat(&text, "%s %.15g\n", series, value);
     }
     return text;
 }
