--- a/include/medlar/detail/dispatch/slow_start.hpp
+++ b/include/medlar/detail/dispatch/slow_start.hpp
@@ -41,6 +41,10 @@
     /// @return whether the call may be sent
     bool begin(std::uint64_t call, steady_time now);
 
+    /// @brief Records how the target has begun to answer a call that goes on, such as a
+    /// stream. The window follows that at once, since streams take seconds.
+    void record_answer(std::uint64_t call, slow_start_result result, steady_time now);
+
     /// @brief Ends a call; one that is not known, since its end was assumed, has no
     /// effect.
     void end(std::uint64_t call, slow_start_result result, steady_time now);
@@ -66,9 +70,12 @@
         steady_time begun;
         /// whether the window was used up while the call was in progress
         bool was_window_full = false;
+        /// whether the window has followed its answer already
+        bool is_answered = false;
     };
 
     void drop_lost_calls(steady_time now);
+    void follow(const open_call& call, slow_start_result result, steady_time now);
     void grow(bool is_used_up);
     void shrink(double to, steady_time now);
 
--- a/include/medlar/detail/policy/target_health.hpp
+++ b/include/medlar/detail/policy/target_health.hpp
@@ -66,6 +66,11 @@
 /// @brief Returns the health of a target whose probe was not sent: it is due again.
 target_health cancel_probe(const target_health& health);
 
+/// @brief Returns the health of an ejected target that has answered another host. The
+/// next failure ejects it again, for longer: the news may be late, or hold for the path
+/// of the other host only.
+target_health take_back(const target_health& health);
+
 /// @brief Returns whether a result counts as a failure of the target.
 bool is_target_failure(call_result result);
 
--- a/src/dispatch/slow_start.cpp
+++ b/src/dispatch/slow_start.cpp
@@ -48,7 +48,7 @@
     {
         return false;
     }
-    calls_[call] = {now, false};
+    calls_[call] = {now, false, false};
     if (in_progress() >= size())
     {
         for (auto& each : calls_)
@@ -59,6 +59,18 @@
     return true;
 }
 
+void slow_start_window::record_answer(std::uint64_t call,
+                                      slow_start_result result,
+                                      steady_time now)
+{
+    const auto found = calls_.find(call);
+    if (found != calls_.end() && !found->second.is_answered)
+    {
+        found->second.is_answered = true;
+        follow(found->second, result, now);
+    }
+}
+
 void slow_start_window::end(std::uint64_t call, slow_start_result result, steady_time now)
 {
     const auto found = calls_.find(call);
@@ -68,11 +80,21 @@
     }
     const open_call ended = found->second;
     calls_.erase(found);
-    const bool is_of_earlier_window = ended.begun < shrunk_at_;
+    if (!ended.is_answered || result == slow_start_result::failed)
+    {
+        follow(ended, result, now);
+    }
+}
+
+void slow_start_window::follow(const open_call& call,
+                               slow_start_result result,
+                               steady_time now)
+{
+    const bool is_of_earlier_window = call.begun < shrunk_at_;
     switch (result)
     {
         case slow_start_result::timely:
-            grow(ended.was_window_full && !is_of_earlier_window);
+            grow(call.was_window_full && !is_of_earlier_window);
             break;
         case slow_start_result::slow:
             if (!is_of_earlier_window)
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -129,4 +129,13 @@
     return out;
 }
 
+target_health take_back(const target_health& health)
+{
+    target_health out;
+    out.consecutive_failures = failures_to_eject - 1;
+    out.probe_due = health.probe_due;
+    out.next_ejection = health.next_ejection;
+    return out;
+}
+
 } // namespace medlar
