Limit calls to targets that have started or recovered by their answers

Hosts that had not probed an ejected target left it idle for up to 16 s, and hosts that had probed it sent their full share. In pools with cold_start_s above 0, the first host that the target answers tells the others, which take it back at once, and the issuer of its permits lends the slots of its window to hosts. Requests go to other targets while a slot is asked for. A host whose issuer is silent sends one call at a time. Permits of cold targets go first.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -22,6 +22,8 @@
 {
     target_record record;
     target_health health;
+    /// when it last answered a call of this host
+    steady_time answered_at;
     /// calls of this host in progress
     int in_flight = 0;
     /// no call is sent before this time, since it refused one as full
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -16,6 +16,8 @@
 #include <medlar/detail/metrics/registry.hpp>
 #include <medlar/detail/policy/random_source.hpp>
 
+#include <absl/strings/string_view.h>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +37,14 @@
     virtual void apply(const shutdown_plan& plan) = 0;
 };
 
+/// @brief Why a target gets no calls, or fewer, for a while
+struct target_outage
+{
+    absl::string_view reason;
+    /// whether calls have failed; the first answer after it is news for other hosts
+    bool is_failure = false;
+};
+
 /// @brief State shared by the components of an entry process. Used by one thread only.
 struct entry_context
 {
@@ -67,6 +77,13 @@
     /// longer registered.
     void record_target_call(const target_id& id, call_result result);
 
+    /// @brief Records that a stream has begun at a target: a probe is over then, since
+    /// streams go on for seconds.
+    void record_stream_begun(const target_id& id);
+
+    /// @brief Records that a target gets no calls, or fewer, for a while.
+    void record_outage(const target_state& target, const target_outage& outage) const;
+
     /// @brief Records the start time that the process at a target's address has stated.
     void record_target_start(const target_id& id, std::int64_t started_ms);
 
@@ -107,6 +124,10 @@
     std::function<void(const target_id&)> on_start_stated;
     /// called when a target that bears few refusals has refused a call; may be empty
     std::function<void(const target_state&)> on_refused;
+    /// called when a target gets no calls, or fewer, for a while; may be empty
+    std::function<void(const target_state&, const target_outage&)> on_target_out;
+    /// called when a target has answered a call; may be empty
+    std::function<void(const target_state&)> on_target_answered;
     /// the requests in progress; they end with the host
     std::set<std::shared_ptr<running_request>> running_requests;
     /// set once the host was told to stop
--- a/include/medlar/detail/entry/entry_host.hpp
+++ b/include/medlar/detail/entry/entry_host.hpp
@@ -12,6 +12,7 @@
 #include <medlar/detail/hosts/path_controller.hpp>
 #include <medlar/detail/hosts/peer_network.hpp>
 #include <medlar/detail/hosts/process_ends.hpp>
+#include <medlar/detail/hosts/slow_start_controller.hpp>
 #include <medlar/detail/hosts/speed_controller.hpp>
 #include <medlar/detail/hosts/store_controller.hpp>
 #include <medlar/detail/hosts/store_mirror.hpp>
@@ -111,6 +112,7 @@
     peer_network peers_;
     path_controller path_controller_;
     limit_controller limit_controller_;
+    slow_start_controller slow_start_controller_;
     speed_controller speed_controller_;
     piece_service piece_service_;
     piece_broker broker_;
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -13,6 +13,7 @@
 #include <medlar/detail/hosts/crash_controller.hpp>
 #include <medlar/detail/hosts/limit_controller.hpp>
 #include <medlar/detail/hosts/path_controller.hpp>
+#include <medlar/detail/hosts/slow_start_controller.hpp>
 #include <medlar/detail/hosts/speed_controller.hpp>
 #include <medlar/detail/hosts/stream_origins.hpp>
 #include <medlar/detail/http/event_stream.hpp>
@@ -36,6 +37,7 @@
     limit_controller& limits;
     stream_origins& origins;
     path_controller& paths;
+    slow_start_controller& slow_starts;
     speed_controller& speeds;
 };
 
@@ -99,7 +101,11 @@
     bool may_run_at(const target_state& target) const;
     pool_id choose_pool();
     std::optional<failure_domain_id> inputs_domain() const;
+    target_choice_input choice_input();
     target_state* choose_target();
+    /// chooses a target of which the host has a slot if it is in slow start
+    target_state* choose_target_with_slot();
+    target_state* choose_among(const target_choice_input& input);
     /// leaves out the targets of other versions than that at which the stream should
     /// begin, if one of it can be called
     void prefer_version_of_stream(target_choice_input& input) const;
@@ -129,6 +135,14 @@
     bool is_left_out_as_cold(const target_state& target) const;
     /// whether the target is not cold, or the permit for it can be used for @p spare
     bool has_valid_permit(const target_state& target, millis spare) const;
+    /// sends the request once the issuer of a target in slow start has answered, since no
+    /// other target can take it
+    void send_with_slot(const target_id& id);
+    void on_slot_answer(const target_id& id);
+    /// tells the issuer how the target has begun to answer the current call
+    void record_first_event_pace();
+    /// how the target of the current call has answered, where nothing was recorded
+    slow_start_result pace_of_call() const;
     /// a connection that opens after the end of the permit is of no use
     void limit_connect_time(const target_state& target, call_options& options) const;
     /// sends a stream to a target of some version once the store names that as its origin
@@ -219,6 +233,7 @@
     limit_controller& limits_;
     stream_origins& origins_;
     path_controller& paths_;
+    slow_start_controller& slow_starts_;
     speed_controller& speeds_;
     std::shared_ptr<caller_exchange> exchange_;
     request_fields fields_;
@@ -250,6 +265,13 @@
     int cold_refusals_ = 0;
     /// whether the current call was declined since its target turned out to be cold
     bool is_declined_as_cold_ = false;
+    /// slot of the current call at a target in slow start
+    std::optional<slow_start_call> slow_call_;
+    /// whether the current call was refused, failed or has broken off
+    bool has_call_failed_ = false;
+    bool has_whole_answer_ = false;
+    /// answers without a slot that the request has waited for
+    int slot_refusals_ = 0;
     bool may_have_run_ = false;
 
     bool is_forwarded_;
--- a/include/medlar/detail/hosts/cold_controller.hpp
+++ b/include/medlar/detail/hosts/cold_controller.hpp
@@ -41,6 +41,9 @@
     /// @return unset if the target is not cold now
     std::optional<double> rate_of(const target_state& target) const;
 
+    /// @brief Returns the host that gives out the permits for a target.
+    host_id issuer_of(const target_id& target) const;
+
     /// @brief Returns the number of targets that are cold now.
     std::size_t cold_count() const;
 
@@ -81,7 +84,6 @@
     };
 
     const cold_rule* rule_of(const pool_id& pool) const;
-    host_id issuer_of(const target_id& target) const;
     millis time_left(const target_state& target) const;
     /// records a time that is not from the entry, and tells it to all hosts if the target
     /// was not known to be cold
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -147,12 +147,24 @@
     1763, severity::warning, "entry_evacuation_without_targets"};
 /// @brief memory or connections are short: what waited and was ended since the last line
 inline constexpr event entry_memory_short{1770, severity::warning, "entry_memory_short"};
+/// @brief a target has started, failed or paused: calls to it are limited by its answers
+inline constexpr event entry_slow_start_begun{
+    1790, severity::info, "entry_slow_start_begun"};
+/// @brief a target that calls had failed at answers this host, or has answered another
+inline constexpr event entry_target_returned{
+    1791, severity::info, "entry_target_returned"};
+/// @brief the calls to a target are no longer limited by its answers
+inline constexpr event entry_slow_start_ended{
+    1792, severity::info, "entry_slow_start_ended"};
+/// @brief the host that limits the calls to a target does not answer
+inline constexpr event entry_slow_start_unanswered{
+    1793, severity::warning, "entry_slow_start_unanswered"};
 /// @brief log lines were dropped because standard output was not read fast enough
 inline constexpr event entry_lines_dropped{
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 56> entry_events{entry_started,
+inline constexpr std::array<event, 60> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -207,6 +219,10 @@
                                                     entry_evacuation_ended,
                                                     entry_evacuation_held,
                                                     entry_evacuation_without_targets,
+                                                    entry_slow_start_begun,
+                                                    entry_target_returned,
+                                                    entry_slow_start_ended,
+                                                    entry_slow_start_unanswered,
                                                     entry_memory_short};
 
 } // namespace medlar
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -97,6 +97,7 @@
                       {{"target", id.get()},
                        {"pool", target->record.pool.get()},
                        {"address", to_string(target->record.address)}});
+            record_outage(*target, {"replaced", true});
         }
         return;
     }
@@ -118,6 +119,16 @@
                    {"pool", target->record.pool.get()},
                    {"asked_ms", answer.pause->count()},
                    {"until_ms", (target->paused_until - loop.now()).count()}});
+        record_outage(*target, {"paused", false});
+    }
+}
+
+void entry_context::record_outage(const target_state& target,
+                                  const target_outage& outage) const
+{
+    if (on_target_out)
+    {
+        on_target_out(target, outage);
     }
 }
 
@@ -255,6 +266,28 @@
              {"pool", target->record.pool.get()},
              {"failures_in_a_row", std::int64_t{target->health.consecutive_failures}},
              {"until_ms", (target->health.probe_due - loop.now()).count()}});
+        record_outage(*target, {"ejected", true});
+    }
+    if (result == call_result::succeeded)
+    {
+        target->answered_at = loop.now();
+        if (on_target_answered)
+        {
+            on_target_answered(*target);
+        }
+    }
+}
+
+void entry_context::record_stream_begun(const target_id& id)
+{
+    const target_state* const target = targets.find(id);
+    const pool_rule* const rule = target != nullptr && configuration
+                                      ? configuration->find_pool(target->record.pool)
+                                      : nullptr;
+    if (rule != nullptr && rule->cold.after_start > millis(0) &&
+        target->health.state == health_state::probing)
+    {
+        record_target_call(id, call_result::succeeded);
     }
 }
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -112,6 +112,7 @@
       peers_(loop, own_peer_host(settings)),
       path_controller_(context_, peers_),
       limit_controller_(context_, peers_),
+      slow_start_controller_(context_, peers_, limit_controller_.cold()),
       speed_controller_(context_, peers_),
       piece_service_(context_, limit_controller_, path_controller_),
       broker_(context_, peers_, piece_service_, path_controller_),
@@ -185,6 +186,8 @@
                                     path_controller_.handle_message(message) ||
                                     crash_controller_.handle_request(from, message) ||
                                     limit_controller_.handle_request(from, message) ||
+                                    slow_start_controller_.handle_request(from,
+                                                                          message) ||
                                     speed_controller_.handle_request(from, message) ||
                                     process_ends_.handle_message(message) ||
                                     stream_origins_.handle_request(from, message) ||
@@ -200,6 +203,7 @@
                              return broker_.handle_answer(from, message) ||
                                     crash_controller_.handle_answer(message) ||
                                     limit_controller_.handle_answer(message) ||
+                                    slow_start_controller_.handle_answer(from, message) ||
                                     speed_controller_.handle_answer(message) ||
                                     stream_origins_.handle_answer(from, message) ||
                                     store_controller_.handle_answer(from, message);
@@ -212,6 +216,7 @@
             store_controller_.handle_peer_lost(host, reason);
             crash_controller_.handle_peer_lost();
             limit_controller_.handle_peer_lost(host);
+            slow_start_controller_.handle_peer_lost(host);
             stream_origins_.handle_peer_lost(host);
         });
     peers_.set_requester_lost_handler(
@@ -432,6 +437,7 @@
                          limit_controller_,
                          stream_origins_,
                          path_controller_,
+                         slow_start_controller_,
                          speed_controller_},
                         exchange,
                         fields,
@@ -518,6 +524,7 @@
                           static_cast<double>(limit_controller_.cold().cold_count()));
     context_.metrics->set(
         "medlar_entry_hosts_live", {}, static_cast<double>(peers_.live_hosts().size()));
+    slow_start_controller_.write_metrics();
     memory_controller_.write_metrics();
     header_list headers;
     headers.add("Content-Type", "text/plain; version=0.0.4");
@@ -743,6 +750,7 @@
     drop_lapsed_hosts();
     evacuations_.tick();
     path_controller_.tick();
+    slow_start_controller_.tick();
     speed_controller_.tick();
     memory_controller_.tick();
     if (!is_serving_ && has_started())
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -89,6 +89,7 @@
     {
         has_call_begun_ = true;
         crashes_.record_begun(suspects_.prompt);
+        record_first_event_pace();
     }
     if (id && last_event_id_ && *id <= *last_event_id_)
     {
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -85,10 +85,11 @@
     const bool planned_is_usable =
         target != nullptr && takes_work(*target) && target->record.pool == pool_ &&
         may_run_at(*target) && may_call(*target, context_.loop.now()) &&
-        inputs_domain().value_or(target->record.domain) == target->record.domain;
+        inputs_domain().value_or(target->record.domain) == target->record.domain &&
+        !slow_starts_.lacks_slot(*target);
     if (!planned_is_usable)
     {
-        target = choose_target();
+        target = choose_target_with_slot();
     }
     if (target == nullptr)
     {
@@ -102,6 +103,11 @@
         send_once_saved({pool_, origins_.version_of(*target)});
         return;
     }
+    if (slow_starts_.lacks_slot(*target))
+    {
+        send_with_slot(target->record.id);
+        return;
+    }
     if (needs_permit(*target))
     {
         send_with_permit(target->record.id);
@@ -141,6 +147,9 @@
     called_ = {target.record.address, start_of(target)};
     target_version_ = origins_.version_of(target);
     tried_targets_.push_back(target_);
+    slow_call_ = slow_starts_.begin_call(target);
+    has_call_failed_ = false;
+    has_whole_answer_ = false;
     ++target.in_flight;
     call_additions additions;
     additions.remaining = remaining_time();
@@ -352,6 +361,11 @@
 
 void request_run::release_call()
 {
+    if (slow_call_)
+    {
+        slow_starts_.end_call(*slow_call_, pace_of_call());
+        slow_call_.reset();
+    }
     if (target_state* const target = context_.targets.find(target_))
     {
         target->in_flight = std::max(0, target->in_flight - 1);
@@ -380,6 +394,7 @@
     const bool failed = head.status >= 500;
     if (unusable || (failed && route_.may_retry()))
     {
+        has_call_failed_ = true;
         context_.record_target_call(target_, call_result::failed);
         log_event(entry_call_failed,
                   {{"attempt", fields_.attempt.get()},
@@ -437,6 +452,7 @@
                {"not_run", std::int64_t{1}}});
     if (head.status == status_unavailable || head.status == status_too_many)
     {
+        has_call_failed_ = true;
         context_.record_refusal(target_);
     }
     context_.record_target_call(target_, call_result::refused);
@@ -592,6 +608,8 @@
 void request_run::on_whole_answer()
 {
     const bool has_failed = head_->status >= 500;
+    has_call_failed_ = has_failed;
+    has_whole_answer_ = true;
     context_.record_target_call(
         target_, has_failed ? call_result::failed : call_result::succeeded);
     if (!has_failed)
@@ -624,6 +642,7 @@
     }
     if (is_fault_of_target)
     {
+        has_call_failed_ = true;
         context_.record_target_call(
             target_, not_sent ? call_result::unreachable : call_result::broken);
     }
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -39,6 +39,7 @@
       limits_(services.limits),
       origins_(services.origins),
       paths_(services.paths),
+      slow_starts_(services.slow_starts),
       speeds_(services.speeds),
       exchange_(std::move(exchange)),
       fields_(std::move(fields)),
@@ -302,9 +303,16 @@
     return has_inputs_ ? pipeline_->results_domain() : std::nullopt;
 }
 
-target_state* request_run::choose_target()
+target_choice_input request_run::choice_input()
 {
     target_choice_input input;
+    input.tried = tried_targets_;
+    input.local_domain = context_.settings.domain;
+    input.now = context_.loop.now();
+    if (is_stream())
+    {
+        input.prefix = shared_prefix_hash(fields_.prompt);
+    }
     input.candidates = context_.targets.serving(pool_);
     input.candidates.erase(
         std::remove_if(input.candidates.begin(),
@@ -340,15 +348,18 @@
             input.candidates.erase(other_domains, input.candidates.end());
         }
     }
-    input.tried = tried_targets_;
-    input.local_domain = context_.settings.domain;
-    input.now = context_.loop.now();
-    if (is_stream())
-    {
-        input.prefix = shared_prefix_hash(fields_.prompt);
-        return choose_engine(input, context_.random);
-    }
-    return choose_least_busy(input, context_.random);
+    return input;
+}
+
+target_state* request_run::choose_among(const target_choice_input& input)
+{
+    return is_stream() ? choose_engine(input, context_.random)
+                       : choose_least_busy(input, context_.random);
+}
+
+target_state* request_run::choose_target()
+{
+    return choose_among(choice_input());
 }
 
 std::optional<software_version> request_run::version_of_new_stream() const
--- a/src/hosts/cold_controller.cpp
+++ b/src/hosts/cold_controller.cpp
@@ -99,6 +99,10 @@
     {
         return;
     }
+    if (has_started)
+    {
+        context_.record_outage(*target, {"started", false});
+    }
     const bool was_cold = rate_of(*target).has_value();
     const cold_rule* const rule = rule_of(record.pool);
     target->cold.record_entry(record.cold, context_.loop.now());
@@ -121,6 +125,10 @@
 {
     target_state* const state = context_.targets.find(target);
     const cold_rule* const rule = state ? rule_of(state->record.pool) : nullptr;
+    if (state != nullptr)
+    {
+        context_.record_outage(*state, {"return", false});
+    }
     if (rule == nullptr)
     {
         return;
@@ -159,6 +167,7 @@
                {"per_s", absl::StrCat(rule_of(target.record.pool)->per_s)},
                {"source", source},
                {"issuer", issuer_of(target.record.id).get()}});
+    context_.record_outage(target, {"cold", false});
 }
 
 void cold_controller::notify_peers(const target_state& target)
--- a/test/support/entry/cold_pool.hpp
+++ b/test/support/entry/cold_pool.hpp
@@ -42,6 +42,11 @@
                 [this, &added](const std::shared_ptr<caller_exchange>& exchange)
                 {
                     added.arrivals.push_back(time.steady_now());
+                    if (on_request && &added == targets.front().get())
+                    {
+                        on_request(exchange);
+                        return;
+                    }
                     exchange->answer(200, signed_headers(*exchange), "hello");
                 });
             added.server->report_handler =
@@ -137,6 +142,8 @@
     }
 
     std::vector<std::unique_ptr<target>> targets;
+    /// answers requests in place of the first target; may be empty
+    stand_in_target::behaviour on_request;
     std::vector<steady_time> stage_arrivals;
     std::vector<std::shared_ptr<received_answer>> answers;
 
