--- a/include/medlar/detail/dispatch/skip_reason.hpp
+++ b/include/medlar/detail/dispatch/skip_reason.hpp
@@ -32,8 +32,10 @@
     other_version,
     other_domain,
     no_permit,
+    no_slot,
     not_in_group,
     // another one was preferred
+    slot_held,
     above_load_bound,
     less_preferred,
     busier,
--- a/include/medlar/detail/dispatch/target_selection.hpp
+++ b/include/medlar/detail/dispatch/target_selection.hpp
@@ -13,6 +13,17 @@
 namespace medlar
 {
 
+/// @brief How far a host may call targets in slow start
+struct slot_rules
+{
+    /// whether the host has a slot of a target for its next call
+    std::function<bool(const target_state&)> holds;
+    /// whether a call needs a slot that the host does not have
+    std::function<bool(const target_state&)> lacks;
+    /// whether the request may wait for a slot
+    std::function<bool(const target_state&)> may_be_granted;
+};
+
 /// @brief What one request requires of its target, beside what all requests do.
 struct selection_rules
 {
@@ -27,6 +38,17 @@
     std::function<software_version(const target_state&)> version_of;
     /// failure domain of the results that the request reads, if that matters
     std::optional<failure_domain_id> inputs_domain;
+    /// unset if no target of the pool may be in slow start
+    std::optional<slot_rules> slots;
+};
+
+/// @brief The choice of a target for one request
+struct selected_target
+{
+    /// nullptr if no target may be called; may lack a slot if no other one can be called
+    target_state* target = nullptr;
+    /// target that would have been chosen if the host had a slot of it
+    const target_state* missed = nullptr;
 };
 
 /// @brief Chooses the pool of a request by the weights of its route.
@@ -38,11 +60,10 @@
 /// @param input with all targets of the pool as candidates; has a prefix for requests
 /// that are to go where their prompt may be cached
 /// @param skipped unless null, receives the targets that were not chosen, and why
-/// @return nullptr if no target may be called
-target_state* select_target(target_choice_input input,
-                            const selection_rules& rules,
-                            random_source& random,
-                            skip_record* skipped = nullptr);
+selected_target select_target(target_choice_input input,
+                              const selection_rules& rules,
+                              random_source& random,
+                              skip_record* skipped = nullptr);
 
 /// @brief Returns whether the pieces of a group may go to all targets of its pool:
 /// pieces that wait, or come from hosts that do not know of the evacuation of its domain,
--- a/include/medlar/detail/hosts/cold_controller.hpp
+++ b/include/medlar/detail/hosts/cold_controller.hpp
@@ -41,6 +41,9 @@
     /// @return unset if the target is not cold now
     std::optional<double> rate_of(const target_state& target) const;
 
+    /// @brief Returns the host that gives out the permits for a target.
+    host_id issuer_of(const target_id& target) const;
+
     /// @brief Returns the number of targets that are cold now.
     std::size_t cold_count() const;
 
@@ -52,9 +55,6 @@
     /// as one that returns to service after it got no requests.
     void record_return(const target_id& target);
 
-    /// @brief Returns the host that gives out the permits for a target while it is cold.
-    host_id issuer_of(const target_id& target) const;
-
     /// @brief Returns whether this host would give out a permit for a cold target now.
     /// @return unset if another host gives them out
     std::optional<bool> would_issue(const target_state& target) const;
--- a/src/dispatch/skip_reason.cpp
+++ b/src/dispatch/skip_reason.cpp
@@ -39,6 +39,10 @@
             return "the results that the request reads are in another failure domain";
         case skip_reason::no_permit:
             return "it needs a permit, and there is none now";
+        case skip_reason::no_slot:
+            return "it is in slow start, and this host has no slot of it";
+        case skip_reason::slot_held:
+            return "this host has a slot of another one in slow start";
         case skip_reason::not_in_group:
             return "it is in another group of its pool";
         case skip_reason::above_load_bound:
--- a/src/dispatch/target_selection.cpp
+++ b/src/dispatch/target_selection.cpp
@@ -103,6 +103,64 @@
     }
 }
 
+void append(skip_record* to, const skip_record& skipped)
+{
+    if (to != nullptr)
+    {
+        to->insert(to->end(), skipped.begin(), skipped.end());
+    }
+}
+
+/// Chooses among targets some of which may lack a slot. Those are called only if no other
+/// one can be, and if an answer of the issuer may bring a slot.
+selected_target choose_with_slots(target_choice_input input,
+                                  const slot_rules& slots,
+                                  random_source& random,
+                                  skip_record* skipped)
+{
+    const auto holds = [&](const target_state* each)
+    {
+        return slots.holds(*each);
+    };
+    // Any request uses a slot that the host holds, also one whose prompt another engine
+    // has in its cache: the target would be idle until a prompt comes that prefers it.
+    prefer_targets(input, holds, skip_reason::slot_held, skipped);
+    skip_record why_others;
+    skip_record* const others_if_asked = skipped != nullptr ? &why_others : nullptr;
+    target_state* const preferred = choose_engine(input, random, others_if_asked);
+    if (preferred == nullptr || !slots.lacks(*preferred))
+    {
+        append(skipped, why_others);
+        return {preferred, nullptr};
+    }
+    const auto has_slot = [&](const target_state* each)
+    {
+        return !slots.lacks(*each);
+    };
+    const auto lacking =
+        std::stable_partition(input.candidates.begin(), input.candidates.end(), has_slot);
+    target_choice_input waiting = input;
+    waiting.candidates.assign(lacking, input.candidates.end());
+    drop(input.candidates, lacking, skip_reason::no_slot, nullptr);
+    why_others.clear();
+    target_state* const other = choose_engine(input, random, others_if_asked);
+    append(skipped, why_others);
+    const auto is_of_use = [&](const target_state* each)
+    {
+        return other == nullptr && slots.may_be_granted(*each);
+    };
+    drop(waiting.candidates,
+         std::stable_partition(
+             waiting.candidates.begin(), waiting.candidates.end(), is_of_use),
+         skip_reason::no_slot,
+         skipped);
+    if (other != nullptr)
+    {
+        return {other, preferred};
+    }
+    return {choose_engine(waiting, random, skipped), preferred};
+}
+
 } // namespace
 
 pool_id choose_pool(const std::vector<weighted_pool>& pools, random_source& random)
@@ -124,10 +182,10 @@
     return pools.back().pool;
 }
 
-target_state* select_target(target_choice_input input,
-                            const selection_rules& rules,
-                            random_source& random,
-                            skip_record* skipped)
+selected_target select_target(target_choice_input input,
+                              const selection_rules& rules,
+                              random_source& random,
+                              skip_record* skipped)
 {
     drop_unsuitable(input, rules, skipped);
     if (rules.version)
@@ -142,7 +200,11 @@
         };
         prefer_targets(input, is_near, skip_reason::other_domain, skipped);
     }
-    return choose_engine(input, random, skipped);
+    if (!rules.slots)
+    {
+        return {choose_engine(input, random, skipped), nullptr};
+    }
+    return choose_with_slots(std::move(input), *rules.slots, random, skipped);
 }
 
 bool is_whole_pool(const piece_group& group, const target_table& targets)
--- a/src/entry/request_explain.cpp
+++ b/src/entry/request_explain.cpp
@@ -141,7 +141,7 @@
     }
     skip_record skipped;
     skip_record without_permit;
-    const target_state* chosen = select(random, &skipped);
+    const target_state* chosen = select(random, &skipped).target;
     // a refused permit leads to another target; those of other hosts are not known
     while (chosen != nullptr && needs_permit(*chosen) &&
            limits_.would_issue(*chosen) == std::optional<bool>(false))
@@ -150,7 +150,7 @@
         tried_targets_.push_back(chosen->record.id);
         cold_refusals_ += limits_.cold().rate_of(*chosen) ? 1 : 0;
         skipped.clear();
-        chosen = select(random, &skipped);
+        chosen = select(random, &skipped).target;
     }
     without_permit.insert(without_permit.end(), skipped.begin(), skipped.end());
     const entry_context& context = context_;
@@ -174,6 +174,10 @@
     {
         result["saves_version"] = origins_.version_of(*chosen).get();
     }
+    if (slow_starts_.lacks_slot(*chosen))
+    {
+        result["slot"] = "asked from the issuer first";
+    }
     if (const std::optional<permit_terms> terms = permits_for(*chosen))
     {
         result["permit"] = absl::StrCat(
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -39,6 +39,7 @@
       limits_(services.limits),
       origins_(services.origins),
       paths_(services.paths),
+      slow_starts_(services.slow_starts),
       speeds_(services.speeds),
       exchange_(std::move(exchange)),
       fields_(std::move(fields)),
@@ -302,7 +303,7 @@
     return has_inputs_ ? pipeline_->results_domain() : std::nullopt;
 }
 
-target_state* request_run::select(random_source& random, skip_record* skipped) const
+selected_target request_run::select(random_source& random, skip_record* skipped) const
 {
     target_choice_input input;
     input.candidates = context_.targets.of_pool(pool_);
@@ -329,17 +330,27 @@
         return origins_.version_of(each);
     };
     rules.inputs_domain = inputs_domain();
+    // a target is planned before the stages run; a slot would lapse meanwhile
+    const bool is_planned = !route_.stages.empty() && !has_inputs_;
+    if (!is_planned && slow_starts_.limits_any())
+    {
+        rules.slots = slots_in_use();
+    }
     return select_target(std::move(input), rules, random, skipped);
 }
 
 target_state* request_run::choose_target()
 {
-    target_state* const chosen = select(context_.random);
-    if (chosen != nullptr)
+    const selected_target selected = select(context_.random);
+    if (selected.missed != nullptr)
+    {
+        slow_starts_.ask_ahead(selected.missed->record.id);
+    }
+    if (selected.target != nullptr)
     {
-        begin_probe_if_due(*chosen, context_.loop.now());
+        begin_probe_if_due(*selected.target, context_.loop.now());
     }
-    return chosen;
+    return selected.target;
 }
 
 std::optional<software_version> request_run::version_of_new_stream() const
--- a/test/decisions/dispatch/target_selection_test.cpp
+++ b/test/decisions/dispatch/target_selection_test.cpp
@@ -61,7 +61,7 @@
         skipped_.clear();
         random_source random(7);
         const target_state* const chosen =
-            select_target(input_, rules_, random, &skipped_);
+            select_target(input_, rules_, random, &skipped_).target;
         return chosen == nullptr ? "" : chosen->record.id.get();
     }
 
@@ -221,8 +221,8 @@
         for (std::uint64_t prefix = 0; prefix < 20; ++prefix)
         {
             input_.prefix = prefix;
-            CPPUNIT_ASSERT(select_target(input_, rules_, one) ==
-                           select_target(input_, rules_, other, &skipped_));
+            CPPUNIT_ASSERT(select_target(input_, rules_, one).target ==
+                           select_target(input_, rules_, other, &skipped_).target);
         }
         CPPUNIT_ASSERT_EQUAL(one.next(), other.next());
     }
