Refuse a first job at its owner if the queue makes it late

Cause: a host starts a request by the estimates that owners gave it for earlier ones. In a burst they are too short. The owner accepted such a job although it saw that the queue made it late, as long as it met its deadline of several seconds. It then waited behind all jobs in time, and its results held memory.

Change: the owner refuses a refusable job that would be in time without the queue and is late because of it. Jobs that are late without a queue, and those of requests with finished work, are accepted as before.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -113,6 +113,10 @@
     void set_targets(const std::vector<piece_target>& targets);
 
     /// @brief Estimates when a job would be completed and whether it is accepted.
+    ///
+    /// A refusable job is not accepted if it would miss its deadline, or if the jobs
+    /// queued before it make it miss its soft deadline. One that would be late without
+    /// them is accepted.
     job_decision evaluate(const piece_job& job, steady_time now) const;
 
     /// @brief Adds a job, even one that evaluate() would not accept.
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -152,7 +152,8 @@
     }
     const double slowness = mean_slowness();
     const double own_call_ms = shared_call_ms(job.pieces.size(), slowness);
-    bool late = is_late(job, slowness, now);
+    const bool late_without_queue = is_late(job, slowness, now);
+    bool late = late_without_queue;
     double queued_ms = wait_ms(job, late, now);
     if (!late && now + round_up(queued_ms + own_call_ms) > job.soft_deadline)
     {
@@ -163,7 +164,11 @@
     const double slowdown = late ? 1 / late_job_share(now) : 1;
     decision.is_late = late;
     decision.expected_time = round_up(queued_ms * slowdown + own_call_ms);
-    decision.accepted = !job.is_refusable || now + decision.expected_time <= job.deadline;
+    // the requester decided by an estimate that a burst may have outdated: the results of
+    // jobs that the queue makes late would occupy memory that jobs in time need
+    const bool late_by_queue = late && !late_without_queue;
+    decision.accepted = !job.is_refusable ||
+                        (!late_by_queue && now + decision.expected_time <= job.deadline);
     decision.retry_after = std::max(min_retry_delay, round_up(queued_ms / 2));
     return decision;
 }
