Free results in the overload test as early as hosts do

Cause: the test kept the results of the most valuable kind for 300 ms after the last stage. Hosts free them 40 ms after the request was sent to its engine (input_fetch_time), and then in batches of 20 ms. The test made memory the limit of the first pool, which the code does not.

Change: results are held 70 ms, those of other kinds 200 ms until the next stage has ended.

--- a/test/decisions/dispatch/overloaded_stages_test.cpp
+++ b/test/decisions/dispatch/overloaded_stages_test.cpp
@@ -27,12 +27,15 @@
     std::int64_t result_bytes;
     /// time of the later stages, whose pools are not full
     millis later;
+    /// how long results are stored: until the next stage ends, or the engine has them
+    millis held;
 };
 
 // deployment C; at these rates, full calls of its first pool are just sufficient
-const std::array<request_kind, 3> kinds{{{millis(1000), 70, 10, 3000000, millis(0)},
-                                         {millis(1700), 45, 4, 360000, millis(375)},
-                                         {millis(1500), 45, 4, 360000, millis(375)}}};
+const std::array<request_kind, 3> kinds{
+    {{millis(1000), 70, 10, 3000000, millis(0), millis(70)},
+     {millis(1700), 45, 4, 360000, millis(375), millis(200)},
+     {millis(1500), 45, 4, 360000, millis(375), millis(200)}}};
 
 enum outcome
 {
@@ -165,7 +168,7 @@
             {
                 return;
             }
-            releases_.emplace(now_ + engine_time, each.results);
+            releases_.emplace(now_ + kinds.at(each.kind).held, each.results);
         }
         const outcome met = now_ <= each.soft_deadline ? in_time : late;
         ++counts_.at(each.kind).at(piece.result.handle ? met : given_up);
