--- a/include/medlar/detail/dispatch/stage_forecast.hpp
+++ b/include/medlar/detail/dispatch/stage_forecast.hpp
@@ -25,8 +25,7 @@
 /// In a burst of 2.5 to 3 times the usual load at one stage of several, a request that
 /// will be late at its last stage must not use the capacity of the first ones, which
 /// other requests need to be in time. So the times of all stages are added up when a
-/// request arrives. Estimates shrink by their age, since queues are worked off, and
-/// expire quickly; without one, the service time is used.
+/// request arrives. Estimates expire quickly; without one, the service time is used.
 class stage_forecast
 {
   public:
--- a/src/dispatch/stage_forecast.cpp
+++ b/src/dispatch/stage_forecast.cpp
@@ -45,10 +45,7 @@
     {
         return service_time;
     }
-    // a host that refuses gets no new estimate; in the meantime the owner works off the
-    // queue, and a kept estimate would refuse for a second what the queue has room for
-    const millis age = now - found->second.updated_at;
-    return std::max(service_time, millis(std::lround(found->second.mean_ms)) - age);
+    return std::max(service_time, millis(std::lround(found->second.mean_ms)));
 }
 
 } // namespace medlar
