--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -113,6 +113,10 @@
     void set_targets(const std::vector<piece_target>& targets);
 
     /// @brief Estimates when a job would be completed and whether it is accepted.
+    ///
+    /// A refusable job is not accepted if it would miss its deadline, or if the jobs
+    /// queued before it make it miss its soft deadline. One that would be late without
+    /// them is accepted.
     job_decision evaluate(const piece_job& job, steady_time now) const;
 
     /// @brief Adds a job, even one that evaluate() would not accept.
@@ -238,8 +242,11 @@
     double late_job_share(steady_time now) const;
     /// counts pieces of jobs in time that are sent
     void record_timely(std::size_t pieces, steady_time now);
-    /// estimated time in the queue before a job is sent
+    /// estimated time in the queue until the last piece of a job is sent: pieces share
+    /// calls, and each call needs a free slot
     double wait_ms(const piece_job& job, bool late, steady_time now) const;
+    /// expected times until the slots of serving targets are free, in ascending order
+    std::vector<double> slots_free_after_ms(steady_time now) const;
     /// jobs with queued pieces in the order in which they are sent
     std::vector<job_id> ordered_jobs(steady_time now) const;
     /// whether a job may be sent to a target although its bytes would be transferred
