Probe an ejected target again after a probe without a result

Cause: a target that a host has ejected gets one call to test it. If that call ended without a result (the request timed out, its caller left, it waited for a permit when it ended, or the target was only planned for a request whose stages failed), the target stayed in the state "probing" and got no more calls of that host until it started again or the path to its pool was lost and regained. Found by reading.

Change: a call that is released without a recorded result counts as a cancelled probe, due again after 1 s; one that was sent and got no answer in time as a failed one. A planned target is probed by the call, not by the plan.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -169,6 +169,9 @@
     sender_start start_of_called_process() const;
     /// @param is_fault_of_target whether the failure counts against the target
     void on_call_failed(call_end how, bool is_fault_of_target = true);
+    /// records how the call ended if it was to test whether its target has recovered, and
+    /// that is not recorded yet
+    void end_probe(call_result result);
     void release_call();
     void on_not_run(const answer_head& head);
     bool retry(bool has_run);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -136,6 +136,10 @@
 
 void request_run::send_to(target_state& target)
 {
+    if (probe_is_due(target.health, context_.loop.now()))
+    {
+        target.health = start_probe(target.health);
+    }
     target_ = target.record.id;
     target_record_ = target.record;
     called_ = {target.record.address, start_of(target)};
@@ -350,8 +354,19 @@
                        });
 }
 
+void request_run::end_probe(call_result result)
+{
+    const target_state* const target = context_.targets.find(target_);
+    if (target != nullptr && target->health.state == health_state::probing)
+    {
+        context_.record_target_call(target_, result);
+    }
+}
+
 void request_run::release_call()
 {
+    // a probe whose result nobody records would keep the target out of use for good
+    end_probe(call_result::cancelled);
     if (target_state* const target = context_.targets.find(target_))
     {
         target->in_flight = std::max(0, target->in_flight - 1);
--- a/src/entry/request_permits.cpp
+++ b/src/entry/request_permits.cpp
@@ -44,7 +44,8 @@
     const std::weak_ptr<request_run> weak = weak_from_this();
     limits_.request_permit(
         id,
-        [weak, id, is_cold, asked_at = context_.loop.now()](bool is_granted)
+        [weak, id, is_cold, asked_at = context_.loop.now(), &targets = context_.targets](
+            bool is_granted)
         {
             const auto self = weak.lock();
             if (self && !self->ended_)
@@ -53,6 +54,10 @@
                     is_cold ? asked_at + cold_permit_validity : steady_time();
                 self->on_permit_answer(id, is_granted, is_cold);
             }
+            else if (target_state* const target = targets.find(id))
+            {
+                target->health = cancel_probe(target->health);
+            }
         });
 }
 
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -408,7 +408,10 @@
     if (const target_state* planned = choose_target())
     {
         planned_target_ = planned->record.id;
-        ++context_.targets.find(planned_target_)->in_flight;
+        target_state* const reserved = context_.targets.find(planned_target_);
+        ++reserved->in_flight;
+        // a probe begins with the call; the stages may fail before
+        reserved->health = cancel_probe(reserved->health);
     }
     const target_state* const planned = context_.targets.find(planned_target_);
     pipeline_request request;
@@ -511,6 +514,10 @@
 
 void request_run::on_timeout()
 {
+    if (call_ && call_->has_sent() && !head_)
+    {
+        end_probe(call_result::timed_out);
+    }
     end_without_target("time is over before a target could run it",
                        "the target did not answer in time");
 }
