Ask for more crashes to accuse what was harmless just before

What callers would see: a part that all streams share, or a request that is sent again and again, is refused by all hosts for ten minutes.

Cause: while all targets of a pool are down, nothing is answered that could acquit what was running there, so three crashes under other causes accuse it, although all hosts had answers to it just before. And an answer of a host that comes after the 250 ms in which the judges ask was recorded, but ended no block.

Change: what was harmless within the minute before the first of its crashes needs five of them; hosts tell judges of older answers, too. A late report of an answer between the crashes ends the block, and a host that hears of a block reports what it knows.

--- a/include/medlar/detail/dispatch/crash_evidence.hpp
+++ b/include/medlar/detail/dispatch/crash_evidence.hpp
@@ -54,7 +54,9 @@
 /// A request that crashes targets may do so at any time, so only its complete answer
 /// acquits it. It has to be involved in several crashes of several targets, each of which
 /// got it only after the crash before: targets that crash one after another for a common
-/// cause were running it all the while. It is not accused of crashes that a part outside
+/// cause were running it all the while. What has been harmless within the last minute
+/// before the first of its crashes needs more of them: nothing can acquit it while all
+/// targets of its pool are down. It is not accused of crashes that a part outside
 /// of its prompt may explain: a request that is sent again and again is running in many
 /// crashes.
 class crash_evidence
@@ -76,6 +78,10 @@
     /// crashes of a part of its own prompt goes before that part.
     std::set<crash_suspect> culprits() const;
 
+    /// @brief Returns whether a suspect was involved in enough crashes since it was last
+    /// seen to be harmless.
+    bool is_accusable(crash_suspect suspect) const;
+
   private:
     using crash_key = std::pair<target_id, std::int64_t>;
     using crash_list = std::vector<const target_crash*>;
@@ -84,6 +90,8 @@
     /// last seen to be harmless
     std::map<crash_suspect, crash_list> crashes_by_suspect() const;
     bool is_harmless_since(crash_suspect suspect, steady_time at) const;
+    /// crashes that are enough to accuse a suspect, from those since it was last harmless
+    std::size_t needed_crashes(crash_suspect suspect, const crash_list& crashes) const;
     /// place of a part in its prompts, from 1; 0 for a request
     std::size_t depth_of(crash_suspect suspect) const;
     bool is_in_prompt_of(crash_suspect part, crash_suspect request) const;
--- a/include/medlar/detail/hosts/crash_controller.hpp
+++ b/include/medlar/detail/hosts/crash_controller.hpp
@@ -135,6 +135,12 @@
     bool is_blocked(crash_suspect suspect) const;
     void block(crash_suspect suspect);
     void record_blocked(crash_suspect suspect, steady_time until);
+    /// records that a suspect was harmless, and ends its block if it could not be blocked
+    /// with that known
+    void acquit(crash_suspect suspect, steady_time at);
+    /// when a suspect was last harmless at this host; unset if it is not known
+    std::optional<nlohmann::json> write_harmless_since(crash_suspect suspect) const;
+    void handle_harmless_since(const nlohmann::json& message);
     /// ends the block of a suspect on all hosts, if there is one
     void unblock_everywhere(crash_suspect suspect);
     void record_harmless(crash_suspect suspect);
--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -12,6 +12,10 @@
 // crashes that are enough to accuse: with fewer, what many requests have in common is
 // accused by chance; each one more costs a target
 constexpr std::size_t min_crashes = 3;
+// the same for what has recently been harmless: while all targets of a pool are down, no
+// answer can acquit what was running there
+constexpr std::size_t min_crashes_if_harmless_before = 5;
+constexpr millis harmless_before_time{60000};
 constexpr std::size_t min_addresses = 2;
 constexpr std::size_t min_prompts = 2;
 
@@ -51,7 +55,8 @@
 
 /// whether crashes that a part was involved in are enough to accuse it
 bool is_enough_for_part(const std::vector<const target_crash*>& crashes,
-                        crash_suspect part)
+                        crash_suspect part,
+                        std::size_t needed)
 {
     std::size_t apart = 0;
     steady_time last;
@@ -63,12 +68,13 @@
             last = each->at;
         }
     }
-    return apart >= min_crashes && may_explain(crashes, part);
+    return apart >= needed && may_explain(crashes, part);
 }
 
 /// whether crashes that a request was involved in are enough to accuse it
 bool is_enough_for_request(const std::vector<const target_crash*>& crashes,
-                           crash_suspect request)
+                           crash_suspect request,
+                           std::size_t needed)
 {
     std::size_t runs = 0;
     steady_time last;
@@ -87,13 +93,15 @@
         }
         addresses.insert(each->address);
     }
-    return runs >= min_crashes && addresses.size() >= min_addresses;
+    return runs >= needed && addresses.size() >= min_addresses;
 }
 
-bool is_enough(const std::vector<const target_crash*>& crashes, crash_suspect suspect)
+bool is_enough(const std::vector<const target_crash*>& crashes,
+               crash_suspect suspect,
+               std::size_t needed)
 {
-    return is_enough_for_part(crashes, suspect) ||
-           is_enough_for_request(crashes, suspect);
+    return is_enough_for_part(crashes, suspect, needed) ||
+           is_enough_for_request(crashes, suspect, needed);
 }
 
 bool is_earlier(const target_crash* a, const target_crash* b)
@@ -162,6 +170,16 @@
     return found != harmless_at_.end() && at <= found->second;
 }
 
+std::size_t crash_evidence::needed_crashes(crash_suspect suspect,
+                                           const crash_list& crashes) const
+{
+    const auto found = harmless_at_.find(suspect);
+    const bool was_harmless_before =
+        found != harmless_at_.end() && !crashes.empty() &&
+        crashes.front()->at - found->second <= harmless_before_time;
+    return was_harmless_before ? min_crashes_if_harmless_before : min_crashes;
+}
+
 std::map<crash_suspect, crash_evidence::crash_list>
 crash_evidence::crashes_by_suspect() const
 {
@@ -260,7 +278,8 @@
     bool has_enough = false;
     for (const auto& [suspect, crashes] : crashes_by_suspect())
     {
-        const bool is_accusable = is_enough(crashes, suspect);
+        const bool is_accusable =
+            is_enough(crashes, suspect, needed_crashes(suspect, crashes));
         has_enough = has_enough || is_accusable;
         if (is_accusable || may_explain(crashes, suspect))
         {
@@ -270,14 +289,36 @@
     return has_enough ? found : std::map<crash_suspect, steady_time>();
 }
 
+bool crash_evidence::is_accusable(crash_suspect suspect) const
+{
+    crash_list crashes;
+    for (const auto& [key, crash] : crashes_)
+    {
+        const bool is_involved = crash.requests.count(suspect) > 0 ||
+                                 std::any_of(crash.prompts.begin(),
+                                             crash.prompts.end(),
+                                             [suspect](const prompt_suspects& prompt)
+                                             {
+                                                 return has_shared_part(prompt, suspect);
+                                             });
+        if (is_involved && !is_harmless_since(suspect, crash.at))
+        {
+            crashes.push_back(&crash);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end(), is_earlier);
+    return is_enough(crashes, suspect, needed_crashes(suspect, crashes));
+}
+
 std::set<crash_suspect> crash_evidence::culprits() const
 {
     const std::map<crash_suspect, crash_list> involved = crashes_by_suspect();
     std::map<crash_suspect, crash_list> unexplained;
     for (const auto& [suspect, crashes] : involved)
     {
-        const bool is_suspect = is_enough_for_part(crashes, suspect) ||
-                                (is_enough_for_request(crashes, suspect) &&
+        const std::size_t needed = needed_crashes(suspect, crashes);
+        const bool is_suspect = is_enough_for_part(crashes, suspect, needed) ||
+                                (is_enough_for_request(crashes, suspect, needed) &&
                                  !is_explained_by_part(suspect, crashes, involved));
         if (is_suspect)
         {
@@ -310,6 +351,7 @@
         for (auto each = unexplained.begin(); each != unexplained.end();)
         {
             crash_list& left = each->second;
+            const std::size_t needed = needed_crashes(each->first, left);
             left.erase(std::remove_if(left.begin(),
                                       left.end(),
                                       [&explained](const target_crash* crash)
@@ -319,7 +361,7 @@
                                                            crash) != explained.end();
                                       }),
                        left.end());
-            const bool is_left = is_enough(left, each->first);
+            const bool is_left = is_enough(left, each->first, needed);
             each = is_left ? std::next(each) : unexplained.erase(each);
         }
     }
--- a/src/hosts/crash_controller.cpp
+++ b/src/hosts/crash_controller.cpp
@@ -407,9 +407,9 @@
     nlohmann::json harmless = nlohmann::json::array();
     for (const nlohmann::json& each : message.at("suspects"))
     {
+        // before the crashes, too: what was harmless just before needs more of them
         const auto found = harmless_at_.find(read_suspect(each));
-        if (found != harmless_at_.end() &&
-            now - found->second <= read_span(each, "since_ms"))
+        if (found != harmless_at_.end())
         {
             harmless.push_back({{"suspect", found->first.get()},
                                 {"age_ms", (now - found->second).count()}});
@@ -443,6 +443,30 @@
     }
 }
 
+void crash_controller::acquit(crash_suspect suspect, steady_time at)
+{
+    const bool was_accusable = evidence_.is_accusable(suspect);
+    evidence_.record_harmless(suspect, at);
+    if (was_accusable && !evidence_.is_accusable(suspect))
+    {
+        unblock_everywhere(suspect);
+    }
+}
+
+std::optional<nlohmann::json>
+crash_controller::write_harmless_since(crash_suspect suspect) const
+{
+    const auto found = harmless_at_.find(suspect);
+    if (found == harmless_at_.end())
+    {
+        return std::nullopt;
+    }
+    const millis age = context_.loop.now() - found->second;
+    return nlohmann::json{
+        {"type", "harmless_since"},
+        {"suspects", {{{"suspect", suspect.get()}, {"age_ms", age.count()}}}}};
+}
+
 bool crash_controller::is_blocked(crash_suspect suspect) const
 {
     const auto found = blocks_.find(suspect);
@@ -577,7 +601,13 @@
     if (type == "blocked")
     {
         const millis left = std::min(block_time, read_span(message, "left_ms"));
-        record_blocked(read_suspect(message), context_.loop.now() + left);
+        const crash_suspect suspect = read_suspect(message);
+        record_blocked(suspect, context_.loop.now() + left);
+        // the judge may have missed the answer of this host to its question
+        if (const auto known = write_harmless_since(suspect))
+        {
+            from->send(*known);
+        }
         return true;
     }
     if (type == "harmless")
@@ -588,6 +618,20 @@
     return false;
 }
 
+void crash_controller::handle_harmless_since(const nlohmann::json& message)
+{
+    std::vector<std::pair<crash_suspect, steady_time>> harmless;
+    for (const nlohmann::json& each : message.at("suspects"))
+    {
+        const millis age = std::max(millis(0), read_span(each, "age_ms"));
+        harmless.emplace_back(read_suspect(each), context_.loop.now() - age);
+    }
+    for (const auto& each : harmless)
+    {
+        acquit(each.first, each.second);
+    }
+}
+
 bool crash_controller::handle_answer(const nlohmann::json& message)
 {
     if (message.at("type").get<std::string>() == "reached")
@@ -599,16 +643,7 @@
     {
         return false;
     }
-    std::vector<std::pair<crash_suspect, steady_time>> harmless;
-    for (const nlohmann::json& each : message.at("suspects"))
-    {
-        const millis age = std::max(millis(0), read_span(each, "age_ms"));
-        harmless.emplace_back(read_suspect(each), context_.loop.now() - age);
-    }
-    for (const auto& each : harmless)
-    {
-        evidence_.record_harmless(each.first, each.second);
-    }
+    handle_harmless_since(message);
     return true;
 }
 
--- a/test/decisions/dispatch/crash_evidence_test.cpp
+++ b/test/decisions/dispatch/crash_evidence_test.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(do_not_accuse_a_request_that_all_targets_ran_when_they_crashed);
     CPPUNIT_TEST(do_not_accuse_a_request_that_was_answered_between);
     CPPUNIT_TEST(do_not_accuse_a_request_if_one_target_crashes_each_time_it_starts);
+    CPPUNIT_TEST(have_to_be_more_to_accuse_what_was_harmless_just_before);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -303,6 +304,28 @@
         CPPUNIT_ASSERT(evidence.culprits() == parts({"bad"}));
     }
 
+    /// Guards against a sound part or read that is accused while all targets of its pool
+    /// crash, so that nothing is answered between.
+    void have_to_be_more_to_accuse_what_was_harmless_just_before()
+    {
+        for (const std::int64_t harmless_ms : {90, -59900, -59901})
+        {
+            const bool is_recent = harmless_ms >= -59900;
+            crashes seen;
+            seen.evidence.record_harmless(suspect_of_part("hot"), at_ms(harmless_ms));
+            seen.evidence.record_harmless(request_named("read"), at_ms(harmless_ms + 50));
+            for (std::int64_t i = 0; i < 5; ++i)
+            {
+                const std::int64_t ms = 100 + i * 300;
+                seen.add(i, ms, {prompt({"hot", "r" + std::to_string(i)})});
+                seen.add_runs(10 + i, ms + 50, {{"read", ms + 20}});
+                const std::int64_t needed = is_recent ? 5 : 3;
+                const std::size_t accused = i + 1 >= needed ? 2 : 0;
+                CPPUNIT_ASSERT_EQUAL(accused, seen.culprits().size());
+            }
+        }
+    }
+
     void accuse_two_requests_at_once()
     {
         crashes seen;
