Keep a block from coming back after its end

Cause: a block of a part or request that crashes targets is an item in the store. When an answer ended the block, its removal was tried once; without the store the item stayed. A host that started read it and blocked again, and if it was a judge, it wrote it for all hosts in the next era, where nothing is sent that could end it. The same for an item that is written after its removal, and for one that an old copy brings back. A "blocked" message that comes after the "harmless" of another host blocked one host alone. The stand-in of the store ignored removals in a transaction, so that no test showed this.

Change: each block has a number, in its item ("HOST NUMBER") and in the fields "blocks" of its messages. Hosts remember the numbers of ended blocks for ten minutes, 4,096 at most: items and messages with them block nothing, and the judges remove such items again. The removal is repeated until the store has done it. A host that learns of a block from the store alone tells the judges what it knows. Without a number (a host of an earlier build) items and messages are taken as before; such hosts ignore the field, and do not read the item's value. The stand-in executes removals. The assertions of a_sound_request now send the read itself: with a prompt it was another request, so that a block of the read passed unseen.

--- a/include/medlar/detail/hosts/crash_controller.hpp
+++ b/include/medlar/detail/hosts/crash_controller.hpp
@@ -111,6 +111,8 @@
         bool is_mirrored = false;
         /// when it began, or this host last wrote its item
         steady_time written_at;
+        /// of the blocks that judges have made; both may have made one
+        std::set<std::uint64_t> numbers;
     };
 
     /// the two hosts that collect the reports
@@ -134,16 +136,26 @@
     void judge();
     bool is_blocked(crash_suspect suspect) const;
     void block(crash_suspect suspect);
-    void record_blocked(crash_suspect suspect, steady_time until);
+    void record_blocked(crash_suspect suspect,
+                        steady_time until,
+                        const std::set<std::uint64_t>& numbers);
     /// records that a suspect was harmless, and ends its block if it could not be blocked
     /// with that known
     void acquit(crash_suspect suspect, steady_time at);
     /// when a suspect was last harmless at this host; unset if it is not known
     std::optional<nlohmann::json> write_harmless_since(crash_suspect suspect) const;
+    void tell_judges_harmless(crash_suspect suspect);
     void handle_harmless_since(const nlohmann::json& message);
+    void handle_blocked_item(crash_suspect suspect, std::uint64_t number);
+    /// whether all of some blocks, at least one, are known to have ended
+    bool have_ended(const std::set<std::uint64_t>& numbers) const;
+    void forget_ended_blocks();
+    /// removes the item of a block that has ended, until the store has done it
+    void remove_item(crash_suspect suspect);
     /// ends the block of a suspect on all hosts, if there is one
     void unblock_everywhere(crash_suspect suspect);
-    void record_harmless(crash_suspect suspect);
+    /// @param numbers of the blocks that this ends
+    void record_harmless(crash_suspect suspect, const std::set<std::uint64_t>& numbers);
     void forget_old_harmless();
     std::string item_key(crash_suspect suspect) const;
     std::optional<crash_suspect> read_item_key(const std::string& key) const;
@@ -172,6 +184,8 @@
     /// whether crashes have been reported since
     bool has_new_report_ = false;
     std::map<crash_suspect, block_state> blocks_;
+    /// numbers of ended blocks, and until when they are remembered
+    std::map<std::uint64_t, steady_time> ended_blocks_;
 };
 
 } // namespace medlar
--- a/include/medlar/detail/hosts/store_controller.hpp
+++ b/include/medlar/detail/hosts/store_controller.hpp
@@ -74,6 +74,10 @@
     /// @brief Removes an item. A failure is ignored: the store removes it after its time.
     void remove_item(const std::string& key);
 
+    /// @brief Removes an item. Tries again until it is removed.
+    /// @param is_wanted returns whether the item is still to be removed
+    void remove_item(const std::string& key, const std::function<bool()>& is_wanted);
+
     /// @brief Sets the handler of the begin of a new era: the store may lack what was
     /// written last, also if no host has read it.
     void set_era_handler(std::function<void()> handler)
--- a/src/hosts/crash_controller.cpp
+++ b/src/hosts/crash_controller.cpp
@@ -52,6 +52,9 @@
 // requests of one host in a crash; targets have up to 128 slots
 constexpr std::size_t max_requests_per_crash = 128;
 
+// ended blocks that are remembered, so that their items in the store block nothing again
+constexpr std::size_t max_ended_blocks = 4096;
+
 // what is remembered to be harmless, and for how long if there is more
 constexpr std::size_t max_harmless = 8192;
 constexpr millis max_harmless_age{60000};
@@ -124,6 +127,25 @@
     return crash_suspect(message.at("suspect").get<std::uint64_t>());
 }
 
+/// Reads the numbers of blocks from a message; hosts of earlier builds state none.
+std::set<std::uint64_t> read_blocks(const nlohmann::json& message)
+{
+    const auto found = message.find("blocks");
+    return found == message.end() ? std::set<std::uint64_t>()
+                                  : found->get<std::set<std::uint64_t>>();
+}
+
+/// Reads the number of a block from its item; 0 if a host of an earlier build wrote it.
+std::uint64_t read_item_block(const std::string& value)
+{
+    std::uint64_t number = 0;
+    const std::size_t separator = value.rfind(' ');
+    return separator != std::string::npos &&
+                   absl::SimpleAtoi(value.substr(separator + 1), &number)
+               ? number
+               : 0;
+}
+
 std::string hex_text(crash_suspect suspect)
 {
     return absl::StrCat(absl::Hex(suspect.get(), absl::kZeroPad16));
@@ -467,6 +489,26 @@
         {"suspects", {{{"suspect", suspect.get()}, {"age_ms", age.count()}}}}};
 }
 
+void crash_controller::tell_judges_harmless(crash_suspect suspect)
+{
+    const std::optional<nlohmann::json> known = write_harmless_since(suspect);
+    if (!known)
+    {
+        return;
+    }
+    for (const host_id& each : judges())
+    {
+        if (each == peers_.self().id)
+        {
+            acquit(suspect, harmless_at_.at(suspect));
+        }
+        else
+        {
+            peers_.send(each, *known);
+        }
+    }
+}
+
 bool crash_controller::is_blocked(crash_suspect suspect) const
 {
     const auto found = blocks_.find(suspect);
@@ -475,14 +517,18 @@
 
 void crash_controller::block(crash_suspect suspect)
 {
-    record_blocked(suspect, context_.loop.now() + block_time);
+    const std::set<std::uint64_t> numbers{context_.random.next()};
+    record_blocked(suspect, context_.loop.now() + block_time, numbers);
     send_to_all({{"type", "blocked"},
                  {"suspect", suspect.get()},
-                 {"left_ms", block_time.count()}});
+                 {"left_ms", block_time.count()},
+                 {"blocks", numbers}});
     write_item(suspect);
 }
 
-void crash_controller::record_blocked(crash_suspect suspect, steady_time until)
+void crash_controller::record_blocked(crash_suspect suspect,
+                                      steady_time until,
+                                      const std::set<std::uint64_t>& numbers)
 {
     block_state& known = blocks_[suspect];
     if (known.until <= context_.loop.now())
@@ -494,14 +540,16 @@
                    {"left_ms", (until - context_.loop.now()).count()}});
     }
     known.until = std::max(known.until, until);
+    known.numbers.insert(numbers.begin(), numbers.end());
 }
 
 void crash_controller::write_item(crash_suspect suspect)
 {
     block_state& known = blocks_.at(suspect);
     known.written_at = context_.loop.now();
+    const std::uint64_t number = known.numbers.empty() ? 0 : *known.numbers.rbegin();
     store_.write_item(item_key(suspect),
-                      peers_.self().id.get(),
+                      absl::StrCat(peers_.self().id.get(), " ", number),
                       known.until - context_.loop.now(),
                       [this, suspect]
                       {
@@ -509,22 +557,70 @@
                       });
 }
 
-void crash_controller::record_harmless(crash_suspect suspect)
+void crash_controller::record_harmless(crash_suspect suspect,
+                                       const std::set<std::uint64_t>& numbers)
 {
     evidence_.record_harmless(suspect, context_.loop.now());
-    if (blocks_.erase(suspect) > 0)
+    const steady_time until = context_.loop.now() + block_time;
+    for (const std::uint64_t each : numbers)
     {
-        log_event(entry_suspect_unblocked, {{"suspect", hex_text(suspect)}});
+        ended_blocks_[each] = until;
     }
+    const auto found = blocks_.find(suspect);
+    if (found == blocks_.end())
+    {
+        return;
+    }
+    for (const std::uint64_t each : found->second.numbers)
+    {
+        ended_blocks_[each] = until;
+    }
+    blocks_.erase(found);
+    log_event(entry_suspect_unblocked, {{"suspect", hex_text(suspect)}});
+}
+
+bool crash_controller::have_ended(const std::set<std::uint64_t>& numbers) const
+{
+    return !numbers.empty() && std::all_of(numbers.begin(),
+                                           numbers.end(),
+                                           [this](std::uint64_t each)
+                                           {
+                                               return ended_blocks_.count(each) > 0;
+                                           });
+}
+
+void crash_controller::forget_ended_blocks()
+{
+    for (auto each = ended_blocks_.begin(); each != ended_blocks_.end();)
+    {
+        const bool is_over = each->second <= context_.loop.now();
+        each = is_over ? ended_blocks_.erase(each) : std::next(each);
+    }
+    while (ended_blocks_.size() > max_ended_blocks)
+    {
+        // any is as good: numbers say nothing about age
+        ended_blocks_.erase(ended_blocks_.begin());
+    }
+}
+
+void crash_controller::remove_item(crash_suspect suspect)
+{
+    store_.remove_item(item_key(suspect),
+                       [this, suspect, until = context_.loop.now() + block_time]
+                       {
+                           return !is_blocked(suspect) && context_.loop.now() < until;
+                       });
 }
 
 void crash_controller::unblock_everywhere(crash_suspect suspect)
 {
     if (is_blocked(suspect))
     {
-        record_harmless(suspect);
-        send_to_all({{"type", "harmless"}, {"suspect", suspect.get()}});
-        store_.remove_item(item_key(suspect));
+        const std::set<std::uint64_t> numbers = blocks_.at(suspect).numbers;
+        record_harmless(suspect, numbers);
+        send_to_all(
+            {{"type", "harmless"}, {"suspect", suspect.get()}, {"blocks", numbers}});
+        remove_item(suspect);
     }
 }
 
@@ -602,7 +698,13 @@
     {
         const millis left = std::min(block_time, read_span(message, "left_ms"));
         const crash_suspect suspect = read_suspect(message);
-        record_blocked(suspect, context_.loop.now() + left);
+        const std::set<std::uint64_t> numbers = read_blocks(message);
+        if (have_ended(numbers))
+        {
+            // another host has told sooner that it has ended
+            return true;
+        }
+        record_blocked(suspect, context_.loop.now() + left, numbers);
         // the judge may have missed the answer of this host to its question
         if (const auto known = write_harmless_since(suspect))
         {
@@ -612,7 +714,12 @@
     }
     if (type == "harmless")
     {
-        record_harmless(read_suspect(message));
+        record_harmless(read_suspect(message), read_blocks(message));
+        return true;
+    }
+    if (type == "harmless_since")
+    {
+        handle_harmless_since(message);
         return true;
     }
     return false;
@@ -675,8 +782,7 @@
     }
     if (!item.is_deleted)
     {
-        record_blocked(*suspect, context_.loop.now() + block_time);
-        blocks_.at(*suspect).is_mirrored = true;
+        handle_blocked_item(*suspect, read_item_block(item.value));
     }
     else if (blocks_.erase(*suspect) > 0)
     {
@@ -684,6 +790,29 @@
     }
 }
 
+void crash_controller::handle_blocked_item(crash_suspect suspect, std::uint64_t number)
+{
+    if (!is_blocked(suspect) && ended_blocks_.count(number) > 0)
+    {
+        // written after its removal, or back with an old copy of the store
+        if (is_judge())
+        {
+            remove_item(suspect);
+        }
+        return;
+    }
+    const bool is_new = !is_blocked(suspect);
+    const std::set<std::uint64_t> numbers =
+        number == 0 ? std::set<std::uint64_t>() : std::set<std::uint64_t>{number};
+    record_blocked(suspect, context_.loop.now() + block_time, numbers);
+    blocks_.at(suspect).is_mirrored = true;
+    if (is_new)
+    {
+        // the judge that blocked it may not have reached this host
+        tell_judges_harmless(suspect);
+    }
+}
+
 void crash_controller::handle_item_expired(const std::string& key)
 {
     const std::optional<crash_suspect> suspect = read_item_key(key);
@@ -705,6 +834,7 @@
 
 void crash_controller::check_items()
 {
+    forget_ended_blocks();
     if (store_.is_in_contact())
     {
         // the judges that had to write an item may have been killed before
--- a/src/hosts/store_controller.cpp
+++ b/src/hosts/store_controller.cpp
@@ -786,6 +786,28 @@
     call(context_.protocol.write_remove_call(key), call_timeout, [](const reply&) {});
 }
 
+void store_controller::remove_item(const std::string& key,
+                                   const std::function<bool()>& is_wanted)
+{
+    call(context_.protocol.write_remove_call(key),
+         call_timeout,
+         [this, key, is_wanted](const reply& change)
+         {
+             if (is_written(change))
+             {
+                 return;
+             }
+             context_.loop.after(write_retry_delay,
+                                 [this, key, is_wanted]
+                                 {
+                                     if (is_wanted())
+                                     {
+                                         remove_item(key, is_wanted);
+                                     }
+                                 });
+         });
+}
+
 void store_controller::leave()
 {
     is_leaving_ = true;
--- a/test/entry/crashing_request_test.cpp
+++ b/test/entry/crashing_request_test.cpp
@@ -1,5 +1,7 @@
 #include "support/entry/crashing_pool.hpp"
 
+#include <medlar/detail/loop/message_link.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace
@@ -115,6 +117,11 @@
     CPPUNIT_TEST(is_served_after_all_targets_crashed_at_once);
     CPPUNIT_TEST(is_served_after_targets_reset_its_connections);
     CPPUNIT_TEST(is_served_if_only_other_prompts_crash_targets);
+    CPPUNIT_TEST(is_served_after_it_was_running_in_three_crashes_of_its_pool);
+    CPPUNIT_TEST(is_served_if_the_host_that_knows_it_to_be_harmless_answers_late);
+    CPPUNIT_TEST(is_served_after_its_block_has_ended_without_the_store);
+    CPPUNIT_TEST(is_served_after_the_item_of_an_ended_block_has_come_back);
+    CPPUNIT_TEST(is_served_if_the_end_of_its_block_is_heard_before_the_block);
     CPPUNIT_TEST_SUITE_END();
 
     /// sends the same request to all hosts; the targets leave it without an answer
@@ -131,6 +138,37 @@
         return waiting;
     }
 
+    /// another prompt would make it another request
+    static void expect_read_served(crashing_pool& pool)
+    {
+        for (std::size_t host = 0; host < pool.hosts.size(); ++host)
+        {
+            const received_answer got = pool.send_request(host, "/i/x", "read");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(got.body, 200, got.status);
+        }
+    }
+
+    static crash_suspect read_suspect()
+    {
+        const request_key key =
+            key_of_request({"POST", "h.example", "/i/x", "org-1", "read"});
+        return suspects_of(key, {}).request;
+    }
+
+    static std::string read_key(const crashing_pool& pool)
+    {
+        return absl::StrCat(pool.protocol.blocked_suspect_prefix(),
+                            absl::Hex(read_suspect().get(), absl::kZeroPad16));
+    }
+
+    /// Writes that the read is blocked, and waits until the hosts refuse it.
+    static void block_read(crashing_pool& pool, const std::string& value)
+    {
+        pool.store.put(read_key(pool), value);
+        pool.run_for(millis(1000));
+        CPPUNIT_ASSERT_EQUAL(503, pool.send_request(0, "/i/x", "read").status);
+    }
+
   public:
     void is_served_after_targets_crashed_one_by_one_for_their_own_reasons()
     {
@@ -142,7 +180,7 @@
             it.is_answering = true;
             it.run_restarting(millis(300));
         }
-        expect_served(it, "/i/x", "read");
+        expect_read_served(it);
     }
 
     void is_served_after_all_targets_crashed_at_once()
@@ -158,7 +196,7 @@
         it.is_answering = true;
         it.restart_crashed();
         it.run_for(millis(600));
-        expect_served(it, "/i/x", "read");
+        expect_read_served(it);
     }
 
     void is_served_if_only_other_prompts_crash_targets()
@@ -179,6 +217,134 @@
         }
     }
 
+    /// Crashes a target while two hosts have sent it the read. Its callers leave after
+    /// that, so that each crash is one of another run.
+    static void crash_under_read(crashing_pool& pool, std::size_t target)
+    {
+        pool.is_answering = false;
+        std::vector<std::shared_ptr<client_call>> calls(8);
+        for (std::size_t i = 0; i < calls.size(); ++i)
+        {
+            const std::string attempt = absl::StrCat("crash-", target, "-", i);
+            pool.begin(pool.all_settings.at(1 + i % 2).caller_endpoint,
+                       request_text("POST", "/i/x", attempt, "read"),
+                       &calls[i]);
+        }
+        pool.run_for(millis(60));
+        pool.crash(target);
+        pool.run_for(millis(300));
+        for (const std::shared_ptr<client_call>& each : calls)
+        {
+            each->cancel();
+        }
+        pool.run_for(millis(50));
+    }
+
+    /// Guards against a read that is refused everywhere for ten minutes since it was
+    /// running when the targets of its pool crashed for another cause.
+    void is_served_after_it_was_running_in_three_crashes_of_its_pool()
+    {
+        crashing_pool it(3, 4);
+        // until the hosts that judge have started
+        it.run_for(millis(1600));
+        CPPUNIT_ASSERT_EQUAL(200, it.send_request(0, "/i/x", "read").status);
+        for (std::size_t target = 0; target < 3; ++target)
+        {
+            crash_under_read(it, target);
+        }
+        it.is_answering = true;
+        it.restart_crashed();
+        it.run_for(millis(600));
+        expect_read_served(it);
+    }
+
+    /// Guards against a read that is refused everywhere for ten minutes although one host
+    /// has got an answer to it: that host was frozen while the judges asked.
+    void is_served_if_the_host_that_knows_it_to_be_harmless_answers_late()
+    {
+        crashing_pool it(3, 4);
+        // until the hosts that judge have started
+        it.run_for(millis(1600));
+        crash_under_read(it, 0);
+        it.is_answering = true;
+        CPPUNIT_ASSERT_EQUAL(200, it.send_request(0, "/i/x", "read").status);
+        crash_under_read(it, 1);
+        it.freeze(it.hosts[0]);
+        crash_under_read(it, 2);
+        it.run_for(millis(400));
+        CPPUNIT_ASSERT_EQUAL(503, it.send_request(1, "/i/x", "read").status);
+        it.thaw(it.hosts[0]);
+        it.is_answering = true;
+        it.restart_crashed();
+        it.run_for(millis(1500));
+        expect_read_served(it);
+    }
+
+    /// Guards against an item that outlives its block in the store: a host that starts
+    /// later reads it, and writes it again for all hosts once the store has lost it.
+    void is_served_after_its_block_has_ended_without_the_store()
+    {
+        crashing_pool it(3, 4);
+        it.store.save_copy();
+        const auto waiting = begin_waiting(it);
+        block_read(it, "host-0 7");
+        it.store.set_down(true);
+        it.answer_waiting();
+        it.run_for(millis(200));
+        it.store.set_down(false);
+        it.run_for(millis(2500));
+        it.add_host("late");
+        expect_read_served(it);
+        it.store.return_from_copy();
+        it.run_for(millis(3000));
+        expect_read_served(it);
+    }
+
+    /// Guards against an item that is written after its removal, or that an old copy of
+    /// the store brings back: nothing ends the block that it begins.
+    void is_served_after_the_item_of_an_ended_block_has_come_back()
+    {
+        crashing_pool it(3, 4);
+        const auto waiting = begin_waiting(it);
+        block_read(it, "host-0 7");
+        it.answer_waiting();
+        it.run_for(millis(1000));
+        const std::string key = read_key(it);
+        CPPUNIT_ASSERT(!it.store.has_key_with_prefix(key));
+        it.store.put(key, "host-0 7");
+        it.run_for(millis(1000));
+        expect_read_served(it);
+        CPPUNIT_ASSERT(!it.store.has_key_with_prefix(key));
+        // another block
+        it.store.put(key, "host-0 8");
+        it.run_for(millis(1000));
+        CPPUNIT_ASSERT_EQUAL(503, it.send_request(0, "/i/x", "read").status);
+    }
+
+    /// Guards against a host that goes on refusing what all others serve again, since
+    /// the messages of two hosts on one block have reached it in the other order.
+    void is_served_if_the_end_of_its_block_is_heard_before_the_block()
+    {
+        crashing_pool it(1, 2);
+        const auto link = message_link::create(
+            connection::connect(it.loop, it.all_settings[0].link_endpoint, millis(1000)),
+            [](const nlohmann::json&) {},
+            [](connection_end) {});
+        const auto tell = [&](const std::string& type, std::uint64_t number)
+        {
+            link->send({{"type", type},
+                        {"suspect", read_suspect().get()},
+                        {"left_ms", 60000},
+                        {"blocks", {number}}});
+            it.run_for(millis(200));
+        };
+        tell("harmless", 7);
+        tell("blocked", 7);
+        expect_read_served(it);
+        tell("blocked", 8);
+        CPPUNIT_ASSERT_EQUAL(503, it.send_request(0, "/i/x", "read").status);
+    }
+
     void is_served_after_targets_reset_its_connections()
     {
         crashing_pool it(3, 4);
@@ -190,7 +356,7 @@
             it.reset_waiting();
         }
         it.is_answering = true;
-        expect_served(it, "/i/x", "read");
+        expect_read_served(it);
     }
 };
 
--- a/test/support/entry/crashing_pool.hpp
+++ b/test/support/entry/crashing_pool.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace medlar::test
@@ -110,6 +111,16 @@
         waiting_.clear();
     }
 
+    /// Answers all waiting requests, and those that come from now on.
+    void answer_waiting()
+    {
+        is_answering = true;
+        for (const exchange_ptr& each : std::exchange(waiting_, {}))
+        {
+            answer(each);
+        }
+    }
+
     /// prompt parts under which targets crash
     std::set<std::string> crashing_parts;
     /// the body under which targets crash; empty: none
@@ -161,6 +172,12 @@
         exchange->write("id: 1\ndata: x\n\n");
     }
 
+    void answer(const exchange_ptr& exchange)
+    {
+        begin_events(exchange);
+        exchange->finish();
+    }
+
     void start_engine(std::size_t which)
     {
         std::unique_ptr<stand_in_target>& engine = engines_.at(which);
@@ -190,8 +207,7 @@
                                                       waiting_.push_back(exchange);
                                                       return;
                                                   }
-                                                  begin_events(exchange);
-                                                  exchange->finish();
+                                                  answer(exchange);
                                               });
         last_keys_[which] = engine->key();
         store.put(engine->key(), engine->entry());
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -298,6 +298,13 @@
                 }
                 put(each["key"], rewrite ? rewrite(each["key"], value) : value);
             }
+            for (const nlohmann::json& each : change.at("remove"))
+            {
+                if (items_.count(each.get<std::string>()) > 0)
+                {
+                    remove(each);
+                }
+            }
             reply(*exchange, 200, {{"revision", revision_}});
         }
         else
