Log why no target of a pool can be called

Event 1751 counts the requests since the line before and the targets that cannot be called, by the first reason that holds (stopping, evacuated, probing, ejected, paused, full, limited), once a second for each pool.

--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -60,6 +60,23 @@
     std::optional<steady_time> expires_at;
 };
 
+/// @brief How many targets of a pool cannot be called, by the first reason that holds
+struct target_counts
+{
+    int total = 0;
+    int stopping = 0;
+    int evacuated = 0;
+    /// ejected, and their next probe is not due
+    int ejected = 0;
+    /// ejected, and their probe is in flight
+    int probing = 0;
+    int paused = 0;
+    /// they have refused a call for lack of room
+    int full = 0;
+    /// no permit is left for them
+    int limited = 0;
+};
+
 /// @brief Registered targets by id.
 class target_table
 {
@@ -131,6 +148,9 @@
     /// work
     std::optional<millis> time_until_callable(const pool_id& pool, steady_time now);
 
+    /// @brief Returns how many targets of a pool cannot be called, and why.
+    target_counts count_uncallable(const pool_id& pool, steady_time now) const;
+
     /// @brief Returns all targets.
     const std::map<target_id, target_state>& all() const
     {
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -76,6 +76,10 @@
     /// @brief Records that a target refused a call for lack of room.
     void record_refusal(const target_id& id);
 
+    /// @brief Records that no target of a pool can be called for a request; logs why,
+    /// once a second.
+    void record_no_target(const pool_id& pool);
+
     /// @brief Records what a target says of itself in the head of an answer: that it is
     /// going to stop, wants no calls for a while, or takes no more than some a second.
     void record_target_answer(const target_id& id, const answer_fields& answer);
@@ -116,6 +120,13 @@
     void record_rate_limit(target_state& target, std::optional<double> per_s);
     static void record_refusal_limit(target_state& target, std::optional<double> per_s);
 
+    struct unserved_requests
+    {
+        std::optional<steady_time> logged_at;
+        std::int64_t unlogged = 0;
+    };
+
+    std::map<pool_id, unserved_requests> unserved_;
     std::map<pool_id, pool_retry_budget> budgets_;
     std::map<pool_id, first_event_delay> first_event_delays_;
     std::map<pool_id, answer_time> answer_times_;
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -51,6 +51,9 @@
 inline constexpr event entry_target_limited{1719, severity::info, "entry_target_limited"};
 /// @brief a target is cold: all hosts together send it only some requests a second
 inline constexpr event entry_target_cold{1750, severity::info, "entry_target_cold"};
+/// @brief no target of a pool can be called; says why, once a second for each pool
+inline constexpr event entry_pool_uncallable{
+    1751, severity::warning, "entry_pool_uncallable"};
 /// @brief this host knows the configuration, the targets and the other hosts, and serves
 /// requests; changes after this are logged one by one
 inline constexpr event entry_serving{1718, severity::info, "entry_serving"};
@@ -152,7 +155,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 56> entry_events{entry_started,
+inline constexpr std::array<event, 57> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -207,7 +210,8 @@
                                                     entry_evacuation_ended,
                                                     entry_evacuation_held,
                                                     entry_evacuation_without_targets,
-                                                    entry_memory_short};
+                                                    entry_memory_short,
+                                                    entry_pool_uncallable};
 
 } // namespace medlar
 
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -1,6 +1,8 @@
 #include <medlar/detail/dispatch/target_table.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace medlar
 {
@@ -299,6 +301,40 @@
     return found;
 }
 
+target_counts target_table::count_uncallable(const pool_id& pool, steady_time now) const
+{
+    target_counts counts;
+    for (const auto& [id, each] : targets_)
+    {
+        if (each.record.pool != pool)
+        {
+            continue;
+        }
+        ++counts.total;
+        const std::pair<bool, int*> reasons[]{
+            {is_stopping(each), &counts.stopping},
+            {each.is_evacuated, &counts.evacuated},
+            {each.health.state == health_state::probing, &counts.probing},
+            {each.health.state == health_state::ejected &&
+                 !probe_is_due(each.health, now),
+             &counts.ejected},
+            {now < each.paused_until, &counts.paused},
+            {now < each.refused_until, &counts.full},
+            {now < each.limited_until, &counts.limited}};
+        const auto* const first = std::find_if(std::begin(reasons),
+                                               std::end(reasons),
+                                               [](const auto& reason)
+                                               {
+                                                   return reason.first;
+                                               });
+        if (first != std::end(reasons))
+        {
+            ++*first->second;
+        }
+    }
+    return counts;
+}
+
 std::int64_t start_of(const target_state& target)
 {
     return target.answering_start.value_or(target.record.started_ms);
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -17,6 +17,9 @@
 // hosts that a target asked for a pause return to it within this time, not all at once
 constexpr std::uint64_t max_return_spread_ms = 200;
 
+// a pool without a callable target refuses thousands of requests a second
+constexpr millis no_target_log_interval{1000};
+
 // pause of a target at whose address another one answers: the entry of a target that has
 // gone lapses in about this time
 constexpr millis replaced_target_pause{3000};
@@ -82,6 +85,30 @@
     return targets.time_until_callable(pool, loop.now()).value_or(millis(0));
 }
 
+void entry_context::record_no_target(const pool_id& pool)
+{
+    unserved_requests& unserved = unserved_[pool];
+    ++unserved.unlogged;
+    const steady_time now = loop.now();
+    if (unserved.logged_at && now - *unserved.logged_at < no_target_log_interval)
+    {
+        return;
+    }
+    unserved.logged_at = now;
+    const target_counts counts = targets.count_uncallable(pool, now);
+    log_event(entry_pool_uncallable,
+              {{"pool", pool.get()},
+               {"requests", std::exchange(unserved.unlogged, std::int64_t{0})},
+               {"targets", std::int64_t{counts.total}},
+               {"stopping", std::int64_t{counts.stopping}},
+               {"evacuated", std::int64_t{counts.evacuated}},
+               {"ejected", std::int64_t{counts.ejected}},
+               {"probing", std::int64_t{counts.probing}},
+               {"paused", std::int64_t{counts.paused}},
+               {"full", std::int64_t{counts.full}},
+               {"limited", std::int64_t{counts.limited}}});
+}
+
 void entry_context::record_target_answer(const target_id& id, const answer_fields& answer)
 {
     target_state* const target = targets.find(id);
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -92,6 +92,7 @@
     }
     if (target == nullptr)
     {
+        context_.record_no_target(pool_);
         on_attempts_failed("no target can be called");
         return;
     }
