Send requests with a permit to cold targets without a question

Cause: in pools with cold_per_s a request or a call with pieces on a new connection waited for the answer to the question for the start also if it held a permit. A target that is slow to report, as cold ones are, used up the 200 ms of the permit: it got nothing, and the permit was lost.

Change: with a permit nothing is asked; it holds for whichever process answers. The check of the permit at the moment of sending falls away with it: the time to connect is still limited by it, but a host that is paused just then may send one request late.

--- a/src/entry/piece_permits.cpp
+++ b/src/entry/piece_permits.cpp
@@ -74,11 +74,12 @@
         options.connect_timeout =
             std::min(options.connect_timeout,
                      std::max(min_connect_time, permit_until - context_.loop.now()));
+        // the permit holds for whichever process answers
+        return;
     }
     options.question = make_start_question(context_, target.record);
     options.may_ask = target.inquiry.begin(context_.loop.now());
-    events.accepts_start =
-        [this, permit_until, id = target.record.id](const start_answer& answer)
+    events.accepts_start = [this, id = target.record.id](const start_answer& answer)
     {
         if (target_state* const asked = context_.targets.find(id))
         {
@@ -89,8 +90,7 @@
             context_.record_target_start(id, *answer.started_ms);
         }
         const target_state* const current = context_.targets.find(id);
-        return current == nullptr || !limits_.cold().rate_of(*current) ||
-               context_.loop.now() <= permit_until;
+        return current == nullptr || !limits_.cold().rate_of(*current);
     };
 }
 
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -165,7 +165,11 @@
     options.connect_timeout = target_connect_timeout;
     call_callbacks events;
     limit_connect_time(target, options);
-    if (is_stream() || limits_.cold().has_rule(pool_))
+    // a permit holds for whichever process answers; a cold target may be slow to say
+    // which
+    const bool needs_start =
+        limits_.cold().has_rule(pool_) && !limits_.cold().rate_of(target).has_value();
+    if (is_stream() || needs_start)
     {
         options.question = make_start_question(context_, target.record);
         options.may_ask = target.inquiry.begin(context_.loop.now());
--- a/test/entry/cold_target_test.cpp
+++ b/test/entry/cold_target_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(get_no_more_if_a_host_starts_meanwhile);
     CPPUNIT_TEST(get_nothing_from_a_host_that_cannot_reach_their_issuer);
     CPPUNIT_TEST(get_no_more_calls_with_pieces);
+    CPPUNIT_TEST(get_permitted_requests_though_they_are_slow_to_report);
     CPPUNIT_TEST(are_used_as_before_where_the_pool_states_no_rate);
     CPPUNIT_TEST_SUITE_END();
 
@@ -120,6 +121,27 @@
         CPPUNIT_ASSERT(unused > 0 && unused < target_count);
     }
 
+    /// Guards against permits that run out while a slow target is asked for its start.
+    /// One request after the other at one host: 5 a second are permitted at most.
+    void get_permitted_requests_though_they_are_slow_to_report()
+    {
+        cold_pool it(1, 1);
+        it.put_cold(0, 4000);
+        std::vector<std::shared_ptr<caller_exchange>> unanswered;
+        stand_in_target& cold = *it.targets[0]->server;
+        cold.report_handler = [&unanswered](const std::shared_ptr<caller_exchange>& each)
+        {
+            unanswered.push_back(each);
+        };
+        const steady_time begun = it.time.steady_now();
+        it.play(millis(100));
+        CPPUNIT_ASSERT(!it.targets[0]->arrivals.empty());
+        CPPUNIT_ASSERT(it.targets[0]->arrivals[0] - begun < millis(150));
+        it.play(millis(2000));
+        CPPUNIT_ASSERT_EQUAL(0, cold.reports);
+        it.expect_bound(0);
+    }
+
     void get_no_more_calls_with_pieces()
     {
         cold_pool it(3, 2);
