--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -51,6 +51,9 @@
 inline constexpr event entry_target_limited{1719, severity::info, "entry_target_limited"};
 /// @brief a target is cold: all hosts together send it only some requests a second
 inline constexpr event entry_target_cold{1750, severity::info, "entry_target_cold"};
+/// @brief no target of a pool can be called; says why, once a second for each pool
+inline constexpr event entry_pool_uncallable{
+    1751, severity::warning, "entry_pool_uncallable"};
 /// @brief this host knows the configuration, the targets and the other hosts, and serves
 /// requests; changes after this are logged one by one
 inline constexpr event entry_serving{1718, severity::info, "entry_serving"};
@@ -164,7 +167,7 @@
     1726, severity::warning, "entry_lines_dropped"};
 
 /// @brief all events of this area
-inline constexpr std::array<event, 60> entry_events{entry_started,
+inline constexpr std::array<event, 61> entry_events{entry_started,
                                                     entry_draining,
                                                     entry_stopped,
                                                     entry_settings_read,
@@ -223,7 +226,8 @@
                                                     entry_target_returned,
                                                     entry_slow_start_ended,
                                                     entry_slow_start_unanswered,
-                                                    entry_memory_short};
+                                                    entry_memory_short,
+                                                    entry_pool_uncallable};
 
 } // namespace medlar
 
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -113,6 +113,7 @@
     }
     if (target == nullptr)
     {
+        context_.record_no_target(pool_);
         on_attempts_failed(why_no_target);
         return;
     }
@@ -162,6 +163,7 @@
 
 void request_run::send_to(target_state& target)
 {
+    begin_probe_if_due(target, context_.loop.now());
     target_ = target.record.id;
     target_record_ = target.record;
     called_ = {target.record.address, start_of(target)};
@@ -189,7 +191,11 @@
     options.connect_timeout = target_connect_timeout;
     call_callbacks events;
     limit_connect_time(target, options);
-    if (is_stream() || limits_.cold().has_rule(pool_))
+    // a permit holds for whichever process answers; a cold target may be slow to say
+    // which
+    const bool needs_start =
+        limits_.cold().has_rule(pool_) && !limits_.cold().rate_of(target).has_value();
+    if (is_stream() || needs_start)
     {
         options.question = make_start_question(context_, target.record);
         options.may_ask = target.inquiry.begin(context_.loop.now());
@@ -379,6 +385,15 @@
                        });
 }
 
+void request_run::end_probe(call_result result)
+{
+    const target_state* const target = context_.targets.find(target_);
+    if (target != nullptr && target->health.state == health_state::probing)
+    {
+        context_.record_target_call(target_, result);
+    }
+}
+
 void request_run::release_call()
 {
     if (slow_call_)
@@ -386,6 +401,8 @@
         slow_starts_.end_call(*slow_call_, pace_of_call());
         slow_call_.reset();
     }
+    // a probe whose result nobody records would keep the target out of use for good
+    end_probe(call_result::cancelled);
     if (target_state* const target = context_.targets.find(target_))
     {
         target->in_flight = std::max(0, target->in_flight - 1);
