--- a/src/dispatch/explanation_text.cpp
+++ b/src/dispatch/explanation_text.cpp
@@ -47,7 +47,7 @@
 std::string target_line(const nlohmann::json& target)
 {
     const bool is_taken = field(target, "taken") == "true";
-    std::string out = absl::StrCat("  ", field(target, "target"), " ");
+    std::string out = absl::StrCat("  ", field(target, "target"), ": ");
     absl::StrAppend(&out,
                     is_taken ? "is taken" : field(target, "why"),
                     "\n    ",
--- a/src/entry/request_explain.cpp
+++ b/src/entry/request_explain.cpp
@@ -177,7 +177,7 @@
     if (const std::optional<permit_terms> terms = permits_for(*chosen))
     {
         result["permit"] = absl::StrCat(
-            limits_.would_issue(*chosen) ? "granted by this host, " : "asked from host ",
+            limits_.would_issue(*chosen) ? "granted by this host, " : "asked from ",
             terms->issuer.get());
     }
     return chosen;
