Use a target of another domain rather than wait for a slot

Targets near the stage results were preferred before it was known whether they take a call now, so a request whose near targets were all in slow start waited for a slot while a target elsewhere could take it. Streams still wait for a target of the version at which they should begin: another version would cost a call to the store.

--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -101,7 +101,9 @@
     bool may_run_at(const target_state& target) const;
     pool_id choose_pool();
     std::optional<failure_domain_id> inputs_domain() const;
-    target_choice_input choice_input();
+    /// @param leaves_out_slow whether targets that need a slot which this host does not
+    /// have are left out
+    target_choice_input choice_input(bool leaves_out_slow);
     target_state* choose_target();
     /// chooses a target of which the host has a slot if it is in slow start
     target_state* choose_target_with_slot();
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -303,7 +303,7 @@
     return has_inputs_ ? pipeline_->results_domain() : std::nullopt;
 }
 
-target_choice_input request_run::choice_input()
+target_choice_input request_run::choice_input(bool leaves_out_slow)
 {
     target_choice_input input;
     input.tried = tried_targets_;
@@ -324,6 +324,17 @@
                        }),
         input.candidates.end());
     prefer_version_of_stream(input);
+    if (leaves_out_slow)
+    {
+        // before the domain is chosen: one farther away is better than to wait
+        input.candidates.erase(std::remove_if(input.candidates.begin(),
+                                              input.candidates.end(),
+                                              [this](const target_state* each)
+                                              {
+                                                  return slow_starts_.lacks_slot(*each);
+                                              }),
+                               input.candidates.end());
+    }
     if (const std::optional<failure_domain_id> near = inputs_domain())
     {
         const auto other_domains =
@@ -359,7 +370,7 @@
 
 target_state* request_run::choose_target()
 {
-    return choose_among(choice_input());
+    return choose_among(choice_input(false));
 }
 
 std::optional<software_version> request_run::version_of_new_stream() const
--- a/src/entry/request_slow_start.cpp
+++ b/src/entry/request_slow_start.cpp
@@ -3,7 +3,6 @@
 #include <medlar/detail/entry/request_run.hpp>
 
 #include <algorithm>
-#include <iterator>
 
 namespace medlar
 {
@@ -18,7 +17,7 @@
 
 target_state* request_run::choose_target_with_slot()
 {
-    target_choice_input input = choice_input();
+    target_choice_input input = choice_input(false);
     // Any request uses a slot that the host holds, also one whose prompt another engine
     // has in its cache: the target would be idle until a prompt comes that prefers it.
     prefer_targets(input,
@@ -32,28 +31,19 @@
         return preferred;
     }
     slow_starts_.ask_ahead(preferred->record.id);
-    const auto lacking = std::stable_partition(input.candidates.begin(),
-                                               input.candidates.end(),
-                                               [this](const target_state* each)
-                                               {
-                                                   return !slow_starts_.lacks_slot(*each);
-                                               });
-    target_choice_input others = input;
-    others.candidates.assign(input.candidates.begin(), lacking);
-    target_state* const other = choose_among(others);
+    target_state* const other = choose_among(choice_input(true));
     if (other != nullptr || slot_refusals_ >= max_slot_refusals)
     {
         return other;
     }
-    others.candidates.clear();
-    std::copy_if(lacking,
-                 input.candidates.end(),
-                 std::back_inserter(others.candidates),
-                 [this](const target_state* each)
-                 {
-                     return slow_starts_.may_be_granted(*each);
-                 });
-    return choose_among(others);
+    input.candidates.erase(std::remove_if(input.candidates.begin(),
+                                          input.candidates.end(),
+                                          [this](const target_state* each)
+                                          {
+                                              return !slow_starts_.may_be_granted(*each);
+                                          }),
+                           input.candidates.end());
+    return choose_among(input);
 }
 
 void request_run::send_with_slot(const target_id& id)
