--- a/src/dispatch/target_selection.cpp
+++ b/src/dispatch/target_selection.cpp
@@ -111,54 +111,80 @@
     }
 }
 
+/// leaves out the targets of other domains if one near the inputs can be called
+void prefer_domain(target_choice_input& input,
+                   const selection_rules& rules,
+                   skip_record* skipped)
+{
+    if (!rules.inputs_domain)
+    {
+        return;
+    }
+    const auto is_near = [&](const target_state* each)
+    {
+        return each->record.domain == *rules.inputs_domain;
+    };
+    prefer_targets(input, is_near, skip_reason::other_domain, skipped);
+}
+
 /// Chooses among targets some of which may lack a slot. Those are called only if no other
 /// one can be, and if an answer of the issuer may bring a slot.
 selected_target choose_with_slots(target_choice_input input,
-                                  const slot_rules& slots,
+                                  const selection_rules& rules,
                                   random_source& random,
                                   skip_record* skipped)
 {
+    const slot_rules& slots = *rules.slots;
+    skip_record why_others;
+    skip_record* const others_if_asked = skipped != nullptr ? &why_others : nullptr;
+    target_choice_input near = input;
+    prefer_domain(near, rules, others_if_asked);
     const auto holds = [&](const target_state* each)
     {
         return slots.holds(*each);
     };
     // Any request uses a slot that the host holds, also one whose prompt another engine
     // has in its cache: the target would be idle until a prompt comes that prefers it.
-    prefer_targets(input, holds, skip_reason::slot_held, skipped);
-    skip_record why_others;
-    skip_record* const others_if_asked = skipped != nullptr ? &why_others : nullptr;
-    target_state* const preferred = choose_engine(input, random, others_if_asked);
+    prefer_targets(near, holds, skip_reason::slot_held, others_if_asked);
+    target_state* const preferred = choose_engine(near, random, others_if_asked);
     if (preferred == nullptr || !slots.lacks(*preferred))
     {
         append(skipped, why_others);
         return {preferred, nullptr};
     }
-    const auto has_slot = [&](const target_state* each)
-    {
-        return !slots.lacks(*each);
-    };
-    const auto lacking =
-        std::stable_partition(input.candidates.begin(), input.candidates.end(), has_slot);
-    target_choice_input waiting = input;
-    waiting.candidates.assign(lacking, input.candidates.end());
-    drop(input.candidates, lacking, skip_reason::no_slot, nullptr);
     why_others.clear();
-    target_state* const other = choose_engine(input, random, others_if_asked);
-    append(skipped, why_others);
-    const auto is_of_use = [&](const target_state* each)
-    {
-        return other == nullptr && slots.may_be_granted(*each);
-    };
-    drop(waiting.candidates,
-         std::stable_partition(
-             waiting.candidates.begin(), waiting.candidates.end(), is_of_use),
+    // without a slot another domain is better than to wait
+    drop(input.candidates,
+         std::stable_partition(input.candidates.begin(),
+                               input.candidates.end(),
+                               [&](const target_state* each)
+                               {
+                                   return !slots.lacks(*each);
+                               }),
          skip_reason::no_slot,
-         skipped);
-    if (other != nullptr)
-    {
-        return {other, preferred};
-    }
-    return {choose_engine(waiting, random, skipped), preferred};
+         others_if_asked);
+    prefer_domain(input, rules, others_if_asked);
+    target_state* chosen = choose_engine(input, random, others_if_asked);
+    if (chosen == nullptr)
+    {
+        near.candidates.erase(std::remove_if(near.candidates.begin(),
+                                             near.candidates.end(),
+                                             [&](const target_state* each)
+                                             {
+                                                 return !slots.may_be_granted(*each);
+                                             }),
+                              near.candidates.end());
+        chosen = choose_engine(near, random);
+    }
+    why_others.erase(std::remove_if(why_others.begin(),
+                                    why_others.end(),
+                                    [&](const skipped_target& each)
+                                    {
+                                        return each.target == chosen;
+                                    }),
+                     why_others.end());
+    append(skipped, why_others);
+    return {chosen, preferred};
 }
 
 } // namespace
@@ -192,19 +218,12 @@
     {
         prefer_version(input, rules, skipped);
     }
-    if (rules.inputs_domain)
-    {
-        const auto is_near = [&](const target_state* each)
-        {
-            return each->record.domain == *rules.inputs_domain;
-        };
-        prefer_targets(input, is_near, skip_reason::other_domain, skipped);
-    }
-    if (!rules.slots)
+    if (rules.slots)
     {
-        return {choose_engine(input, random, skipped), nullptr};
+        return choose_with_slots(std::move(input), rules, random, skipped);
     }
-    return choose_with_slots(std::move(input), *rules.slots, random, skipped);
+    prefer_domain(input, rules, skipped);
+    return {choose_engine(input, random, skipped), nullptr};
 }
 
 bool is_whole_pool(const piece_group& group, const target_table& targets)
--- a/test/decisions/dispatch/target_selection_test.cpp
+++ b/test/decisions/dispatch/target_selection_test.cpp
@@ -6,6 +6,9 @@
 #include <functional>
 #include <vector>
 
+#include <set>
+#include <string>
+
 namespace
 {
 
@@ -23,6 +26,7 @@
     CPPUNIT_TEST(names_each_reason_of_a_prompt);
     CPPUNIT_TEST(changes_nothing_and_is_the_same_without_a_record);
     CPPUNIT_TEST(names_why_a_target_gets_no_pieces);
+    CPPUNIT_TEST(waits_for_a_slot_only_if_no_other_target_can_be_called);
     CPPUNIT_TEST_SUITE_END();
 
     target_table table_;
@@ -103,6 +107,37 @@
         input_ = target_choice_input();
     }
 
+    /// guards against requests that wait for a target in slow start while another is free
+    void waits_for_a_slot_only_if_no_other_target_can_be_called()
+    {
+        std::set<std::string> held;
+        std::set<std::string> lacking{"near"};
+        bool may_be_granted = true;
+        const auto is_in = [](const std::set<std::string>& names)
+        {
+            return [&names](const target_state& each)
+            {
+                return names.count(each.record.id.get()) != 0;
+            };
+        };
+        rules_.slots = slot_rules{is_in(held),
+                                  is_in(lacking),
+                                  [&](const target_state&)
+                                  {
+                                      return may_be_granted;
+                                  }};
+        rules_.inputs_domain = failure_domain_id("a");
+        expect("far", near(), skip_reason::no_slot);
+        lacking = {"near", "far"};
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), choose());
+        may_be_granted = false;
+        expect("", near(), skip_reason::no_slot);
+        lacking = {};
+        held = {"far"};
+        rules_.inputs_domain.reset();
+        expect("far", near(), skip_reason::slot_held);
+    }
+
     void names_each_reason_of_a_target()
     {
         const std::vector<std::pair<skip_reason, std::function<void(target_state&)>>>
