--- a/test/decisions/dispatch/target_selection_test.cpp
+++ b/test/decisions/dispatch/target_selection_test.cpp
@@ -4,10 +4,9 @@
 
 #include <algorithm>
 #include <functional>
-#include <vector>
-
 #include <set>
 #include <string>
+#include <vector>
 
 namespace
 {
