Limit slow starts only while other targets can take the requests

Cause: hosts and targets of the deployments start together, so that all targets were in slow start for 30 s: prompts went to whatever slot a host held, and engines read shared parts again. Change: limits act while at most half of a pool is in slow start; one without trouble ends after 5 s.

--- a/include/medlar/detail/dispatch/slow_start_share.hpp
+++ b/include/medlar/detail/dispatch/slow_start_share.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/base/ids.hpp>
 #include <medlar/detail/dispatch/slow_start_issuer.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -96,6 +97,16 @@
     int missed_ = 0;
 };
 
+/// @brief Returns whether the calls to the targets in slow start of a pool are limited.
+///
+/// If most of a pool has started at once, limits would leave its requests nowhere to go,
+/// and send prompts to engines that do not have them in their caches.
+/// @param others targets that take work and are not in slow start
+bool is_slow_start_limited(std::size_t in_slow_start, std::size_t others);
+
+/// @brief A slow start that is not limited is over after this time.
+constexpr millis unlimited_slow_start{5000};
+
 /// @brief an answer of the issuer that comes later is not waited for
 constexpr millis slot_answer_timeout{150};
 
--- a/include/medlar/detail/hosts/slow_start_controller.hpp
+++ b/include/medlar/detail/hosts/slow_start_controller.hpp
@@ -49,7 +49,7 @@
     /// @brief Returns whether calls to any target may need slots.
     bool limits_any() const
     {
-        return !slow_.empty();
+        return !limited_pools_.empty();
     }
 
     /// @brief Returns whether a call to a target needs a slot that this host does not
@@ -119,6 +119,8 @@
 
     bool has_rule(const pool_id& pool) const;
     bool is_limited(const target_state& target) const;
+    /// finds the pools in which calls to targets in slow start are limited
+    void find_limited_pools();
     const slow_target* find(const target_id& target) const;
     slow_target& begin(const target_state& target, absl::string_view reason);
     void handle_out(const target_state& target, const target_outage& outage);
@@ -151,6 +153,7 @@
     const cold_controller& cold_;
     slow_start_issuer issuer_;
     std::map<target_id, slow_target> slow_;
+    std::set<pool_id> limited_pools_;
     std::map<std::uint64_t, pending_question> pending_;
     /// questions whose answers may still come
     std::set<std::uint64_t> unanswered_;
--- a/src/dispatch/slow_start_issuer.cpp
+++ b/src/dispatch/slow_start_issuer.cpp
@@ -13,8 +13,9 @@
 constexpr millis max_renewal_age = slot_renewal_interval * 3;
 
 // A slow start ends without load that uses the window up after this time without a slow
-// answer or a failure: it would otherwise cost messages for each call for good.
-constexpr millis max_quiet_time{30000};
+// answer or a failure: it would otherwise cost messages for each call, and prompts would
+// be read again elsewhere. Targets are cold for some seconds.
+constexpr millis max_quiet_time{5000};
 
 // Hosts learn at different times that a target is back: a question whose age reaches so
 // far behind the end of a slow start is about the same return.
--- a/src/dispatch/slow_start_share.cpp
+++ b/src/dispatch/slow_start_share.cpp
@@ -154,4 +154,9 @@
     return all;
 }
 
+bool is_slow_start_limited(std::size_t in_slow_start, std::size_t others)
+{
+    return in_slow_start <= others;
+}
+
 } // namespace medlar
--- a/src/hosts/slow_start_controller.cpp
+++ b/src/hosts/slow_start_controller.cpp
@@ -66,6 +66,7 @@
 {
     const slow_target* const slow = find(target.record.id);
     return slow != nullptr && is_limited(target) &&
+           limited_pools_.count(target.record.pool) != 0 &&
            !slow->share.may_send(target.in_flight, context_.loop.now());
 }
 
@@ -73,6 +74,7 @@
 {
     const slow_target* const slow = find(target.record.id);
     return slow != nullptr && is_limited(target) &&
+           limited_pools_.count(target.record.pool) != 0 &&
            slow->share.holds_slot(context_.loop.now());
 }
 
@@ -402,12 +404,40 @@
     {
         report(id, each, slow_start_result::cancelled, false);
     }
-    return target != nullptr && has_rule(target->record.pool) &&
-           !slow.share.has_ended(now);
+    if (target == nullptr || !has_rule(target->record.pool))
+    {
+        return false;
+    }
+    const bool is_over = limited_pools_.count(target->record.pool) == 0 &&
+                         slow.share.age(now) > unlimited_slow_start;
+    return !is_over && !slow.share.has_ended(now);
+}
+
+void slow_start_controller::find_limited_pools()
+{
+    limited_pools_.clear();
+    std::map<pool_id, std::size_t> in_slow_start;
+    for (const auto& each : slow_)
+    {
+        const target_state* const target = context_.targets.find(each.first);
+        if (target != nullptr && takes_work(*target))
+        {
+            ++in_slow_start[target->record.pool];
+        }
+    }
+    for (const auto& [pool, count] : in_slow_start)
+    {
+        const std::size_t all = context_.targets.serving(pool).size();
+        if (is_slow_start_limited(count, all - std::min(all, count)))
+        {
+            limited_pools_.insert(pool);
+        }
+    }
 }
 
 void slow_start_controller::tick()
 {
+    find_limited_pools();
     for (auto each = slow_.begin(); each != slow_.end();)
     {
         const bool is_used =
--- a/test/decisions/dispatch/slow_start_share_test.cpp
+++ b/test/decisions/dispatch/slow_start_share_test.cpp
@@ -192,6 +192,7 @@
     CPPUNIT_TEST(send_one_call_each_while_the_issuer_is_silent);
     CPPUNIT_TEST(begin_again_at_the_next_issuer);
     CPPUNIT_TEST(lose_no_slot_for_good_if_every_tenth_message_is_lost);
+    CPPUNIT_TEST(limit_no_calls_if_most_of_the_pool_has_started);
     CPPUNIT_TEST(eject_it_at_the_first_failure_after_late_news);
     CPPUNIT_TEST_SUITE_END();
 
@@ -279,6 +280,15 @@
         CPPUNIT_ASSERT(it.has_ended_at_all());
     }
 
+    /// guards against prompts that lose their caches where a whole pool has started
+    void limit_no_calls_if_most_of_the_pool_has_started()
+    {
+        CPPUNIT_ASSERT(is_slow_start_limited(20, 60));
+        CPPUNIT_ASSERT(is_slow_start_limited(1, 1));
+        CPPUNIT_ASSERT(!is_slow_start_limited(60, 20));
+        CPPUNIT_ASSERT(!is_slow_start_limited(1, 0));
+    }
+
     void eject_it_at_the_first_failure_after_late_news()
     {
         target_health health = eject(target_health(), at_ms(0));
