--- a/src/dispatch/slow_start_share.cpp
+++ b/src/dispatch/slow_start_share.cpp
@@ -26,7 +26,7 @@
 
 // a slow start ends at a host that has heard nothing of it for this time, as its issuer
 // ends one without trouble
-constexpr millis max_untold_time{30000};
+constexpr millis max_untold_time{5000};
 
 } // namespace
 
