--- a/src/hosts/slow_start_controller.cpp
+++ b/src/hosts/slow_start_controller.cpp
@@ -105,7 +105,10 @@
 void slow_start_controller::handle_out(const target_state& target,
                                        const target_outage& outage)
 {
-    if (!has_rule(target.record.pool))
+    // permits bound what a target gets after a start; a limit that follows them was only
+    // slower (docs/design/slow-start.md)
+    const bool has_permits = cold_.has_rule(target.record.pool);
+    if (!has_rule(target.record.pool) || (has_permits && !outage.is_failure))
     {
         return;
     }
