--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -103,9 +103,9 @@
     const auto calls_ahead = static_cast<std::size_t>(
         (pieces_ahead + std::max(1.0, static_cast<double>(job.pieces.size())) - 1) /
         static_cast<double>(max_batch_size()));
-    const std::size_t rounds = calls_ahead / free_after.size();
+    const auto rounds = static_cast<double>(calls_ahead / free_after.size());
     return free_after[calls_ahead % free_after.size()] +
-           static_cast<double>(rounds) * call_ms(max_batch_size()) * slowness;
+           rounds * call_ms(max_batch_size()) * slowness;
 }
 
 std::vector<double> piece_queue::slots_free_after_ms(steady_time now) const
