--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -242,11 +242,8 @@
     double late_job_share(steady_time now) const;
     /// counts pieces of jobs in time that are sent
     void record_timely(std::size_t pieces, steady_time now);
-    /// estimated time in the queue until the last piece of a job is sent: pieces share
-    /// calls, and each call needs a free slot
+    /// estimated time in the queue before a job is sent
     double wait_ms(const piece_job& job, bool late, steady_time now) const;
-    /// expected times until the slots of serving targets are free, in ascending order
-    std::vector<double> slots_free_after_ms(steady_time now) const;
     /// jobs with queued pieces in the order in which they are sent
     std::vector<job_id> ordered_jobs(steady_time now) const;
     /// whether a job may be sent to a target although its bytes would be transferred
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -82,6 +82,11 @@
 
 double piece_queue::wait_ms(const piece_job& job, bool late, steady_time now) const
 {
+    double serving = 0;
+    for (const auto& each : targets_)
+    {
+        serving += each.second.serving ? 1.0 / std::max(1.0, each.second.slowness) : 0;
+    }
     const double slowness = mean_slowness();
     const auto own_rank =
         std::make_tuple(late, job.priority, job.soft_deadline.since_origin());
@@ -95,44 +100,15 @@
                             other.soft_deadline.since_origin()) <= own_rank;
         pieces_ahead += goes_first ? static_cast<double>(each.second.waiting.size()) : 0;
     }
-    const std::vector<double> free_after = slots_free_after_ms(now);
-    if (free_after.empty())
-    {
-        return 0;
-    }
-    const auto calls_ahead = static_cast<std::size_t>(
-        (pieces_ahead + std::max(1.0, static_cast<double>(job.pieces.size())) - 1) /
-        static_cast<double>(max_batch_size()));
-    const auto rounds = static_cast<double>(calls_ahead / free_after.size());
-    return free_after[calls_ahead % free_after.size()] +
-           rounds * call_ms(max_batch_size()) * slowness;
-}
-
-std::vector<double> piece_queue::slots_free_after_ms(steady_time now) const
-{
-    std::vector<double> free_after;
-    for (const auto& each : targets_)
-    {
-        const auto pause_ms =
-            static_cast<double>((each.second.paused_until - now).count());
-        for (int i = each.second.calls; each.second.serving && i < rule_.slots; ++i)
-        {
-            free_after.push_back(std::max(0.0, pause_ms));
-        }
-    }
+    double running_ms = 0;
     for (const auto& each : calls_)
     {
-        const auto target = targets_.find(each.second.target);
-        if (target != targets_.end() && target->second.serving)
-        {
-            const auto elapsed_ms = static_cast<double>((now - each.second.sent).count());
-            const double expected_ms = call_ms(each.second.pieces.size()) *
-                                       std::max(1.0, target->second.slowness);
-            free_after.push_back(std::max(0.0, expected_ms - elapsed_ms));
-        }
+        const double elapsed_ms = static_cast<double>((now - each.second.sent).count());
+        running_ms += std::max(0.0, call_ms(each.second.pieces.size()) - elapsed_ms);
     }
-    std::sort(free_after.begin(), free_after.end());
-    return free_after;
+    const double calls_ahead = pieces_ahead / static_cast<double>(max_batch_size());
+    return (calls_ahead * call_ms(max_batch_size()) + running_ms) /
+           std::max(1.0, serving);
 }
 
 double piece_queue::late_job_share(steady_time now) const
