Mend a constant that does not compile under UndefinedBehaviorSanitizer

Cause: a constexpr string_view of a static member compares its address, which the checked build does not take for a constant. Change: the view is const.

--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -465,7 +465,7 @@
 
 void request_run::refuse_for_shutdown()
 {
-    constexpr absl::string_view why = why_stopping;
+    const absl::string_view why = why_stopping;
     if (!is_forwarded_)
     {
         refuse(retry_after_no_target, why);
