Decide in src/dispatch when a slow start begins

Cause: found in the read-through. Whether a start or only a failure begins a slow start was decided in the controller, where no test without a network reaches it; a second limit of 5 s did what the first one does; the page of metrics served the explanation; documents named the times and reasons of before.

--- a/include/medlar/detail/dispatch/slow_start_share.hpp
+++ b/include/medlar/detail/dispatch/slow_start_share.hpp
@@ -3,6 +3,7 @@
 
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/base/ids.hpp>
+#include <medlar/detail/dispatch/cold_target.hpp>
 #include <medlar/detail/dispatch/slow_start_issuer.hpp>
 
 #include <cstddef>
@@ -97,6 +98,14 @@
     int missed_ = 0;
 };
 
+/// @brief Returns whether a target that gets no calls, or fewer, for a while is in slow
+/// start afterwards.
+///
+/// Permits bound what cold targets get after a start. A limit that follows them made
+/// callers wait for targets that were not overloaded (docs/design/slow-start.md).
+/// @param is_failure whether calls to the target have failed
+bool begins_slow_start(const cold_rule& rule, bool is_failure);
+
 /// @brief Returns whether the calls to the targets in slow start of a pool are limited.
 ///
 /// If most of a pool has started at once, limits would leave its requests nowhere to go,
@@ -104,9 +113,6 @@
 /// @param others targets that take work and are not in slow start
 bool is_slow_start_limited(std::size_t in_slow_start, std::size_t others);
 
-/// @brief A slow start that is not limited is over after this time.
-constexpr millis unlimited_slow_start{5000};
-
 /// @brief an answer of the issuer that comes later is not waited for
 constexpr millis slot_answer_timeout{150};
 
--- a/include/medlar/detail/hosts/slow_start_controller.hpp
+++ b/include/medlar/detail/hosts/slow_start_controller.hpp
@@ -117,6 +117,8 @@
         timer_id timeout{0};
     };
 
+    /// @return a rule without a time if the pool has none
+    cold_rule rule_of(const pool_id& pool) const;
     bool has_rule(const pool_id& pool) const;
     bool is_limited(const target_state& target) const;
     /// finds the pools in which calls to targets in slow start are limited
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -150,7 +150,7 @@
     1763, severity::warning, "entry_evacuation_without_targets"};
 /// @brief memory or connections are short: what waited and was ended since the last line
 inline constexpr event entry_memory_short{1770, severity::warning, "entry_memory_short"};
-/// @brief a target has started, failed or paused: calls to it are limited by its answers
+/// @brief a target has failed, started or paused: calls to it are limited by its answers
 inline constexpr event entry_slow_start_begun{
     1790, severity::info, "entry_slow_start_begun"};
 /// @brief a target that calls had failed at answers this host, or has answered another
--- a/src/dispatch/slow_start_issuer.cpp
+++ b/src/dispatch/slow_start_issuer.cpp
@@ -30,8 +30,8 @@
 constexpr millis min_wait{100};
 constexpr millis max_wait{1000};
 
-// one host gets at most this part of the free slots: others have requests, too
-constexpr int free_share = 2;
+// one host gets at most half of the free slots: others have requests, too
+constexpr int free_divisor = 2;
 
 } // namespace
 
@@ -62,7 +62,7 @@
     drop_unrenewed(*kept, now);
     slot_grant granted;
     const int free = kept->window.size() - kept->window.in_progress();
-    const int count = std::min(question.wanted, std::max(1, free / free_share));
+    const int count = std::min(question.wanted, std::max(1, free / free_divisor));
     for (int i = 0; i < count && kept->window.begin(last_slot_ + 1, now); ++i)
     {
         granted.slots.push_back(++last_slot_);
--- a/src/dispatch/slow_start_share.cpp
+++ b/src/dispatch/slow_start_share.cpp
@@ -154,6 +154,11 @@
     return all;
 }
 
+bool begins_slow_start(const cold_rule& rule, bool is_failure)
+{
+    return rule.after_start > millis(0) && (is_failure || rule.per_s <= 0);
+}
+
 bool is_slow_start_limited(std::size_t in_slow_start, std::size_t others)
 {
     return in_slow_start <= others;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -291,6 +291,11 @@
             inner_limits_,
             [this](const std::shared_ptr<caller_exchange>& exchange)
             {
+                if (exchange->head().path() == explain_path)
+                {
+                    serve_explanation(exchange);
+                    return;
+                }
                 serve_metrics(exchange);
             },
             metrics_server_);
@@ -476,11 +481,6 @@
 
 void entry_host::serve_metrics(const std::shared_ptr<caller_exchange>& exchange)
 {
-    if (exchange->head().path() == explain_path)
-    {
-        serve_explanation(exchange);
-        return;
-    }
     const std::pair<std::size_t, std::size_t> load = piece_service_.load();
     context_.metrics->set("medlar_pieces_waiting", {}, static_cast<double>(load.first));
     context_.metrics->set(
--- a/src/hosts/slow_start_controller.cpp
+++ b/src/hosts/slow_start_controller.cpp
@@ -42,11 +42,16 @@
     };
 }
 
-bool slow_start_controller::has_rule(const pool_id& pool) const
+cold_rule slow_start_controller::rule_of(const pool_id& pool) const
 {
     const pool_rule* const found =
         context_.configuration ? context_.configuration->find_pool(pool) : nullptr;
-    return found != nullptr && found->cold.after_start > millis(0);
+    return found != nullptr ? found->cold : cold_rule();
+}
+
+bool slow_start_controller::has_rule(const pool_id& pool) const
+{
+    return rule_of(pool).after_start > millis(0);
 }
 
 const slow_start_controller::slow_target*
@@ -105,10 +110,7 @@
 void slow_start_controller::handle_out(const target_state& target,
                                        const target_outage& outage)
 {
-    // permits bound what a target gets after a start; a limit that follows them was only
-    // slower (docs/design/slow-start.md)
-    const bool has_permits = cold_.has_rule(target.record.pool);
-    if (!has_rule(target.record.pool) || (has_permits && !outage.is_failure))
+    if (!begins_slow_start(rule_of(target.record.pool), outage.is_failure))
     {
         return;
     }
@@ -407,13 +409,8 @@
     {
         report(id, each, slow_start_result::cancelled, false);
     }
-    if (target == nullptr || !has_rule(target->record.pool))
-    {
-        return false;
-    }
-    const bool is_over = limited_pools_.count(target->record.pool) == 0 &&
-                         slow.share.age(now) > unlimited_slow_start;
-    return !is_over && !slow.share.has_ended(now);
+    return target != nullptr && has_rule(target->record.pool) &&
+           !slow.share.has_ended(now);
 }
 
 void slow_start_controller::find_limited_pools()
--- a/test/decisions/dispatch/slow_start_share_test.cpp
+++ b/test/decisions/dispatch/slow_start_share_test.cpp
@@ -193,6 +193,7 @@
     CPPUNIT_TEST(begin_again_at_the_next_issuer);
     CPPUNIT_TEST(lose_no_slot_for_good_if_every_tenth_message_is_lost);
     CPPUNIT_TEST(limit_no_calls_if_most_of_the_pool_has_started);
+    CPPUNIT_TEST(limit_starts_only_where_there_are_no_permits);
     CPPUNIT_TEST(eject_it_at_the_first_failure_after_late_news);
     CPPUNIT_TEST_SUITE_END();
 
@@ -289,6 +290,17 @@
         CPPUNIT_ASSERT(!is_slow_start_limited(1, 0));
     }
 
+    /// guards against limits on targets that permits have bounded since their start
+    void limit_starts_only_where_there_are_no_permits()
+    {
+        const cold_rule with_permits{millis(3000), 5};
+        const cold_rule without{millis(3000), 0};
+        CPPUNIT_ASSERT(!begins_slow_start(with_permits, false));
+        CPPUNIT_ASSERT(begins_slow_start(with_permits, true));
+        CPPUNIT_ASSERT(begins_slow_start(without, false));
+        CPPUNIT_ASSERT(!begins_slow_start(cold_rule(), true));
+    }
+
     void eject_it_at_the_first_failure_after_late_news()
     {
         target_health health = eject(target_health(), at_ms(0));
