Keep the explanation that a test goes through

Change: the explanation is kept in a variable. No other loop over a part of a temporary was found among the loops of src, include and test.

--- a/test/entry/explanation_test.cpp
+++ b/test/entry/explanation_test.cpp
@@ -190,8 +190,8 @@
                 return !it.ask(question("/a/x", "2")).at("result").contains("target");
             }));
         expect_refused(question("/a/x", "2"), 503);
-        for (const nlohmann::json& each :
-             it.ask(question("/a/x", "2")).at("targets").at("list"))
+        const nlohmann::json listed = it.ask(question("/a/x", "2")).at("targets");
+        for (const nlohmann::json& each : listed.at("list"))
         {
             CPPUNIT_ASSERT(each.at("state") == "draining");
             CPPUNIT_ASSERT(each.at("taken") == false);
