--- a/test/decisions/config/error_page_test.cpp
+++ b/test/decisions/config/error_page_test.cpp
@@ -1,3 +1,5 @@
+#include "build_paths.hpp"
+
 #include <medlar/detail/base/error.hpp>
 #include <medlar/detail/base/outcome.hpp>
 
--- a/test/decisions/config/examples_test.cpp
+++ b/test/decisions/config/examples_test.cpp
@@ -1,3 +1,5 @@
+#include "build_paths.hpp"
+
 #include <medlar/detail/config/json.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/decisions/event_catalogue_test.cpp
+++ b/test/decisions/event_catalogue_test.cpp
@@ -1,3 +1,5 @@
+#include "build_paths.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <filesystem>
--- a/test/entry/adapter_test.cpp
+++ b/test/entry/adapter_test.cpp
@@ -1,3 +1,4 @@
+#include "build_paths.hpp"
 #include "platform/adapter.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/entry/older_build_test.cpp
+++ b/test/entry/older_build_test.cpp
@@ -1,3 +1,4 @@
+#include "build_paths.hpp"
 #include "support/entry/versioned_pool.hpp"
 
 #include <medlar/detail/loop/message_link.hpp>
--- a/test/entry/older_reader_test.cpp
+++ b/test/entry/older_reader_test.cpp
@@ -1,3 +1,4 @@
+#include "build_paths.hpp"
 #include "support/entry/crashing_pool.hpp"
 #include "support/entry/limited_pool.hpp"
 #include "support/entry/partitioned_group.hpp"
--- a/test/overload/entry_under_load.hpp
+++ b/test/overload/entry_under_load.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_TEST_OVERLOAD_ENTRY_UNDER_LOAD_HPP
 #define MEDLAR_TEST_OVERLOAD_ENTRY_UNDER_LOAD_HPP
 
+#include "build_paths.hpp"
 #include "overload/crowd.hpp"
 #include "soak/entry_process.hpp"
 #include "support/entry/entry_fixture.hpp"
--- a/test/runner/main.cpp
+++ b/test/runner/main.cpp
@@ -1,3 +1,5 @@
+#include "build_paths.hpp"
+
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestFailure.h>
--- a/test/runtime/operators/ctl_test.cpp
+++ b/test/runtime/operators/ctl_test.cpp
@@ -1,3 +1,4 @@
+#include "build_paths.hpp"
 #include "documents.hpp"
 #include "fake_links.hpp"
 #include "fake_store.hpp"
--- a/test/runtime/operators/schema_test.cpp
+++ b/test/runtime/operators/schema_test.cpp
@@ -1,3 +1,4 @@
+#include "build_paths.hpp"
 #include "documents.hpp"
 
 #include <medlar/detail/base/error.hpp>
--- a/test/runtime/replay/replay_test.cpp
+++ b/test/runtime/replay/replay_test.cpp
@@ -1,3 +1,4 @@
+#include "build_paths.hpp"
 #include "support/cut_answer_server.hpp"
 
 #include <medlar/detail/replay/answer_check.hpp>
--- a/test/system/configuration_test.cpp
+++ b/test/system/configuration_test.cpp
@@ -1,3 +1,4 @@
+#include "build_paths.hpp"
 #include "harness/deployment.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/system/harness/deployment.cpp
+++ b/test/system/harness/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.hpp"
 
+#include "build_paths.hpp"
+
 #include <medlar/detail/settings/settings.hpp>
 #include <medlar/detail/store/store_client.hpp>
 
--- a/test/system/harness/process.cpp
+++ b/test/system/harness/process.cpp
@@ -1,5 +1,7 @@
 #include "process.hpp"
 
+#include "build_paths.hpp"
+
 #include <cppunit/TestAssert.h>
 #include <fcntl.h>
 #include <spawn.h>
