Count the refusals of brittle targets by all hosts together

Change: refusal_controller tells all hosts of each refusal as before; the counting host of the target answers with a shorter pause where refusal_tolerance permits it, and gives out permits while the limit is used up in part. Hosts that hear no ruling, and all hosts while one of an earlier build is registered, pause as before.

--- a/include/medlar/detail/dispatch/piece_owner.hpp
+++ b/include/medlar/detail/dispatch/piece_owner.hpp
@@ -29,6 +29,8 @@
     endpoint forward = {};
     /// whether what it passes on of the store includes evacuations
     bool mirrors_evacuations = false;
+    /// whether it heeds rulings on the refusals of targets, see refusal_tolerance
+    bool counts_refusals = false;
 };
 
 /// @brief Targets of one pool whose batched calls are built by one host, the owner
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -44,6 +44,8 @@
     /// refusals per second, of all hosts together, above which it breaks down; unset if
     /// it bears any number
     std::optional<double> refusal_limit;
+    /// when this host first heard of that limit
+    steady_time refusal_limit_known_at;
     /// start time that the process at its address has stated, or an earlier entry, if its
     /// entry names an older one
     std::optional<std::int64_t> answering_start;
@@ -204,7 +206,7 @@
                  steady_time now);
 
 /// @brief Returns how long no host sends a call to a target after it refused one for
-/// lack of room.
+/// lack of room, unless refusal_tolerance shortens that.
 /// @param refusal_limit see target_state::refusal_limit
 millis pause_after_refusal(std::optional<double> refusal_limit);
 
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -139,7 +139,7 @@
 
   private:
     void record_rate_limit(target_state& target, std::optional<double> per_s);
-    static void record_refusal_limit(target_state& target, std::optional<double> per_s);
+    void record_refusal_limit(target_state& target, std::optional<double> per_s);
 
     struct unserved_requests
     {
--- a/include/medlar/detail/entry/piece_permits.hpp
+++ b/include/medlar/detail/entry/piece_permits.hpp
@@ -10,7 +10,8 @@
 namespace medlar
 {
 
-/// @brief Permits for calls with pieces to cold targets.
+/// @brief Permits for calls with pieces to cold targets, and to those that tolerate few
+/// more refusals.
 ///
 /// The pieces of a call are chosen when it is sent, so its permit is asked for before.
 /// One permit is held for each target, and dropped if it is not used in time.
@@ -22,7 +23,7 @@
     {
     }
 
-    /// @brief Returns whether a call may be sent to a target: it is not cold, or a permit
+    /// @brief Returns whether a call may be sent to a target: it needs no permit, or one
     /// is held.
     /// @param is_wanted whether to ask for a permit otherwise
     /// @param on_granted called when a permit that was asked for has come later
--- a/include/medlar/detail/hosts/limit_controller.hpp
+++ b/include/medlar/detail/hosts/limit_controller.hpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/hosts/cold_controller.hpp>
 #include <medlar/detail/hosts/peer_network.hpp>
+#include <medlar/detail/hosts/refusal_controller.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -38,9 +39,22 @@
         return cold_;
     }
 
-    /// @brief Asks for a permit to send one request to a target with a limit, or to a
-    /// cold one. If it is not granted, the target may not be called until a permit can be
-    /// had.
+    /// @brief Returns what is known of targets that tolerate few refusals.
+    refusal_controller& refusals()
+    {
+        return refusals_;
+    }
+
+    /// @brief Returns whether a call to a target needs a permit that is asked for before
+    /// the call is made up: it is cold, or has refused calls and tolerates few more.
+    bool needs_early_permit(const target_state& target) const
+    {
+        return cold_.rate_of(target).has_value() || refusals_.needs_permit(target);
+    }
+
+    /// @brief Asks for a permit to send one request to a target that has a limit, is cold
+    /// or tolerates few more refusals. If it is not granted, the target may not be called
+    /// until a permit can be had.
     /// @param on_answer called once, also before this function returns
     void request_permit(const target_id& target, permit_action on_answer);
 
@@ -83,9 +97,8 @@
     host_id issuer_of(const target_id& target) const;
     void handle_limit_changed(const target_id& target);
     permit issue(const target_state& target);
-    /// tells all hosts that a target that bears few refusals has refused a call
-    void tell_refused(const target_state& target);
-    void handle_refused(const nlohmann::json& message);
+    /// asks for a permit for a target with a limit, or for a cold one
+    void request_rate_permit(const target_id& target, permit_action on_answer);
     void ask(std::uint64_t number);
     void apply(std::uint64_t number, const permit& answer);
     void handle_silence(std::uint64_t number);
@@ -93,6 +106,7 @@
     entry_context& context_;
     peer_network& peers_;
     cold_controller cold_;
+    refusal_controller refusals_;
     /// those that this host gives out
     permit_issuer permits_;
     std::map<std::uint64_t, pending_request> pending_;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -242,6 +242,10 @@
 {
     if (target.refusal_limit != per_s)
     {
+        if (!target.refusal_limit)
+        {
+            target.refusal_limit_known_at = loop.now();
+        }
         target.refusal_limit = per_s;
         log_event(entry_target_refusals_limited,
                   {{"target", target.record.id.get()},
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -38,12 +38,14 @@
 
 peer_host own_peer_host(const entry_settings& settings)
 {
-    return {settings.host,
-            settings.domain,
-            settings.link_endpoint,
-            settings.core_share,
-            settings.link_mbps,
-            settings.forward_endpoint};
+    peer_host host{settings.host,
+                   settings.domain,
+                   settings.link_endpoint,
+                   settings.core_share,
+                   settings.link_mbps,
+                   settings.forward_endpoint};
+    host.counts_refusals = true;
+    return host;
 }
 
 std::string registration_text(const entry_settings& settings)
@@ -55,7 +57,8 @@
                            {"domain", settings.domain.get()},
                            {"share", settings.core_share},
                            {"link_mbps", settings.link_mbps},
-                           {"evacuations", settings.evacuate_bound.has_value()}})
+                           {"evacuations", settings.evacuate_bound.has_value()},
+                           {"refusals", true}})
         .dump();
 }
 
@@ -91,6 +94,9 @@
     const auto evacuations = value.find("evacuations");
     host.mirrors_evacuations = evacuations != value.end() && evacuations->is_boolean() &&
                                evacuations->get<bool>();
+    const auto refusals = value.find("refusals");
+    host.counts_refusals =
+        refusals != value.end() && refusals->is_boolean() && refusals->get<bool>();
     const auto link_mbps = value.find("link_mbps");
     if (link_mbps != value.end() && link_mbps->is_number())
     {
@@ -736,6 +742,7 @@
                   {{"targets", static_cast<std::int64_t>(context_.targets.all().size())},
                    {"hosts", static_cast<std::int64_t>(peers_.registered_count())}});
         evacuations_.begin_log();
+        limit_controller_.refusals().begin();
     }
     if (const std::size_t dropped = take_dropped_lines())
     {
--- a/src/entry/piece_permits.cpp
+++ b/src/entry/piece_permits.cpp
@@ -26,7 +26,7 @@
                              const std::function<void()>& on_granted)
 {
     const target_id id = target.record.id;
-    if (!limits_.cold().rate_of(target) || is_held(id))
+    if (!limits_.needs_early_permit(target) || is_held(id))
     {
         return true;
     }
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -183,7 +183,7 @@
         send(group, *call);
         const target_state* const target = context_.targets.find(call->target.id);
         if (target != nullptr &&
-            (!may_call(*target, now) || limits_.cold().rate_of(*target)))
+            (!may_call(*target, now) || limits_.needs_early_permit(*target)))
         {
             // it has used up its limit, or its permit
             refresh_targets(group, state, true);
@@ -385,7 +385,9 @@
         context_.record_target_call(call->target, call_result::failed);
     }
     const target_state* const target = context_.targets.find(call->target);
-    if (full && target != nullptr && target->refusal_limit)
+    const bool is_refused =
+        full || (how == call_end::complete && call->status == status_too_many);
+    if (is_refused && target != nullptr && target->refusal_limit)
     {
         context_.record_refusal(call->target);
     }
--- a/src/entry/request_permits.cpp
+++ b/src/entry/request_permits.cpp
@@ -1,4 +1,5 @@
-// Part of request_run: asks for permits for targets with a limit and for cold ones.
+// Part of request_run: asks for permits for targets with a limit, for cold ones and for
+// those that tolerate few more refusals.
 
 #include <medlar/detail/entry/request_run.hpp>
 #include <medlar/detail/log/entry_events.hpp>
@@ -22,7 +23,7 @@
 
 bool request_run::needs_permit(const target_state& target) const
 {
-    return target.rate_limit.has_value() || limits_.cold().rate_of(target).has_value();
+    return target.rate_limit.has_value() || limits_.needs_early_permit(target);
 }
 
 bool request_run::is_left_out_as_cold(const target_state& target) const
--- a/src/hosts/limit_controller.cpp
+++ b/src/hosts/limit_controller.cpp
@@ -40,16 +40,12 @@
 } // namespace
 
 limit_controller::limit_controller(entry_context& context, peer_network& peers)
-    : context_(context), peers_(peers), cold_(context, peers)
+    : context_(context), peers_(peers), cold_(context, peers), refusals_(context, peers)
 {
     context_.on_limit_changed = [this](const target_id& target)
     {
         handle_limit_changed(target);
     };
-    context_.on_refused = [this](const target_state& target)
-    {
-        tell_refused(target);
-    };
 }
 
 host_id limit_controller::issuer_of(const target_id& target) const
@@ -82,35 +78,6 @@
     peers_.send(issuer, message);
 }
 
-void limit_controller::tell_refused(const target_state& target)
-{
-    nlohmann::json message = name_process(target);
-    message["type"] = "full";
-    message["per_s"] = *target.refusal_limit;
-    message["pause_ms"] = (target.refused_until - context_.loop.now()).count();
-    for (const peer_host& each : peers_.live_hosts())
-    {
-        peers_.send(each.id, message);
-    }
-}
-
-void limit_controller::handle_refused(const nlohmann::json& message)
-{
-    target_state* const target =
-        context_.targets.find(target_id(message.at("target").get<std::string>()));
-    if (target == nullptr || start_of(*target) != read_start(message))
-    {
-        return;
-    }
-    const auto per_s = message.at("per_s").get<double>();
-    const millis pause = read_span(message, "pause_ms");
-    target->refusal_limit = per_s;
-    target->refused_until =
-        std::max(target->refused_until,
-                 context_.loop.now() +
-                     std::min(pause, pause_after_refusal(target->refusal_limit)));
-}
-
 permit limit_controller::issue(const target_state& target)
 {
     return permits_.issue({target.record.id, start_of(target)},
@@ -134,6 +101,10 @@
 
 std::optional<bool> limit_controller::would_issue(const target_state& target) const
 {
+    if (refusals_.would_issue(target) == std::optional<bool>(false))
+    {
+        return false;
+    }
     if (cold_.rate_of(target))
     {
         return cold_.would_issue(target);
@@ -157,6 +128,30 @@
 }
 
 void limit_controller::request_permit(const target_id& target, permit_action on_answer)
+{
+    const target_state* const state = context_.targets.find(target);
+    if (state == nullptr || !refusals_.needs_permit(*state))
+    {
+        request_rate_permit(target, std::move(on_answer));
+        return;
+    }
+    refusals_.request_permit(
+        target,
+        [this, target, on_answer = std::move(on_answer)](bool is_granted)
+        {
+            const target_state* const asked = context_.targets.find(target);
+            if (is_granted && asked != nullptr &&
+                (asked->rate_limit || cold_.rate_of(*asked)))
+            {
+                request_rate_permit(target, on_answer);
+                return;
+            }
+            on_answer(is_granted);
+        });
+}
+
+void limit_controller::request_rate_permit(const target_id& target,
+                                           permit_action on_answer)
 {
     const target_state* const state = context_.targets.find(target);
     if (state != nullptr && cold_.rate_of(*state))
@@ -212,6 +207,7 @@
 void limit_controller::handle_peer_lost(const host_id& host)
 {
     cold_.handle_peer_lost(host);
+    refusals_.handle_peer_lost(host);
     std::vector<std::uint64_t> affected;
     for (const auto& each : pending_)
     {
@@ -258,16 +254,11 @@
 bool limit_controller::handle_request(const std::shared_ptr<message_link>& from,
                                       const nlohmann::json& message)
 {
-    if (cold_.handle_request(from, message))
+    if (cold_.handle_request(from, message) || refusals_.handle_request(from, message))
     {
         return true;
     }
     const std::string type = message.at("type").get<std::string>();
-    if (type == "full")
-    {
-        handle_refused(message);
-        return true;
-    }
     if (type != "permit?" && type != "limit" && type != "limit_ended")
     {
         return false;
@@ -304,7 +295,7 @@
 
 bool limit_controller::handle_answer(const nlohmann::json& message)
 {
-    if (cold_.handle_answer(message))
+    if (cold_.handle_answer(message) || refusals_.handle_answer(message))
     {
         return true;
     }
--- a/test/entry/refusal_limit_test.cpp
+++ b/test/entry/refusal_limit_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -27,6 +28,7 @@
         int running = 0;
         std::deque<steady_time> refusals;
         int refusal_count = 0;
+        steady_time refused_at;
         int falls = 0;
     };
 
@@ -65,6 +67,19 @@
         }
     }
 
+    /// Registers a host that does not say that it heeds rulings on refusals.
+    void add_older_host()
+    {
+        const endpoint where = free_endpoint();
+        store.put("medlar/hosts/older",
+                  nlohmann::json({{"address", where.address},
+                                  {"port", where.port},
+                                  {"domain", "a"},
+                                  {"share", 1}})
+                      .dump());
+        run_for(millis(500));
+    }
+
     int falls() const
     {
         int sum = 0;
@@ -79,6 +94,8 @@
     std::vector<std::shared_ptr<received_answer>> answers;
     /// requests that a target takes at once
     int room = 2;
+    /// shortest time from a refusal to the next call, except calls that were on their way
+    millis shortest_pause{10000};
     /// refusals a second that a target bears
     int refusal_limit = 3;
     /// from when on a target falls over
@@ -86,11 +103,17 @@
 
   private:
     static constexpr millis work_time{200};
+    static constexpr millis on_the_way{50};
 
     void answer(target& by, const exchange_ptr& exchange)
     {
         header_list headers = signed_headers(*exchange);
         headers.add("Server-Brittle", absl::StrCat(refusal_limit));
+        const millis since_refusal = time.steady_now() - by.refused_at;
+        if (since_refusal > on_the_way)
+        {
+            shortest_pause = std::min(shortest_pause, since_refusal);
+        }
         if (by.running >= room)
         {
             headers.add("Not-Executed", "1");
@@ -112,6 +135,7 @@
         constexpr millis second{1000};
         const steady_time now = time.steady_now();
         ++by.refusal_count;
+        by.refused_at = now;
         by.refusals.push_back(now);
         while (now - by.refusals.front() > second)
         {
@@ -134,6 +158,7 @@
     CPPUNIT_TEST(do_not_fall_over_under_more_requests_than_they_have_room_for);
     CPPUNIT_TEST(do_not_fall_over_when_hosts_are_killed_and_started);
     CPPUNIT_TEST(are_used_as_far_as_they_have_room);
+    CPPUNIT_TEST(are_paused_by_each_refusal_beside_an_earlier_build);
     CPPUNIT_TEST(are_used_as_before_if_the_limit_cannot_be_read);
     CPPUNIT_TEST_SUITE_END();
 
@@ -184,6 +209,22 @@
         CPPUNIT_ASSERT(served * 10 >= static_cast<int>(it.answers.size() - before) * 9);
     }
 
+    /// guards against rulings that use up the limit while a host of an earlier build,
+    /// which hears none, sends calls as well
+    void are_paused_by_each_refusal_beside_an_earlier_build()
+    {
+        brittle_pool it(3, 2);
+        it.run_for(millis(1600));
+        it.play(millis(2000), millis(25));
+        CPPUNIT_ASSERT(it.shortest_pause < millis(300));
+        it.add_older_host();
+        it.run_for(millis(1200));
+        it.shortest_pause = millis(10000);
+        it.play(millis(2000), millis(25));
+        CPPUNIT_ASSERT(it.shortest_pause > millis(450) &&
+                       it.shortest_pause < millis(10000));
+    }
+
     void are_used_as_before_if_the_limit_cannot_be_read()
     {
         brittle_pool it(1, 1);
--- a/test/support/entry/recorded_links.hpp
+++ b/test/support/entry/recorded_links.hpp
@@ -70,6 +70,9 @@
             [](const std::string&) {});
         CPPUNIT_ASSERT(opened.ok());
         listeners_.push_back(*std::move(opened));
+        // a host of an earlier build does not say that it heeds rulings on refusals, so
+        // it gets none
+        registration.erase("refusals");
         registration["address"] = where.address;
         registration["port"] = where.port;
         return registration.dump();
