Keep the port of a fault proxy bound while it does not listen

Cause: fault_proxy closes its listener while its target is down, and then nothing holds the port.

Change: held_port keeps a second socket bound to the port that does not listen. It permits sharing of the port only while the proxy opens its own listening socket, so that no other program can take the port, with SO_REUSEADDR either. Connections are refused as before.

--- a/test/support/fault_proxy.cpp
+++ b/test/support/fault_proxy.cpp
@@ -30,26 +30,30 @@
 }
 
 fault_proxy::fault_proxy(event_loop& loop, const endpoint& at, const endpoint& to)
-    : loop_(loop), where_(at), upstream_(to)
+    : loop_(loop), where_(at), port_(at), upstream_(to)
 {
     listen();
 }
 
 void fault_proxy::listen()
 {
-    auto opened = listener::open(
-        loop_,
-        where_,
-        [this](std::shared_ptr<connection> caller)
+    port_.share_with(
+        [this]
         {
-            accept(std::move(caller));
-        },
-        [](const std::string&) {});
-    if (!opened.ok())
-    {
-        throw std::runtime_error(opened.status().ToString());
-    }
-    listener_ = *std::move(opened);
+            auto opened = listener::open(
+                loop_,
+                where_,
+                [this](std::shared_ptr<connection> caller)
+                {
+                    accept(std::move(caller));
+                },
+                [](const std::string&) {});
+            if (!opened.ok())
+            {
+                throw std::runtime_error(opened.status().ToString());
+            }
+            listener_ = *std::move(opened);
+        });
 }
 
 void fault_proxy::stop()
@@ -90,7 +94,11 @@
 {
     refuse_new();
     fault_ = path_fault::silent;
-    full_ = open_listening_socket(where_, 1);
+    port_.share_with(
+        [this]
+        {
+            full_ = open_listening_socket(where_, 1);
+        });
     // the kernel drops further attempts to connect once the queue is full
     constexpr int queue_size = 2;
     for (int i = 0; i < queue_size; ++i)
--- a/test/support/fault_proxy.hpp
+++ b/test/support/fault_proxy.hpp
@@ -1,6 +1,8 @@
 #ifndef MEDLAR_TEST_SUPPORT_FAULT_PROXY_HPP
 #define MEDLAR_TEST_SUPPORT_FAULT_PROXY_HPP
 
+#include "support/held_port.hpp"
+
 #include <medlar/detail/loop/listener.hpp>
 
 #include <Poco/Net/ServerSocket.h>
@@ -24,7 +26,8 @@
     silent,        ///< drops all bytes, connections stay open
 };
 
-/// @brief TCP proxy to one address that injects faults.
+/// @brief TCP proxy to one address that injects faults. It keeps its port also while it
+/// does not listen.
 class fault_proxy
 {
   public:
@@ -102,6 +105,7 @@
 
     event_loop& loop_;
     endpoint where_;
+    held_port port_;
     endpoint upstream_;
     path_fault fault_ = path_fault::none;
     std::shared_ptr<listener> listener_;
