Play evacuations of failure domains in the soak

Cause: medlar-soak covered no evacuations (op/evacuate/ZONE).

Not run: the suites of entry_test that use fault_proxy, as only medlar-soak and medlar-entry were built.

--- a/test/soak/medlar_soak.cpp
+++ b/test/soak/medlar_soak.cpp
@@ -42,6 +42,10 @@
             "with --end_targets: their reports state their start; if not, the store is "
             "away for most of the time");
 DEFINE_bool(other_faults, true, "with --end_targets: inject the other faults too");
+DEFINE_bool(evacuations, false, "failure domains of the targets are evacuated");
+DEFINE_bool(state_evacuate_bound,
+            true,
+            "with --evacuations: settings state evacuate_ms; if not, the check fails");
 DEFINE_string(keep, "", "directory in which settings and logs of failed runs are kept");
 
 namespace
@@ -81,6 +85,8 @@
     settings.end_targets = FLAGS_end_targets;
     settings.state_start = FLAGS_state_start;
     settings.inject_other_faults = FLAGS_other_faults;
+    settings.evacuate_domains = FLAGS_evacuations;
+    settings.state_evacuate_bound = FLAGS_state_evacuate_bound;
     const std::string parent_directory =
         FLAGS_keep.empty() ? std::filesystem::temp_directory_path().string() : FLAGS_keep;
     settings.directory =
@@ -96,6 +102,10 @@
         count = results.violations().size();
         std::cout << "seed " << seed << ": " << results.requests() << " requests, "
                   << results.answered() << " answered, " << count << " broken promises\n";
+        for (const std::string& each : run.coverage())
+        {
+            std::cout << "  " << each << '\n';
+        }
         for (const std::string& each : results.violations())
         {
             std::cout << "  broken: " << each << '\n';
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -94,6 +94,10 @@
     {
         schedule_release();
     }
+    if (settings_.evacuate_domains)
+    {
+        schedule_evacuations();
+    }
     if (!settings_.older_program.empty())
     {
         replace_next_host();
@@ -121,6 +125,10 @@
     }
     promises_.check(settings_.check_durations ? max_request_ms : 0);
     check_versions();
+    if (settings_.evacuate_domains)
+    {
+        check_evacuations();
+    }
     for (const auto& each : hosts_)
     {
         if (each->process->exited_unexpectedly())
@@ -260,6 +268,7 @@
         case 2:
             record_event(absl::StrCat("pause ", host.name, " for ", span.count(), " ms"));
             host.process->signal(SIGSTOP);
+            host.is_paused = true;
             mark_disturbed(host, span);
             // other hosts may wait for keys that the paused host owns
             all_disturbed_until_ = std::max(all_disturbed_until_,
@@ -268,6 +277,7 @@
                         [&host]
                         {
                             host.process->signal(SIGCONT);
+                            host.is_paused = false;
                         });
             break;
         case 3:
@@ -367,6 +377,7 @@
 void soak_run::write_again()
 {
     write_configuration();
+    write_evacuations_again();
     for (soak_target& each : targets_)
     {
         write_entry(each);
@@ -412,6 +423,7 @@
 {
     inject_faults_ = false;
     record_event("all faults end");
+    withdraw_all();
     store_.set_down(false);
     store_path_->set_fault(path_fault::none);
     for (soak_target& each : targets_)
@@ -429,6 +441,7 @@
     {
         each->link_path->set_fault(path_fault::none);
         each->process->signal(SIGCONT);
+        each->is_paused = false;
         each->process->write_settings(settings_json(*each));
     }
 }
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -3,12 +3,14 @@
 
 #include "soak/ending_callers.hpp"
 #include "soak/entry_process.hpp"
+#include "soak/evacuation_check.hpp"
 #include "soak/promises.hpp"
 #include "support/entry/entry_fixture.hpp"
 #include "support/fault_proxy.hpp"
 
 #include <medlar/detail/policy/random_source.hpp>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,6 +29,9 @@
 /// body of the one request under which the targets crash
 constexpr char crashing_body[] = "crashing request";
 
+/// evacuate_ms of the hosts, as short as their other bounds on changes
+constexpr millis evacuate_bound{2000};
+
 /// @brief parameters of one run
 struct soak_settings
 {
@@ -56,6 +61,10 @@
     bool state_start = true;
     /// whether faults other than these ends are injected
     bool inject_other_faults = true;
+    /// whether failure domains of the targets are evacuated
+    bool evacuate_domains = false;
+    /// whether the settings of hosts state evacuate_ms; if not, evacuations go unread
+    bool state_evacuate_bound = true;
 };
 
 /// @brief One run: entry hosts as child processes, a store and targets in this process,
@@ -85,6 +94,12 @@
         return ending_callers_ ? ending_callers_->table() : ending_table{};
     }
 
+    /// @brief how much the check of evacuations has seen
+    const std::vector<std::string>& coverage() const
+    {
+        return coverage_;
+    }
+
   private:
     using exchange_ptr = std::shared_ptr<caller_exchange>;
 
@@ -99,6 +114,7 @@
         std::unique_ptr<entry_process> process;
         bool is_paused = false;
         bool restart_pending = false;
+        steady_time started_at;
         /// whether its process runs the older program
         bool is_older = false;
         /// whether its next process is to run the older program
@@ -116,7 +132,14 @@
         /// what its answers state as its limit; empty: nothing
         std::string limit;
         int sequence = 0;
-        /// counts its starts
+    };
+
+    /// requests to evacuated targets that a host must not have sent
+    struct late_requests
+    {
+        std::size_t with_store = 0;
+        /// sent while no host could reach the store
+        std::size_t without_store = 0;
     };
 
     /// what targets crash under
@@ -198,6 +221,28 @@
     void record_event(const std::string& what);
     void check_recovery();
 
+    // evacuations
+    std::string domain_of(std::size_t target) const;
+    void add_evacuate_bound(nlohmann::json& settings) const;
+    void schedule_evacuations();
+    void evacuate(const std::string& domain);
+    void withdraw(const std::string& domain);
+    void withdraw_all();
+    void write_evacuations_again();
+    void watch_evacuations();
+    void check_evacuated_target(const soak_target& target,
+                                std::uint16_t from,
+                                absl::string_view request);
+    void check_evacuations();
+
+    /// receives what a host has sent to a target from a port
+    void observe_request(std::size_t target, std::uint16_t from, absl::string_view bytes);
+    /// the earliest time at which what is read now may have been sent
+    steady_time earliest_arrival() const
+    {
+        return polls_.front();
+    }
+
     soak_settings settings_;
     random_source random_;
     /// of the store's returns; apart from random_, so that older seeds play as before
@@ -206,6 +251,8 @@
     random_source crash_random_;
     /// of the releases and the streams that are taken up, likewise
     random_source release_random_;
+    /// of the evacuations, likewise
+    random_source evacuation_random_;
     medlar::clock time_ = medlar::clock::system();
     event_loop loop_{time_};
     http_client client_{loop_, 65536};
@@ -235,6 +282,14 @@
     std::size_t taken_up_ = 0;
     /// streams that went on at another version
     std::vector<std::string> joined_;
+    evacuation_check evacuations_{evacuate_bound};
+    std::size_t evacuated_arrivals_ = 0;
+    /// requests to evacuated targets by the bound host that sent them
+    std::map<std::string, late_requests> late_arrivals_;
+    std::vector<std::string> coverage_;
+    /// when the latest iterations of the loop began: a connection is accepted in one and
+    /// read in the next, and its bytes may have come during the one before
+    std::array<steady_time, 3> polls_{};
     crash_cause part_cause_{"requests with a part", 5, 0, {}, {}};
     crash_cause request_cause_{"runs of one request", 3, 0, {}, {}};
     bool sends_part_ = false;
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -43,6 +43,7 @@
       return_random_(~settings.seed),
       crash_random_(settings.seed ^ 0x5bd1e995U),
       release_random_(settings.seed ^ 0x85ebca6bU),
+      evacuation_random_(settings.seed ^ 0x27d4eb2fU),
       store_endpoint_(test::free_endpoint()),
       store_(loop_, store_endpoint_)
 {
@@ -69,8 +70,10 @@
 
 void soak_run::run_once()
 {
+    polls_ = {polls_[1], polls_[2], time_.steady_now()};
     loop_.run_once(millis(5));
     watch_processes();
+    watch_evacuations();
 }
 
 bool soak_run::run_until(millis timeout, const std::function<bool()>& condition)
@@ -108,6 +111,11 @@
         });
     added.path = std::make_unique<fault_proxy>(
         loop_, test::free_endpoint(), added.server->where());
+    added.path->on_forward = [this, number](std::uint16_t from, absl::string_view bytes)
+    {
+        observe_request(number, from, bytes);
+    };
+    added.server->domain = domain_of(number);
     if (settings_.release_versions && number % 2 == 1)
     {
         added.server->version = "v2";
@@ -163,23 +171,25 @@
     const bool has_no_path =
         settings_.end_targets && host.name == hosts_.back()->name && hosts_.size() > 1;
     const endpoint& store = has_no_path ? second_store_ : store_path_->where();
-    return nlohmann::json({{"node", host.name},
-                           {"zone", "a"},
-                           {"ip", "127.0.0.1"},
-                           {"listen",
-                            {{"front", text(host.callers)},
-                             {"ready", text(host.readiness)},
-                             {"control", text(host.link)}}},
-                           {"port_range", {host.metrics.port - 1, host.metrics.port + 1}},
-                           {"seeds", seeds},
-                           {"limits", {{"cpu_share", 0.5}}},
-                           {"bounds",
-                            {{"grace_s", 4},
-                             {"retry_ratio", 0.2},
-                             {"retry_window_s", 10},
-                             {"retry_slack", 56}}},
-                           {"platform", {{"address", text(store)}}}})
-        .dump();
+    nlohmann::json settings(
+        {{"node", host.name},
+         {"zone", "a"},
+         {"ip", "127.0.0.1"},
+         {"listen",
+          {{"front", text(host.callers)},
+           {"ready", text(host.readiness)},
+           {"control", text(host.link)}}},
+         {"port_range", {host.metrics.port - 1, host.metrics.port + 1}},
+         {"seeds", seeds},
+         {"limits", {{"cpu_share", 0.5}}},
+         {"bounds",
+          {{"grace_s", 4},
+           {"retry_ratio", 0.2},
+           {"retry_window_s", 10},
+           {"retry_slack", 56}}},
+         {"platform", {{"address", text(store)}}}});
+    add_evacuate_bound(settings);
+    return settings.dump();
 }
 
 void soak_run::start_hosts()
@@ -209,6 +219,8 @@
 void soak_run::start_process(soak_host& host)
 {
     host.is_older = host.next_is_older;
+    host.is_paused = false;
+    host.started_at = time_.steady_now();
     host.process->write_settings(settings_json(host));
     host.process->start(host.is_older ? settings_.older_program : settings_.program);
 }
--- a/test/support/entry/stand_in_store.hpp
+++ b/test/support/entry/stand_in_store.hpp
@@ -101,6 +101,11 @@
         watches_.clear();
     }
 
+    bool is_down() const
+    {
+        return down_;
+    }
+
     /// Drops the history: watches from older revisions are answered with 410, as are
     /// those from revisions that the store does not have.
     void compact()
--- a/test/support/fault_proxy.cpp
+++ b/test/support/fault_proxy.cpp
@@ -2,10 +2,9 @@
 
 #include <medlar/detail/loop/listening_socket.hpp>
 
+#include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
-#include <stdexcept>
-
 namespace medlar::test
 {
 
@@ -17,6 +16,8 @@
 
 constexpr millis connect_timeout{500};
 
+constexpr int backlog = 64;
+
 } // namespace
 
 void fault_proxy::side::on_input()
@@ -35,25 +36,42 @@
     listen();
 }
 
+void fault_proxy::acceptor::on_ready(readiness /*ready*/)
+{
+    if (owner_ != nullptr)
+    {
+        owner_->accept_next();
+    }
+}
+
 void fault_proxy::listen()
 {
     port_.share_with(
         [this]
         {
-            auto opened = listener::open(
-                loop_,
-                where_,
-                [this](std::shared_ptr<connection> caller)
-                {
-                    accept(std::move(caller));
-                },
-                [](const std::string&) {});
-            if (!opened.ok())
-            {
-                throw std::runtime_error(opened.status().ToString());
-            }
-            listener_ = *std::move(opened);
+            listening_ = open_listening_socket(where_, backlog);
         });
+    listening_.setBlocking(false);
+    acceptor_ = std::make_shared<acceptor>(*this);
+    loop_.watch(listening_, acceptor_, true, false);
+}
+
+void fault_proxy::accept_next()
+{
+    try
+    {
+        Poco::Net::SocketAddress from;
+        const Poco::Net::StreamSocket socket = listening_.acceptConnection(from);
+        const auto caller = connection::from_accepted(loop_, socket);
+        if (caller->is_open())
+        {
+            accept(caller, from.port());
+        }
+    }
+    catch (const Poco::Exception&)
+    {
+        // the caller has closed the connection already
+    }
 }
 
 void fault_proxy::stop()
@@ -83,10 +101,12 @@
 
 void fault_proxy::close_listener()
 {
-    if (listener_)
+    if (acceptor_)
     {
-        listener_->close();
-        listener_.reset();
+        acceptor_->close();
+        acceptor_.reset();
+        loop_.unwatch(listening_);
+        listening_.close();
     }
 }
 
@@ -122,10 +142,7 @@
 fault_proxy::~fault_proxy()
 {
     *alive_ = false;
-    if (listener_)
-    {
-        listener_->close();
-    }
+    close_listener();
     for (const std::shared_ptr<proxied_connection>& each : connections_)
     {
         each->caller->set_handler(nullptr);
@@ -135,7 +152,7 @@
     }
 }
 
-void fault_proxy::accept(std::shared_ptr<connection> caller)
+void fault_proxy::accept(std::shared_ptr<connection> caller, std::uint16_t caller_port)
 {
     if (fault_ == path_fault::resetting)
     {
@@ -144,6 +161,7 @@
     }
     const auto opened_pair = std::make_shared<proxied_connection>(*this);
     opened_pair->caller = std::move(caller);
+    opened_pair->caller_port = caller_port;
     opened_pair->target = connection::connect(loop_, upstream_, connect_timeout);
     opened_pair->caller->set_handler(&opened_pair->caller_side);
     opened_pair->target->set_handler(&opened_pair->target_side);
@@ -180,6 +198,10 @@
     {
         return;
     }
+    if (from_caller && on_forward)
+    {
+        on_forward(pair.caller_port, bytes);
+    }
     if (fault_ != path_fault::delayed)
     {
         to->send(bytes);
--- a/test/support/fault_proxy.hpp
+++ b/test/support/fault_proxy.hpp
@@ -3,10 +3,11 @@
 
 #include "support/held_port.hpp"
 
-#include <medlar/detail/loop/listener.hpp>
+#include <medlar/detail/loop/connection.hpp>
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -46,6 +47,11 @@
 
     void set_fault(path_fault fault);
 
+    path_fault fault() const
+    {
+        return fault_;
+    }
+
     /// @brief Closes all connections and refuses new ones, as if the process behind the
     /// address had ended.
     void stop();
@@ -63,6 +69,10 @@
     /// @brief Accepts connections again, after one of the functions above.
     void resume();
 
+    /// called with the port of a caller and bytes from it before they are forwarded; may
+    /// be empty
+    std::function<void(std::uint16_t, absl::string_view)> on_forward;
+
   private:
     struct proxied_connection;
 
@@ -93,12 +103,33 @@
         side caller_side;
         side target_side;
         std::shared_ptr<connection> caller;
+        std::uint16_t caller_port = 0;
         std::shared_ptr<connection> target;
         bool is_closed = false;
     };
 
+    /// accepts connections until it is closed
+    class acceptor : public socket_handler
+    {
+      public:
+        explicit acceptor(fault_proxy& of) : owner_(&of)
+        {
+        }
+
+        void on_ready(readiness ready) override;
+
+        void close()
+        {
+            owner_ = nullptr;
+        }
+
+      private:
+        fault_proxy* owner_;
+    };
+
     void listen();
-    void accept(std::shared_ptr<connection> caller);
+    void accept_next();
+    void accept(std::shared_ptr<connection> caller, std::uint16_t caller_port);
     void close_listener();
     void forward(proxied_connection& pair, bool from_caller);
     void close_both(proxied_connection& pair, bool from_caller);
@@ -108,7 +139,9 @@
     held_port port_;
     endpoint upstream_;
     path_fault fault_ = path_fault::none;
-    std::shared_ptr<listener> listener_;
+    Poco::Net::ServerSocket listening_;
+    /// null while it does not listen
+    std::shared_ptr<acceptor> acceptor_;
     /// accepts nothing; its queue is full
     Poco::Net::ServerSocket full_;
     std::vector<Poco::Net::StreamSocket> queued_;
