Write invalid settings in the soak only for processes that have started

Cause: the fault "reload with invalid settings" replaces the settings file also 38 ms after a start.

Change: the fault is left out while the process has logged nothing since its start; it logs its first line when it has read its settings. An exit after a reload still counts.

--- a/test/soak/entry_process.cpp
+++ b/test/soak/entry_process.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <system_error>
 #include <vector>
 
 extern char** environ;
@@ -27,6 +28,13 @@
                                : absl::StrCat("exit code ", WEXITSTATUS(status));
 }
 
+std::uintmax_t size_of(const std::string& path)
+{
+    std::error_code missing;
+    const std::uintmax_t size = std::filesystem::file_size(path, missing);
+    return missing ? 0 : size;
+}
+
 bool is_clean_exit(int status)
 {
     return WIFSIGNALED(status) ? WTERMSIG(status) == SIGKILL : WEXITSTATUS(status) == 0;
@@ -73,6 +81,7 @@
 void entry_process::start(const std::string& program)
 {
     program_ = program;
+    logged_before_ = size_of(log_path_);
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     const int flags = O_WRONLY | O_CREAT | O_APPEND;
@@ -110,6 +119,11 @@
     exit_expected_ = false;
 }
 
+bool entry_process::has_logged() const
+{
+    return size_of(log_path_) > logged_before_;
+}
+
 void entry_process::signal(int number) const
 {
     if (pid_ > 0)
--- a/test/soak/entry_process.hpp
+++ b/test/soak/entry_process.hpp
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 
 namespace medlar::soak
@@ -34,6 +35,10 @@
     /// @return whether the process is running
     bool is_running();
 
+    /// @brief Returns whether the process has logged a line, which it does once it has
+    /// read its settings.
+    bool has_logged() const;
+
     /// @brief id of the process; 0 while it does not run
     pid_t pid() const
     {
@@ -63,6 +68,8 @@
     std::string settings_path_;
     std::string log_path_;
     pid_t pid_ = 0;
+    /// size of the log when the process started
+    std::uintmax_t logged_before_ = 0;
     bool exit_expected_ = false;
     bool exited_unexpectedly_ = false;
     std::string last_exit_;
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -286,6 +286,11 @@
             host.process->signal(SIGHUP);
             break;
         default:
+            // a process that has not read its settings yet would rightly end
+            if (!host.process->has_logged())
+            {
+                break;
+            }
             record_event("reload " + host.name + " with invalid settings");
             host.process->write_settings("{");
             host.process->signal(SIGHUP);
