Play cold targets in the soak

Cause: medlar-soak had no target that states that it is cold (cold_ms, Cold-Ms), and did not count what such targets get.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -61,6 +61,8 @@
     --fault_ms=5000 --nocheck_times
 run_tests "soak of ending targets among other faults" build/medlar-soak --end_targets \
     --first_seed=722 --seeds=2 --callers=16 --fault_ms=5000 --nocheck_times
+run_tests "soak of cold targets" build/medlar-soak --cold_targets --first_seed=100 \
+    --seeds=2 --fault_ms=5000 --nocheck_times
 [ -x build/system_test ] && run_tests "system" build/system_test
 
 echo "$passed passed, $failed failed"
--- a/test/soak/medlar_soak.cpp
+++ b/test/soak/medlar_soak.cpp
@@ -46,6 +46,11 @@
 DEFINE_bool(state_evacuate_bound,
             true,
             "with --evacuations: settings state evacuate_ms; if not, the check fails");
+DEFINE_bool(cold_targets, false, "targets start again and are cold afterwards");
+DEFINE_bool(
+    state_cold_rate,
+    true,
+    "with --cold_targets: the configuration limits them; if not, the check fails");
 DEFINE_string(keep, "", "directory in which settings and logs of failed runs are kept");
 
 namespace
@@ -87,6 +92,8 @@
     settings.inject_other_faults = FLAGS_other_faults;
     settings.evacuate_domains = FLAGS_evacuations;
     settings.state_evacuate_bound = FLAGS_state_evacuate_bound;
+    settings.cold_targets = FLAGS_cold_targets;
+    settings.state_cold_rate = FLAGS_state_cold_rate;
     const std::string parent_directory =
         FLAGS_keep.empty() ? std::filesystem::temp_directory_path().string() : FLAGS_keep;
     settings.directory =
--- a/test/soak/soak_crashes.cpp
+++ b/test/soak/soak_crashes.cpp
@@ -89,9 +89,10 @@
     loop_.after(restart_time,
                 [this, &target]
                 {
+                    ++target.server->started_ms;
+                    begin_cold(target);
                     target.path->resume();
                     target.is_down = false;
-                    ++target.server->started_ms;
                     write_entry(target);
                 });
 }
--- a/test/soak/soak_evacuations.cpp
+++ b/test/soak/soak_evacuations.cpp
@@ -155,6 +155,7 @@
     {
         check_evacuated_target(to, from, bytes);
     }
+    count_cold_request(to);
 }
 
 void soak_run::check_evacuated_target(const soak_target& target,
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -98,6 +98,10 @@
     {
         schedule_evacuations();
     }
+    if (settings_.cold_targets)
+    {
+        schedule_cold_starts();
+    }
     if (!settings_.older_program.empty())
     {
         replace_next_host();
@@ -129,6 +133,10 @@
     {
         check_evacuations();
     }
+    if (settings_.cold_targets)
+    {
+        check_cold_targets();
+    }
     for (const auto& each : hosts_)
     {
         if (each->process->exited_unexpectedly())
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_TEST_SOAK_SOAK_RUN_HPP
 #define MEDLAR_TEST_SOAK_SOAK_RUN_HPP
 
+#include "soak/cold_check.hpp"
 #include "soak/ending_callers.hpp"
 #include "soak/entry_process.hpp"
 #include "soak/evacuation_check.hpp"
@@ -65,6 +66,10 @@
     bool evacuate_domains = false;
     /// whether the settings of hosts state evacuate_ms; if not, evacuations go unread
     bool state_evacuate_bound = true;
+    /// whether targets start again and are cold afterwards
+    bool cold_targets = false;
+    /// whether the configuration limits cold targets; if not, they get any number
+    bool state_cold_rate = true;
 };
 
 /// @brief One run: entry hosts as child processes, a store and targets in this process,
@@ -94,7 +99,7 @@
         return ending_callers_ ? ending_callers_->table() : ending_table{};
     }
 
-    /// @brief how much the check of evacuations has seen
+    /// @brief how much the checks of evacuations and cold targets have seen
     const std::vector<std::string>& coverage() const
     {
         return coverage_;
@@ -132,6 +137,8 @@
         /// what its answers state as its limit; empty: nothing
         std::string limit;
         int sequence = 0;
+        steady_time cold_until;
+        cold_check cold_requests;
     };
 
     /// requests to evacuated targets that a host must not have sent
@@ -235,6 +242,17 @@
                                 absl::string_view request);
     void check_evacuations();
 
+    // cold targets
+    void add_cold_rule(nlohmann::json& configuration) const;
+    void add_cold_header(std::size_t target, header_list& headers) const;
+    void report_cold(std::size_t target, caller_exchange& exchange) const;
+    millis cold_left(const soak_target& target) const;
+    void begin_cold(soak_target& target);
+    void schedule_cold_starts();
+    void start_again(soak_target& target);
+    void count_cold_request(soak_target& target);
+    void check_cold_targets();
+
     /// receives what a host has sent to a target from a port
     void observe_request(std::size_t target, std::uint16_t from, absl::string_view bytes);
     /// the earliest time at which what is read now may have been sent
@@ -251,8 +269,9 @@
     random_source crash_random_;
     /// of the releases and the streams that are taken up, likewise
     random_source release_random_;
-    /// of the evacuations, likewise
+    /// of the evacuations and of the cold targets, likewise
     random_source evacuation_random_;
+    random_source cold_random_;
     medlar::clock time_ = medlar::clock::system();
     event_loop loop_{time_};
     http_client client_{loop_, 65536};
--- a/test/soak/soak_versions.cpp
+++ b/test/soak/soak_versions.cpp
@@ -74,6 +74,7 @@
                 {
                     target.server->version = version;
                     ++target.server->started_ms;
+                    begin_cold(target);
                     target.server->restart_as(successor);
                     target.path->resume();
                     target.is_down = false;
--- a/test/soak/soak_world.cpp
+++ b/test/soak/soak_world.cpp
@@ -44,6 +44,7 @@
       crash_random_(settings.seed ^ 0x5bd1e995U),
       release_random_(settings.seed ^ 0x85ebca6bU),
       evacuation_random_(settings.seed ^ 0x27d4eb2fU),
+      cold_random_(settings.seed ^ 0x165667b1U),
       store_endpoint_(test::free_endpoint()),
       store_(loop_, store_endpoint_)
 {
@@ -116,6 +117,13 @@
         observe_request(number, from, bytes);
     };
     added.server->domain = domain_of(number);
+    if (settings_.cold_targets)
+    {
+        added.server->report_handler = [this, number](const exchange_ptr& exchange)
+        {
+            report_cold(number, *exchange);
+        };
+    }
     if (settings_.release_versions && number % 2 == 1)
     {
         added.server->version = "v2";
@@ -129,6 +137,7 @@
     nlohmann::json entry =
         nlohmann::json::parse(target.server->entry("ready", ++target.sequence));
     entry["address"] = to_string(target.path->where());
+    entry["cold_ms"] = cold_left(target).count();
     store_.put(target.server->key(), entry.dump());
 }
 
@@ -139,15 +148,19 @@
         {{{"service", "stage"}, {"after", nlohmann::json::array()}, {"bytes", 1000}}});
     // each version drops the route of the one before
     const std::string own_route = absl::StrCat("/version-", version_, "/");
-    const std::string configuration =
+    nlohmann::json configuration = nlohmann::json::parse(
         test::configuration_json(version_,
                                  {test::route_json("/idempotent/", "idempotent", "plain"),
                                   test::route_json("/once/", "non_idempotent", "plain"),
                                   test::route_json("/stream/", "stream", "plain"),
                                   test::route_json(own_route, "idempotent", "plain"),
-                                  staged});
-    store_.put("op/config",
-               settings_.end_targets ? with_ending_routes(configuration) : configuration);
+                                  staged}));
+    if (settings_.cold_targets)
+    {
+        add_cold_rule(configuration);
+    }
+    const std::string text = configuration.dump();
+    store_.put("op/config", settings_.end_targets ? with_ending_routes(text) : text);
 }
 
 void soak_run::put_configuration()
@@ -323,6 +336,7 @@
     {
         headers.add("Server-Limit", targets_[target].limit);
     }
+    add_cold_header(target, headers);
     return headers;
 }
 
@@ -354,7 +368,9 @@
         record_version(target, *exchange);
     }
     const std::string last(exchange->head().headers.get("Last-Event-Id"));
-    exchange->begin(200, "OK", stream_headers(*exchange), {body_kind::chunked, 0});
+    header_list headers = stream_headers(*exchange);
+    add_cold_header(target, headers);
+    exchange->begin(200, "OK", headers, {body_kind::chunked, 0});
     send_event(exchange, last.empty() ? 1 : std::stoi(last) + 1);
 }
 
