--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -94,6 +94,14 @@
     {
         schedule_release();
     }
+    if (settings_.evacuate_domains)
+    {
+        schedule_evacuations();
+    }
+    if (settings_.cold_targets)
+    {
+        schedule_cold_starts();
+    }
     if (!settings_.older_program.empty())
     {
         replace_next_host();
@@ -121,6 +129,14 @@
     }
     promises_.check(settings_.check_durations ? max_request_ms : 0);
     check_versions();
+    if (settings_.evacuate_domains)
+    {
+        check_evacuations();
+    }
+    if (settings_.cold_targets)
+    {
+        check_cold_targets();
+    }
     for (const auto& each : hosts_)
     {
         if (each->process->exited_unexpectedly())
@@ -260,6 +276,7 @@
         case 2:
             record_event(absl::StrCat("pause ", host.name, " for ", span.count(), " ms"));
             host.process->signal(SIGSTOP);
+            host.is_paused = true;
             mark_disturbed(host, span);
             // other hosts may wait for keys that the paused host owns
             all_disturbed_until_ = std::max(all_disturbed_until_,
@@ -268,6 +285,7 @@
                         [&host]
                         {
                             host.process->signal(SIGCONT);
+                            host.is_paused = false;
                         });
             break;
         case 3:
@@ -276,6 +294,11 @@
             host.process->signal(SIGHUP);
             break;
         default:
+            // a process that has not read its settings yet would rightly end
+            if (!host.process->has_logged())
+            {
+                break;
+            }
             record_event("reload " + host.name + " with invalid settings");
             host.process->write_settings("{");
             host.process->signal(SIGHUP);
@@ -367,6 +390,7 @@
 void soak_run::write_again()
 {
     write_configuration();
+    write_evacuations_again();
     for (soak_target& each : targets_)
     {
         write_entry(each);
@@ -412,6 +436,7 @@
 {
     inject_faults_ = false;
     record_event("all faults end");
+    withdraw_all();
     store_.set_down(false);
     store_path_->set_fault(path_fault::none);
     for (soak_target& each : targets_)
@@ -429,6 +454,7 @@
     {
         each->link_path->set_fault(path_fault::none);
         each->process->signal(SIGCONT);
+        each->is_paused = false;
         each->process->write_settings(settings_json(*each));
     }
 }
