Test readers and targets that take a few bytes now and then

Readers that take little of a long answer now and then hold the memory budget of a host: the socket takes something every second, so that none counts as stalled.

The readers take at most 40 KB a second. On this kernel, TCP_USER_TIMEOUT ends a connection whose window opens less often, which frees the memory without the budget.

--- a/test/overload/crowd.hpp
+++ b/test/overload/crowd.hpp
@@ -4,9 +4,13 @@
 #include <medlar/detail/loop/connection.hpp>
 #include <medlar/detail/loop/listener.hpp>
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -110,6 +114,68 @@
     bool has_ended_ = false;
 };
 
+/// Most bytes that a trickling peer reads at a time, and how often: at most 40 KB a second.
+/// TCP would give up the connection if the window opened less often.
+constexpr std::size_t trickle_bytes = 2048;
+constexpr millis trickle_interval{50};
+
+/// Keeps the window of a socket small, or its kernel would read for the process.
+inline void set_small_window(Poco::Net::Socket& socket)
+{
+    constexpr int window_bytes = 1024;
+    constexpr int segment_bytes = 88;
+    socket.setReceiveBufferSize(window_bytes);
+    socket.setOption(IPPROTO_TCP, TCP_MAXSEG, segment_bytes);
+}
+
+/// @brief A client that takes a few bytes of its answer now and then.
+class trickling_reader
+{
+  public:
+    trickling_reader(event_loop& loop, const endpoint& to, const std::string& request)
+        : loop_(loop), socket_(Poco::Net::SocketAddress::IPv4)
+    {
+        set_small_window(socket_);
+        socket_.connect(Poco::Net::SocketAddress(to.address, to.port));
+        socket_.sendBytes(request.data(), static_cast<int>(request.size()));
+        socket_.setBlocking(false);
+        read_later();
+    }
+
+    ~trickling_reader()
+    {
+        loop_.cancel(timer_);
+    }
+
+    trickling_reader(const trickling_reader&) = delete;
+    trickling_reader& operator=(const trickling_reader&) = delete;
+
+  private:
+    void read_later()
+    {
+        timer_ = loop_.after(trickle_interval,
+                             [this]
+                             {
+                                 read();
+                             });
+    }
+
+    void read()
+    {
+        std::array<char, trickle_bytes> part{};
+        const io_result got =
+            receive_some(socket_, part.data(), static_cast<int>(part.size()));
+        if (got.status == io_status::done || got.status == io_status::blocked)
+        {
+            read_later();
+        }
+    }
+
+    event_loop& loop_;
+    Poco::Net::StreamSocket socket_;
+    timer_id timer_{0};
+};
+
 /// @brief A target that reads nothing, or answers each request with a long body.
 class extreme_target
 {
@@ -187,6 +253,98 @@
     std::vector<std::unique_ptr<call>> calls_;
 };
 
+/// @brief A target whose kernel waits for as long as the host does not read, unlike that
+/// of extreme_target. It answers each request with a long body, or takes a few bytes of
+/// each request now and then.
+class patient_target
+{
+  public:
+    /// @param answer_bytes size of the body of its answers; 0 reads slowly
+    patient_target(event_loop& loop, const endpoint& where, std::size_t answer_bytes)
+        : loop_(loop), answer_bytes_(answer_bytes)
+    {
+        listening_.bind(Poco::Net::SocketAddress(where.address, where.port), true);
+        if (answer_bytes_ == 0)
+        {
+            set_small_window(listening_);
+        }
+        constexpr int backlog = 1000;
+        listening_.listen(backlog);
+        turn();
+    }
+
+    ~patient_target()
+    {
+        loop_.cancel(timer_);
+    }
+
+    patient_target(const patient_target&) = delete;
+    patient_target& operator=(const patient_target&) = delete;
+
+  private:
+    struct call
+    {
+        Poco::Net::StreamSocket socket;
+        bool is_begun = false;
+        /// bytes of the answer that are still to be sent
+        std::size_t left = 0;
+    };
+
+    void turn()
+    {
+        while (listening_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+        {
+            calls_.push_back({listening_.acceptConnection(), false, 0});
+            calls_.back().socket.setBlocking(false);
+        }
+        for (call& each : calls_)
+        {
+            read(each);
+            write(each);
+        }
+        timer_ = loop_.after(trickle_interval,
+                             [this]
+                             {
+                                 turn();
+                             });
+    }
+
+    void read(call& from)
+    {
+        std::array<char, trickle_bytes> part{};
+        const io_result got =
+            receive_some(from.socket, part.data(), static_cast<int>(part.size()));
+        if (got.status == io_status::done && answer_bytes_ > 0 && !from.is_begun)
+        {
+            const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: crowd\r\n"
+                                     "Response-Signature: s.1\r\nContent-Length: " +
+                                     std::to_string(answer_bytes_) + "\r\n\r\n";
+            send_some(from.socket, head.data(), static_cast<int>(head.size()));
+            from.is_begun = true;
+            from.left = answer_bytes_;
+        }
+    }
+
+    static void write(call& to)
+    {
+        static const std::string part(65536, 'x');
+        io_result result{io_status::done, 0};
+        while (to.left > 0 && result.status == io_status::done)
+        {
+            result = send_some(to.socket,
+                               part.data(),
+                               static_cast<int>(std::min(to.left, part.size())));
+            to.left -= result.bytes;
+        }
+    }
+
+    event_loop& loop_;
+    std::size_t answer_bytes_;
+    Poco::Net::ServerSocket listening_;
+    std::vector<call> calls_;
+    timer_id timer_{0};
+};
+
 } // namespace medlar::test
 
 #endif // MEDLAR_TEST_OVERLOAD_CROWD_HPP
--- a/test/overload/entry_under_load.hpp
+++ b/test/overload/entry_under_load.hpp
@@ -6,6 +6,7 @@
 #include "soak/entry_process.hpp"
 #include "support/entry/entry_fixture.hpp"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <cppunit/TestFixture.h>
 #include <unistd.h>
@@ -20,7 +21,9 @@
 // The crowds and the bounds were fixed on the code before the memory budget.
 constexpr std::size_t memory_mb = 60;
 constexpr std::size_t peak_bound_kb = memory_mb * 1024;
-constexpr std::size_t max_fds = 600;
+// Above the pace of a trickling reader, whose connection TCP would give up if it were
+// much slower.
+constexpr std::size_t min_read_bytes_per_s = 131072;
 constexpr std::size_t max_body_bytes = 1048576;
 
 /// @brief medlar-entry as a child process, before a store and targets in this process.
@@ -55,7 +58,7 @@
         store_.add_address(second_store_endpoint_);
         store_.second_view = [](const std::string& key, const std::string& value)
         {
-            return key == "servers/i-1" ? without_path(value) : value;
+            return absl::StartsWith(key, "servers/") ? without_path(value) : value;
         };
         store_.put(target_.key(), target_.entry());
         put_extreme_target();
@@ -115,8 +118,25 @@
         run_for(millis(3000));
     }
 
+    /// Opens the connections of readers that take a few bytes of their answers now and
+    /// then, and lets them read.
+    void run_trickling_readers(const endpoint& to,
+                               const std::string& request,
+                               std::size_t clients,
+                               millis span)
+    {
+        while (readers_.size() < clients)
+        {
+            readers_.push_back(std::make_unique<trickling_reader>(loop_, to, request));
+            loop_.run_once(millis(0));
+        }
+        run_for(span);
+    }
+
     /// Checks that the host lives within its bounds and answers an ordinary request.
-    void check(host& checked, const std::string& what)
+    /// @param body_bytes size of the body of the ordinary request
+    void
+    check(host& checked, const std::string& what, std::size_t body_bytes = 1000)
     {
         const bool is_running = checked.process->is_running();
         CPPUNIT_ASSERT_MESSAGE(checked.process->last_exit(), is_running);
@@ -129,7 +149,7 @@
                                request_text("POST",
                                             "/n/ordinary",
                                             absl::StrCat("ordinary-", ++requests_),
-                                            std::string(1000, 'o'))) == 200;
+                                            std::string(body_bytes, 'o'))) == 200;
             });
         std::cout << what << ": peak " << peak << " kB, " << descriptors
                   << " descriptors, an ordinary request was "
@@ -137,21 +157,29 @@
         CPPUNIT_ASSERT_MESSAGE(absl::StrCat("peak of ", peak, " kB"),
                                std::max(peak, peak_kb(checked)) <= peak_bound_kb);
         CPPUNIT_ASSERT_MESSAGE(absl::StrCat(descriptors, " open descriptors"),
-                               descriptors <= max_fds);
+                               descriptors <= max_fds_);
         CPPUNIT_ASSERT_MESSAGE("no ordinary request was answered", is_answered);
     }
 
-    static std::string head(const std::string& path, const std::string& framing)
+    static std::string
+    head(const std::string& path, const std::string& framing, millis deadline = millis(15000))
     {
-        return "POST " + path +
-               " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: crowd\r\n"
-               "Deadline-Ms: 15000\r\nAuthorization: Bearer key-1\r\n" +
-               framing + "\r\n\r\n";
+        return absl::StrCat("POST ",
+                            path,
+                            " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: crowd\r\n"
+                            "Deadline-Ms: ",
+                            deadline.count(),
+                            "\r\nAuthorization: Bearer key-1\r\n",
+                            framing,
+                            "\r\n\r\n");
     }
 
     /// @brief Answers of the plain target wait for this time.
     millis answer_delay_{0};
 
+    /// @brief Descriptors that a host may have open.
+    std::size_t max_fds_ = 600;
+
     event_loop& loop()
     {
         return loop_;
@@ -192,7 +220,8 @@
         nlohmann::json plain = route_json("/n/", "non_idempotent", "plain");
         nlohmann::json extreme = route_json("/x/", "non_idempotent", "extreme");
         plain["timeout_ms"] = 15000;
-        extreme["timeout_ms"] = 15000;
+        // the deadlines of the requests are shorter
+        extreme["timeout_ms"] = 120000;
         nlohmann::json changed =
             nlohmann::json::parse(configuration_json(3, {plain, extreme}));
         changed["services"].push_back(
@@ -217,7 +246,8 @@
                                {"limits",
                                 {{"cpu_share", 0.5},
                                  {"memory_mb", memory_mb},
-                                 {"max_fds", max_fds}}},
+                                 {"min_read_bytes_per_s", min_read_bytes_per_s},
+                                 {"max_fds", max_fds_}}},
                                {"bounds", {{"grace_s", 4}}},
                                {"platform", {{"address", to_string(store)}}}})
             .dump();
@@ -301,6 +331,7 @@
     std::string directory_;
     crowd_plan plan_;
     std::vector<std::unique_ptr<crowd_client>> crowd_;
+    std::vector<std::unique_ptr<trickling_reader>> readers_;
     std::vector<std::unique_ptr<host>> hosts_;
     int requests_ = 0;
 };
--- a/test/overload/uncontrolled_clients_test.cpp
+++ b/test/overload/uncontrolled_clients_test.cpp
@@ -118,6 +118,10 @@
     CPPUNIT_TEST(stay_within_the_memory_of_both_hosts_on_the_hop_to_a_peer);
     CPPUNIT_TEST(stay_within_it_before_a_target_that_reads_slowly);
     CPPUNIT_TEST(stay_within_it_for_readers_that_stop);
+    CPPUNIT_TEST(stay_within_it_before_a_target_that_takes_some_bytes_now_and_then);
+    CPPUNIT_TEST(stay_within_it_for_readers_that_take_some_bytes_now_and_then);
+    CPPUNIT_TEST(stay_within_it_for_more_such_readers_than_it_has_room_for);
+    CPPUNIT_TEST(stay_within_it_for_such_readers_of_answers_over_the_hop);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -158,6 +162,57 @@
                   250);
         check(under_load, "readers that stop");
     }
+
+    void stay_within_it_before_a_target_that_takes_some_bytes_now_and_then()
+    {
+        const patient_target slow(loop(), extreme_endpoint(), 0);
+        host& under_load = start("trickling-target");
+        run_crowd({under_load.callers,
+                   head("/x/l", length_of(max_body_bytes)),
+                   std::string(piece_bytes, 'x'),
+                   16},
+                  100);
+        check(under_load, "a target that takes some bytes now and then");
+    }
+
+    // guards against readers that hold the budget, so that other bodies are refused
+    void stay_within_it_for_readers_that_take_some_bytes_now_and_then()
+    {
+        constexpr std::size_t ordinary_bytes = 65536;
+        const patient_target endless(loop(), extreme_endpoint(), long_answer_bytes);
+        host& under_load = start("trickling-readers");
+        run_trickling_readers(under_load.callers, long_request(), 250, millis(8000));
+        check(under_load, "readers that take some bytes now and then", ordinary_bytes);
+    }
+
+    // guards against a part of each answer that is kept although memory is short
+    void stay_within_it_for_more_such_readers_than_it_has_room_for()
+    {
+        max_fds_ = 2000;
+        const patient_target endless(loop(), extreme_endpoint(), long_answer_bytes);
+        host& under_load = start("many-readers");
+        run_trickling_readers(under_load.callers, long_request(), 700, millis(8000));
+        check(under_load, "700 such readers");
+    }
+
+    void stay_within_it_for_such_readers_of_answers_over_the_hop()
+    {
+        const patient_target endless(loop(), extreme_endpoint(), long_answer_bytes);
+        host& peer = start("peer-of-readers");
+        host& under_load = start("readers-without-path", false);
+        run_trickling_readers(under_load.callers, long_request(), 250, millis(8000));
+        check(under_load, "such readers at the host without a path");
+        check(peer, "its peer");
+    }
+
+  private:
+    static constexpr std::size_t long_answer_bytes = 4194304;
+
+    /// whose deadline ends none of the readers during a test
+    static std::string long_request()
+    {
+        return head("/x/k", length_of(0), millis(120000));
+    }
 };
 
 /// Guards against a host whose descriptors are all taken by connections without a
