Count no cut answer of the store as a renewed lease

Cause: of the answer to a renewal only the status was read. An answer without a length or chunks that ended within its body, or right behind its head, counted as contact with the store: a host could take itself for registered while its lease ran out. Writes and leases are parsed, so that a part of their answers is none; the tests found no fault there.

Change: an answer to a renewal that has neither a length nor chunks counts only if its body is a whole JSON value.

Tests: a_store_that_answers_early (3). A stand-in store answers the first write, the first lease or all renewals of a host once it has their heads: parts without a length, with one and in chunks, then a reset or a regular end, and statuses 000, 099, 600, 999, 1000 and 2x0. A reset was never taken for a success, before the change neither.

--- a/include/medlar/detail/hosts/store_controller.hpp
+++ b/include/medlar/detail/hosts/store_controller.hpp
@@ -119,6 +119,8 @@
     {
         int status = 0;
         std::string body;
+        /// whether a length or chunks told its end
+        bool is_framed = false;
         std::int64_t era = 0;
         /// whether the answer has stated it; otherwise it may be of a later one
         bool states_era = false;
--- a/src/hosts/store_controller.cpp
+++ b/src/hosts/store_controller.cpp
@@ -3,6 +3,7 @@
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <absl/strings/match.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -59,6 +60,13 @@
 // a range answer has at most 1 MB of values, and their encoding
 constexpr std::size_t max_answer_bytes = 8388608;
 
+/// Returns whether an answer whose fields are not read is whole. Without a length or
+/// chunks, the end of the connection may have cut it; a part of an object is none.
+bool is_whole(bool is_framed, const std::string& body)
+{
+    return is_framed || nlohmann::json::accept(body);
+}
+
 millis max_age_of(millis change_bound)
 {
     return change_bound * max_age_tenths / 10;
@@ -255,6 +263,7 @@
     events.on_head = [this, result](const answer_head& head)
     {
         result->status = head.status;
+        result->is_framed = head.framing.kind != body_kind::until_close;
         result->era = record_era(head);
         result->states_era = context_.protocol.read_era(head).has_value();
     };
@@ -615,8 +624,9 @@
              call_timeout,
              [this, number](const reply& received)
              {
-                 record_contact(received.status == status_ok ||
-                                received.status == status_not_found);
+                 const bool is_renewed = received.status == status_ok &&
+                                         is_whole(received.is_framed, received.body);
+                 record_contact(is_renewed || received.status == status_not_found);
                  if (number != registration_number_)
                  {
                      return;
