Keep less of each answer while memory is short

Cause: the first 64 KB of a plain answer are kept for another attempt, and were then passed on at once; the buffer stayed allocated until the answer had ended. A caller that does not read could so hold some 150 KB, also while memory was short, where a connection is meant to hold 16 KB. 250 such readers took 43 MB of a budget of 25 MB. Each connection to a target also kept the buffer of its last read (16 KB), which was not charged.

Change: while memory is short 16 KB are kept for another attempt, and 4 KB once the budget is exceeded; then a target is also read no further while any of its answer waits. Both buffers are freed after use.

--- a/include/medlar/detail/loop/pooled_connection.hpp
+++ b/include/medlar/detail/loop/pooled_connection.hpp
@@ -130,7 +130,6 @@
     std::string question_answer_;
     /// what the process has answered; unset before
     std::optional<start_answer> start_;
-    std::string decoded_;
     std::optional<steady_time> established_at_;
     /// last time at which it was seen to be open
     steady_time seen_open_at_;
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -19,9 +19,21 @@
 // retried at another target if this one fails while sending
 constexpr std::size_t max_buffered_body_bytes = 65536;
 
+// the same while memory is short, and once it is used up: each caller that does not read
+// would hold a part of this size
+constexpr std::size_t max_buffered_body_bytes_if_short = 16384;
+constexpr std::size_t max_buffered_body_bytes_if_full = 4096;
+
 // a longer event is not one; the largest ones of an engine have some hundred bytes
 constexpr std::size_t max_event_bytes = 262144;
 
+std::size_t most_buffered_bytes(const memory_budget& budget)
+{
+    return budget.is_full()    ? max_buffered_body_bytes_if_full
+           : budget.is_short() ? max_buffered_body_bytes_if_short
+                               : max_buffered_body_bytes;
+}
+
 } // namespace
 
 void request_run::on_data(absl::string_view data)
@@ -42,11 +54,12 @@
     else
     {
         buffered_body_.append(data.data(), data.size());
-        if (buffered_body_.size() > max_buffered_body_bytes)
+        if (buffered_body_.size() > most_buffered_bytes(*context_.loop.memory()))
         {
             begin_answer();
             exchange_->write(buffered_body_);
-            buffered_body_.clear();
+            // clear() would keep the memory until the answer has ended
+            std::string().swap(buffered_body_);
         }
     }
     answer_charge_.set(buffered_body_.capacity() + events_.incomplete_event().size());
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -35,6 +35,7 @@
 // tenths of a second on the slowest network paths
 constexpr std::size_t congested_bytes = 262144;
 constexpr std::size_t congested_bytes_if_short = 16384;
+constexpr std::size_t congested_bytes_if_full = 0;
 
 constexpr absl::string_view retry_after_refused_body = "Retry-After: 1\r\n";
 
@@ -197,9 +198,10 @@
 
 bool caller_connection::is_output_congested() const
 {
-    return stream_->unsent() > (server_.loop_.memory()->is_short()
-                                    ? congested_bytes_if_short
-                                    : congested_bytes);
+    const memory_budget& budget = *server_.loop_.memory();
+    return stream_->unsent() > (budget.is_full()    ? congested_bytes_if_full
+                                : budget.is_short() ? congested_bytes_if_short
+                                                    : congested_bytes);
 }
 
 void caller_connection::record_body_progress(std::size_t bytes)
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -377,9 +377,11 @@
 void pooled_connection::parse_body()
 {
     const std::shared_ptr<client_call> call = call_;
-    decoded_.clear();
-    stream_->consume(decoder_.decode(stream_->input(), decoded_));
-    skipped_bytes_ += skipping_answer_ || is_asking_ ? decoded_.size() : 0;
+    // kept no longer than it is needed: each connection would hold as much as it reads at
+    // a time
+    std::string decoded;
+    stream_->consume(decoder_.decode(stream_->input(), decoded));
+    skipped_bytes_ += skipping_answer_ || is_asking_ ? decoded.size() : 0;
     if (skipped_bytes_ > max_skipped_bytes)
     {
         fail(call_end::malformed);
@@ -387,11 +389,11 @@
     }
     if (is_asking_ && !skipping_answer_)
     {
-        question_answer_.append(decoded_);
+        question_answer_.append(decoded);
     }
-    else if (!skipping_answer_ && !decoded_.empty() && call->callbacks_.on_data)
+    else if (!skipping_answer_ && !decoded.empty() && call->callbacks_.on_data)
     {
-        call->callbacks_.on_data(decoded_);
+        call->callbacks_.on_data(decoded);
         if (!call_)
         {
             return;
