End readers of answers that are too slow while memory is short

Cause: a reader counted as stalled if its socket took nothing for 5 s. One that takes a few bytes now and then never did, and many of them held the budget. A reader of a steady pace could count as stalled instead: the socket takes more only once a third of its buffer is free.

Change: reader_pace measures what the kernel of the reader has acknowledged (SIOCOUTQ), on average over the time in which output waits. Below limits.min_read_bytes_per_s (4096, the pace that bodies must have then) for 5 s, its connection is reset while the budget is short, the holders of most bytes and longest stall first. medlar_connections_ended_total counts them as slow_reader, and event 1770, at most one a second, has slow_readers.

--- a/include/medlar/detail/dispatch/memory_budget.hpp
+++ b/include/medlar/detail/dispatch/memory_budget.hpp
@@ -16,7 +16,7 @@
 {
     incoming_body, ///< a body that is being received
     paused_body,   ///< a body whose receiving was stopped since memory is short
-    unread_output, ///< output that the peer does not take
+    unread_output, ///< output that waits for the peer to read
 };
 
 /// @brief A connection whose memory may be freed by ending it.
@@ -28,14 +28,15 @@
     std::size_t remaining = 0;
     /// whether the remaining bytes are set aside for it
     bool is_granted = false;
-    /// when it last received or sent anything, or was paused
+    /// when it last received anything or was paused, or since when its peer has read
+    /// slower than the budget allows
     steady_time last_progress;
 };
 
 /// @brief What is done with holders, each named by its index.
 struct memory_relief
 {
-    /// bodies that stalled, and output that is not read
+    /// bodies that stalled, and output that is read too slowly
     std::vector<std::size_t> stalled;
     /// bodies refused although their clients do send
     std::vector<std::size_t> refused;
@@ -57,6 +58,18 @@
     /// @brief Sets the limit; there is none before.
     void set_limit(std::size_t bytes);
 
+    /// @brief Sets the rate below which a peer that takes output counts as stalled.
+    /// @param bytes_per_s with 0, only a peer that takes nothing counts
+    void set_least_read_rate(std::uint64_t bytes_per_s)
+    {
+        least_read_rate_ = bytes_per_s;
+    }
+
+    std::uint64_t least_read_rate() const
+    {
+        return least_read_rate_;
+    }
+
     std::size_t limit() const
     {
         return limit_;
@@ -102,6 +115,7 @@
     std::size_t limit_ = SIZE_MAX;
     std::size_t short_mark_ = SIZE_MAX;
     std::size_t used_ = 0;
+    std::uint64_t least_read_rate_ = 0;
     /// most bytes in use since memory was returned to the system
     std::size_t peak_ = 0;
     steady_time trimmed_at_;
--- a/include/medlar/detail/entry/entry_settings.hpp
+++ b/include/medlar/detail/entry/entry_settings.hpp
@@ -39,6 +39,10 @@
     double core_share = 1;
     /// memory that the process may have, in MB; the default is that of the smallest hosts
     std::size_t memory_mb = 120;
+    /// bytes a second below which the readers of answers count as stalled while memory is
+    /// short: the slowest rate at which a body may be sent then; 0 for those that take
+    /// nothing
+    std::uint64_t least_read_rate = 4096;
     /// file descriptors that the process may have open; 0: as many as the system allows
     std::size_t max_descriptors = 0;
     /// bandwidth of the host's network link, in Mbit/s
--- a/include/medlar/detail/entry/memory_controller.hpp
+++ b/include/medlar/detail/entry/memory_controller.hpp
@@ -39,6 +39,7 @@
     std::uint64_t recorded_evictions_ = 0;
     /// since the last line of the log
     std::uint64_t stalled_ = 0;
+    std::uint64_t slow_readers_ = 0;
     std::uint64_t refused_ = 0;
     std::uint64_t evicted_ = 0;
     std::size_t most_paused_ = 0;
--- a/include/medlar/detail/loop/connection.hpp
+++ b/include/medlar/detail/loop/connection.hpp
@@ -2,12 +2,14 @@
 #define MEDLAR_DETAIL_LOOP_CONNECTION_HPP
 
 #include <medlar/detail/base/endpoint.hpp>
+#include <medlar/detail/dispatch/reader_pace.hpp>
 #include <medlar/detail/loop/event_loop.hpp>
 #include <medlar/detail/loop/socket_io.hpp>
 
 #include <Poco/Net/StreamSocket.h>
 #include <absl/strings/string_view.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -103,11 +105,9 @@
         return charge_.bytes();
     }
 
-    /// @brief Returns when the socket last took output.
-    steady_time last_sent() const
-    {
-        return last_sent_;
-    }
+    /// @brief Returns since when the peer has taken the output that waits for it slower
+    /// than the memory budget allows.
+    steady_time slow_since();
 
     /// @brief Returns whether any byte was written to the socket.
     bool has_sent() const
@@ -165,6 +165,8 @@
         return body_ ? body_->size() - sent_body_ : 0;
     }
 
+    /// the bytes that the peer's kernel has acknowledged
+    std::uint64_t taken_by_peer();
     /// writes a part of the output, or of the body after it
     io_result write_some();
     /// takes the rest of the body into the output buffer, since more follows it
@@ -189,7 +191,9 @@
     /// sent after the output buffer
     std::shared_ptr<const std::string> body_;
     std::size_t sent_body_ = 0;
-    steady_time last_sent_;
+    /// bytes that the socket has taken
+    std::uint64_t written_ = 0;
+    reader_pace pace_;
     memory_charge charge_;
     bool has_sent_ = false;
     /// a failed write or peek takes the error from the socket, which then reports a
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -808,6 +808,7 @@
     settings_.target_heartbeat = read->target_heartbeat;
     settings_.evacuate_bound = read->evacuate_bound;
     settings_.memory_mb = read->memory_mb;
+    settings_.least_read_rate = read->least_read_rate;
     settings_.max_descriptors = read->max_descriptors;
     memory_controller_.apply_settings();
     peers_.set_seeds(settings_.seeds);
--- a/src/entry/memory_controller.cpp
+++ b/src/entry/memory_controller.cpp
@@ -56,6 +56,7 @@
 void memory_controller::apply_settings()
 {
     context_.loop.memory()->set_limit(budget_bytes_of(context_.settings.memory_mb));
+    context_.loop.memory()->set_least_read_rate(context_.settings.least_read_rate);
     for (http_server* const each : servers_)
     {
         each->set_max_connections(connections_for(context_.settings));
@@ -118,7 +119,9 @@
         context_.loop.memory()->relieve(holders, context_.loop.now());
     for (const std::size_t each : relief.stalled)
     {
-        record("stalled", stalled_);
+        const bool is_reader = holders[each].use == memory_use::unread_output;
+        record(is_reader ? "slow_reader" : "stalled",
+               is_reader ? slow_readers_ : stalled_);
         if (held[each].caller)
         {
             held[each].caller->end_for_memory(true);
@@ -146,8 +149,8 @@
 void memory_controller::log_shortage()
 {
     const steady_time now = context_.loop.now();
-    const bool has_news =
-        most_paused_ > 0 || stalled_ > 0 || refused_ > 0 || evicted_ > 0;
+    const bool has_news = most_paused_ > 0 || stalled_ > 0 || slow_readers_ > 0 ||
+                          refused_ > 0 || evicted_ > 0;
     if (!has_news || (logged_at_ && now - *logged_at_ < log_interval))
     {
         return;
@@ -159,6 +162,7 @@
                {"limit", static_cast<std::int64_t>(budget.limit())},
                {"paused", static_cast<std::int64_t>(std::exchange(most_paused_, 0))},
                {"stalled", std::exchange(stalled_, 0)},
+               {"slow_readers", std::exchange(slow_readers_, 0)},
                {"refused", std::exchange(refused_, 0)},
                {"evicted", std::exchange(evicted_, 0)}});
 }
--- a/src/loop/caller_connection.cpp
+++ b/src/loop/caller_connection.cpp
@@ -269,7 +269,7 @@
     {
         holder.use = memory_use::unread_output;
         holder.bytes = stream_->charged();
-        holder.last_progress = stream_->last_sent();
+        holder.last_progress = stream_->slow_since();
     }
     const bool is_holder = is_paused_ || holder.bytes >= least_held_bytes;
     return is_holder ? std::optional<memory_holder>(holder) : std::nullopt;
--- a/src/loop/connection.cpp
+++ b/src/loop/connection.cpp
@@ -3,10 +3,13 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstdint>
@@ -84,11 +87,7 @@
 connection::connection(event_loop& loop,
                        const Poco::Net::StreamSocket& socket,
                        state initial)
-    : loop_(loop),
-      socket_(socket),
-      state_(initial),
-      last_sent_(loop.now()),
-      charge_(loop.memory())
+    : loop_(loop), socket_(socket), state_(initial), charge_(loop.memory())
 {
     update_charge();
 }
@@ -240,7 +239,7 @@
     if (result.bytes > 0)
     {
         has_sent_ = true;
-        last_sent_ = loop_.now();
+        written_ += result.bytes;
     }
     return result;
 }
@@ -280,6 +279,7 @@
     {
         watching_write_ = !drained;
         update_watch();
+        drained ? pace_.end_wait(loop_.now()) : pace_.begin_wait(loop_.now());
     }
     if (drained && closing_)
     {
@@ -291,6 +291,24 @@
     }
 }
 
+std::uint64_t connection::taken_by_peer()
+{
+    // The socket takes more only once a third of its buffer is free, which may be
+    // megabytes; what it took says little about the pace of a slow peer.
+    int unacknowledged = 0;
+    const bool is_known =
+        ::ioctl(socket_.impl()->sockfd(), SIOCOUTQ, &unacknowledged) == 0;
+    const std::uint64_t pending =
+        is_known ? static_cast<std::uint64_t>(std::max(0, unacknowledged)) : 0;
+    return written_ - std::min(written_, pending);
+}
+
+steady_time connection::slow_since()
+{
+    return pace_.slow_since(
+        taken_by_peer(), loop_.memory()->least_read_rate(), loop_.now());
+}
+
 void connection::update_watch()
 {
     if (state_ != state::ended)
--- a/src/loop/http_server.cpp
+++ b/src/loop/http_server.cpp
@@ -147,7 +147,7 @@
             memory_holder holder;
             holder.use = memory_use::unread_output;
             holder.bytes = stream->charged();
-            holder.last_progress = stream->last_sent();
+            holder.last_progress = stream->slow_since();
             to.push_back({holder, nullptr, stream});
         }
     }
--- a/test/entry/memory_limits_test.cpp
+++ b/test/entry/memory_limits_test.cpp
@@ -158,16 +158,20 @@
   public:
     void are_read_from_its_settings()
     {
-        const auto given = read(R"("memory_mb": 60, "max_fds": 600)");
+        const auto given =
+            read(R"("memory_mb": 60, "max_fds": 600, "min_read_bytes_per_s": 9000)");
         CPPUNIT_ASSERT_MESSAGE(given.status().ToString(), given.ok());
         CPPUNIT_ASSERT_EQUAL(std::size_t{60}, given->memory_mb);
         CPPUNIT_ASSERT_EQUAL(std::size_t{600}, given->max_descriptors);
-        for (const char* each : {"", R"("memory_mb": null, "max_fds": null)"})
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9000}, given->least_read_rate);
+        for (const char* each :
+             {"", R"("memory_mb": null, "max_fds": null, "min_read_bytes_per_s": null)"})
         {
             const auto missing = read(each);
             CPPUNIT_ASSERT(missing.ok());
             CPPUNIT_ASSERT_EQUAL(std::size_t{120}, missing->memory_mb);
             CPPUNIT_ASSERT_EQUAL(std::size_t{0}, missing->max_descriptors);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{4096}, missing->least_read_rate);
         }
         // values that are no use are cut
         CPPUNIT_ASSERT_EQUAL(budget_bytes_of(16), budget_bytes_of(0));
@@ -176,7 +180,7 @@
 
     void are_rejected_by_name_if_they_are_invalid()
     {
-        for (const std::string name : {"memory_mb", "max_fds"})
+        for (const std::string name : {"memory_mb", "max_fds", "min_read_bytes_per_s"})
         {
             for (const char* value : {"-1", "1e30", "\"60\"", "true", "[60]"})
             {
--- a/test/overload/crowd.hpp
+++ b/test/overload/crowd.hpp
@@ -114,8 +114,8 @@
     bool has_ended_ = false;
 };
 
-/// Most bytes that a trickling peer reads at a time, and how often: at most 40 KB a second.
-/// TCP would give up the connection if the window opened less often.
+/// Most bytes that a trickling peer reads at a time, and how often: at most 40 KB a
+/// second. TCP would give up the connection if the window opened less often.
 constexpr std::size_t trickle_bytes = 2048;
 constexpr millis trickle_interval{50};
 
@@ -292,10 +292,13 @@
 
     void turn()
     {
+        constexpr int send_buffer_bytes = 65536;
         while (listening_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
         {
             calls_.push_back({listening_.acceptConnection(), false, 0});
             calls_.back().socket.setBlocking(false);
+            // the kernel would hold megabytes of each answer
+            calls_.back().socket.setSendBufferSize(send_buffer_bytes);
         }
         for (call& each : calls_)
         {
@@ -331,9 +334,8 @@
         io_result result{io_status::done, 0};
         while (to.left > 0 && result.status == io_status::done)
         {
-            result = send_some(to.socket,
-                               part.data(),
-                               static_cast<int>(std::min(to.left, part.size())));
+            result = send_some(
+                to.socket, part.data(), static_cast<int>(std::min(to.left, part.size())));
             to.left -= result.bytes;
         }
     }
--- a/test/overload/entry_under_load.hpp
+++ b/test/overload/entry_under_load.hpp
@@ -135,8 +135,7 @@
 
     /// Checks that the host lives within its bounds and answers an ordinary request.
     /// @param body_bytes size of the body of the ordinary request
-    void
-    check(host& checked, const std::string& what, std::size_t body_bytes = 1000)
+    void check(host& checked, const std::string& what, std::size_t body_bytes = 1000)
     {
         const bool is_running = checked.process->is_running();
         CPPUNIT_ASSERT_MESSAGE(checked.process->last_exit(), is_running);
@@ -161,8 +160,9 @@
         CPPUNIT_ASSERT_MESSAGE("no ordinary request was answered", is_answered);
     }
 
-    static std::string
-    head(const std::string& path, const std::string& framing, millis deadline = millis(15000))
+    static std::string head(const std::string& path,
+                            const std::string& framing,
+                            millis deadline = millis(15000))
     {
         return absl::StrCat("POST ",
                             path,
--- a/test/overload/uncontrolled_clients_test.cpp
+++ b/test/overload/uncontrolled_clients_test.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(stay_within_it_before_a_target_that_takes_some_bytes_now_and_then);
     CPPUNIT_TEST(stay_within_it_for_readers_that_take_some_bytes_now_and_then);
     CPPUNIT_TEST(stay_within_it_for_more_such_readers_than_it_has_room_for);
+    CPPUNIT_TEST(leave_room_for_a_body_of_the_largest_size_among_such_readers);
     CPPUNIT_TEST(stay_within_it_for_such_readers_of_answers_over_the_hop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +196,16 @@
         check(under_load, "700 such readers");
     }
 
+    // guards against readers that hold the budget for as long as they take a few bytes
+    void leave_room_for_a_body_of_the_largest_size_among_such_readers()
+    {
+        max_fds_ = 2600;
+        const patient_target endless(loop(), extreme_endpoint(), long_answer_bytes);
+        host& under_load = start("body-among-readers");
+        run_trickling_readers(under_load.callers, long_request(), 900, millis(8000));
+        check(under_load, "a body of 1 MiB among 900 such readers", max_body_bytes);
+    }
+
     void stay_within_it_for_such_readers_of_answers_over_the_hop()
     {
         const patient_target endless(loop(), extreme_endpoint(), long_answer_bytes);
