Tie crashes, calls, health and leaving marks to a process of a target

A target keeps its id when it starts again, and its entry may be late. Calls in progress and results of the process before counted for the next one, and a late answer of it with Server-Leaving marked the next one as leaving.

Each call now names its process (process_start): the start that its connection has stated, also to an earlier call, or else the latest known one. Crash reports name it; calls in progress (counted by process), health, probes and leaving marks hold for it alone. Pauses, limits and cold times still hold for the target.

Marks of several processes of one target are kept beside each other. - Crashes of one start are two if all requests of the one were sent more than 500 ms after the other; those of two starts within 100 ms are one, since one host may not know the later start. Each host numbers what it has seen ("numbers" in "crashes"), so that a report that is repeated late is not a further crash. Reports without a number go by their start, as before. - A start before the known one that a new connection states is that of a clock set back: its calls count at the known process until the entry comes.

--- a/include/medlar/detail/dispatch/crash_evidence.hpp
+++ b/include/medlar/detail/dispatch/crash_evidence.hpp
@@ -11,7 +11,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace medlar
@@ -38,6 +37,9 @@
     /// prompts of the requests that it had received without having begun to answer them
     std::set<prompt_suspects> prompts;
     std::map<crash_suspect, request_at_crash> requests;
+    /// one number for each host that has seen it, which the host repeats with each of its
+    /// reports; hosts of earlier builds give none
+    std::set<std::uint64_t> numbers;
 };
 
 /// @brief Finds the prompt parts and the requests under which targets crash, from the
@@ -63,6 +65,11 @@
 {
   public:
     /// @brief Adds a crash, or the prompts that another host reports for a known one.
+    ///
+    /// A host that does not know the start of a process names that of the one before, so
+    /// two processes may have one start, and one process two. Time tells them apart:
+    /// requests that were all sent after a crash have reached the next process. A report
+    /// without a number goes by its start alone.
     void record_crash(const target_crash& crash);
 
     /// @brief Records that a suspect is harmless: that an answer to a request with a part
@@ -83,7 +90,6 @@
     bool is_accusable(crash_suspect suspect) const;
 
   private:
-    using crash_key = std::pair<target_id, std::int64_t>;
     using crash_list = std::vector<const target_crash*>;
 
     /// the crashes, in order of time, in which each suspect was involved since it was
@@ -105,7 +111,9 @@
                               const crash_list& crashes,
                               const std::map<crash_suspect, crash_list>& others) const;
 
-    std::map<crash_key, target_crash> crashes_;
+    target_crash* find_known(const target_crash& reported);
+
+    std::multimap<target_id, target_crash> crashes_;
     std::map<crash_suspect, steady_time> harmless_at_;
 };
 
--- a/include/medlar/detail/dispatch/target_starts.hpp
+++ b/include/medlar/detail/dispatch/target_starts.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_DISPATCH_TARGET_STARTS_HPP
 
 #include <medlar/detail/base/clock.hpp>
+#include <medlar/detail/dispatch/process_start.hpp>
 #include <medlar/detail/dispatch/target_table.hpp>
 #include <medlar/detail/dispatch/version_history.hpp>
 #include <medlar/detail/entry/protocol.hpp>
@@ -15,25 +16,6 @@
 namespace medlar
 {
 
-/// @brief One process of a target. A target that starts again may keep its id and
-/// address; what was known of the process before does not hold for the new one.
-struct process_start
-{
-    target_id target;
-    /// Unix time in ms
-    std::int64_t started_ms = 0;
-
-    friend bool operator==(const process_start& a, const process_start& b)
-    {
-        return a.target == b.target && a.started_ms == b.started_ms;
-    }
-
-    friend bool operator<(const process_start& a, const process_start& b)
-    {
-        return a.target != b.target ? a.target < b.target : a.started_ms < b.started_ms;
-    }
-};
-
 /// @brief start time that stands for that of a process which has not answered for it; a
 /// stream that began at one goes on nowhere
 constexpr std::int64_t unknown_start_ms = -1;
--- a/include/medlar/detail/dispatch/target_table.hpp
+++ b/include/medlar/detail/dispatch/target_table.hpp
@@ -4,6 +4,7 @@
 #include <medlar/detail/base/clock.hpp>
 #include <medlar/detail/dispatch/cold_target.hpp>
 #include <medlar/detail/dispatch/process_evidence.hpp>
+#include <medlar/detail/dispatch/process_start.hpp>
 #include <medlar/detail/dispatch/skip_reason.hpp>
 #include <medlar/detail/dispatch/start_inquiry.hpp>
 #include <medlar/detail/entry/protocol.hpp>
@@ -25,7 +26,7 @@
     target_health health;
     /// when it last answered a call of this host
     steady_time answered_at;
-    /// calls of this host in progress
+    /// calls of this host in progress at the latest known process
     int in_flight = 0;
     /// no call is sent before this time, since it refused one as full
     steady_time refused_until;
@@ -106,13 +107,38 @@
     target_state* find(const target_id& id);
     const target_state* find(const target_id& id) const;
 
+    /// @brief Returns a target while a process of it is the latest known one.
+    /// @return nullptr if the target has started again, or is not registered
+    target_state* find_process(const process_start& process);
+
+    /// @brief Returns which process a call has reached.
+    /// @param expected the latest known process when the call was sent
+    /// @param stated_ms start that the connection of the call has stated; may be unset
+    /// @param is_new_connection whether the connection was opened for the call
+    process_start process_reached(const process_start& expected,
+                                  std::optional<std::int64_t> stated_ms,
+                                  bool is_new_connection) const;
+
+    /// @brief Returns which process says that it is going to stop, if the answer to a
+    /// call says so. A call whose connection has stated no start may have reached the
+    /// process that the entry does not name yet: it must not get more requests.
+    /// @param reached the process that the call has reached, as far as is known
+    /// @param is_stated whether the connection of the call has stated its start
+    process_start leaving_process(const process_start& reached, bool is_stated) const;
+
+    /// @brief Counts a call in progress at a process.
+    void begin_call(const process_start& process);
+
+    /// @brief Ends the count of a call that begin_call() has counted.
+    void end_call(const process_start& process);
+
     /// @brief Returns the target at an address, nullptr if there is none.
     const target_state* find_by_address(const endpoint& where) const;
 
-    /// @brief Records that a target has said that it is going to stop. It gets no more
-    /// work until it restarts, whatever the store shows of it.
-    /// @return whether that is new
-    bool mark_leaving(const target_id& id);
+    /// @brief Records that a process of a target has said that it is going to stop. The
+    /// target gets no more work until it restarts, whatever the store shows of it.
+    /// @return whether the process is the latest known one, and that is new
+    bool mark_leaving(const process_start& process);
 
     /// @brief Records the start time that the process at the address of a target has
     /// stated; its entry may be that of an earlier one. What was known of the process
@@ -167,11 +193,17 @@
 
   private:
     void erase(std::map<target_id, target_state>::iterator entry);
+    /// sets what is kept for each process once the process of a target is known
+    void restore_process(target_state& target);
+    /// drops the marks of processes before that of a target
+    void forget_leaving_before(const target_state& target);
 
     std::map<target_id, target_state> targets_;
     std::map<endpoint, target_id> by_address_;
-    /// start times of the targets that are leaving; remembered when their entries lapse
-    std::map<target_id, std::int64_t> leaving_;
+    /// the processes that are leaving; remembered when their entries lapse
+    std::set<process_start> leaving_;
+    /// calls of this host in progress
+    std::map<process_start, int> calls_;
     std::set<failure_domain_id> evacuated_;
 };
 
@@ -179,6 +211,9 @@
 /// @return Unix time in ms; 0 if it is unknown
 std::int64_t start_of(const target_state& target);
 
+/// @brief Returns the latest known process at the address of a target.
+process_start process_of(const target_state& target);
+
 /// @brief Returns whether the entry of a target is that of the process that answers at
 /// its address, as far as this host knows.
 bool is_listed(const target_state& target);
--- a/include/medlar/detail/entry/entry_context.hpp
+++ b/include/medlar/detail/entry/entry_context.hpp
@@ -73,13 +73,13 @@
     /// now or unknown.
     millis time_until_callable(const pool_id& pool);
 
-    /// @brief Records the result of a call to a target; does nothing if the target is no
-    /// longer registered.
-    void record_target_call(const target_id& id, call_result result);
+    /// @brief Records the result of a call to a process of a target; does nothing if the
+    /// target has started again, or is no longer registered.
+    void record_target_call(const process_start& process, call_result result);
 
-    /// @brief Records that a stream has begun at a target: a probe is over then, since
-    /// streams go on for seconds.
-    void record_stream_begun(const target_id& id);
+    /// @brief Records that a stream has begun at a process of a target: a probe is over
+    /// then, since streams go on for seconds.
+    void record_stream_begun(const process_start& process);
 
     /// @brief Records that a target gets no calls, or fewer, for a while.
     void record_outage(const target_state& target, const target_outage& outage) const;
@@ -99,13 +99,15 @@
 
     /// @brief Records what a target says of itself in the head of an answer: that it is
     /// going to stop, wants no calls for a while, or takes no more than some a second.
-    void record_target_answer(const target_id& id, const answer_fields& answer);
+    /// Only the first of these holds for the process alone.
+    /// @param process see target_table::leaving_process()
+    void record_target_answer(const process_start& process, const answer_fields& answer);
 
     /// @brief Records how much longer a target says it is cold.
     void record_cold_time(const target_id& id, const answer_fields& answer);
 
-    /// @brief Records that the process which answers at a target is going to stop.
-    void record_target_leaving(const target_id& id);
+    /// @brief Records that a process of a target is going to stop.
+    void record_target_leaving(const process_start& process);
 
     event_loop& loop;
     const entry_protocol& protocol;
--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -93,6 +93,10 @@
         piece_group group;
         piece_call_id id;
         target_id target;
+        /// the process that gets the call, as far as this host knows
+        process_start process;
+        /// whether a connection was opened for the call
+        bool is_new_connection = false;
         endpoint where;
         std::size_t pieces = 0;
         steady_time sent_at;
--- a/include/medlar/detail/entry/request_run.hpp
+++ b/include/medlar/detail/entry/request_run.hpp
@@ -215,6 +215,16 @@
     /// that is not recorded yet
     void end_probe(call_result result);
     void release_call();
+    /// records which process gets the current call
+    /// @param started_ms as its connection has stated; may be unset
+    void record_process(std::optional<std::int64_t> started_ms);
+    /// the start that the connection of the current call has stated, Unix time in ms
+    std::optional<std::int64_t> stated_start() const;
+    /// the process that is to be marked if the current call says that it leaves
+    process_start leaving_process() const;
+    /// takes back that a process is expected to get the request
+    /// @return its target; nullptr if that has started again, or is gone
+    target_state* release_planned();
     void on_not_run(const answer_head& head);
     bool retry(bool has_run);
     /// runs the stages again, and sends the request again after them
@@ -298,12 +308,17 @@
     std::vector<result_handle> inputs_;
     bool has_inputs_ = false;
     bool are_results_freed_ = false;
-    target_id planned_target_;
+    /// the process that is expected to get the request once its stages are done
+    std::optional<process_start> planned_;
 
     std::shared_ptr<client_call> call_;
     /// set while it is not known whether the answer of the call is whole
     std::unique_ptr<end_inquiry> end_inquiry_;
     target_id target_;
+    /// the process that gets the current call, as far as this host knows
+    process_start process_;
+    /// whether a connection was opened for the current call
+    bool is_new_connection_ = false;
     steady_time sent_at_;
     std::vector<target_id> tried_targets_;
     attempt_limit attempts_;
@@ -336,13 +351,7 @@
     std::optional<std::int64_t> last_event_id_;
     /// entry of the target of the current call
     target_record target_record_;
-    struct called_process
-    {
-        endpoint address;
-        /// as known when the call was sent, Unix time in ms; 0 if unknown
-        std::int64_t started_ms = 0;
-    };
-    called_process called_;
+    endpoint called_address_;
     /// version of the process that gets the current call
     software_version target_version_;
     /// whether the stream begins at the target of the declined call once it is known to
--- a/include/medlar/detail/hosts/crash_controller.hpp
+++ b/include/medlar/detail/hosts/crash_controller.hpp
@@ -2,6 +2,7 @@
 #define MEDLAR_DETAIL_HOSTS_CRASH_CONTROLLER_HPP
 
 #include <medlar/detail/dispatch/crash_evidence.hpp>
+#include <medlar/detail/dispatch/process_start.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
 #include <medlar/detail/hosts/connection_probe.hpp>
 #include <medlar/detail/hosts/peer_network.hpp>
@@ -9,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -47,8 +49,11 @@
 
     /// @brief Records that the call of a request to a target broke, which may be a crash
     /// of the target.
+    /// @param target its entry when the call was sent
+    /// @param started_ms start of the process that got the call, Unix time in ms
     /// @param has_begun whether the target had begun to answer
     void record_broken_call(const target_record& target,
+                            std::int64_t started_ms,
                             const request_suspects& request,
                             steady_time sent_at,
                             bool has_begun);
@@ -121,11 +126,11 @@
     void send_to_all(const nlohmann::json& message);
     /// asks other hosts about a target that this one cannot connect to: it has not
     /// crashed if one of them reaches it
-    void ask_whether_reached(const target_id& target);
+    void ask_whether_reached(const process_start& process);
     void answer_whether_reached(const std::shared_ptr<message_link>& from,
                                 const nlohmann::json& message);
     void handle_whether_reached(const nlohmann::json& message);
-    void end_check(const target_id& target, bool has_crashed);
+    void end_check(const process_start& process, bool has_crashed);
     void report_crashes();
     void drop_old_crashes();
     void handle_reports(const nlohmann::json& message);
@@ -170,7 +175,7 @@
     peer_network& peers_;
     store_controller& store_;
     steady_time may_judge_from_;
-    std::map<target_id, pending_check> checks_;
+    std::map<process_start, pending_check> checks_;
     /// probes for questions of other hosts
     std::map<std::uint64_t, std::unique_ptr<connection_probe>> asked_probes_;
     std::uint64_t last_probe_ = 0;
--- a/include/medlar/detail/loop/http_client.hpp
+++ b/include/medlar/detail/loop/http_client.hpp
@@ -128,7 +128,7 @@
     bool has_sent() const;
 
     /// @brief Returns when the process that got the request has started, as it has
-    /// answered to the question of the call.
+    /// answered to the question of this call or an earlier one on the connection.
     /// @return Unix time in ms; unset if it was not asked, or states none
     std::optional<std::int64_t> process_start() const
     {
--- a/src/dispatch/crash_evidence.cpp
+++ b/src/dispatch/crash_evidence.cpp
@@ -22,6 +22,10 @@
 // crashes closer together than this count as one, since they may have a common cause
 constexpr millis min_distance{100};
 
+// A report may come this much later than it was written. A process takes longer to start
+// again.
+constexpr millis max_report_delay{500};
+
 // crashes that are kept, the latest ones: more than targets crash before a part is known
 constexpr std::size_t max_crashes = 64;
 
@@ -104,6 +108,66 @@
            is_enough_for_request(crashes, suspect, needed);
 }
 
+/// when the first of the requests was sent that a target had received
+steady_time first_sent_at(const target_crash& crash)
+{
+    steady_time first = crash.at;
+    for (const auto& each : crash.requests)
+    {
+        first = std::min(first, each.second.sent_at);
+    }
+    return first;
+}
+
+/// whether neither of two processes can have got all of its requests after the crash of
+/// the other one
+bool may_be_same(const target_crash& a, const target_crash& b)
+{
+    return first_sent_at(a) <= b.at + max_report_delay &&
+           first_sent_at(b) <= a.at + max_report_delay;
+}
+
+bool has_common_number(const target_crash& a, const target_crash& b)
+{
+    return std::any_of(a.numbers.begin(),
+                       a.numbers.end(),
+                       [&b](std::uint64_t each)
+                       {
+                           return b.numbers.count(each) != 0;
+                       });
+}
+
+/// How well a report fits a known crash of the same target, the best last
+enum class crash_match
+{
+    none,
+    start_alone,
+    other_start,
+    start_and_time,
+    number,
+};
+
+crash_match match(const target_crash& known, const target_crash& reported)
+{
+    if (has_common_number(known, reported))
+    {
+        return crash_match::number;
+    }
+    if (known.started_ms == reported.started_ms)
+    {
+        if (may_be_same(known, reported))
+        {
+            return crash_match::start_and_time;
+        }
+        return reported.numbers.empty() ? crash_match::start_alone : crash_match::none;
+    }
+    // one of the hosts may not know the later start; no process crashes so soon after the
+    // one before
+    const millis apart =
+        known.at < reported.at ? reported.at - known.at : known.at - reported.at;
+    return apart < min_distance ? crash_match::other_start : crash_match::none;
+}
+
 bool is_earlier(const target_crash* a, const target_crash* b)
 {
     return a->at < b->at;
@@ -125,19 +189,22 @@
 
 void crash_evidence::record_crash(const target_crash& crash)
 {
-    const auto [found, is_new] =
-        crashes_.try_emplace({crash.target, crash.started_ms}, crash);
-    if (!is_new)
+    if (target_crash* const known = find_known(crash))
     {
-        target_crash& known = found->second;
-        known.at = std::min(known.at, crash.at);
-        known.prompts.insert(crash.prompts.begin(), crash.prompts.end());
+        known->started_ms = std::max(known->started_ms, crash.started_ms);
+        known->at = std::min(known->at, crash.at);
+        known->prompts.insert(crash.prompts.begin(), crash.prompts.end());
+        known->numbers.insert(crash.numbers.begin(), crash.numbers.end());
         for (const auto& each : crash.requests)
         {
-            steady_time& sent_at = known.requests.insert(each).first->second.sent_at;
+            steady_time& sent_at = known->requests.insert(each).first->second.sent_at;
             sent_at = std::min(sent_at, each.second.sent_at);
         }
     }
+    else
+    {
+        crashes_.emplace(crash.target, crash);
+    }
     if (crashes_.size() > max_crashes)
     {
         crashes_.erase(std::min_element(crashes_.begin(),
@@ -149,6 +216,23 @@
     }
 }
 
+target_crash* crash_evidence::find_known(const target_crash& reported)
+{
+    target_crash* found = nullptr;
+    crash_match best = crash_match::none;
+    const auto of_target = crashes_.equal_range(reported.target);
+    for (auto each = of_target.first; each != of_target.second; ++each)
+    {
+        const crash_match how = match(each->second, reported);
+        if (how > best)
+        {
+            best = how;
+            found = &each->second;
+        }
+    }
+    return found;
+}
+
 void crash_evidence::record_harmless(crash_suspect suspect, steady_time at)
 {
     steady_time& known = harmless_at_.try_emplace(suspect, at).first->second;
--- a/src/dispatch/target_table.cpp
+++ b/src/dispatch/target_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace medlar
@@ -57,15 +58,8 @@
         {
             added.cold = found->second.cold;
         }
-        const auto leaving = leaving_.find(record.id);
-        if (leaving != leaving_.end())
-        {
-            added.is_leaving = leaving->second == start_of(added);
-            if (leaving->second < start_of(added))
-            {
-                leaving_.erase(leaving);
-            }
-        }
+        restore_process(added);
+        forget_leaving_before(added);
         remove(record.id);
         targets_[record.id] = added;
         by_address_[record.address] = record.id;
@@ -96,21 +90,32 @@
     }
 }
 
-bool target_table::mark_leaving(const target_id& id)
+void target_table::restore_process(target_state& target)
 {
-    target_state* const target = find(id);
-    if (target == nullptr || target->is_leaving)
-    {
-        return false;
-    }
-    target->is_leaving = true;
-    if (leaving_.size() >= max_leaving_targets)
+    const auto calls = calls_.find(process_of(target));
+    target.in_flight = calls == calls_.end() ? 0 : calls->second;
+    target.is_leaving = leaving_.count(process_of(target)) != 0;
+}
+
+void target_table::forget_leaving_before(const target_state& target)
+{
+    const process_start first{target.record.id, std::numeric_limits<std::int64_t>::min()};
+    leaving_.erase(leaving_.lower_bound(first), leaving_.lower_bound(process_of(target)));
+}
+
+bool target_table::mark_leaving(const process_start& process)
+{
+    if (leaving_.count(process) == 0)
     {
-        // the lowest id is as good as any: ids say nothing about age
-        leaving_.erase(leaving_.begin());
+        if (leaving_.size() >= max_leaving_targets)
+        {
+            // the lowest id is as good as any: ids say nothing about age
+            leaving_.erase(leaving_.begin());
+        }
+        leaving_.insert(process);
     }
-    leaving_[id] = start_of(*target);
-    return true;
+    target_state* const target = find_process(process);
+    return target != nullptr && !std::exchange(target->is_leaving, true);
 }
 
 void target_table::record_start(const target_id& id, std::int64_t started_ms)
@@ -124,21 +129,25 @@
     target->evidence = {};
     if (started_ms == target->record.started_ms)
     {
-        target->answering_start.reset();
+        if (!is_listed(*target))
+        {
+            target->answering_start.reset();
+            // a probe of the other process would never end here
+            target->health = target_health();
+            restore_process(*target);
+        }
         return;
     }
     if (started_ms > start_of(*target))
     {
         target_state started;
         started.record = target->record;
-        started.in_flight = target->in_flight;
         started.expires_at = target->expires_at;
         started.answering_start = started_ms;
         started.inquiry = target->inquiry;
         started.is_evacuated = target->is_evacuated;
         started.cold = target->cold;
-        const auto leaving = leaving_.find(id);
-        started.is_leaving = leaving != leaving_.end() && leaving->second == started_ms;
+        restore_process(started);
         *target = started;
     }
 }
@@ -229,6 +238,64 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+target_state* target_table::find_process(const process_start& process)
+{
+    target_state* const target = find(process.target);
+    return target != nullptr && process_of(*target) == process ? target : nullptr;
+}
+
+process_start target_table::process_reached(const process_start& expected,
+                                            std::optional<std::int64_t> stated_ms,
+                                            bool is_new_connection) const
+{
+    const target_state* const target = find(expected.target);
+    // where the entry names no start, all processes count as one
+    if (!stated_ms || target == nullptr || target->record.started_ms == 0)
+    {
+        return expected;
+    }
+    // A new connection reaches the process that answers now. If it states an earlier
+    // start, its clock was set back: calls that counted nowhere would make it look idle.
+    return is_new_connection && *stated_ms < start_of(*target)
+               ? process_of(*target)
+               : process_start{expected.target, *stated_ms};
+}
+
+process_start target_table::leaving_process(const process_start& reached,
+                                            bool is_stated) const
+{
+    const target_state* const target = find(reached.target);
+    const bool may_be_unlisted = !is_stated && target != nullptr && !is_listed(*target);
+    return may_be_unlisted ? process_of(*target) : reached;
+}
+
+void target_table::begin_call(const process_start& process)
+{
+    const int calls = ++calls_[process];
+    if (target_state* const target = find_process(process))
+    {
+        target->in_flight = calls;
+    }
+}
+
+void target_table::end_call(const process_start& process)
+{
+    const auto counted = calls_.find(process);
+    if (counted == calls_.end())
+    {
+        return;
+    }
+    const int calls = --counted->second;
+    if (calls == 0)
+    {
+        calls_.erase(counted);
+    }
+    if (target_state* const target = find_process(process))
+    {
+        target->in_flight = calls;
+    }
+}
+
 const target_state* target_table::find_by_address(const endpoint& where) const
 {
     const auto indexed = by_address_.find(where);
@@ -376,6 +443,11 @@
     return target.answering_start.value_or(target.record.started_ms);
 }
 
+process_start process_of(const target_state& target)
+{
+    return {target.record.id, start_of(target)};
+}
+
 bool is_listed(const target_state& target)
 {
     return !target.answering_start;
--- a/src/entry/entry_context.cpp
+++ b/src/entry/entry_context.cpp
@@ -109,8 +109,10 @@
                {"limited", std::int64_t{counts.limited}}});
 }
 
-void entry_context::record_target_answer(const target_id& id, const answer_fields& answer)
+void entry_context::record_target_answer(const process_start& process,
+                                         const answer_fields& answer)
 {
+    const target_id& id = process.target;
     target_state* const target = targets.find(id);
     if (target == nullptr)
     {
@@ -130,7 +132,7 @@
     }
     if (answer.is_leaving)
     {
-        record_target_leaving(id);
+        record_target_leaving(process);
     }
     if (!answer.is_rate_limit_malformed)
     {
@@ -175,15 +177,15 @@
     }
 }
 
-void entry_context::record_target_leaving(const target_id& id)
+void entry_context::record_target_leaving(const process_start& process)
 {
-    if (targets.mark_leaving(id))
+    if (targets.mark_leaving(process))
     {
-        const target_record& record = targets.find(id)->record;
+        const target_record& record = targets.find(process.target)->record;
         log_event(entry_target_leaving,
-                  {{"target", id.get()},
+                  {{"target", process.target.get()},
                    {"pool", record.pool.get()},
-                   {"started_ms", record.started_ms}});
+                   {"started_ms", process.started_ms}});
         client.keep_witness(record.address);
         client.close_idle(record.address);
     }
@@ -276,9 +278,9 @@
     }
 }
 
-void entry_context::record_target_call(const target_id& id, call_result result)
+void entry_context::record_target_call(const process_start& process, call_result result)
 {
-    target_state* const target = targets.find(id);
+    target_state* const target = targets.find_process(process);
     if (target == nullptr)
     {
         return;
@@ -289,7 +291,7 @@
     {
         log_event(
             entry_target_ejected,
-            {{"target", id.get()},
+            {{"target", process.target.get()},
              {"pool", target->record.pool.get()},
              {"failures_in_a_row", std::int64_t{target->health.consecutive_failures}},
              {"until_ms", (target->health.probe_due - loop.now()).count()}});
@@ -305,16 +307,16 @@
     }
 }
 
-void entry_context::record_stream_begun(const target_id& id)
+void entry_context::record_stream_begun(const process_start& process)
 {
-    const target_state* const target = targets.find(id);
+    const target_state* const target = targets.find_process(process);
     const pool_rule* const rule = target != nullptr && configuration
                                       ? configuration->find_pool(target->record.pool)
                                       : nullptr;
     if (rule != nullptr && rule->cold.after_start > millis(0) &&
         target->health.state == health_state::probing)
     {
-        record_target_call(id, call_result::succeeded);
+        record_target_call(process, call_result::succeeded);
     }
 }
 
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -212,6 +212,10 @@
     sent->group = group;
     sent->id = call.id;
     sent->target = call.target.id;
+    if (target != nullptr)
+    {
+        sent->process = process_of(*target);
+    }
     sent->where = call.target.where;
     sent->pieces = call.items.size();
     sent->sent_at = context_.loop.now();
@@ -225,8 +229,10 @@
         {
             current->status = head.status;
             paths_.record_contact(current->group.pool);
-            context_.record_target_answer(current->target,
-                                          context_.protocol.read_answer(head));
+            const bool is_stated = current->call->process_start().has_value();
+            context_.record_target_answer(
+                context_.targets.leaving_process(current->process, is_stated),
+                context_.protocol.read_answer(head));
         }
     };
     events.on_data = [this, weak](absl::string_view data)
@@ -250,11 +256,29 @@
     {
         permits_.prepare_call(*target, permit_until, options, events);
     }
+    const std::uint64_t opened_before = context_.client.opened_connections();
+    if (events.accepts_start)
+    {
+        events.accepts_start =
+            [this, weak, accepts = events.accepts_start](const start_answer& answer)
+        {
+            const bool is_accepted = accepts(answer);
+            if (const auto current = weak.lock())
+            {
+                current->process = context_.targets.process_reached(
+                    current->process, answer.started_ms, current->is_new_connection);
+            }
+            return is_accepted;
+        };
+    }
     sent->call = context_.client.start(
         call.target.where,
         context_.protocol.write_piece_call(call.target.where, call.target.id, call.items),
         options,
         std::move(events));
+    sent->is_new_connection = context_.client.opened_connections() != opened_before;
+    sent->process = context_.targets.process_reached(
+        sent->process, sent->call->process_start(), false);
     start_timers(sent, call.overdue_after);
     context_.metrics->add("medlar_piece_calls_total", {{"pool", group.pool.get()}});
     context_.metrics->add("medlar_pieces_sent_total",
@@ -277,7 +301,7 @@
             }
             groups_.at(current->group)
                 ->queue.handle_overdue(current->id, context_.loop.now());
-            context_.record_target_call(current->target, call_result::timed_out);
+            context_.record_target_call(current->process, call_result::timed_out);
             schedule_pump(current->group);
         });
     call->give_up_timer =
@@ -359,7 +383,7 @@
                     return !each.handle && each.failure == piece_failure::failed;
                 });
             context_.record_target_call(
-                call->target, all_failed ? call_result::failed : call_result::succeeded);
+                call->process, all_failed ? call_result::failed : call_result::succeeded);
             log_answer(*call, *results, state.queue);
             deliver(state, state.queue.handle_results(call->id, *results, now));
             schedule_pump(call->group);
@@ -382,7 +406,7 @@
                {"pieces", static_cast<std::int64_t>(call->pieces)}});
     if (!full && !is_declined)
     {
-        context_.record_target_call(call->target, call_result::failed);
+        context_.record_target_call(call->process, call_result::failed);
     }
     const target_state* const target = context_.targets.find(call->target);
     if (full && target != nullptr && target->refusal_limit)
--- a/src/entry/request_attempts.cpp
+++ b/src/entry/request_attempts.cpp
@@ -96,12 +96,7 @@
         refuse_for_shutdown();
         return;
     }
-    target_state* target = context_.targets.find(planned_target_);
-    if (target != nullptr)
-    {
-        --target->in_flight;
-    }
-    planned_target_ = target_id();
+    target_state* target = release_planned();
     const bool planned_is_usable =
         target != nullptr && takes_work(*target) && target->record.pool == pool_ &&
         may_run_at(*target) && may_call(*target, context_.loop.now()) &&
@@ -166,13 +161,14 @@
     begin_probe_if_due(target, context_.loop.now());
     target_ = target.record.id;
     target_record_ = target.record;
-    called_ = {target.record.address, start_of(target)};
+    process_ = process_of(target);
+    called_address_ = target.record.address;
     target_version_ = origins_.version_of(target);
     tried_targets_.push_back(target_);
     slow_call_ = slow_starts_.begin_call(target);
     has_call_failed_ = false;
     has_whole_answer_ = false;
-    ++target.in_flight;
+    context_.targets.begin_call(process_);
     call_additions additions;
     additions.remaining = remaining_time();
     additions.expected_target = target_;
@@ -261,6 +257,7 @@
                                 }
                             });
     }
+    const std::uint64_t opened_before = context_.client.opened_connections();
     call_ = context_.client.start(target.record.address,
                                   context_.protocol.write_call(exchange_->head(),
                                                                exchange_->body().size(),
@@ -269,6 +266,8 @@
                                   options,
                                   std::move(events),
                                   caller_exchange::shared_body(exchange_));
+    is_new_connection_ = context_.client.opened_connections() != opened_before;
+    record_process(call_->process_start());
 }
 
 bool request_run::accepts_any_start(const start_answer& answer)
@@ -385,12 +384,56 @@
                        });
 }
 
-void request_run::end_probe(call_result result)
+void request_run::record_process(std::optional<std::int64_t> started_ms)
 {
     const target_state* const target = context_.targets.find(target_);
+    if (started_ms && target != nullptr && start_of(*target) < *started_ms)
+    {
+        context_.record_target_start(target_, *started_ms);
+    }
+    const process_start reached =
+        context_.targets.process_reached(process_, started_ms, is_new_connection_);
+    if (reached == process_)
+    {
+        return;
+    }
+    if (target_state* const expected = context_.targets.find_process(process_))
+    {
+        // the call tells nothing of the process that it was to probe
+        expected->health = cancel_probe(expected->health);
+    }
+    context_.targets.end_call(process_);
+    process_ = reached;
+    context_.targets.begin_call(process_);
+}
+
+std::optional<std::int64_t> request_run::stated_start() const
+{
+    return call_ ? call_->process_start() : std::nullopt;
+}
+
+process_start request_run::leaving_process() const
+{
+    return context_.targets.leaving_process(process_, stated_start().has_value());
+}
+
+target_state* request_run::release_planned()
+{
+    if (!planned_)
+    {
+        return nullptr;
+    }
+    const process_start planned = *std::exchange(planned_, std::nullopt);
+    context_.targets.end_call(planned);
+    return context_.targets.find_process(planned);
+}
+
+void request_run::end_probe(call_result result)
+{
+    const target_state* const target = context_.targets.find_process(process_);
     if (target != nullptr && target->health.state == health_state::probing)
     {
-        context_.record_target_call(target_, result);
+        context_.record_target_call(process_, result);
     }
 }
 
@@ -403,11 +446,9 @@
     }
     // a probe whose result nobody records would keep the target out of use for good
     end_probe(call_result::cancelled);
-    if (target_state* const target = context_.targets.find(target_))
-    {
-        target->in_flight = std::max(0, target->in_flight - 1);
-    }
+    context_.targets.end_call(process_);
     target_ = target_id();
+    process_ = process_start();
     call_ = nullptr;
     end_inquiry_.reset();
 }
@@ -416,7 +457,7 @@
 {
     const answer_fields answer = context_.protocol.read_answer(head);
     paths_.record_contact(pool_);
-    context_.record_target_answer(target_, answer);
+    context_.record_target_answer(leaving_process(), answer);
     if (answer.not_run)
     {
         on_not_run(head);
@@ -432,7 +473,7 @@
     if (unusable || (failed && route_.may_retry()))
     {
         has_call_failed_ = true;
-        context_.record_target_call(target_, call_result::failed);
+        context_.record_target_call(process_, call_result::failed);
         log_event(entry_call_failed,
                   {{"attempt", fields_.attempt.get()},
                    {"target", target_.get()},
@@ -457,7 +498,7 @@
     if (is_unframed || target == nullptr || is_stopping(*target))
     {
         // shows at the end of the answer whether the process lives on
-        context_.client.keep_witness(called_.address);
+        context_.client.keep_witness(called_address_);
     }
     // only hosts say these
     for (const char* each :
@@ -476,7 +517,8 @@
     if (is_asked && target != nullptr)
     {
         headers.add(forward_target_header, target_.get());
-        headers.add(forward_target_start_header, absl::StrCat(start_of(*target)));
+        headers.add(forward_target_start_header,
+                    absl::StrCat(leaving_process().started_ms));
     }
 }
 
@@ -492,7 +534,7 @@
         has_call_failed_ = true;
         context_.record_refusal(target_);
     }
-    context_.record_target_call(target_, call_result::refused);
+    context_.record_target_call(process_, call_result::refused);
     call_->cancel();
     release_call();
     if (head.status == status_conflict && pipeline_ && repeat_stages())
@@ -581,7 +623,10 @@
                {"after_event", last_event_id_.value_or(-1)}});
     if (target_state* const target = context_.targets.find(target_))
     {
-        target->health = cancel_probe(target->health);
+        if (process_of(*target) == process_)
+        {
+            target->health = cancel_probe(target->health);
+        }
         if (target->inquiry.is_unanswered())
         {
             paths_.record_failure(pool_, target_, false);
@@ -646,7 +691,7 @@
     has_call_failed_ = has_failed;
     has_whole_answer_ = true;
     context_.record_target_call(
-        target_, has_failed ? call_result::failed : call_result::succeeded);
+        process_, has_failed ? call_result::failed : call_result::succeeded);
     if (!has_failed)
     {
         crashes_.record_answered(suspects_);
@@ -670,16 +715,17 @@
     }
     const bool may_have_crashed =
         is_fault_of_target && (how == call_end::no_answer || how == call_end::broken_off);
-    const target_state* const state = context_.targets.find(target_);
-    if (may_have_crashed && state != nullptr)
+    if (may_have_crashed && context_.targets.find(target_) != nullptr)
     {
-        crashes_.record_broken_call(state->record, suspects_, sent_at_, has_call_begun_);
+        const std::int64_t started_ms = stated_start().value_or(process_.started_ms);
+        crashes_.record_broken_call(
+            target_record_, started_ms, suspects_, sent_at_, has_call_begun_);
     }
     if (is_fault_of_target)
     {
         has_call_failed_ = true;
         context_.record_target_call(
-            target_, not_sent ? call_result::unreachable : call_result::broken);
+            process_, not_sent ? call_result::unreachable : call_result::broken);
     }
     release_call();
     log_event(entry_call_failed,
--- a/src/entry/request_end.cpp
+++ b/src/entry/request_end.cpp
@@ -12,7 +12,7 @@
     // the target and its call stay those of this request until its end is known
     end_inquiry_ = std::make_unique<end_inquiry>(context_,
                                                  target_,
-                                                 called_.address,
+                                                 called_address_,
                                                  start_of_called_process(),
                                                  call_->seen_open_at(),
                                                  [this](const end_finding& found)
@@ -27,11 +27,11 @@
     {
         return {call_->process_start(), true};
     }
-    if (called_.started_ms == 0)
+    if (process_.started_ms == 0)
     {
         return {};
     }
-    return {called_.started_ms, false};
+    return {process_.started_ms, false};
 }
 
 void request_run::on_end_checked(const end_finding& found)
@@ -60,7 +60,7 @@
     const bool is_next_process =
         found.end == answer_end::cut && found.evidence.end == question_end::answered;
     if (found.evidence.started_ms && target != nullptr &&
-        target->record.address == called_.address)
+        target->record.address == called_address_)
     {
         context_.record_target_start(target_, *found.evidence.started_ms);
     }
@@ -72,7 +72,7 @@
     if (is_next_process)
     {
         // says nothing of it
-        context_.record_target_call(target_, call_result::cancelled);
+        context_.record_target_call(process_, call_result::cancelled);
     }
     on_call_failed(call_end::broken_off, !is_leaving && !is_next_process);
 }
--- a/src/entry/request_forward.cpp
+++ b/src/entry/request_forward.cpp
@@ -144,9 +144,9 @@
     {
         context_.record_target_start(target, started_ms);
     }
-    if (known != nullptr && start_of(*known) == started_ms)
+    if (known != nullptr)
     {
-        context_.record_target_leaving(target);
+        context_.record_target_leaving({target, started_ms});
     }
 }
 
--- a/src/entry/request_permits.cpp
+++ b/src/entry/request_permits.cpp
@@ -95,6 +95,7 @@
 {
     const bool is_right = is_stream() && route_.may_retry() ? accepts_start(answer)
                                                             : accepts_any_start(answer);
+    record_process(answer.started_ms);
     const target_state* const target = context_.targets.find(target_);
     if (is_right && target != nullptr && !has_valid_permit(*target, millis(0)))
     {
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -362,13 +362,13 @@
 
 void request_run::run_stages()
 {
-    if (const target_state* planned = choose_target())
+    target_state* const planned = choose_target();
+    if (planned != nullptr)
     {
-        planned_target_ = planned->record.id;
-        target_state* const reserved = context_.targets.find(planned_target_);
-        ++reserved->in_flight;
+        planned_ = process_of(*planned);
+        context_.targets.begin_call(*planned_);
         // a probe begins with the call; the stages may fail before
-        reserved->health = cancel_probe(reserved->health);
+        planned->health = cancel_probe(planned->health);
     }
     pipeline_callbacks callbacks;
     callbacks.on_done = [this](const std::vector<result_handle>& inputs)
@@ -380,10 +380,7 @@
         on_stages_failed(why, retry_after);
     };
     pipeline_ = stage_pipeline::create(
-        context_,
-        broker_,
-        make_pipeline_request(context_.targets.find(planned_target_)),
-        std::move(callbacks));
+        context_, broker_, make_pipeline_request(planned), std::move(callbacks));
     pipeline_->start();
 }
 
@@ -530,10 +527,7 @@
     }
     ended_ = true;
     context_.loop.cancel(timer_);
-    if (target_state* const planned = context_.targets.find(planned_target_))
-    {
-        --planned->in_flight;
-    }
+    release_planned();
     if (pipeline_)
     {
         pipeline_->stop();
--- a/src/entry/request_slow_start.cpp
+++ b/src/entry/request_slow_start.cpp
@@ -76,7 +76,7 @@
             pace_of(context_.loop.now() - sent_at_,
                     context_.expected_first_event_delay(pool_, fields_.prompt_tokens)));
     }
-    context_.record_stream_begun(target_);
+    context_.record_stream_begun(process_);
 }
 
 slow_start_result request_run::pace_of_call() const
--- a/src/hosts/crash_controller.cpp
+++ b/src/hosts/crash_controller.cpp
@@ -59,6 +59,14 @@
 constexpr std::size_t max_harmless = 8192;
 constexpr millis max_harmless_age{60000};
 
+/// Reads numbers from a field of a message; hosts of earlier builds state none.
+std::set<std::uint64_t> read_numbers(const nlohmann::json& message, const char* field)
+{
+    const auto found = message.find(field);
+    return found == message.end() ? std::set<std::uint64_t>()
+                                  : found->get<std::set<std::uint64_t>>();
+}
+
 nlohmann::json to_json(const prompt_suspects& prompt)
 {
     nlohmann::json keys = nlohmann::json::array();
@@ -94,6 +102,7 @@
     }
     return {{"target", crash.target.get()},
             {"started_ms", crash.started_ms},
+            {"numbers", crash.numbers},
             {"address", crash.address.address},
             {"port", crash.address.port},
             {"age_ms", (now - crash.at).count()},
@@ -106,6 +115,7 @@
     target_crash crash;
     crash.target = target_id(message.at("target").get<std::string>());
     crash.started_ms = message.at("started_ms").get<std::int64_t>();
+    crash.numbers = read_numbers(message, "numbers");
     crash.address = {message.at("address").get<std::string>(),
                      message.at("port").get<std::uint16_t>()};
     crash.at = now - std::max(millis(0), read_span(message, "age_ms"));
@@ -127,12 +137,10 @@
     return crash_suspect(message.at("suspect").get<std::uint64_t>());
 }
 
-/// Reads the numbers of blocks from a message; hosts of earlier builds state none.
+/// Reads the numbers of blocks from a message.
 std::set<std::uint64_t> read_blocks(const nlohmann::json& message)
 {
-    const auto found = message.find("blocks");
-    return found == message.end() ? std::set<std::uint64_t>()
-                                  : found->get<std::set<std::uint64_t>>();
+    return read_numbers(message, "blocks");
 }
 
 /// Reads the number of a block from its item; 0 if a host of an earlier build wrote it.
@@ -170,16 +178,18 @@
 }
 
 void crash_controller::record_broken_call(const target_record& target,
+                                          std::int64_t started_ms,
                                           const request_suspects& request,
                                           steady_time sent_at,
                                           bool has_begun)
 {
-    const auto [check, is_new] = checks_.try_emplace(target.id);
+    const process_start process{target.id, started_ms};
+    const auto [check, is_new] = checks_.try_emplace(process);
     pending_check& pending = check->second;
     if (is_new)
     {
         pending.crash.target = target.id;
-        pending.crash.started_ms = target.started_ms;
+        pending.crash.started_ms = started_ms;
         pending.crash.address = target.address;
         pending.crash.at = context_.loop.now();
         pending.pool = target.pool;
@@ -187,17 +197,17 @@
             std::make_unique<connection_probe>(context_.loop,
                                                target.address,
                                                settle_time,
-                                               [this, id = target.id](probe_result result)
+                                               [this, process](probe_result result)
                                                {
                                                    // a target that resets single
                                                    // connections accepts new ones
                                                    if (result == probe_result::refused)
                                                    {
-                                                       ask_whether_reached(id);
+                                                       ask_whether_reached(process);
                                                    }
                                                    else
                                                    {
-                                                       end_check(id, false);
+                                                       end_check(process, false);
                                                    }
                                                });
     }
@@ -216,21 +226,21 @@
     }
 }
 
-void crash_controller::ask_whether_reached(const target_id& target)
+void crash_controller::ask_whether_reached(const process_start& process)
 {
-    pending_check& pending = checks_.at(target);
+    pending_check& pending = checks_.at(process);
     const std::vector<peer_host> others = peers_.live_peers();
     const std::size_t asked = std::min(others.size(), max_asked_hosts);
     if (asked == 0)
     {
-        end_check(target, true);
+        end_check(process, true);
         return;
     }
     pending.open_answers = asked;
     pending.timeout = context_.loop.after(question_time,
-                                          [this, target]
+                                          [this, process]
                                           {
-                                              end_check(target, true);
+                                              end_check(process, true);
                                           });
     const endpoint where = pending.crash.address;
     const std::uint64_t first = context_.random.next();
@@ -239,7 +249,7 @@
         // a host that cannot be told does not answer, which the timeout handles
         peers_.send(others[(first + i) % others.size()].id,
                     {{"type", "reached?"},
-                     {"target", target.get()},
+                     {"target", process.target.get()},
                      {"address", where.address},
                      {"port", where.port}});
     }
@@ -269,30 +279,38 @@
 {
     const target_id target(message.at("target").get<std::string>());
     const bool is_reached = message.at("is_reached").get<bool>();
-    const auto found = checks_.find(target);
-    if (found == checks_.end() || found->second.open_answers == 0)
-    {
-        return;
-    }
-    --found->second.open_answers;
-    if (is_reached)
+    // an answer is about the address, and holds for each process that was there
+    std::vector<process_start> asked;
+    for (const auto& each : checks_)
     {
-        log_event(entry_crash_refuted,
-                  {{"target", target.get()},
-                   {"pool", found->second.pool.get()},
-                   {"address", to_string(found->second.crash.address)}});
-        end_check(target, false);
+        if (each.first.target == target && each.second.open_answers > 0)
+        {
+            asked.push_back(each.first);
+        }
     }
-    else if (found->second.open_answers == 0)
+    for (const process_start& each : asked)
     {
-        end_check(target, true);
+        pending_check& pending = checks_.at(each);
+        --pending.open_answers;
+        if (is_reached)
+        {
+            log_event(entry_crash_refuted,
+                      {{"target", target.get()},
+                       {"pool", pending.pool.get()},
+                       {"address", to_string(pending.crash.address)}});
+            end_check(each, false);
+        }
+        else if (pending.open_answers == 0)
+        {
+            end_check(each, true);
+        }
     }
 }
 
-void crash_controller::end_check(const target_id& target, bool has_crashed)
+void crash_controller::end_check(const process_start& process, bool has_crashed)
 {
-    const auto found = checks_.find(target);
-    const target_crash crash = std::move(found->second.crash);
+    const auto found = checks_.find(process);
+    target_crash crash = std::move(found->second.crash);
     const pool_id pool = found->second.pool;
     context_.loop.cancel(found->second.timeout);
     checks_.erase(found);
@@ -301,13 +319,15 @@
         return;
     }
     log_event(entry_target_crashed,
-              {{"target", target.get()},
+              {{"target", crash.target.get()},
+               {"started_ms", crash.started_ms},
                {"pool", pool.get()},
                {"address", to_string(crash.address)},
                {"requests", static_cast<std::int64_t>(crash.requests.size())},
                {"prompts_not_begun", static_cast<std::int64_t>(crash.prompts.size())}});
     context_.metrics->add("medlar_target_crashes_total", {{"pool", pool.get()}});
-    own_crashes_.push_back(crash);
+    crash.numbers.insert(context_.random.next());
+    own_crashes_.push_back(std::move(crash));
     report_crashes();
 }
 
--- a/src/loop/pooled_connection.cpp
+++ b/src/loop/pooled_connection.cpp
@@ -84,6 +84,11 @@
     skipped_bytes_ = 0;
     was_established_ = stream_->is_established();
     record_open();
+    if (start_)
+    {
+        // a connection ends with its process, so it still holds
+        call->process_start_ = start_->started_ms;
+    }
     if (!call->options_.question)
     {
         stream_->send(std::move(request), std::move(body));
--- a/test/decisions/dispatch/crash_evidence_test.cpp
+++ b/test/decisions/dispatch/crash_evidence_test.cpp
@@ -53,7 +53,7 @@
         const std::string name = "i-" + std::to_string(++count_);
         const endpoint address{"10.0.0." + std::to_string(machine), 80};
         evidence.record_crash(
-            {target_id(name), ms, address, at_ms(ms), std::move(prompts), {}});
+            {target_id(name), ms, address, at_ms(ms), std::move(prompts), {}, {}});
         return *this;
     }
 
@@ -110,6 +110,10 @@
     CPPUNIT_TEST(do_not_accuse_a_part_if_all_targets_crash_together);
     CPPUNIT_TEST(do_not_accuse_a_part_if_one_target_crashes_each_time_it_starts);
     CPPUNIT_TEST(are_joined_from_the_reports_of_several_hosts);
+    CPPUNIT_TEST(count_for_each_process_of_a_target_whose_entry_is_late);
+    CPPUNIT_TEST(count_once_for_one_process_under_two_starts);
+    CPPUNIT_TEST(count_once_if_their_reports_are_repeated_late);
+    CPPUNIT_TEST(go_by_the_start_alone_in_reports_of_earlier_builds);
     CPPUNIT_TEST(accuse_the_request_that_was_sent_again_after_each);
     CPPUNIT_TEST(accuse_a_request_rather_than_the_parts_of_its_prompt);
     CPPUNIT_TEST(accuse_two_requests_at_once);
@@ -131,6 +135,77 @@
         CPPUNIT_ASSERT(seen.culprits() == parts({"bad"}));
     }
 
+    /// a crash of a target under one request, as one host has seen it
+    static target_crash report(const std::string& target,
+                               std::int64_t started_ms,
+                               std::int64_t ms,
+                               std::set<std::uint64_t> numbers)
+    {
+        target_crash crash;
+        crash.target = target_id(target);
+        crash.address = {target, 80};
+        crash.started_ms = started_ms;
+        crash.at = at_ms(ms);
+        crash.requests[request_named("x")].sent_at = at_ms(ms - 20);
+        crash.numbers = std::move(numbers);
+        return crash;
+    }
+
+    /// Guards against a request that is sent on after five crashes (BUDGET), since hosts
+    /// name the process of the entry.
+    void count_for_each_process_of_a_target_whose_entry_is_late()
+    {
+        crash_evidence evidence;
+        evidence.record_crash(report("i-1", 5, 1000, {1}));
+        evidence.record_crash(report("i-2", 5, 4000, {2}));
+        CPPUNIT_ASSERT(evidence.culprits().empty());
+        evidence.record_crash(report("i-1", 5, 7000, {3}));
+        CPPUNIT_ASSERT(evidence.culprits() == part_set{request_named("x")});
+    }
+
+    /// Guards against crashes that seem to be more since some hosts do not know the
+    /// start of the process.
+    void count_once_for_one_process_under_two_starts()
+    {
+        crash_evidence evidence;
+        evidence.record_crash(report("i-1", 5, 1000, {1}));
+        evidence.record_crash(report("i-1", 6, 1030, {2}));
+        evidence.record_crash(report("i-2", 5, 4000, {3}));
+        evidence.record_crash(report("i-2", 6, 3970, {4}));
+        target_crash frozen = report("i-2", 6, 4900, {5});
+        frozen.requests[request_named("x")].sent_at = at_ms(3950);
+        evidence.record_crash(frozen);
+        CPPUNIT_ASSERT(evidence.culprits().empty());
+        evidence.record_crash(report("i-1", 6, 7000, {6}));
+        CPPUNIT_ASSERT(evidence.culprits() == part_set{request_named("x")});
+    }
+
+    /// Guards against a request that is blocked after two crashes, since a report that
+    /// came late seems to be of the next process.
+    void count_once_if_their_reports_are_repeated_late()
+    {
+        crash_evidence evidence;
+        evidence.record_crash(report("i-1", 5, 1000, {1}));
+        evidence.record_crash(report("i-2", 5, 4000, {2}));
+        for (const std::int64_t late : {900, 1800})
+        {
+            evidence.record_crash(report("i-1", 5, 1000 + late, {1}));
+            evidence.record_crash(report("i-2", 5, 4000 + late, {2}));
+        }
+        CPPUNIT_ASSERT(evidence.culprits().empty());
+    }
+
+    void go_by_the_start_alone_in_reports_of_earlier_builds()
+    {
+        crash_evidence evidence;
+        evidence.record_crash(report("i-1", 5, 1000, {}));
+        evidence.record_crash(report("i-2", 5, 4000, {}));
+        evidence.record_crash(report("i-1", 5, 7000, {}));
+        CPPUNIT_ASSERT(evidence.culprits().empty());
+        evidence.record_crash(report("i-1", 6, 9000, {}));
+        CPPUNIT_ASSERT(evidence.culprits() == part_set{request_named("x")});
+    }
+
     void accuse_nothing_while_there_are_two()
     {
         crashes seen;
@@ -236,6 +311,7 @@
                                {"10.0.0." + std::to_string(i), 80},
                                at_ms(i * 500),
                                {prompt({"c", "x" + std::to_string(i)})},
+                               {},
                                {}};
             evidence.record_crash(crash);
             crash.prompts = {prompt({"bad", "r" + std::to_string(i)})};
