Bound the sizes of results that a message of another host names

Cause: the size of a result times the number of pieces overflowed, found by an_entry_host::outlives_messages_with_any_field_replaced under UndefinedBehaviorSanitizer. Change: sizes are added as floating-point numbers, and the wait for memory is bounded.

--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -265,7 +265,7 @@
     double growth_ms(int priority, steady_time now) const;
     /// estimated time until targets have memory for results
     /// @param bytes sizes of the results of a job and of all pieces that go first
-    double memory_wait_ms(std::int64_t bytes) const;
+    double memory_wait_ms(double bytes) const;
     /// memory of a target that results may use
     std::int64_t usable_memory() const;
     /// expected times until the slots of serving targets are free, in ascending order
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -22,6 +22,9 @@
 // the growth of a wait is at most its own length of time
 constexpr double max_growth_ms = 1000;
 
+// a message of another host may name any size
+constexpr double max_memory_wait_ms = 86400000;
+
 // averages over about twenty results
 constexpr double occupancy_smoothing = 0.05;
 
@@ -95,8 +98,8 @@
     const auto own_rank =
         std::make_tuple(late, job.priority, job.soft_deadline.since_origin());
     double pieces_ahead = 0;
-    std::int64_t bytes =
-        static_cast<std::int64_t>(job.pieces.size()) * job.result_size.get();
+    double bytes = static_cast<double>(job.pieces.size()) *
+                   static_cast<double>(job.result_size.get());
     for (const auto& each : jobs_)
     {
         const piece_job& other = each.second.job;
@@ -107,8 +110,8 @@
         if (goes_first)
         {
             pieces_ahead += static_cast<double>(each.second.waiting.size());
-            bytes += static_cast<std::int64_t>(each.second.waiting.size()) *
-                     other.result_size.get();
+            bytes += static_cast<double>(each.second.waiting.size()) *
+                     static_cast<double>(other.result_size.get());
         }
     }
     const std::vector<double> free_after = slots_free_after_ms(now);
@@ -135,21 +138,21 @@
                      static_cast<double>(rule_.result_memory.get()));
 }
 
-double piece_queue::memory_wait_ms(std::int64_t bytes) const
+double piece_queue::memory_wait_ms(double bytes) const
 {
     if (rule_.result_memory.get() == 0)
     {
         return 0;
     }
     std::int64_t reserved = 0;
-    std::int64_t missing = bytes;
+    double missing = bytes;
     for (const auto& each : targets_)
     {
         if (each.second.serving)
         {
             reserved += each.second.result_bytes;
-            missing -=
-                std::max<std::int64_t>(0, usable_memory() - each.second.result_bytes);
+            missing -= static_cast<double>(
+                std::max<std::int64_t>(0, usable_memory() - each.second.result_bytes));
         }
     }
     if (missing <= 0 || reserved <= 0)
@@ -157,8 +160,8 @@
         return 0;
     }
     // memory is released at the rate of reserved bytes / mean occupancy
-    return static_cast<double>(missing) * mean_occupancy_ms_ /
-           static_cast<double>(reserved);
+    return std::min(max_memory_wait_ms,
+                    missing * mean_occupancy_ms_ / static_cast<double>(reserved));
 }
 
 std::vector<double> piece_queue::slots_free_after_ms(steady_time now) const
