Use the recursion of the stage graph for stages whose time depends on their start

Cause: the estimate of a request's stages had a second recursion over the stage graph, and the rate of full calls was computed in two places; found in a read-through. Change: end_of_all_stages() serves both, longest_path() is a case of it; full_call_rate().

--- a/include/medlar/detail/base/stage_graph.hpp
+++ b/include/medlar/detail/base/stage_graph.hpp
@@ -51,6 +51,7 @@
 
 /// @brief Returns the time at which a stage ends, if each stage starts as soon as its
 /// dependencies have ended. The stages may be listed in any order.
+/// @param time_of maps an index and the time at which the stage starts to its duration
 /// @param ends memoised end times, by stage
 template <typename Stage, typename TimeOf, typename Time>
 Time end_of_stage(const std::vector<Stage>& stages,
@@ -71,16 +72,33 @@
             start =
                 std::max(start, end_of_stage(stages, dependency, first, time_of, ends));
         }
-        ends[stage] = start + time_of(stage);
+        ends[stage] = start + time_of(stage, start);
     }
     return *ends[stage];
 }
 
-/// @brief Returns the duration of the longest path through the stage graph.
+/// @brief Returns the time at which the last stage ends, counted from the start of the
+/// first ones.
 /// @param stages each with a member `after`: the indexes of the stages it depends on;
-/// must
-///     be free of cycles
+/// must be free of cycles
 /// @param first index of the first stage that is not finished
+/// @param time_of maps an index and the time at which the stage starts to its duration
+template <typename Time, typename Stage, typename TimeOf>
+Time end_of_all_stages(const std::vector<Stage>& stages,
+                       std::size_t first,
+                       const TimeOf& time_of)
+{
+    std::vector<std::optional<Time>> ends(stages.size());
+    Time last(0);
+    for (std::size_t i = first; i < stages.size(); ++i)
+    {
+        last = std::max(last, end_of_stage(stages, i, first, time_of, ends));
+    }
+    return last;
+}
+
+/// @brief Returns the duration of the longest path through the stage graph.
+/// @param stages,first as for end_of_all_stages()
 /// @param time_of maps an index to the stage's duration
 template <typename Stage, typename TimeOf>
 auto longest_path(const std::vector<Stage>& stages,
@@ -88,13 +106,12 @@
                   const TimeOf& time_of)
 {
     using time = std::decay_t<decltype(time_of(std::size_t{0}))>;
-    std::vector<std::optional<time>> ends(stages.size());
-    time longest(0);
-    for (std::size_t i = first; i < stages.size(); ++i)
-    {
-        longest = std::max(longest, end_of_stage(stages, i, first, time_of, ends));
-    }
-    return longest;
+    return end_of_all_stages<time>(stages,
+                                   first,
+                                   [&time_of](std::size_t stage, time /*start*/)
+                                   {
+                                       return time_of(stage);
+                                   });
 }
 
 } // namespace medlar
--- a/include/medlar/detail/dispatch/piece_queue.hpp
+++ b/include/medlar/detail/dispatch/piece_queue.hpp
@@ -293,6 +293,8 @@
     void drop_expired_results(steady_time now);
     /// execution time of a call
     double call_ms(std::size_t items) const;
+    /// pieces a ms that targets execute in full calls
+    double full_call_rate(double targets) const;
     /// execution time of the call that the pieces of a job will share with others
     double shared_call_ms(std::size_t pieces, double slowness) const;
     /// mean slowness of the serving targets, at least 1
--- a/include/medlar/detail/dispatch/stage_path.hpp
+++ b/include/medlar/detail/dispatch/stage_path.hpp
@@ -23,13 +23,6 @@
                           std::size_t stage,
                           const stage_time& time);
 
-/// @brief Returns the expected time of a stage that begins after a time from now
-using stage_time_after = std::function<millis(std::size_t stage, millis ahead)>;
-
-/// @brief Returns the time from now until the last stage ends. The stages must have no
-/// cycle.
-millis time_of_all(const std::vector<stage_rule>& stages, const stage_time_after& time);
-
 } // namespace medlar
 
 #endif // MEDLAR_DETAIL_DISPATCH_STAGE_PATH_HPP
--- a/src/dispatch/piece_queue.cpp
+++ b/src/dispatch/piece_queue.cpp
@@ -19,9 +19,6 @@
 // usable share of the result memory of a target; the rest is for results of other hosts
 constexpr double usable_memory_share = 0.9;
 
-// the growth of a wait is at most its own length of time
-constexpr double max_growth_ms = 1000;
-
 // a message of another host may name any size
 constexpr double max_memory_wait_ms = 86400000;
 
@@ -193,6 +190,12 @@
     return free_after;
 }
 
+double piece_queue::full_call_rate(double targets) const
+{
+    return std::max(1.0, targets) * static_cast<double>(max_batch_size()) /
+           call_ms(max_batch_size());
+}
+
 double piece_queue::late_job_share(steady_time now) const
 {
     double serving = 0;
@@ -200,9 +203,7 @@
     {
         serving += each.second.serving ? 1 : 0;
     }
-    const double capacity_per_ms = std::max(1.0, serving) *
-                                   static_cast<double>(max_batch_size()) /
-                                   call_ms(max_batch_size());
+    const double capacity_per_ms = full_call_rate(serving);
     const double age_ms = static_cast<double>((now - timely_updated_at_).count());
     const double timely_per_ms =
         timely_pieces_ * std::exp(-age_ms / rate_window_ms) / rate_window_ms;
@@ -224,11 +225,9 @@
     {
         serving += each.second.serving ? 1.0 / std::max(1.0, each.second.slowness) : 0;
     }
-    const double capacity_per_ms = std::max(1.0, serving) *
-                                   static_cast<double>(max_batch_size()) /
-                                   call_ms(max_batch_size());
-    const double per_ms = statistics_.arrivals_per_ms(priority, now);
-    return std::clamp((per_ms / capacity_per_ms - 1) * 1000, 0.0, max_growth_ms);
+    const double load =
+        statistics_.arrivals_per_ms(priority, now) / full_call_rate(serving);
+    return std::max(0.0, (load - 1) * 1000);
 }
 
 job_decision piece_queue::evaluate(const piece_job& job, steady_time now) const
--- a/src/entry/stage_pipeline.cpp
+++ b/src/entry/stage_pipeline.cpp
@@ -345,11 +345,12 @@
 
 millis stage_pipeline::total_expected_time() const
 {
-    return time_of_all(request_.stages,
-                       [this](std::size_t each, millis ahead)
-                       {
-                           return expected_time(each, ahead);
-                       });
+    return end_of_all_stages<millis>(request_.stages,
+                                     0,
+                                     [this](std::size_t each, millis ahead)
+                                     {
+                                         return expected_time(each, ahead);
+                                     });
 }
 
 piece_job stage_pipeline::make_job(std::size_t stage) const
--- a/test/decisions/dispatch/wait_statistics_test.cpp
+++ b/test/decisions/dispatch/wait_statistics_test.cpp
@@ -1,6 +1,7 @@
+#include <medlar/detail/base/stage_graph.hpp>
 #include <medlar/detail/dispatch/stage_forecast.hpp>
-#include <medlar/detail/dispatch/stage_path.hpp>
 #include <medlar/detail/dispatch/wait_statistics.hpp>
+#include <medlar/detail/entry/serving_configuration.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -84,8 +85,9 @@
         std::vector<stage_rule> stages(3);
         stages[1].after = {0};
         stages[2].after = {0};
-        const millis all = time_of_all(
+        const millis all = end_of_all_stages<millis>(
             stages,
+            0,
             [this](std::size_t stage, millis ahead)
             {
                 return stage == 1
