--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -7,6 +7,8 @@
 directory="${1:-build}"
 sanitizer="${2:-}"
 jobs="${MEDLAR_BUILD_JOBS:-$(nproc)}"
+# paths relative to the tree, so that all checkouts share what ccache holds
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=true
 options=(-DMEDLAR_SANITIZE="$sanitizer")
 if [ -n "$sanitizer" ]; then
     # sanitizers need line numbers only, and are slow to build and to run without -O1
