--- a/include/medlar/detail/hosts/store_controller.hpp
+++ b/include/medlar/detail/hosts/store_controller.hpp
@@ -107,6 +107,13 @@
     /// @brief whether the store answered this host recently
     bool is_in_contact() const;
 
+    /// @brief Returns for how long this host's copy of the store may have been out of
+    /// date.
+    millis copy_age() const
+    {
+        return context_.loop.now() - source_choice_.current_as_of();
+    }
+
     /// @brief whether this host has learnt from its peers what the store, if it has
     /// returned from an old copy, does not tell it
     bool has_asked_peers() const
--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -42,17 +42,33 @@
     shares
 };
 
+/// @brief Why a host takes the versions that it knows of for all that there are.
+enum class version_evidence
+{
+    none,
+    /// the store has answered this host recently
+    store_contact,
+    /// a keeper has answered
+    keeper,
+    /// no other host is registered
+    only_host
+};
+
 /// @brief The result of a search for the origin of a stream.
 struct origin_result
 {
     /// unset if the origin is unknown
     std::optional<stream_origin> origin;
     origin_source source = origin_source::none;
+    version_evidence evidence = version_evidence::none;
 };
 
 /// @brief Returns the name of a source of origins in log lines.
 absl::string_view to_string(origin_source source);
 
+/// @brief Returns the name of a kind of evidence in log lines.
+absl::string_view to_string(version_evidence evidence);
+
 /// @brief Finds the pool and version that began a stream, on any host.
 ///
 /// While all streams of a pool have begun at one version, that is the answer, and nothing
@@ -102,6 +118,13 @@
               millis store_wait,
               origin_action on_found);
 
+    /// @brief Returns the age of the copy of the store from which this host knows the
+    /// versions.
+    millis copy_age() const
+    {
+        return store_.copy_age();
+    }
+
     /// @brief Returns the hosts that are told where streams begin.
     std::vector<host_id> keepers() const;
 
@@ -208,6 +231,8 @@
     void record_unlisted(const streams_by_origin& streams);
     /// the origin of a stream that neither this host nor an answer names
     std::optional<stream_origin> only_origin(const question& asked) const;
+    /// why the versions that are known may be taken for all
+    version_evidence evidence_for(const question& asked) const;
     /// reports the streams of pools with several versions that no keeper was told of
     void send_reports();
     void send_reports_soon();
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -231,7 +231,9 @@
                                  {"resumes", begun_by.get()},
                                  {"pool", origin ? origin->pool.get() : ""},
                                  {"version", origin ? origin->version.get() : ""},
-                                 {"source", to_string(found.source)}});
+                                 {"source", to_string(found.source)},
+                                 {"evidence", to_string(found.evidence)},
+                                 {"copy_age_ms", self->origins_.copy_age().count()}});
                       if (const auto refused = self->refusal_of_origin(origin))
                       {
                           self->refuse(refused->retry_after, refused->why);
--- a/src/hosts/stream_origins.cpp
+++ b/src/hosts/stream_origins.cpp
@@ -90,6 +90,22 @@
     return "none";
 }
 
+absl::string_view to_string(version_evidence evidence)
+{
+    switch (evidence)
+    {
+        case version_evidence::none:
+            return "none";
+        case version_evidence::store_contact:
+            return "store_contact";
+        case version_evidence::keeper:
+            return "keeper";
+        case version_evidence::only_host:
+            return "only_host";
+    }
+    return "none";
+}
+
 stream_origins::stream_origins(entry_context& context,
                                peer_network& peers,
                                store_controller& store)
@@ -875,7 +891,7 @@
     }
     if (const std::optional<stream_origin> only = only_origin(asked))
     {
-        asked.on_found({only, origin_source::single_version});
+        asked.on_found({only, origin_source::single_version, evidence_for(asked)});
         return;
     }
     if (!asked.is_named)
@@ -886,6 +902,21 @@
     find_in_store(asked);
 }
 
+version_evidence stream_origins::evidence_for(const question& asked) const
+{
+    // a host that reaches neither the store nor a keeper may have missed a version
+    if (asked.is_answered)
+    {
+        return version_evidence::keeper;
+    }
+    if (store_.is_in_contact())
+    {
+        return version_evidence::store_contact;
+    }
+    return peers_.registered_count() == 1 ? version_evidence::only_host
+                                          : version_evidence::none;
+}
+
 std::optional<stream_origin> stream_origins::only_origin(const question& asked) const
 {
     std::set<stream_origin> possible = asked.possible;
@@ -894,10 +925,7 @@
     {
         possible.insert(each);
     }
-    // a host that reaches neither the store nor a keeper may have missed a version
-    const bool is_informed =
-        asked.is_answered || store_.is_in_contact() || peers_.registered_count() == 1;
-    if (possible.size() != 1 || !is_informed)
+    if (possible.size() != 1 || evidence_for(asked) == version_evidence::none)
     {
         return std::nullopt;
     }
