Take the versions of a pool for all only if that is shown after a stream was taken up

What callers saw: streams that had begun at targets of a new version went on at the old one, if they were taken up at a host that was cut off or stood still while those targets joined.

Cause: absence of knowledge was taken for knowledge of absence. Class: a conclusion from what is not known, without a bound on the age of the knowledge.

Change: that a pool has one version only has to be shown by the store as of a moment after the stream was taken up: by this host, whose copy has reached the version that the store had in a read made since, or by a keeper for it, one read for many streams. While the store answers nobody, all other hosts have to answer. The decision is version_inquiry, without I/O; copy_check asks the store. Shares are believed only after the same confirmation, and records only from a read that began after the question.

Why this works: a stream began before it was taken up, at a target that was in the store then, so a copy that is complete as of a later moment names its version.

Beside a host of an earlier build: its answers lack the new field current and show nothing, its question lacks confirm and is answered as before.

--- a/include/medlar/detail/hosts/store_controller.hpp
+++ b/include/medlar/detail/hosts/store_controller.hpp
@@ -19,6 +19,14 @@
 namespace medlar
 {
 
+/// @brief Items that were read from the store, and the version that it had, at least,
+/// when they were.
+struct store_reading
+{
+    std::vector<store_item> items;
+    store_version version;
+};
+
 /// @brief Keeps the mirror of the store up to date: reads all items once, then gets the
 /// changes from a relay or by a watch of its own; while neither answers, polls other
 /// hosts for them. Registers this host under a lease.
@@ -68,8 +76,21 @@
     /// @param on_read receives them; unset if the store did not answer
     void
     read_items(const std::string& prefix,
-               const std::function<void(const std::optional<std::vector<store_item>>&)>&
-                   on_read);
+               const std::function<void(const std::optional<store_reading>&)>& on_read);
+
+    /// @brief Reads which version the store has now.
+    /// @param on_read receives it; unset if the store did not answer
+    void read_version(const std::function<void(std::optional<store_version>)>& on_read);
+
+    /// @brief Returns the version of the store up to which this host has all changes.
+    store_version known_version() const
+    {
+        return mirror_.version();
+    }
+
+    /// @brief Asks the store for the changes that this host lacks, unless it is waiting
+    /// for them already.
+    void catch_up();
 
     /// @brief Removes an item. A failure is ignored: the store removes it after its time.
     void remove_item(const std::string& key);
@@ -159,9 +180,8 @@
     void read_items_after(
         const std::string& prefix,
         const std::string& after,
-        std::vector<store_item> collected,
-        const std::function<void(const std::optional<std::vector<store_item>>&)>&
-            on_read);
+        const store_reading& collected,
+        const std::function<void(const std::optional<store_reading>&)>& on_read);
     /// drops the changes below prefixes that are not mirrored
     void keep_mirrored(store_page& events) const;
     void read_page_after(std::size_t prefix,
--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -3,9 +3,11 @@
 
 #include <medlar/detail/dispatch/target_starts.hpp>
 #include <medlar/detail/dispatch/unsaved_streams.hpp>
+#include <medlar/detail/dispatch/version_evidence.hpp>
 #include <medlar/detail/dispatch/version_history.hpp>
 #include <medlar/detail/dispatch/version_shares.hpp>
 #include <medlar/detail/entry/entry_context.hpp>
+#include <medlar/detail/hosts/copy_check.hpp>
 #include <medlar/detail/hosts/peer_network.hpp>
 #include <medlar/detail/hosts/store_controller.hpp>
 
@@ -42,18 +44,6 @@
     shares
 };
 
-/// @brief Why a host takes the versions that it knows of for all that there are.
-enum class version_evidence
-{
-    none,
-    /// the store has answered this host recently
-    store_contact,
-    /// a keeper has answered
-    keeper,
-    /// no other host is registered
-    only_host
-};
-
 /// @brief The result of a search for the origin of a stream.
 struct origin_result
 {
@@ -66,9 +56,6 @@
 /// @brief Returns the name of a source of origins in log lines.
 absl::string_view to_string(origin_source source);
 
-/// @brief Returns the name of a kind of evidence in log lines.
-absl::string_view to_string(version_evidence evidence);
-
 /// @brief Finds the pool and version that began a stream, on any host.
 ///
 /// While all streams of a pool have begun at one version, that is the answer, and nothing
@@ -76,6 +63,11 @@
 /// hosts, the keepers, by the hash of the stream; a keeper writes what it gets to the
 /// store, several streams at a time. A host asks the keepers, then the store.
 ///
+/// That a pool has one version only has to be shown by what was read from the store after
+/// the stream was taken up, by this host or by a keeper, see version_inquiry: a host that
+/// was cut off or stood still knows of one version too. The same holds for the shares. If
+/// the store answers no host, all other hosts are asked.
+///
 /// What neither knows has begun shortly before its host and keeper were lost, or while
 /// the store was away. So hosts choose the version of a new stream by its id, from shares
 /// that are in the store, and find it again from the shares that were in force then. An
@@ -158,7 +150,7 @@
     bool handle_answer(const host_id& from, const nlohmann::json& message);
 
     /// @brief Handles the end of a link that this host opened.
-    void handle_peer_lost(const host_id& host);
+    void handle_peer_lost(const host_id& host, connection_end reason);
 
     /// @brief Handles that another host may have been lost or have started again.
     void handle_host_lost();
@@ -201,13 +193,17 @@
         std::set<stream_origin> possible;
         /// processes without a known version at which it may have begun
         std::set<stream_origin> unlisted;
+        version_inquiry inquiry;
         /// whether a keeper could not be asked
         bool is_keeper_missing = false;
-        bool is_answered = false;
         bool is_named = false;
+        /// whether the store has not answered a call that was made for it
+        bool has_store_failed = false;
         origin_action on_found;
     };
 
+    using recorded_origins = std::unordered_map<stream_key, stream_origin>;
+
     static nlohmann::json to_json(const streams_by_origin& streams);
     static streams_by_origin read_streams(const nlohmann::json& message);
 
@@ -229,10 +225,6 @@
     /// whether a keeper has to know of streams with this origin
     bool needs_report(const stream_origin& origin) const;
     void record_unlisted(const streams_by_origin& streams);
-    /// the origin of a stream that neither this host nor an answer names
-    std::optional<stream_origin> only_origin(const question& asked) const;
-    /// why the versions that are known may be taken for all
-    version_evidence evidence_for(const question& asked) const;
     /// reports the streams of pools with several versions that no keeper was told of
     void send_reports();
     void send_reports_soon();
@@ -247,13 +239,41 @@
                              const nlohmann::json& message);
     void end_save_ahead(std::uint64_t number, bool is_saved);
     void conclude(std::uint64_t number);
+    /// returns the origin of a stream as far as this host and the answers tell it
+    origin_result search(const question& asked) const;
+    /// whether the answers that are missing can change nothing
+    bool is_known(const question& asked) const
+    {
+        return search(asked).origin.has_value();
+    }
+    /// the origins that this host and the answers know of
+    std::set<stream_origin> possible_origins(const question& asked) const;
+    std::vector<host_id> other_hosts() const;
+    void answer_question(const std::shared_ptr<message_link>& from,
+                         const nlohmann::json& message);
+    nlohmann::json write_answer(const nlohmann::json& message, bool is_current) const;
+    void read_answer(const nlohmann::json& message, const host_id& from, question& asked);
+
     void find_in_store(question asked);
     void read_records();
+    void read_records_after(millis delay);
+    /// @param asked_at when the records were asked for
+    void handle_records(const store_reading& records, steady_time asked_at);
+    void handle_missing_records(steady_time asked_at);
+    /// ends questions after the records were read
+    /// @param is_current whether this host's copy of the store is as new as the records
+    void conclude_from_records(std::vector<question> asked,
+                               const recorded_origins& recorded,
+                               bool is_current);
     /// the origin of a stream that no host and no record knows
     std::optional<stream_origin> origin_by_shares(const question& asked) const;
-    void handle_records(const std::optional<std::vector<store_item>>& items);
-    void answer_question(const std::shared_ptr<message_link>& from,
-                         const nlohmann::json& message);
+    /// asks all hosts for versions, for the questions that wait for the store
+    void ask_all_hosts();
+    void handle_survey_answer(steady_time surveyed_at,
+                              const host_id& from,
+                              const nlohmann::json& message);
+    /// ends those that wait for the store, but are told by other hosts
+    void end_answered_questions();
     std::string share_key(const pool_id& pool) const;
     std::optional<pool_id> read_share_key(const std::string& key) const;
     std::string item_key(const stream_origin& origin) const;
@@ -284,6 +304,11 @@
     std::map<std::uint64_t, question> questions_;
     std::uint64_t last_question_ = 0;
     std::vector<question> waiting_for_store_;
+    bool is_reading_records_ = false;
+    /// when all hosts were last asked, by the number of the question
+    std::map<std::uint64_t, steady_time> surveys_;
+    steady_time next_survey_;
+    copy_check copy_check_;
     std::map<pool_id, share_history> shares_;
     /// pools whose shares the store has lost
     std::set<pool_id> lost_shares_;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -223,7 +223,7 @@
             crash_controller_.handle_peer_lost();
             limit_controller_.handle_peer_lost(host);
             slow_start_controller_.handle_peer_lost(host);
-            stream_origins_.handle_peer_lost(host);
+            stream_origins_.handle_peer_lost(host, reason);
         });
     peers_.set_requester_lost_handler(
         [this](const message_link* link)
--- a/src/hosts/store_controller.cpp
+++ b/src/hosts/store_controller.cpp
@@ -741,7 +741,7 @@
 
 void store_controller::read_items(
     const std::string& prefix,
-    const std::function<void(const std::optional<std::vector<store_item>>&)>& on_read)
+    const std::function<void(const std::optional<store_reading>&)>& on_read)
 {
     read_items_after(prefix, {}, {}, on_read);
 }
@@ -749,8 +749,8 @@
 void store_controller::read_items_after(
     const std::string& prefix,
     const std::string& after,
-    std::vector<store_item> collected,
-    const std::function<void(const std::optional<std::vector<store_item>>&)>& on_read)
+    const store_reading& collected,
+    const std::function<void(const std::optional<store_reading>&)>& on_read)
 {
     call(context_.protocol.write_range_call(prefix, after, read_mode::linearizable),
          call_timeout,
@@ -763,18 +763,48 @@
                  on_read(std::nullopt);
                  return;
              }
-             std::vector<store_item> all = collected;
-             all.insert(all.end(), page->items.begin(), page->items.end());
+             store_reading all = collected;
+             if (all.items.empty())
+             {
+                 all.version = {received.era, page->revision};
+             }
+             all.items.insert(all.items.end(), page->items.begin(), page->items.end());
              if (page->has_more && !page->items.empty())
              {
                  const std::string last_key = page->items.back().key;
-                 read_items_after(prefix, last_key, std::move(all), on_read);
+                 read_items_after(prefix, last_key, all, on_read);
                  return;
              }
              on_read(all);
          });
 }
 
+void store_controller::read_version(
+    const std::function<void(std::optional<store_version>)>& on_read)
+{
+    // few items are below it
+    call(context_.protocol.write_range_call(
+             context_.protocol.version_prefix(), {}, read_mode::linearizable),
+         call_timeout,
+         [this, on_read](const reply& received)
+         {
+             const absl::StatusOr<store_page> page =
+                 context_.protocol.read_page(received.body);
+             const bool usable = received.status == status_ok && page.ok();
+             on_read(usable ? std::optional<store_version>({received.era, page->revision})
+                            : std::nullopt);
+         });
+}
+
+void store_controller::catch_up()
+{
+    if (!is_watching_ && !is_reading_)
+    {
+        is_watch_due_ = false;
+        watch();
+    }
+}
+
 void store_controller::keep_mirrored(store_page& events) const
 {
     const auto is_unmirrored = [this](const store_item& item)
--- a/src/hosts/stream_origins.cpp
+++ b/src/hosts/stream_origins.cpp
@@ -68,28 +68,13 @@
     return "none";
 }
 
-absl::string_view to_string(version_evidence evidence)
-{
-    switch (evidence)
-    {
-        case version_evidence::none:
-            return "none";
-        case version_evidence::store_contact:
-            return "store_contact";
-        case version_evidence::keeper:
-            return "keeper";
-        case version_evidence::only_host:
-            return "only_host";
-    }
-    return "none";
-}
-
 stream_origins::stream_origins(entry_context& context,
                                peer_network& peers,
                                store_controller& store)
     : context_(context),
       peers_(peers),
       store_(store),
+      copy_check_(context, store),
       in_contact_since_(context.loop.now()),
       host_lost_at_(context.loop.now())
 {
@@ -750,12 +735,24 @@
     host_lost_at_ = context_.loop.now();
 }
 
-void stream_origins::handle_peer_lost(const host_id& host)
+void stream_origins::handle_peer_lost(const host_id& host, connection_end reason)
 {
     host_lost_at_ = context_.loop.now();
+    if (reason == connection_end::refused)
+    {
+        for (question& each : waiting_for_store_)
+        {
+            each.inquiry.record_refused(host);
+        }
+        end_answered_questions();
+    }
     std::vector<std::uint64_t> answered;
     for (auto& each : questions_)
     {
+        if (reason == connection_end::refused)
+        {
+            each.second.inquiry.record_refused(host);
+        }
         if (each.second.waiting_for.erase(host) == 0)
         {
             continue;
--- a/src/hosts/stream_origins_search.cpp
+++ b/src/hosts/stream_origins_search.cpp
@@ -5,6 +5,8 @@
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
+#include <string>
+#include <unordered_set>
 #include <utility>
 
 namespace medlar
@@ -19,6 +21,68 @@
 // pause after a read that the store did not answer
 constexpr millis read_again_delay{200};
 
+// bounds the messages of a host with resumed streams while the store is away
+constexpr millis survey_interval{200};
+
+/// What another host has told of a stream and of the versions of its pools
+struct host_answer
+{
+    std::optional<stream_origin> origin;
+    std::set<stream_origin> possible;
+    std::set<stream_origin> unlisted;
+    bool is_current = false;
+};
+
+std::set<stream_origin> read_origins(const nlohmann::json& list)
+{
+    std::set<stream_origin> origins;
+    for (const nlohmann::json& each : list)
+    {
+        origins.insert(read_origin(each));
+    }
+    return origins;
+}
+
+/// @throw nlohmann::json::exception if a field is missing or of another type
+host_answer read_host_answer(const nlohmann::json& message)
+{
+    host_answer answer;
+    answer.possible = read_origins(message.at("possible"));
+    // hosts of earlier builds do not send these
+    answer.unlisted = read_origins(message.value("unlisted", nlohmann::json::array()));
+    answer.is_current = message.value("current", false);
+    if (message.contains("origin"))
+    {
+        answer.origin = read_origin(message.at("origin"));
+    }
+    return answer;
+}
+
+std::vector<pool_id> read_pools(const nlohmann::json& list)
+{
+    std::vector<pool_id> pools;
+    for (const nlohmann::json& each : list)
+    {
+        pools.emplace_back(each.get<std::string>());
+    }
+    return pools;
+}
+
+nlohmann::json write_pools(const std::vector<pool_id>& pools)
+{
+    nlohmann::json names = nlohmann::json::array();
+    for (const pool_id& each : pools)
+    {
+        names.push_back(each.get());
+    }
+    return names;
+}
+
+bool contains(const std::vector<pool_id>& pools, const pool_id& pool)
+{
+    return std::find(pools.begin(), pools.end(), pool) != pools.end();
+}
+
 } // namespace
 
 std::optional<stream_origin> stream_origins::find_here(const attempt_id& attempt) const
@@ -45,25 +109,24 @@
     asked.pools = pools;
     asked.is_named = !attempt.get().empty();
     asked.on_found = std::move(on_found);
-    nlohmann::json names = nlohmann::json::array();
-    for (const pool_id& each : pools)
-    {
-        names.push_back(each.get());
-    }
-    for (const host_id& each : keepers())
+    std::vector<host_id> asked_keepers = keepers();
+    asked_keepers.erase(
+        std::remove(asked_keepers.begin(), asked_keepers.end(), peers_.self().id),
+        asked_keepers.end());
+    for (std::size_t i = 0; i < asked_keepers.size(); ++i)
     {
-        if (each == peers_.self().id)
-        {
-            continue;
-        }
-        const bool is_sent = peers_.send(each,
+        // one of them calls the store, for many hosts at once
+        const bool is_to_confirm = i == stream.get() % asked_keepers.size();
+        const host_id& keeper = asked_keepers[i];
+        const bool is_sent = peers_.send(keeper,
                                          {{"type", "origin?"},
                                           {"number", number},
                                           {"stream", stream.get()},
-                                          {"pools", names}});
+                                          {"pools", write_pools(pools)},
+                                          {"confirm", is_to_confirm}});
         if (is_sent)
         {
-            asked.waiting_for.insert(each);
+            asked.waiting_for.insert(keeper);
         }
         asked.is_keeper_missing = asked.is_keeper_missing || !is_sent;
     }
@@ -77,17 +140,36 @@
 void stream_origins::answer_question(const std::shared_ptr<message_link>& from,
                                      const nlohmann::json& message)
 {
-    nlohmann::json answer{{"type", "origin"}, {"number", message.at("number")}};
+    const std::vector<pool_id> pools = read_pools(message.at("pools"));
     const stream_key stream(message.at("stream").get<std::uint64_t>());
-    if (const std::optional<stream_origin> known = recall(stream))
+    const bool may_have_one_version =
+        !recall(stream) && versions_.origins_in(pools, context_.loop.now()).size() <= 1;
+    if (!message.value("confirm", false) || !may_have_one_version)
     {
-        answer["origin"] = medlar::to_json(*known);
+        from->send(write_answer(message, false));
+        return;
     }
-    std::vector<pool_id> pools;
-    for (const nlohmann::json& each : message.at("pools"))
+    copy_check_.confirm(
+        [this, link = std::weak_ptr<message_link>(from), message](bool is_current)
+        {
+            if (const std::shared_ptr<message_link> asking = link.lock())
+            {
+                asking->send(write_answer(message, is_current));
+            }
+        });
+}
+
+nlohmann::json stream_origins::write_answer(const nlohmann::json& message,
+                                            bool is_current) const
+{
+    nlohmann::json answer{
+        {"type", "origin"}, {"number", message.at("number")}, {"current", is_current}};
+    const stream_key stream(message.at("stream").get<std::uint64_t>());
+    if (const std::optional<stream_origin> known = recall(stream))
     {
-        pools.emplace_back(each.get<std::string>());
+        answer["origin"] = medlar::to_json(*known);
     }
+    const std::vector<pool_id> pools = read_pools(message.at("pools"));
     nlohmann::json& possible = answer["possible"] = nlohmann::json::array();
     for (const stream_origin& each : versions_.origins_in(pools, context_.loop.now()))
     {
@@ -98,7 +180,7 @@
     {
         unlisted.push_back(medlar::to_json(each));
     }
-    from->send(answer);
+    return answer;
 }
 
 bool stream_origins::handle_answer(const host_id& from, const nlohmann::json& message)
@@ -114,42 +196,69 @@
         end_save_ahead(number, true);
         return true;
     }
+    const auto survey = surveys_.find(number);
+    if (survey != surveys_.end())
+    {
+        handle_survey_answer(survey->second, from, message);
+        return true;
+    }
     const auto found = questions_.find(number);
     if (found == questions_.end())
     {
         return true;
     }
     question& asked = found->second;
-    std::set<stream_origin> possible;
-    for (const nlohmann::json& each : message.at("possible"))
-    {
-        possible.insert(read_origin(each));
-    }
-    std::set<stream_origin> unlisted;
-    // hosts of earlier builds do not send it
-    for (const nlohmann::json& each : message.value("unlisted", nlohmann::json::array()))
+    read_answer(message, from, asked);
+    asked.waiting_for.erase(from);
+    if (asked.waiting_for.empty() || is_known(asked))
     {
-        unlisted.insert(read_origin(each));
+        conclude(number);
     }
-    std::optional<stream_origin> origin;
-    if (message.contains("origin") && asked.is_named)
+    return true;
+}
+
+void stream_origins::read_answer(const nlohmann::json& message,
+                                 const host_id& from,
+                                 question& asked)
+{
+    host_answer answer = read_host_answer(message);
+    asked.inquiry.record_answer(from, answer.is_current);
+    asked.possible.merge(answer.possible);
+    asked.unlisted.merge(answer.unlisted);
+    if (answer.origin && asked.is_named)
     {
-        origin = read_origin(message.at("origin"));
+        remember(asked.stream, *answer.origin);
     }
-    asked.is_answered = true;
-    asked.waiting_for.erase(from);
-    asked.possible.merge(possible);
-    asked.unlisted.merge(unlisted);
-    if (origin)
+}
+
+void stream_origins::handle_survey_answer(steady_time surveyed_at,
+                                          const host_id& from,
+                                          const nlohmann::json& message)
+{
+    for (question& each : waiting_for_store_)
     {
-        remember(asked.stream, *origin);
-        conclude(number);
+        if (each.asked_at <= surveyed_at)
+        {
+            read_answer(message, from, each);
+        }
     }
-    else if (asked.waiting_for.empty())
+    end_answered_questions();
+}
+
+void stream_origins::end_answered_questions()
+{
+    for (question& each : std::exchange(waiting_for_store_, {}))
     {
-        conclude(number);
+        const origin_result found = search(each);
+        if (found.origin)
+        {
+            each.on_found(found);
+        }
+        else
+        {
+            waiting_for_store_.push_back(std::move(each));
+        }
     }
-    return true;
 }
 
 void stream_origins::conclude(std::uint64_t number)
@@ -159,96 +268,206 @@
     {
         return;
     }
-    const question asked = std::move(found->second);
+    question asked = std::move(found->second);
     questions_.erase(found);
-    if (const std::optional<stream_origin> known = recall(asked.stream);
-        known && asked.is_named)
-    {
-        asked.on_found({known, origin_source::memory});
-        return;
-    }
-    if (const std::optional<stream_origin> only = only_origin(asked))
+    const origin_result result = search(asked);
+    if (result.origin || (!asked.is_named && possible_origins(asked).size() > 1))
     {
-        asked.on_found({only, origin_source::single_version, evidence_for(asked)});
+        asked.on_found(result);
         return;
     }
-    if (!asked.is_named)
-    {
-        asked.on_found({});
-        return;
-    }
-    find_in_store(asked);
+    find_in_store(std::move(asked));
 }
 
-version_evidence stream_origins::evidence_for(const question& asked) const
+std::vector<host_id> stream_origins::other_hosts() const
 {
-    // a host that reaches neither the store nor a keeper may have missed a version
-    if (asked.is_answered)
+    std::vector<host_id> others;
+    for (const peer_host& each : peers_.registered_hosts())
     {
-        return version_evidence::keeper;
+        if (each.id != peers_.self().id)
+        {
+            others.push_back(each.id);
+        }
     }
-    if (store_.is_in_contact())
+    return others;
+}
+
+std::set<stream_origin> stream_origins::possible_origins(const question& asked) const
+{
+    std::set<stream_origin> possible =
+        versions_.origins_in(asked.pools, context_.loop.now());
+    for (const stream_origin& each : asked.possible)
     {
-        return version_evidence::store_contact;
+        // a host that was asked for several streams tells of all their pools
+        if (contains(asked.pools, each.pool))
+        {
+            possible.insert(each);
+        }
     }
-    return peers_.registered_count() == 1 ? version_evidence::only_host
-                                          : version_evidence::none;
+    return possible;
 }
 
-std::optional<stream_origin> stream_origins::only_origin(const question& asked) const
+origin_result stream_origins::search(const question& asked) const
 {
-    std::set<stream_origin> possible = asked.possible;
-    for (const stream_origin& each :
-         versions_.origins_in(asked.pools, context_.loop.now()))
+    if (const std::optional<stream_origin> known = recall(asked.stream);
+        known && asked.is_named)
     {
-        possible.insert(each);
+        return {known, origin_source::memory};
     }
-    if (possible.size() != 1 || evidence_for(asked) == version_evidence::none)
+    const bool is_store_away = asked.has_store_failed || !store_.is_in_contact();
+    const version_evidence evidence =
+        asked.inquiry.evidence(other_hosts(), is_store_away);
+    const std::set<stream_origin> possible = possible_origins(asked);
+    if (possible.size() != 1 || evidence == version_evidence::none)
     {
-        return std::nullopt;
+        return {};
     }
-    const bool may_be_unlisted = !starts_.unlisted_in(asked.pools).empty() ||
-                                 std::any_of(asked.unlisted.begin(),
-                                             asked.unlisted.end(),
-                                             [this](const stream_origin& each)
-                                             {
-                                                 return starts_.resolve(each) == each;
-                                             });
+    const bool may_be_unlisted =
+        !starts_.unlisted_in(asked.pools).empty() ||
+        std::any_of(asked.unlisted.begin(),
+                    asked.unlisted.end(),
+                    [this, &asked](const stream_origin& each)
+                    {
+                        return contains(asked.pools, each.pool) &&
+                               starts_.resolve(each) == each;
+                    });
     // keepers know all streams that began at processes without a known version
     const bool is_known_to_keepers =
         asked.is_named && asked.waiting_for.empty() && !asked.is_keeper_missing;
-    return may_be_unlisted && !is_known_to_keepers
-               ? std::nullopt
-               : std::optional<stream_origin>(*possible.begin());
+    if (may_be_unlisted && !is_known_to_keepers)
+    {
+        return {};
+    }
+    return {*possible.begin(), origin_source::single_version, evidence};
 }
 
 void stream_origins::find_in_store(question asked)
 {
     waiting_for_store_.push_back(std::move(asked));
-    if (waiting_for_store_.size() == 1)
+    if (!store_.is_in_contact())
+    {
+        ask_all_hosts();
+    }
+    read_records_after(millis(0));
+}
+
+void stream_origins::ask_all_hosts()
+{
+    const steady_time now = context_.loop.now();
+    if (now < next_survey_)
+    {
+        return;
+    }
+    next_survey_ = now + survey_interval;
+    std::vector<pool_id> pools;
+    for (const question& each : waiting_for_store_)
+    {
+        for (const pool_id& pool : each.pools)
+        {
+            if (!contains(pools, pool))
+            {
+                pools.push_back(pool);
+            }
+        }
+    }
+    const std::uint64_t number = ++last_question_;
+    surveys_.clear();
+    surveys_[number] = now;
+    context_.metrics->add("medlar_version_surveys_total", {});
+    for (const host_id& each : other_hosts())
     {
-        read_records();
+        // names no stream
+        peers_.send(each,
+                    {{"type", "origin?"},
+                     {"number", number},
+                     {"stream", key_of(attempt_id()).get()},
+                     {"pools", write_pools(pools)},
+                     {"confirm", false}});
     }
 }
 
+void stream_origins::read_records_after(millis delay)
+{
+    if (is_reading_records_)
+    {
+        return;
+    }
+    is_reading_records_ = true;
+    context_.loop.after(delay,
+                        [this]
+                        {
+                            read_records();
+                        });
+}
+
 void stream_origins::read_records()
 {
-    store_.read_items(context_.protocol.stream_record_prefix(),
-                      [this](const std::optional<std::vector<store_item>>& items)
-                      {
-                          handle_records(items);
-                      });
+    store_.read_items(
+        context_.protocol.stream_record_prefix(),
+        [this, asked_at = context_.loop.now()](const std::optional<store_reading>& read)
+        {
+            is_reading_records_ = false;
+            if (read)
+            {
+                handle_records(*read, asked_at);
+            }
+            else
+            {
+                handle_missing_records(asked_at);
+            }
+        });
+}
+
+void stream_origins::handle_missing_records(steady_time asked_at)
+{
+    for (question& each : waiting_for_store_)
+    {
+        each.has_store_failed = each.has_store_failed || each.asked_at <= asked_at;
+    }
+    for (question& each : std::exchange(waiting_for_store_, {}))
+    {
+        // all hosts may have answered already
+        const origin_result found = search(each);
+        if (found.origin || each.asked_at + each.store_wait <= context_.loop.now())
+        {
+            each.on_found(found);
+        }
+        else
+        {
+            waiting_for_store_.push_back(std::move(each));
+        }
+    }
+    if (!waiting_for_store_.empty())
+    {
+        ask_all_hosts();
+        read_records_after(read_again_delay);
+    }
 }
 
-void stream_origins::handle_records(const std::optional<std::vector<store_item>>& items)
+void stream_origins::handle_records(const store_reading& records, steady_time asked_at)
 {
+    std::vector<question> asked;
+    for (question& each : std::exchange(waiting_for_store_, {}))
+    {
+        // a stream that was taken up later may have been recorded since
+        (each.asked_at <= asked_at ? asked : waiting_for_store_)
+            .push_back(std::move(each));
+    }
+    if (!waiting_for_store_.empty())
+    {
+        read_records_after(millis(0));
+    }
     // this host may remember less than the records hold
-    std::unordered_map<stream_key, origin_result> asked;
-    for (const question& each : waiting_for_store_)
+    recorded_origins recorded;
+    std::unordered_set<stream_key> wanted;
+    for (const question& each : asked)
     {
-        asked[each.stream] = {recall(each.stream), origin_source::memory};
+        if (each.is_named)
+        {
+            wanted.insert(each.stream);
+        }
     }
-    for (const store_item& item : items.value_or(std::vector<store_item>{}))
+    for (const store_item& item : records.items)
     {
         try
         {
@@ -257,11 +476,9 @@
                 for (const stream_key stream : each.second)
                 {
                     remember(stream, each.first);
-                    const auto found = asked.find(stream);
-                    if (found != asked.end())
+                    if (wanted.count(stream) > 0)
                     {
-                        found->second = {starts_.resolve(each.first),
-                                         origin_source::record};
+                        recorded[stream] = each.first;
                     }
                 }
             }
@@ -271,28 +488,48 @@
             log_event(entry_item_unreadable, {{"what", item.key}, {"why", error.what()}});
         }
     }
-    const steady_time now = context_.loop.now();
-    for (question& each : std::exchange(waiting_for_store_, {}))
+    // a version that a record names may have targets that this host has not read of yet
+    copy_check_.wait_for(records.version,
+                         [this, asked, recorded](bool is_current)
+                         {
+                             conclude_from_records(asked, recorded, is_current);
+                         });
+}
+
+void stream_origins::conclude_from_records(std::vector<question> asked,
+                                           const recorded_origins& recorded,
+                                           bool is_current)
+{
+    for (question& each : asked)
     {
-        origin_result found = asked.at(each.stream);
-        if (!found.origin && !items && now < each.asked_at + each.store_wait)
+        if (is_current)
         {
-            waiting_for_store_.push_back(std::move(each));
-            continue;
+            each.inquiry.record_current_copy();
+        }
+        const auto record = recorded.find(each.stream);
+        origin_result found = search(each);
+        if (found.source != origin_source::memory && record != recorded.end())
+        {
+            found = {starts_.resolve(record->second), origin_source::record};
         }
-        if (!found.origin && items)
+        else if (!found.origin && is_current && each.is_named)
         {
             found = {origin_by_shares(each), origin_source::shares};
         }
-        each.on_found(found);
+        const bool is_over =
+            is_current || each.asked_at + each.store_wait <= context_.loop.now();
+        if (found.origin || is_over)
+        {
+            each.on_found(found);
+        }
+        else
+        {
+            waiting_for_store_.push_back(std::move(each));
+        }
     }
     if (!waiting_for_store_.empty())
     {
-        context_.loop.after(read_again_delay,
-                            [this]
-                            {
-                                read_records();
-                            });
+        read_records_after(read_again_delay);
     }
 }
 
