--- a/test/system/harness/process.hpp
+++ b/test/system/harness/process.hpp
@@ -57,6 +57,11 @@
 
     bool running();
 
+    pid_t id() const
+    {
+        return pid_;
+    }
+
   private:
     pid_t pid_ = -1;
     int output_ = -1;
