Bound the memory of all request bodies at medlar-gateway together

What callers saw: the process ran out of memory. Cause: each body was bounded, all together were not (1,024 connections of 4 MiB), and freed bodies stayed in the arenas of the threads.

Change: body_budget (src/policy) counts what all bodies hold; a body that exceeds it is refused with host_full before anything of it has run. The allocator returns freed bodies to the system.

--- a/include/medlar/detail/gateway/caller_server.hpp
+++ b/include/medlar/detail/gateway/caller_server.hpp
@@ -24,6 +24,8 @@
     millis body_timeout{20000};
     /// an idle connection is closed after this time
     millis keep_alive{15000};
+    /// memory limit of the bodies of all requests together
+    byte_count max_bodies{256L * 1024 * 1024};
 };
 
 /// @brief HTTP server for callers, with one thread per connection; see docs/API.md.
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -6,6 +6,7 @@
 #include <medlar/detail/http/unread_body.hpp>
 #include <medlar/detail/log/gateway_events.hpp>
 #include <medlar/detail/loop/request_socket.hpp>
+#include <medlar/detail/policy/body_budget.hpp>
 #include <medlar/detail/request/answer_text.hpp>
 
 #include <Poco/Exception.h>
@@ -22,6 +23,7 @@
 #include <Poco/URI.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <optional>
@@ -60,8 +62,10 @@
     {
     }
 
+    /// @param charge holds what the body takes of the memory of all bodies
     /// @return the body, or the refusal
-    std::variant<std::string, final_answer> read(HTTPServerRequest& request) const
+    std::variant<std::string, final_answer> read(HTTPServerRequest& request,
+                                                 body_charge& charge) const
     {
         const std::streamsize stated = request.getContentLength();
         const bool sized = stated != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH;
@@ -74,6 +78,12 @@
         for (int first = in.get(); first != std::istream::traits_type::eof();
              first = in.get())
         {
+            const std::streamsize available = in.rdbuf()->in_avail();
+            const std::size_t read = 1 + static_cast<std::size_t>(available);
+            if (!make_room(text, read, charge))
+            {
+                return host_full();
+            }
             text += static_cast<char>(first);
             append_buffered(in, text);
             if (text.size() > max_bytes_)
@@ -93,6 +103,38 @@
     }
 
   private:
+    /// Lets the text grow by a quarter, or to the largest size, so that it holds no more
+    /// than was taken for it.
+    bool make_room(std::string& text, std::size_t bytes, body_charge& charge) const
+    {
+        constexpr std::size_t min_growth = 4096;
+        const std::size_t needed = text.size() + bytes;
+        if (needed <= text.capacity())
+        {
+            return true;
+        }
+        const std::size_t grown = std::min(
+            max_bytes_ + 1, std::max(text.capacity() + min_growth, needed + needed / 4));
+        const std::size_t capacity = std::max(needed, grown);
+        if (!charge.raise_to(byte_count(static_cast<std::int64_t>(capacity))))
+        {
+            return false;
+        }
+        text.reserve(capacity);
+        return true;
+    }
+
+    static final_answer host_full()
+    {
+        constexpr millis retry_after{1000};
+        return {{outcome_kind::not_run,
+                 reason::host_full,
+                 "the bodies of other requests take the memory of this host",
+                 retry_after},
+                "",
+                ""};
+    }
+
     static void append_buffered(std::istream& in, std::string& text)
     {
         const std::streamsize available = in.rdbuf()->in_avail();
@@ -158,8 +200,10 @@
 class caller_handler : public Poco::Net::HTTPRequestHandler
 {
   public:
-    caller_handler(gateway& local_gateway, const caller_server_settings& settings)
-        : gateway_(local_gateway), settings_(settings)
+    caller_handler(gateway& local_gateway,
+                   const caller_server_settings& settings,
+                   body_budget& bodies)
+        : gateway_(local_gateway), settings_(settings), bodies_(bodies)
     {
     }
 
@@ -232,7 +276,9 @@
         caller_stream stream(response);
         const caller_body_reader reader(
             gateway_.time(), gateway_.settings().body.max_bytes, settings_.body_timeout);
-        auto body = reader.read(request);
+        // the body is kept while the request runs
+        body_charge charge(bodies_);
+        auto body = reader.read(request, charge);
         if (const auto* refused = std::get_if<final_answer>(&body))
         {
             refuse_incomplete(request, response, *refused);
@@ -342,25 +388,29 @@
 
     gateway& gateway_;
     const caller_server_settings& settings_;
+    body_budget& bodies_;
 };
 
 class handler_factory : public Poco::Net::HTTPRequestHandlerFactory
 {
   public:
-    handler_factory(gateway& local_gateway, const caller_server_settings& settings)
-        : gateway_(local_gateway), settings_(settings)
+    handler_factory(gateway& local_gateway,
+                    const caller_server_settings& settings,
+                    body_budget& bodies)
+        : gateway_(local_gateway), settings_(settings), bodies_(bodies)
     {
     }
 
     Poco::Net::HTTPRequestHandler*
     createRequestHandler(const HTTPServerRequest& /*request*/) override
     {
-        return new caller_handler(gateway_, settings_);
+        return new caller_handler(gateway_, settings_, bodies_);
     }
 
   private:
     gateway& gateway_;
     const caller_server_settings& settings_;
+    body_budget& bodies_;
 };
 
 class poco_caller_server : public caller_server
@@ -369,9 +419,10 @@
     /// @throws Poco::Exception if it cannot listen
     poco_caller_server(const caller_server_settings& settings, gateway& local_gateway)
         : settings_(settings),
+          bodies_(settings.max_bodies),
           socket_(settings.listen, backlog),
           threads_(min_threads, settings.max_connections),
-          server_(new handler_factory(local_gateway, settings_),
+          server_(new handler_factory(local_gateway, settings_, bodies_),
                   threads_,
                   socket_,
                   make_params(settings))
@@ -412,6 +463,7 @@
     }
 
     caller_server_settings settings_;
+    body_budget bodies_;
     request_server_socket socket_;
     Poco::ThreadPool threads_;
     Poco::Net::HTTPServer server_;
--- a/src/programs/medlar_gateway.cpp
+++ b/src/programs/medlar_gateway.cpp
@@ -9,6 +9,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <gflags/gflags.h>
+#include <malloc.h>
 
 #include <atomic>
 #include <csignal>
@@ -32,6 +33,9 @@
 DEFINE_int32(max_link_streams, 1024, "maximum number of concurrent calls on links");
 DEFINE_int32(max_nesting, 64, "maximum nesting depth of a request body");
 DEFINE_int64(max_body_bytes, 4L * 1024 * 1024, "maximum size of a request body");
+DEFINE_int64(max_bodies_bytes,
+             0,
+             "memory limit of all request bodies together; 0: 64 times max_body_bytes");
 DEFINE_int64(max_answer_bytes, 16L * 1024 * 1024, "maximum size of a target's answer");
 DEFINE_int64(max_claim_bytes, 256L * 1024 * 1024, "memory limit of claims and answers");
 DEFINE_int64(retention_ms, 600000, "time after its issue for which a request is stored");
@@ -186,6 +190,10 @@
     settings.socket_timeout = millis(FLAGS_socket_timeout_ms);
     settings.body_timeout = millis(FLAGS_body_timeout_ms);
     settings.keep_alive = millis(FLAGS_keep_alive_ms);
+    constexpr std::int64_t default_bodies = 64;
+    settings.max_bodies =
+        byte_count(FLAGS_max_bodies_bytes > 0 ? FLAGS_max_bodies_bytes
+                                              : default_bodies * FLAGS_max_body_bytes);
     return settings;
 }
 
@@ -236,6 +244,16 @@
         local_exchange::create(self, *configuration, claims));
 }
 
+/// Lets the memory of a body return to the system when the body is freed. Each thread has
+/// an arena of its own otherwise, which keeps what a crowd has left behind.
+void set_up_allocator()
+{
+    constexpr int mapped_block_bytes = 65536;
+    constexpr int arenas = 8;
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+    mallopt(M_ARENA_MAX, arenas);
+}
+
 sigset_t termination_signals()
 {
     sigset_t signals;
@@ -382,6 +400,7 @@
 
 int main(int argc, char** argv)
 {
+    medlar::set_up_allocator();
     const absl::Status loaded = medlar::load_settings(&argc, &argv);
     medlar::open_log("medlar-gateway");
     return medlar::run_gateway(loaded);
