--- a/test/entry/out_of_step_test.cpp
+++ b/test/entry/out_of_step_test.cpp
@@ -1,3 +1,4 @@
+#include "support/entry/recorded_links.hpp"
 #include "support/entry/versioned_pool.hpp"
 #include "support/fault_proxy.hpp"
 
@@ -203,6 +204,8 @@
     CPPUNIT_TEST(does_not_join_a_version_by_shares_that_were_replaced);
     CPPUNIT_TEST(goes_on_at_its_version_when_the_cut_ends_while_its_caller_waits);
     CPPUNIT_TEST(goes_on_at_a_host_that_has_lost_only_the_store);
+    CPPUNIT_TEST(goes_on_beside_hosts_that_confirm_nothing);
+    CPPUNIT_TEST(does_not_join_a_version_that_hosts_without_confirmation_miss);
     CPPUNIT_TEST(goes_on_while_no_host_reaches_the_store);
     CPPUNIT_TEST(goes_on_while_no_host_reaches_the_store_and_one_has_ended);
     CPPUNIT_TEST_SUITE_END();
@@ -309,6 +312,38 @@
         CPPUNIT_ASSERT_EQUAL(0, it.joined);
     }
 
+    void goes_on_beside_hosts_that_confirm_nothing()
+    {
+        out_of_step_group it(1);
+        recorded_links links(it);
+        // as hosts of 058f514
+        links.unknown_fields = {"confirm", "current"};
+        it.add_host("host-1");
+        it.add_host("host-2");
+        caller_streams streams = it.begin_streams_at(1);
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(stream_count), it.take_up_at(0, streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void does_not_join_a_version_that_hosts_without_confirmation_miss()
+    {
+        out_of_step_group it(1);
+        recorded_links links(it);
+        links.unknown_fields = {"confirm", "current"};
+        it.add_host("host-1");
+        it.add_host("host-2");
+        it.store.hold_watches(true);
+        it.start_second_version();
+        // a host that starts reads the store
+        it.hosts.push_back(it.start(it.settings("host-3")));
+        it.all_settings.push_back(it.hosts.back()->settings);
+        it.run_for(change_time);
+        caller_streams streams = it.begin_streams_at(3);
+        it.freeze(it.hosts[3]);
+        it.take_up_at(0, streams);
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
     void goes_on_while_no_host_reaches_the_store()
     {
         out_of_step_group it(3);
--- a/test/support/entry/recorded_links.hpp
+++ b/test/support/entry/recorded_links.hpp
@@ -47,6 +47,9 @@
 
     std::vector<nlohmann::json> messages;
 
+    /// fields that these hosts neither read nor send, as in an earlier build
+    std::vector<std::string> unknown_fields;
+
   private:
     struct link_pair
     {
@@ -91,20 +94,29 @@
             connection::connect(hosts_.loop, host, millis(1000)),
             [this, number](const nlohmann::json& message)
             {
-                messages.push_back(message);
-                links_[number].asking->send(message);
+                pass_on(message, *links_[number].asking);
             },
             close_both);
         links_[number].asking = message_link::create(
             accepted,
             [this, number](const nlohmann::json& message)
             {
-                messages.push_back(message);
-                links_[number].asked->send(message);
+                pass_on(message, *links_[number].asked);
             },
             close_both);
     }
 
+    void pass_on(const nlohmann::json& message, message_link& to)
+    {
+        messages.push_back(message);
+        nlohmann::json passed = message;
+        for (const std::string& each : unknown_fields)
+        {
+            passed.erase(each);
+        }
+        to.send(passed);
+    }
+
     entry_group& hosts_;
     std::vector<std::shared_ptr<listener>> listeners_;
     std::vector<link_pair> links_;
