Bound the cost of asking all hosts, and confirm only what is known

- An answer that confirms, but names no version of the pools, comes from a host whose configuration does not have them as resumable yet: it shows nothing.
Targets that have become resumable are recorded before anything is confirmed.
- While the store is away, each host asked all others every 200 ms: at 300 hosts 1,500 questions a second at each.
The interval grows with the hosts, 250 a second each.
Answers are looked at for the first waiting question only, the rest follows.

The cost at 300 hosts was worked out, not run.

--- a/src/hosts/stream_origins_search.cpp
+++ b/src/hosts/stream_origins_search.cpp
@@ -5,6 +5,7 @@
 #include <medlar/detail/log/entry_events.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -21,8 +22,10 @@
 // pause after a read that the store did not answer
 constexpr millis read_again_delay{200};
 
-// bounds the messages of a host with resumed streams while the store is away
-constexpr millis survey_interval{200};
+// bounds the messages of hosts with resumed streams while the store is away: if all hosts
+// ask all others, each gets 250 questions a second
+constexpr millis min_survey_interval{200};
+constexpr std::int64_t survey_interval_per_host_ms = 4;
 
 /// What another host has told of a stream and of the versions of its pools
 struct host_answer
@@ -152,6 +155,8 @@
     copy_check_.confirm(
         [this, link = std::weak_ptr<message_link>(from), message](bool is_current)
         {
+            // targets may have become resumable since they were read
+            update_versions();
             if (const std::shared_ptr<message_link> asking = link.lock())
             {
                 asking->send(write_answer(message, is_current));
@@ -222,7 +227,8 @@
                                  question& asked)
 {
     host_answer answer = read_host_answer(message);
-    asked.inquiry.record_answer(from, answer.is_current);
+    // a host with another configuration may not know the pools
+    asked.inquiry.record_answer(from, answer.is_current && !answer.possible.empty());
     asked.possible.merge(answer.possible);
     asked.unlisted.merge(answer.unlisted);
     if (answer.origin && asked.is_named)
@@ -242,7 +248,11 @@
             read_answer(message, from, each);
         }
     }
-    end_answered_questions();
+    // most questions wait for the same answers; the rest is looked at after the next read
+    if (!waiting_for_store_.empty() && is_known(waiting_for_store_.front()))
+    {
+        end_answered_questions();
+    }
 }
 
 void stream_origins::end_answered_questions()
@@ -314,11 +324,15 @@
     {
         return {known, origin_source::memory};
     }
+    const std::set<stream_origin> possible = possible_origins(asked);
+    if (possible.size() != 1)
+    {
+        return {};
+    }
     const bool is_store_away = asked.has_store_failed || !store_.is_in_contact();
     const version_evidence evidence =
         asked.inquiry.evidence(other_hosts(), is_store_away);
-    const std::set<stream_origin> possible = possible_origins(asked);
-    if (possible.size() != 1 || evidence == version_evidence::none)
+    if (evidence == version_evidence::none)
     {
         return {};
     }
@@ -358,7 +372,10 @@
     {
         return;
     }
-    next_survey_ = now + survey_interval;
+    const std::vector<host_id> others = other_hosts();
+    next_survey_ = now + std::max(min_survey_interval,
+                                  millis(survey_interval_per_host_ms *
+                                         static_cast<std::int64_t>(others.size())));
     std::vector<pool_id> pools;
     for (const question& each : waiting_for_store_)
     {
@@ -374,7 +391,7 @@
     surveys_.clear();
     surveys_[number] = now;
     context_.metrics->add("medlar_version_surveys_total", {});
-    for (const host_id& each : other_hosts())
+    for (const host_id& each : others)
     {
         // names no stream
         peers_.send(each,
@@ -500,6 +517,8 @@
                                            const recorded_origins& recorded,
                                            bool is_current)
 {
+    // targets may have become resumable since they were read
+    update_versions();
     for (question& each : asked)
     {
         if (is_current)
