--- a/test/overload/entry_under_load.hpp
+++ b/test/overload/entry_under_load.hpp
@@ -185,6 +185,42 @@
         return loop_;
     }
 
+    stand_in_store& store()
+    {
+        return store_;
+    }
+
+    void run_for(millis span)
+    {
+        const steady_time end = time_.steady_now() + span;
+        while (time_.steady_now() < end)
+        {
+            loop_.run_once(millis(5));
+        }
+    }
+
+    /// Adds a route to the configuration in the store.
+    void add_route(const std::string& prefix)
+    {
+        put_configuration({route_json(prefix, "non_idempotent", "plain")});
+    }
+
+    /// Checks that a request on a route is answered, which a host does that has read it.
+    void check_route(host& checked, const std::string& path)
+    {
+        CPPUNIT_ASSERT_MESSAGE(
+            "no request was answered at " + path,
+            retry(
+                [&]
+                {
+                    return request(checked.callers,
+                                   request_text("POST",
+                                                path,
+                                                absl::StrCat("routed-", ++requests_),
+                                                "b")) == 200;
+                }));
+    }
+
     const endpoint& extreme_endpoint() const
     {
         return extreme_endpoint_;
@@ -215,15 +251,18 @@
         store_.put("servers/x-1", entry.dump());
     }
 
-    void put_configuration()
+    void put_configuration(const std::vector<nlohmann::json>& more_routes = {})
     {
         nlohmann::json plain = route_json("/n/", "non_idempotent", "plain");
         nlohmann::json extreme = route_json("/x/", "non_idempotent", "extreme");
         plain["timeout_ms"] = 15000;
         // the deadlines of the requests are shorter
         extreme["timeout_ms"] = 120000;
+        std::vector<nlohmann::json> routes{plain, extreme};
+        routes.insert(routes.end(), more_routes.begin(), more_routes.end());
+        const int version = 3 + static_cast<int>(more_routes.size());
         nlohmann::json changed =
-            nlohmann::json::parse(configuration_json(3, {plain, extreme}));
+            nlohmann::json::parse(configuration_json(version, routes));
         changed["services"].push_back(
             {{"name", "extreme"}, {"health_path", "/health"}, {"max_conns", 1000}});
         changed["limits"]["max_body_bytes"] = max_body_bytes;
@@ -253,15 +292,6 @@
             .dump();
     }
 
-    void run_for(millis span)
-    {
-        const steady_time end = time_.steady_now() + span;
-        while (time_.steady_now() < end)
-        {
-            loop_.run_once(millis(5));
-        }
-    }
-
     /// Tries again while a refusal asks for it.
     bool retry(const std::function<bool()>& attempt)
     {
--- a/test/overload/uncontrolled_clients_test.cpp
+++ b/test/overload/uncontrolled_clients_test.cpp
@@ -6,6 +6,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
+
 namespace
 {
 
@@ -33,6 +35,8 @@
     CPPUNIT_TEST(stay_within_it_in_chunks_of_one_byte);
     CPPUNIT_TEST(stay_within_it_with_a_length);
     CPPUNIT_TEST(stay_within_it_with_a_length_in_pieces_of_1_kb);
+    CPPUNIT_TEST(stay_within_it_while_the_store_is_away);
+    CPPUNIT_TEST(stay_within_it_beside_reloads_of_the_settings);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -80,6 +84,45 @@
                   100);
         check(under_load, "bodies with a length in pieces of 1 KB");
     }
+
+    void stay_within_it_while_the_store_is_away()
+    {
+        host& under_load = start("store-away");
+        store().set_down(true);
+        run_crowd({under_load.callers,
+                   head("/n/e", length_of(max_body_bytes)),
+                   std::string(max_body_bytes - 1, 'x'),
+                   1},
+                  100);
+        check(under_load, "a byte short, the store away");
+    }
+
+    void stay_within_it_beside_reloads_of_the_settings()
+    {
+        host& under_load = start("reloads");
+        loop().after(millis(0),
+                     [&]
+                     {
+                         reload(under_load);
+                     });
+        run_crowd({under_load.callers,
+                   head("/n/f", length_of(max_body_bytes)),
+                   std::string(max_body_bytes - 1, 'x'),
+                   1},
+                  100);
+        check(under_load, "a byte short, beside reloads");
+    }
+
+  private:
+    void reload(host& under_load)
+    {
+        under_load.process->signal(SIGHUP);
+        loop().after(millis(200),
+                     [this, &under_load]
+                     {
+                         reload(under_load);
+                     });
+    }
 };
 
 /// Guards against bodies that are kept although they can only be refused.
@@ -232,6 +275,7 @@
 {
     CPPUNIT_TEST_SUITE(connections_with_half_a_head);
     CPPUNIT_TEST(stay_within_the_memory_and_descriptors_of_the_host);
+    CPPUNIT_TEST(leave_descriptors_for_the_store_when_it_returns);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -244,6 +288,22 @@
                   2000);
         check(under_load, "2,000 connections with half a head");
     }
+
+    void leave_descriptors_for_the_store_when_it_returns()
+    {
+        host& under_load = start("half-heads-store");
+        run_crowd({under_load.callers,
+                   "POST /n/j HTTP/1.1\r\nHost: h.example\r\nPadding: " +
+                       std::string(4000, 'x')},
+                  2000);
+        // its connections to the store end
+        store().set_down(true);
+        run_for(millis(3000));
+        store().set_down(false);
+        add_route("/later/");
+        check(under_load, "2,000 connections with half a head, the store away");
+        check_route(under_load, "/later/a");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(bodies_that_stop_short_of_their_end);
