--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -44,32 +44,32 @@
     echo "$title: $line ($SECONDS s)"
 }
 
-# Suites that share nothing run side by side, in four lanes of about the same length.
-lane_1()
-{
-    run_tests "entry under AddressSanitizer" build-asan/entry_test
-}
-lane_2()
-{
-    run_tests "entry" build/entry_test
-    [ -x build/system_test ] && run_tests "system" build/system_test
-}
-lane_3()
+# Suites that share nothing run side by side. Those of the entry host mostly wait, so they
+# run in parts.
+entry_parts=4
+lane_runtime()
 {
     [ -x build-asan/runtime_test ] &&
         run_tests "runtime under AddressSanitizer" build-asan/runtime_test
     [ -x build/runtime_test ] && run_tests "runtime" build/runtime_test
+    [ -x build/system_test ] && run_tests "system" build/system_test
 }
-lane_4()
+lane_decisions()
 {
     run_tests "decisions" build/decisions_test
     run_tests "model" build/model_test
     run_tests "decisions under ThreadSanitizer" build-tsan/decisions_test
 }
 SECONDS=0
-for lane in lane_1 lane_2 lane_3 lane_4; do
+for lane in lane_runtime lane_decisions; do
     "$lane" >"$work/$lane" 2>&1 &
 done
+for ((part = 0; part < entry_parts; ++part)); do
+    run_tests "entry, part $part" build/entry_test part "$part" "$entry_parts" \
+        >"$work/lane_entry_$part" 2>&1 &
+    run_tests "entry under AddressSanitizer, part $part" \
+        build-asan/entry_test part "$part" "$entry_parts" >"$work/lane_asan_$part" 2>&1 &
+done
 wait
 cat "$work"/lane_*
 
--- a/test/runner/main.cpp
+++ b/test/runner/main.cpp
@@ -10,6 +10,7 @@
 
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <set>
 #include <sstream>
 #include <string>
@@ -45,10 +46,23 @@
     return at == std::string::npos ? name : name.substr(at + unnamed.size());
 }
 
+/// Runs every @p count-th suite, beginning with the one at @p first.
+void run_part(CppUnit::TestResult& controller, int first, int count)
+{
+    const std::unique_ptr<CppUnit::Test> all(
+        CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    for (int i = first; i < all->getChildTestCount(); i += count)
+    {
+        all->getChildTestAt(i)->run(&controller);
+    }
+}
+
 } // namespace
 
-/// Runs all tests, or those under the path in the first argument. The last line of output
-/// is "N passed, N failed"; known failures are printed and not counted as failed.
+/// Runs all tests, those under the path in the first argument, or with the first argument
+/// "part" and two numbers the suites of one of several parts, counted from 0. The last
+/// line of output is "N passed, N failed"; known failures are printed and not counted as
+/// failed.
 int main(int argc, char** argv)
 {
     CppUnit::TestResult controller;
@@ -57,8 +71,16 @@
     controller.addListener(&results);
     controller.addListener(&progress);
     CppUnit::TestRunner runner;
-    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    runner.run(controller, argc > 1 ? argv[1] : "");
+    constexpr int part_arguments = 4;
+    if (argc == part_arguments && std::string(argv[1]) == "part")
+    {
+        run_part(controller, std::stoi(argv[2]), std::stoi(argv[3]));
+    }
+    else
+    {
+        runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+        runner.run(controller, argc > 1 ? argv[1] : "");
+    }
     CppUnit::CompilerOutputter outputter(&results, std::cerr);
     outputter.write();
     const std::set<std::string> known_red = known_red_tests();
