--- a/src/hosts/stream_origins_search.cpp
+++ b/src/hosts/stream_origins_search.cpp
@@ -27,65 +27,6 @@
 constexpr millis min_survey_interval{200};
 constexpr std::int64_t survey_interval_per_host_ms = 4;
 
-/// What another host has told of a stream and of the versions of its pools
-struct host_answer
-{
-    std::optional<stream_origin> origin;
-    std::set<stream_origin> possible;
-    std::set<stream_origin> unlisted;
-    bool is_current = false;
-};
-
-std::set<stream_origin> read_origins(const nlohmann::json& list)
-{
-    std::set<stream_origin> origins;
-    for (const nlohmann::json& each : list)
-    {
-        origins.insert(read_origin(each));
-    }
-    return origins;
-}
-
-/// @throw nlohmann::json::exception if a field is missing or of another type
-host_answer read_host_answer(const nlohmann::json& message)
-{
-    host_answer answer;
-    answer.possible = read_origins(message.at("possible"));
-    // hosts of earlier builds do not send these
-    answer.unlisted = read_origins(message.value("unlisted", nlohmann::json::array()));
-    answer.is_current = message.value("current", false);
-    if (message.contains("origin"))
-    {
-        answer.origin = read_origin(message.at("origin"));
-    }
-    return answer;
-}
-
-std::vector<pool_id> read_pools(const nlohmann::json& list)
-{
-    std::vector<pool_id> pools;
-    for (const nlohmann::json& each : list)
-    {
-        pools.emplace_back(each.get<std::string>());
-    }
-    return pools;
-}
-
-nlohmann::json write_pools(const std::vector<pool_id>& pools)
-{
-    nlohmann::json names = nlohmann::json::array();
-    for (const pool_id& each : pools)
-    {
-        names.push_back(each.get());
-    }
-    return names;
-}
-
-bool contains(const std::vector<pool_id>& pools, const pool_id& pool)
-{
-    return std::find(pools.begin(), pools.end(), pool) != pools.end();
-}
-
 } // namespace
 
 std::optional<stream_origin> stream_origins::find_here(const attempt_id& attempt) const
