Close connections whose bodies the gateway has no room for, without an answer

A body that exceeded the budget of all bodies was refused with host_full and not_run, which says that nothing of the request has run, now or earlier. Its id had not been read, so that a caller that sends a request again could be told so of one that had run or was running. The connection is closed now, which promises nothing; callers without an answer send the same request again.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -27,6 +27,7 @@
 #include <array>
 #include <exception>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <variant>
@@ -53,6 +54,14 @@
     return {{outcome_kind::not_run, why, message, std::nullopt}, "", ""};
 }
 
+/// @brief Ends a connection without an answer. A request whose id is not known yet may be
+/// the repetition of one that has run, so that no refusal would be true.
+class memory_full : public std::runtime_error
+{
+  public:
+    using std::runtime_error::runtime_error;
+};
+
 /// @brief Reads the bodies of callers' requests, limited in size and time.
 class caller_body_reader
 {
@@ -64,6 +73,7 @@
 
     /// @param charge holds what the body takes of the memory of all bodies
     /// @return the body, or the refusal
+    /// @throw memory_full if the bodies of other requests leave no room
     std::variant<std::string, final_answer> read(HTTPServerRequest& request,
                                                  body_charge& charge) const
     {
@@ -82,7 +92,7 @@
             const std::size_t read = 1 + static_cast<std::size_t>(available);
             if (!make_room(text, read, charge))
             {
-                return host_full();
+                throw memory_full("the bodies of all requests exceed their limit");
             }
             text += static_cast<char>(first);
             append_buffered(in, text);
@@ -124,17 +134,6 @@
         return true;
     }
 
-    static final_answer host_full()
-    {
-        constexpr millis retry_after{1000};
-        return {{outcome_kind::not_run,
-                 reason::host_full,
-                 "the bodies of other requests take the memory of this host",
-                 retry_after},
-                "",
-                ""};
-    }
-
     static void append_buffered(std::istream& in, std::string& text)
     {
         const std::streamsize available = in.rdbuf()->in_avail();
@@ -231,6 +230,11 @@
         {
             response.setKeepAlive(false);
         }
+        catch (const memory_full&)
+        {
+            response.setKeepAlive(false);
+            discard_body(request);
+        }
         catch (const std::exception& error)
         {
             log_event(gateway_handler_failed, {{"error", error.what()}});
--- a/test/runtime/gateway/gateway_test.cpp
+++ b/test/runtime/gateway/gateway_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(serves_no_request_whose_head_was_cut);
     CPPUNIT_TEST(runs_no_request_whose_last_chunk_is_missing);
     CPPUNIT_TEST(runs_no_request_whose_body_ends_with_its_connection);
+    CPPUNIT_TEST(says_nothing_of_a_request_whose_body_it_has_no_room_for);
     CPPUNIT_TEST(fails_readiness_when_it_drains);
     CPPUNIT_TEST_SUITE_END();
 
@@ -218,6 +219,23 @@
         CPPUNIT_ASSERT_EQUAL(0, targets_.executions("org/1/post"));
     }
 
+    void says_nothing_of_a_request_whose_body_it_has_no_room_for()
+    {
+        caller_server_settings settings;
+        settings.max_bodies = byte_count(16384);
+        const auto server = caller_server::create(settings, gateway_.instance());
+        CPPUNIT_ASSERT(server.ok());
+        const std::string path = "/v1/pipelines/post/requests";
+        nlohmann::json large = make_body("1");
+        large["input"] = std::string(50000, 'x');
+        // its id was not read: an earlier message of it may have run
+        CPPUNIT_ASSERT_THROW(send((*server)->where(), path, large.dump()),
+                             Poco::Exception);
+        const reply small = send((*server)->where(), path, make_body("2").dump());
+        CPPUNIT_ASSERT_EQUAL(200, small.status);
+        CPPUNIT_ASSERT_EQUAL(0, targets_.executions("org/1/post"));
+    }
+
     void refuses_bad_input_and_keeps_serving()
     {
         const std::string path = "/v1/pipelines/draft/requests";
