Review: streams go on at another version once their keepers have died

Cause: where a stream began at a process that no entry names is told to two hosts; a host that has lost its links to both asks the next two, and takes their silence for the only version that entries name. The stand-in of the targets can start again.

--- a/review/support-2/streams.cpp
+++ b/review/support-2/streams.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <map>
 #include <thread>
 #include <utility>
 
@@ -20,6 +21,9 @@
 constexpr int event_gap_ms = 220;
 constexpr int heartbeat_ms = 1200;
 
+// pause of a client before it connects again
+constexpr int reconnect_ms = 100;
+
 // tries of a client to take its stream up
 constexpr int most_tries = 3;
 
@@ -35,6 +39,38 @@
     double retry_after_s = 0;
 };
 
+/// @brief Versions of the workers whose events the streams hold.
+class version_list
+{
+  public:
+    void add(const std::string& stream, const std::string& version)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        versions_[stream].insert(version);
+    }
+
+    int joined()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return static_cast<int>(std::count_if(versions_.begin(),
+                                              versions_.end(),
+                                              [](const auto& each)
+                                              {
+                                                  return each.second.size() > 1;
+                                              }));
+    }
+
+  private:
+    std::mutex mutex_;
+    std::map<std::string, std::set<std::string>> versions_;
+};
+
+version_list& versions()
+{
+    static version_list list;
+    return list;
+}
+
 void read_text(const std::string& text, read_stream& result)
 {
     constexpr std::size_t status_at = 9;
@@ -101,6 +137,7 @@
              stream_totals& seen)
 {
     ++seen.taken_up;
+    pause_ms(reconnect_ms);
     for (std::size_t i = 0; i < most_tries; ++i)
     {
         const auto left = static_cast<int>(ends_at_ms - now_ms());
@@ -146,8 +183,9 @@
 {
 }
 
-nlohmann::json model_worker::entry(int sequence) const
+nlohmann::json model_worker::entry(int sequence)
 {
+    const std::lock_guard<std::mutex> lock(mutex_);
     nlohmann::json value = server_entry(service_, server_.where(), "zone-a", 64);
     value["version"] = version_;
     value["born"] = born_;
@@ -165,39 +203,95 @@
             for (int sequence = 2;; ++sequence)
             {
                 pause_ms(heartbeat_ms);
-                platform.put("servers/" + id_, entry(sequence));
+                bool is_cut = false;
+                {
+                    const std::lock_guard<std::mutex> lock(mutex_);
+                    is_cut = now_ms() < cut_until_;
+                }
+                if (!is_cut)
+                {
+                    platform.put("servers/" + id_, entry(sequence));
+                }
             }
         })
         .detach();
 }
 
+void model_worker::start_again(const std::string& version, int cut_ms)
+{
+    record("worker " + id_ + ": starts again as " + version +
+           ", and does not reach the store");
+    const std::lock_guard<std::mutex> lock(mutex_);
+    version_ = version;
+    born_ = 1700000000000 + now_ms();
+    cut_until_ = now_ms() + cut_ms;
+    ++process_;
+    for (const int each : connections_)
+    {
+        ::shutdown(each, SHUT_RDWR);
+    }
+}
+
+bool model_worker::is_of_process(int number)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return process_ == number;
+}
+
+int model_worker::joined_streams()
+{
+    return versions().joined();
+}
+
 void model_worker::serve(channel& peer)
 {
-    while (const std::optional<message> request = peer.read_request())
+    int process = 0;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        connections_.insert(peer.descriptor());
+        process = process_;
+    }
+    bool is_open = true;
+    while (is_open)
     {
-        if (path_of(*request) != "/-/report")
+        const std::optional<message> request = peer.read_request();
+        is_open = request && is_of_process(process);
+        if (is_open && path_of(*request) != "/-/report")
+        {
+            is_open = run(peer, *request, process);
+        }
+        else if (is_open)
         {
-            if (!run(peer, *request))
+            std::int64_t born = 0;
             {
-                return;
+                const std::lock_guard<std::mutex> lock(mutex_);
+                born = born_;
             }
-            continue;
+            const nlohmann::json report{{"stage", "unified"},
+                                        {"models", nlohmann::json::array()},
+                                        {"busy", false},
+                                        {"born", born}};
+            is_open = peer.send(
+                answer_text(200, {{"Content-Type", "application/json"}}, report.dump()));
         }
-        const nlohmann::json report{{"stage", "unified"},
-                                    {"models", nlohmann::json::array()},
-                                    {"busy", false},
-                                    {"born", born_}};
-        peer.send(
-            answer_text(200, {{"Content-Type", "application/json"}}, report.dump()));
     }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    connections_.erase(peer.descriptor());
 }
 
-bool model_worker::run(channel& peer, const message& request) const
+bool model_worker::run(channel& peer, const message& request, int process)
 {
     const std::string id = request.get("Attempt-Id");
+    const std::string first = request.has("Resumes") ? request.get("Resumes") : id;
     const int after =
         request.has("Last-Event-Id") ? std::stoi(request.get("Last-Event-Id")) : 0;
-    record("worker " + id_ + ": runs " + id + " from event " + std::to_string(after + 1));
+    std::string version;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        version = version_;
+    }
+    record("worker " + id_ + " (" + version + "): runs " + id + " from event " +
+           std::to_string(after + 1));
     bool is_open = peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                              "Attempt-Id: " +
                              id + "\r\nResponse-Signature: s." + id +
@@ -207,7 +301,12 @@
         const std::string event = "id: " + std::to_string(i) + "\ndata: token\n\n";
         std::array<char, 16> size{};
         std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
-        is_open = !peer.has_ended() && peer.send(size.data() + event + "\r\n");
+        is_open = is_of_process(process) && !peer.has_ended() &&
+                  peer.send(size.data() + event + "\r\n");
+        if (is_open)
+        {
+            versions().add(first, version);
+        }
         pause_ms(event_gap_ms);
     }
     return is_open && peer.send("0\r\n\r\n");
--- a/review/support-2/streams.hpp
+++ b/review/support-2/streams.hpp
@@ -8,6 +8,8 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,15 +34,27 @@
     /// @brief Writes its entry in the store now, and again at each heartbeat.
     void register_at(store& platform);
 
+    /// @brief Ends the process, and starts one of another version under the same id and
+    /// address. It does not reach the store until cut_ms later.
+    void start_again(const std::string& version, int cut_ms);
+
+    /// @brief Returns how many streams hold events of workers of two versions.
+    static int joined_streams();
+
   private:
     void serve(channel& peer);
-    bool run(channel& peer, const message& request) const;
-    nlohmann::json entry(int sequence) const;
+    bool run(channel& peer, const message& request, int process);
+    nlohmann::json entry(int sequence);
+    bool is_of_process(int number);
 
     std::string id_;
     std::string service_;
+    std::mutex mutex_;
     std::string version_;
     std::int64_t born_;
+    std::int64_t cut_until_ = 0;
+    int process_ = 1;
+    std::set<int> connections_;
     server server_;
 };
 
