Log from what the origin of a stream was not found

It also named the shares as the source of an origin that was not found.

event=1733 has possible, keeper_missing and records_read now, and source="none" if nothing was found.

--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -14,6 +14,7 @@
 #include <absl/strings/string_view.h>
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -51,6 +52,12 @@
     std::optional<stream_origin> origin;
     origin_source source = origin_source::none;
     version_evidence evidence = version_evidence::none;
+    /// the number of pools and versions at which it may have begun
+    std::size_t possible = 0;
+    /// whether a keeper could not be asked
+    bool is_keeper_missing = false;
+    /// whether the records in the store were read
+    bool has_read_records = false;
 };
 
 /// @brief Returns the name of a source of origins in log lines.
@@ -199,6 +206,7 @@
         bool is_named = false;
         /// whether the store has not answered a call that was made for it
         bool has_store_failed = false;
+        bool has_read_records = false;
         origin_action on_found;
     };
 
@@ -239,6 +247,8 @@
                              const nlohmann::json& message);
     void end_save_ahead(std::uint64_t number, bool is_saved);
     void conclude(std::uint64_t number);
+    /// passes what was found to the asking request, with what it was decided from
+    void end_question(const question& asked, origin_result found) const;
     /// returns the origin of a stream as far as this host and the answers tell it
     origin_result search(const question& asked) const;
     /// whether the answers that are missing can change nothing
--- a/include/medlar/detail/log/entry_events.hpp
+++ b/include/medlar/detail/log/entry_events.hpp
@@ -88,8 +88,7 @@
 /// @brief a blocked prompt part or request is harmless, or is tried again
 inline constexpr event entry_suspect_unblocked{
     1732, severity::info, "entry_suspect_unblocked"};
-/// @brief a caller resumes a stream, and the pool and version that began it were looked
-/// up
+/// @brief a caller takes a stream up; `possible` counts where it may have begun
 inline constexpr event entry_origin_found{1733, severity::info, "entry_origin_found"};
 /// @brief a pool has targets of a version that it did not have before
 inline constexpr event entry_version_appeared{
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -226,14 +226,18 @@
                       {
                           return;
                       }
-                      log_event(entry_origin_found,
-                                {{"attempt", self->fields_.attempt.get()},
-                                 {"resumes", begun_by.get()},
-                                 {"pool", origin ? origin->pool.get() : ""},
-                                 {"version", origin ? origin->version.get() : ""},
-                                 {"source", to_string(found.source)},
-                                 {"evidence", to_string(found.evidence)},
-                                 {"copy_age_ms", self->origins_.copy_age().count()}});
+                      log_event(
+                          entry_origin_found,
+                          {{"attempt", self->fields_.attempt.get()},
+                           {"resumes", begun_by.get()},
+                           {"pool", origin ? origin->pool.get() : ""},
+                           {"version", origin ? origin->version.get() : ""},
+                           {"source", to_string(found.source)},
+                           {"evidence", to_string(found.evidence)},
+                           {"possible", static_cast<std::int64_t>(found.possible)},
+                           {"keeper_missing", std::int64_t{found.is_keeper_missing}},
+                           {"records_read", std::int64_t{found.has_read_records}},
+                           {"copy_age_ms", self->origins_.copy_age().count()}});
                       if (const auto refused = self->refusal_of_origin(origin))
                       {
                           self->refuse(refused->retry_after, refused->why);
--- a/src/hosts/stream_origins_search.cpp
+++ b/src/hosts/stream_origins_search.cpp
@@ -203,7 +203,7 @@
         const origin_result found = search(each);
         if (found.origin)
         {
-            each.on_found(found);
+            end_question(each, found);
         }
         else
         {
@@ -212,6 +212,14 @@
     }
 }
 
+void stream_origins::end_question(const question& asked, origin_result found) const
+{
+    found.possible = possible_origins(asked).size();
+    found.is_keeper_missing = asked.is_keeper_missing || !asked.waiting_for.empty();
+    found.has_read_records = asked.has_read_records;
+    asked.on_found(found);
+}
+
 void stream_origins::conclude(std::uint64_t number)
 {
     const auto found = questions_.find(number);
@@ -224,7 +232,7 @@
     const origin_result result = search(asked);
     if (result.origin || (!asked.is_named && possible_origins(asked).size() > 1))
     {
-        asked.on_found(result);
+        end_question(asked, result);
         return;
     }
     find_in_store(std::move(asked));
@@ -388,7 +396,7 @@
         const origin_result found = search(each);
         if (found.origin || each.asked_at + each.store_wait <= context_.loop.now())
         {
-            each.on_found(found);
+            end_question(each, found);
         }
         else
         {
@@ -462,6 +470,7 @@
     update_versions();
     for (question& each : asked)
     {
+        each.has_read_records = true;
         if (is_current)
         {
             each.inquiry.record_current_copy();
@@ -474,13 +483,14 @@
         }
         else if (!found.origin && is_current && each.is_named)
         {
-            found = {origin_by_shares(each), origin_source::shares};
+            const std::optional<stream_origin> by_shares = origin_by_shares(each);
+            found = {by_shares, by_shares ? origin_source::shares : origin_source::none};
         }
         const bool is_over =
             is_current || each.asked_at + each.store_wait <= context_.loop.now();
         if (found.origin || is_over)
         {
-            each.on_found(found);
+            end_question(each, found);
         }
         else
         {
