--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -65,10 +65,12 @@
 
 /// @brief Finds the pool and version that began a stream, on any host.
 ///
-/// While all streams of a pool have begun at one version, that is the answer, and nothing
-/// is recorded. Else each host reports the streams that it has begun to one of a few
-/// hosts, the keepers, by the hash of the stream; a keeper writes what it gets to the
-/// store, several streams at a time. A host asks the keepers, then the store.
+/// Each host reports the streams that it has begun to one of a few hosts, the keepers. It
+/// does so whatever it knows of the versions: another one may appear after the host was
+/// lost and before its callers come back. While all streams of a pool have begun at one
+/// version, that is the answer, and reports are sent together and kept in memory only.
+/// Once it has several, a keeper writes the streams that it has got to the store, several
+/// at a time. A host asks the keepers, then the store.
 ///
 /// That a pool has one version only has to be shown by what was read from the store after
 /// the stream was taken up, by this host or by a keeper, see version_inquiry: a host that
@@ -180,6 +182,8 @@
     {
         stream_origin origin;
         steady_time at;
+        /// whether this host is its keeper, and has not written it to the store
+        bool is_unsaved = false;
     };
 
     /// A stream that this host has begun
@@ -230,15 +234,21 @@
     void remember(stream_key stream, const stream_origin& origin);
     void forget_old_streams();
     std::optional<stream_origin> recall(stream_key stream) const;
-    /// whether a keeper has to know of streams with this origin
-    bool needs_report(const stream_origin& origin) const;
+    /// whether the pool of a stream does not tell the version at which it began
+    bool is_ambiguous(const stream_origin& origin) const;
     void record_unlisted(const streams_by_origin& streams);
-    /// reports the streams of pools with several versions that no keeper was told of
+    /// reports the streams of resumable routes that no keeper was told of
     void send_reports();
-    void send_reports_soon();
+    void send_reports_after(millis delay);
+    /// returns one of the keepers, which is not this host unless it is the only one: what
+    /// a host alone knows is lost with it
+    const host_id& choose_keeper(const std::vector<host_id>& keepers);
+    /// keeps streams in memory, and in the store if their origins are ambiguous
     /// @param on_saved called for each of them once it is in the store
     void keep(const streams_by_origin& streams,
               const std::function<void()>& on_saved = nullptr);
+    /// saves the streams that are kept in memory and have become ambiguous
+    void save_ambiguous();
     void save_soon();
     void save();
     void handle_save_end(const unsaved_streams::record& record, bool is_written);
@@ -304,7 +314,8 @@
     std::unordered_map<stream_key, remembered_stream> streams_;
     /// those of own_streams_ that no keeper was told of
     std::vector<stream_key> unreported_;
-    bool is_report_due_ = false;
+    timer_id report_timer_{0};
+    std::optional<steady_time> report_due_at_;
     /// streams that this host keeps, until they are in the store
     unsaved_streams unsaved_;
     bool is_saving_ = false;
--- a/src/hosts/stream_origins.cpp
+++ b/src/hosts/stream_origins.cpp
@@ -22,6 +22,10 @@
 
 constexpr millis update_interval{1000};
 
+// streams that are reported together while their pool has one version, which answers for
+// those whose callers come back sooner
+constexpr millis report_delay{100};
+
 // a keeper writes what it got in this time in one call to the store
 constexpr millis save_delay{200};
 
@@ -163,6 +167,8 @@
     forget_old_streams();
     starts_.forget_old(now);
     // a pool may have several versions according to the store only
+    save_ambiguous();
+    // a pool may have become that of a resumable route
     send_reports();
     context_.loop.after(update_interval,
                         [this]
@@ -237,7 +243,8 @@
     if (count > 1)
     {
         // until now the version of the pool's streams was plain
-        send_reports_soon();
+        send_reports_after(millis(0));
+        save_ambiguous();
     }
 }
 
@@ -483,7 +490,7 @@
                : std::optional<stream_origin>(starts_.resolve(found->second.origin));
 }
 
-bool stream_origins::needs_report(const stream_origin& origin) const
+bool stream_origins::is_ambiguous(const stream_origin& origin) const
 {
     return read_unlisted_version(origin.version) ||
            versions_.is_mixed(origin.pool, context_.loop.now());
@@ -512,30 +519,44 @@
         return;
     }
     unreported_.push_back(stream);
-    if (needs_report(origin))
-    {
-        send_reports_soon();
-    }
+    // a caller whose connection breaks may come back in a few ms
+    send_reports_after(is_ambiguous(origin) ? millis(0) : report_delay);
 }
 
-void stream_origins::send_reports_soon()
+void stream_origins::send_reports_after(millis delay)
 {
-    if (!is_report_due_)
+    const steady_time due = context_.loop.now() + delay;
+    if (report_due_at_ && *report_due_at_ <= due)
     {
-        is_report_due_ = true;
-        // at once: a caller whose connection breaks may come back in a few ms
-        context_.loop.after(millis(0),
-                            [this]
-                            {
-                                send_reports();
-                            });
+        return;
     }
+    context_.loop.cancel(report_timer_);
+    report_due_at_ = due;
+    report_timer_ = context_.loop.after(delay,
+                                        [this]
+                                        {
+                                            send_reports();
+                                        });
+}
+
+const host_id& stream_origins::choose_keeper(const std::vector<host_id>& keepers)
+{
+    const std::size_t first =
+        static_cast<std::size_t>(context_.random.next() % keepers.size());
+    const host_id& chosen = keepers[first];
+    return chosen == peers_.self().id ? keepers[(first + 1) % keepers.size()] : chosen;
 }
 
 void stream_origins::send_reports()
 {
-    is_report_due_ = false;
+    context_.loop.cancel(report_timer_);
+    report_due_at_.reset();
+    if (unreported_.empty())
+    {
+        return;
+    }
     const std::vector<host_id> chosen = keepers();
+    const host_id& keeper = choose_keeper(chosen);
     std::map<host_id, streams_by_origin> by_keeper;
     for (const stream_key stream : std::exchange(unreported_, {}))
     {
@@ -545,15 +566,15 @@
             continue;
         }
         const stream_origin& origin = own->second.remembered.origin;
-        if (!needs_report(origin))
+        const bool is_unlisted = read_unlisted_version(origin.version).has_value();
+        if (!is_unlisted && !is_resumable(origin.pool))
         {
             unreported_.push_back(stream);
             continue;
         }
-        const host_id& keeper = chosen[stream.get() % chosen.size()];
         own->second.keeper = keeper;
         by_keeper[keeper][origin].push_back(stream);
-        if (!read_unlisted_version(origin.version))
+        if (!is_unlisted)
         {
             continue;
         }
@@ -588,7 +609,41 @@
         for (const stream_key stream : each.second)
         {
             remember(stream, each.first);
-            unsaved_.add(stream, each.first, on_saved);
+            const auto kept = streams_.find(stream);
+            if (on_saved || kept == streams_.end() || is_ambiguous(each.first))
+            {
+                unsaved_.add(stream, each.first, on_saved);
+            }
+            else
+            {
+                kept->second.is_unsaved = true;
+            }
+        }
+    }
+    save_soon();
+}
+
+void stream_origins::save_ambiguous()
+{
+    std::set<pool_id> mixed;
+    for (const pool_id& each : resumable_pools_)
+    {
+        if (versions_.is_mixed(each, context_.loop.now()))
+        {
+            mixed.insert(each);
+        }
+    }
+    if (mixed.empty())
+    {
+        return;
+    }
+    for (auto& each : streams_)
+    {
+        remembered_stream& kept = each.second;
+        if (kept.is_unsaved && mixed.count(kept.origin.pool) > 0)
+        {
+            kept.is_unsaved = false;
+            unsaved_.add(each.first, kept.origin);
         }
     }
     save_soon();
@@ -776,7 +831,7 @@
             unreported_.push_back(each.first);
         }
     }
-    send_reports_soon();
+    send_reports_after(millis(0));
 }
 
 std::string stream_origins::item_key(const stream_origin& origin) const
