--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -208,6 +208,8 @@
         /// whether a keeper could not be asked
         bool is_keeper_missing = false;
         bool is_named = false;
+        /// the keeper that has told where it began
+        std::optional<host_id> told_by;
         /// whether the store has not answered a call that was made for it
         bool has_store_failed = false;
         bool has_read_records = false;
@@ -240,6 +242,8 @@
     /// reports the streams of resumable routes that no keeper was told of
     void send_reports();
     void send_reports_after(millis delay);
+    /// how long a stream may wait to be reported together with others
+    millis report_delay_of(const stream_origin& origin) const;
     /// returns one of the keepers, which is not this host unless it is the only one: what
     /// a host alone knows is lost with it
     const host_id& choose_keeper(const std::vector<host_id>& keepers);
@@ -258,7 +262,16 @@
     void end_save_ahead(std::uint64_t number, bool is_saved);
     void conclude(std::uint64_t number);
     /// passes what was found to the asking request, with what it was decided from
-    void end_question(const question& asked, origin_result found) const;
+    void end_question(const question& asked, origin_result found);
+    /// records a stream that goes on at this host as its own: the host that has begun it
+    /// and those that know of it may be lost next
+    /// @param told_by the keeper that has told its origin; unset if it was found here or
+    /// in the store
+    /// @param is_known_elsewhere whether a keeper or the store knows the stream
+    void adopt(stream_key stream,
+               const stream_origin& origin,
+               const std::optional<host_id>& told_by,
+               bool is_known_elsewhere);
     /// returns the origin of a stream as far as this host and the answers tell it
     origin_result search(const question& asked) const;
     /// whether the answers that are missing can change nothing
--- a/src/entry/request_answer.cpp
+++ b/src/entry/request_answer.cpp
@@ -127,15 +127,14 @@
     if (!has_first_event_)
     {
         has_first_event_ = true;
-        const bool is_saved = origin_ && !is_resumption() && !may_have_begun_elsewhere();
+        const bool is_saved = origin_ && !may_have_begun_elsewhere();
         if (!origin_)
         {
             origin_ = stream_origin{pool_, target_version_};
         }
-        // the host and the keepers that knew of a stream that goes on may be lost next
-        if (!is_saved && !beginning_attempt().get().empty())
+        if (!is_saved)
         {
-            origins_.record(beginning_attempt(), *origin_);
+            origins_.record(fields_.attempt, *origin_);
         }
         context_.record_first_event_delay(
             pool_, fields_.prompt_tokens, context_.loop.now() - sent_at_);
--- a/src/hosts/stream_origins.cpp
+++ b/src/hosts/stream_origins.cpp
@@ -519,8 +519,13 @@
         return;
     }
     unreported_.push_back(stream);
+    send_reports_after(report_delay_of(origin));
+}
+
+millis stream_origins::report_delay_of(const stream_origin& origin) const
+{
     // a caller whose connection breaks may come back in a few ms
-    send_reports_after(is_ambiguous(origin) ? millis(0) : report_delay);
+    return is_ambiguous(origin) ? millis(0) : report_delay;
 }
 
 void stream_origins::send_reports_after(millis delay)
--- a/src/hosts/stream_origins_search.cpp
+++ b/src/hosts/stream_origins_search.cpp
@@ -42,6 +42,8 @@
     const stream_key stream = key_of(attempt);
     if (const std::optional<stream_origin> known = find_here(attempt))
     {
+        const auto kept = streams_.find(stream);
+        adopt(stream, *known, {}, kept == streams_.end() || !kept->second.is_unsaved);
         on_found({known, origin_source::memory});
         return;
     }
@@ -175,6 +177,7 @@
     if (answer.origin && asked.is_named)
     {
         remember(asked.stream, *answer.origin);
+        asked.told_by = from;
     }
 }
 
@@ -212,14 +215,33 @@
     }
 }
 
-void stream_origins::end_question(const question& asked, origin_result found) const
+void stream_origins::end_question(const question& asked, origin_result found)
 {
+    if (found.origin && asked.is_named)
+    {
+        const bool is_recorded = found.source == origin_source::memory ||
+                                 found.source == origin_source::record;
+        adopt(asked.stream, *found.origin, asked.told_by, is_recorded);
+    }
     found.possible = possible_origins(asked).size();
     found.is_keeper_missing = asked.is_keeper_missing || !asked.waiting_for.empty();
     found.has_read_records = asked.has_read_records;
     asked.on_found(found);
 }
 
+void stream_origins::adopt(stream_key stream,
+                           const stream_origin& origin,
+                           const std::optional<host_id>& told_by,
+                           bool is_known_elsewhere)
+{
+    const own_stream adopted{{origin, context_.loop.now()}, told_by};
+    if (own_streams_.try_emplace(stream, adopted).second && !is_known_elsewhere)
+    {
+        unreported_.push_back(stream);
+        send_reports_after(report_delay_of(origin));
+    }
+}
+
 void stream_origins::conclude(std::uint64_t number)
 {
     const auto found = questions_.find(number);
