--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -120,6 +121,9 @@
     void pump(const piece_group& group);
     void send(const piece_group& group, const piece_call& call);
     void handle_call_end(const std::shared_ptr<sent_call>& call, call_end how);
+    void handle_results(const sent_call& call,
+                        const std::vector<piece_result>& results,
+                        group_state& state);
     void log_answer(const sent_call& call,
                     const std::vector<piece_result>& results,
                     const piece_queue& queue) const;
@@ -127,8 +131,9 @@
     void append_answer(const std::shared_ptr<sent_call>& call, absl::string_view data);
     void give_up(const std::shared_ptr<sent_call>& call, call_end how);
     /// returns whether a target has given this answer before: each result has a handle of
-    /// its own, so a second copy belongs to an earlier call
-    bool is_copy(const target_id& target, const std::string& body);
+    /// its own, so a second copy belongs to an earlier call. Answers without results are
+    /// never taken for copies
+    bool is_copy(const target_id& target, const std::vector<piece_result>& results);
     void deliver(group_state& state, const std::vector<finished_piece>& finished);
     void flush_frees();
 
@@ -138,7 +143,7 @@
     piece_permits permits_;
     std::map<piece_group, std::unique_ptr<group_state>> groups_;
     std::set<std::shared_ptr<sent_call>> sent_calls_;
-    /// hashes of the newest answers of each target
+    /// hashes of the first results of the newest answers of each target
     std::map<target_id, std::deque<std::uint64_t>> answers_by_target_;
     std::map<endpoint, std::vector<result_handle>> to_free_;
     bool flush_pending_ = false;
--- a/src/entry/piece_service.cpp
+++ b/src/entry/piece_service.cpp
@@ -27,8 +27,9 @@
 // worked on
 constexpr millis free_call_timeout{5000};
 
-// answers of a target that are compared with its next ones, see is_copy()
-constexpr std::size_t remembered_answers = 8;
+// answers of a target that are compared with its next ones, see is_copy(); more than it
+// gives in a minute
+constexpr std::size_t remembered_answers = 512;
 
 // how often a queue is checked while its targets are paused
 constexpr millis pump_interval{50};
@@ -46,6 +47,19 @@
     return XXH3_64bits(key.data(), key.size());
 }
 
+/// returns the first result that was made; no two answers name the same one, unless one
+/// is a copy of the other
+std::vector<piece_result>::const_iterator
+find_made(const std::vector<piece_result>& results)
+{
+    return std::find_if(results.begin(),
+                        results.end(),
+                        [](const piece_result& each)
+                        {
+                            return each.handle.has_value();
+                        });
+}
+
 } // namespace
 
 piece_service::group_state& piece_service::state_of(const piece_group& group)
@@ -315,21 +329,19 @@
                             });
 }
 
-bool piece_service::is_copy(const target_id& target, const std::string& body)
+bool piece_service::is_copy(const target_id& target,
+                            const std::vector<piece_result>& results)
 {
+    const auto first_made = find_made(results);
+    if (first_made == results.end())
+    {
+        return false;
+    }
     std::deque<std::uint64_t>& seen = answers_by_target_[target];
-    const std::uint64_t hash = hash_key(body);
+    const std::uint64_t hash = hash_key(first_made->handle->get());
     if (std::find(seen.begin(), seen.end(), hash) != seen.end())
     {
-        // an answer without results may be equal to an earlier one
-        const absl::StatusOr<std::vector<piece_result>> results =
-            context_.protocol.read_piece_answer(body);
-        return results.ok() && std::any_of(results->begin(),
-                                           results->end(),
-                                           [](const piece_result& each)
-                                           {
-                                               return each.handle.has_value();
-                                           });
+        return true;
     }
     seen.push_back(hash);
     if (seen.size() > remembered_answers)
@@ -364,31 +376,18 @@
     context_.loop.cancel(call->give_up_timer);
     group_state& state = *groups_.at(call->group);
     const steady_time now = context_.loop.now();
-    const bool is_answered = how == call_end::complete && call->status == status_ok;
-    if (is_answered && is_copy(call->target, call->body))
-    {
-        how = call_end::malformed;
-    }
-    else if (is_answered)
+    bool is_repeated = false;
+    if (how == call_end::complete && call->status == status_ok)
     {
         const absl::StatusOr<std::vector<piece_result>> results =
             context_.protocol.read_piece_answer(call->body);
-        if (results.ok() && results->size() == call->pieces)
+        is_repeated = results.ok() && is_copy(call->target, *results);
+        if (results.ok() && results->size() == call->pieces && !is_repeated)
         {
-            const bool all_failed = std::all_of(
-                results->begin(),
-                results->end(),
-                [](const piece_result& each)
-                {
-                    return !each.handle && each.failure == piece_failure::failed;
-                });
-            context_.record_target_call(
-                call->process, all_failed ? call_result::failed : call_result::succeeded);
-            log_answer(*call, *results, state.queue);
-            deliver(state, state.queue.handle_results(call->id, *results, now));
-            schedule_pump(call->group);
+            handle_results(*call, *results, state);
             return;
         }
+        how = is_repeated ? call_end::malformed : how;
     }
     const bool full = how == call_end::complete && call->status == status_unavailable;
     const bool is_declined = how == call_end::declined;
@@ -421,13 +420,38 @@
     }
     context_.metrics->add("medlar_piece_calls_failed_total",
                           {{"pool", call->group.pool.get()}, {"full", full ? "1" : "0"}});
-    const millis pause = is_declined ? millis(0)
-                         : full      ? busy_target_pause
-                                     : failed_target_pause;
+    // a target that has sent a copy works on the call, and may take the next one
+    const millis pause = is_declined || is_repeated ? millis(0)
+                         : full                     ? busy_target_pause
+                                                    : failed_target_pause;
     state.queue.handle_failure(call->id, now, pause);
     schedule_pump(call->group);
 }
 
+void piece_service::handle_results(const sent_call& call,
+                                   const std::vector<piece_result>& results,
+                                   group_state& state)
+{
+    const bool all_failed =
+        std::all_of(results.begin(),
+                    results.end(),
+                    [](const piece_result& each)
+                    {
+                        return !each.handle && each.failure == piece_failure::failed;
+                    });
+    context_.record_target_call(
+        call.process, all_failed ? call_result::failed : call_result::succeeded);
+    log_answer(call, results, state.queue);
+    if (find_made(results) == results.end())
+    {
+        // it may be a copy, or a copy of it may follow; neither can be recognised, and
+        // each later answer on the connection would be taken for that of the next call
+        context_.client.close_idle(call.where);
+    }
+    deliver(state, state.queue.handle_results(call.id, results, context_.loop.now()));
+    schedule_pump(call.group);
+}
+
 void piece_service::log_answer(const sent_call& call,
                                const std::vector<piece_result>& results,
                                const piece_queue& queue) const
