--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLAR_DETAIL_HOSTS_STREAM_ORIGINS_HPP
 #define MEDLAR_DETAIL_HOSTS_STREAM_ORIGINS_HPP
 
+#include <medlar/detail/dispatch/resumable_pools.hpp>
 #include <medlar/detail/dispatch/target_starts.hpp>
 #include <medlar/detail/dispatch/unsaved_streams.hpp>
 #include <medlar/detail/dispatch/version_evidence.hpp>
@@ -67,10 +68,10 @@
 ///
 /// Each host reports the streams that it has begun to one of a few hosts, the keepers. It
 /// does so whatever it knows of the versions: another one may appear after the host was
-/// lost and before its callers come back. While all streams of a pool have begun at one
-/// version, that is the answer, and reports are sent together and kept in memory only.
-/// Once it has several, a keeper writes the streams that it has got to the store, several
-/// at a time. A host asks the keepers, then the store.
+/// lost and before its callers come back. While all streams of a route have begun at one
+/// pool and version, that is the answer, and reports are sent together and kept in memory
+/// only. Once it has several, a keeper writes the streams that it has got to the store,
+/// several at a time. A host asks the keepers, then the store.
 ///
 /// That a pool has one version only has to be shown by what was read from the store after
 /// the stream was taken up, by this host or by a keeper, see version_inquiry: a host that
@@ -190,7 +191,8 @@
     struct own_stream
     {
         remembered_stream remembered;
-        /// the keeper that was told of it
+        /// the other host that was told of it: its keeper, or a second one if that is
+        /// this host
         std::optional<host_id> keeper;
     };
 
@@ -234,9 +236,13 @@
     /// whether streams of a pool can be resumed
     bool is_resumable(const pool_id& pool);
     void remember(stream_key stream, const stream_origin& origin);
+    void remember(const streams_by_origin& streams);
     void forget_old_streams();
     std::optional<stream_origin> recall(stream_key stream) const;
-    /// whether the pool of a stream does not tell the version at which it began
+    /// whether a route of a pool does not tell at which pool and version its streams
+    /// begin
+    bool is_ambiguous(const pool_id& pool) const;
+    /// whether its route does not tell where a stream began
     bool is_ambiguous(const stream_origin& origin) const;
     void record_unlisted(const streams_by_origin& streams);
     /// reports the streams of resumable routes that no keeper was told of
@@ -244,10 +250,8 @@
     void send_reports_after(millis delay);
     /// how long a stream may wait to be reported together with others
     millis report_delay_of(const stream_origin& origin) const;
-    /// returns one of the keepers, which is not this host unless it is the only one: what
-    /// a host alone knows is lost with it
-    const host_id& choose_keeper(const std::vector<host_id>& keepers);
-    /// keeps streams in memory, and in the store if their origins are ambiguous
+    /// keeps streams in memory, and in the store if their origins are ambiguous; not
+    /// those that go on here and have another keeper
     /// @param on_saved called for each of them once it is in the store
     void keep(const streams_by_origin& streams,
               const std::function<void()>& on_saved = nullptr);
@@ -263,14 +267,13 @@
     void conclude(std::uint64_t number);
     /// passes what was found to the asking request, with what it was decided from
     void end_question(const question& asked, origin_result found);
-    /// records a stream that goes on at this host as its own: the host that has begun it
-    /// and those that know of it may be lost next
-    /// @param told_by the keeper that has told its origin; unset if it was found here or
-    /// in the store
-    /// @param is_known_elsewhere whether a keeper or the store knows the stream
+    /// records a stream that goes on at this host as its own, so that it is reported
+    /// again if its keeper is lost: the host that has begun it may be lost, too
+    /// @param keeper that has told its origin; unset if another source has
+    /// @param is_known_elsewhere whether the stream need not be reported now
     void adopt(stream_key stream,
                const stream_origin& origin,
-               const std::optional<host_id>& told_by,
+               const std::optional<host_id>& keeper,
                bool is_known_elsewhere);
     /// returns the origin of a stream as far as this host and the answers tell it
     origin_result search(const question& asked) const;
@@ -317,11 +320,7 @@
     store_controller& store_;
     version_history versions_;
     target_starts starts_;
-    /// pools of resumable routes, their longest timeout, and the configuration that they
-    /// are from
-    std::set<pool_id> resumable_pools_;
-    millis longest_timeout_{0};
-    configuration_ptr resumable_in_;
+    resumable_pools resumable_pools_;
     std::unordered_map<stream_key, own_stream> own_streams_;
     /// streams of other hosts, as far as they fit
     std::unordered_map<stream_key, remembered_stream> streams_;
--- a/src/hosts/stream_origins.cpp
+++ b/src/hosts/stream_origins.cpp
@@ -126,28 +126,8 @@
 
 bool stream_origins::is_resumable(const pool_id& pool)
 {
-    if (!context_.configuration)
-    {
-        return false;
-    }
-    if (resumable_in_ != context_.configuration)
-    {
-        resumable_in_ = context_.configuration;
-        resumable_pools_.clear();
-        longest_timeout_ = millis(0);
-        for (const route& each : resumable_in_->routes)
-        {
-            for (const weighted_pool& target : each.pools)
-            {
-                if (each.kind == route_kind::stream && each.may_retry())
-                {
-                    resumable_pools_.insert(target.pool);
-                    longest_timeout_ = std::max(longest_timeout_, each.timeout);
-                }
-            }
-        }
-    }
-    return resumable_pools_.count(pool) > 0;
+    resumable_pools_.update(context_.configuration);
+    return resumable_pools_.contains(pool);
 }
 
 void stream_origins::update()
@@ -166,7 +146,7 @@
     }
     forget_old_streams();
     starts_.forget_old(now);
-    // a pool may have several versions according to the store only
+    // a route may have been split, or have several versions according to the store only
     save_ambiguous();
     // a pool may have become that of a resumable route
     send_reports();
@@ -240,9 +220,9 @@
               {{"pool", target.pool.get()},
                {"version", target.version.get()},
                {"versions", static_cast<std::int64_t>(count)}});
-    if (count > 1)
+    if (is_ambiguous(target.pool))
     {
-        // until now the version of the pool's streams was plain
+        // until now it was plain where the streams of its routes began
         send_reports_after(millis(0));
         save_ambiguous();
     }
@@ -272,7 +252,7 @@
     {
         return;
     }
-    std::set<pool_id> pools = resumable_pools_;
+    std::set<pool_id> pools = resumable_pools_.all();
     for (const auto& each : shares_)
     {
         pools.insert(each.first);
@@ -328,13 +308,14 @@
         write_shares(pool, history);
         return;
     }
-    const auto outlived = std::remove_if(history.before.begin(),
-                                         history.before.end(),
-                                         [&](const version_shares& each)
-                                         {
-                                             return earlier_shares_[pool].are_outlived(
-                                                 each, longest_timeout_, now);
-                                         });
+    const auto outlived =
+        std::remove_if(history.before.begin(),
+                       history.before.end(),
+                       [&](const version_shares& each)
+                       {
+                           return earlier_shares_[pool].are_outlived(
+                               each, resumable_pools_.longest_timeout(), now);
+                       });
     if (outlived != history.before.end())
     {
         history.before.erase(outlived, history.before.end());
@@ -477,6 +458,17 @@
     }
 }
 
+void stream_origins::remember(const streams_by_origin& streams)
+{
+    for (const auto& each : streams)
+    {
+        for (const stream_key stream : each.second)
+        {
+            remember(stream, each.first);
+        }
+    }
+}
+
 std::optional<stream_origin> stream_origins::recall(stream_key stream) const
 {
     const auto own = own_streams_.find(stream);
@@ -490,10 +482,17 @@
                : std::optional<stream_origin>(starts_.resolve(found->second.origin));
 }
 
+bool stream_origins::is_ambiguous(const pool_id& pool) const
+{
+    return versions_
+               .origins_in(resumable_pools_.sharing_routes_with(pool),
+                           context_.loop.now())
+               .size() > 1;
+}
+
 bool stream_origins::is_ambiguous(const stream_origin& origin) const
 {
-    return read_unlisted_version(origin.version) ||
-           versions_.is_mixed(origin.pool, context_.loop.now());
+    return read_unlisted_version(origin.version) || is_ambiguous(origin.pool);
 }
 
 void stream_origins::forget_old_streams()
@@ -544,14 +543,6 @@
                                         });
 }
 
-const host_id& stream_origins::choose_keeper(const std::vector<host_id>& keepers)
-{
-    const std::size_t first =
-        static_cast<std::size_t>(context_.random.next() % keepers.size());
-    const host_id& chosen = keepers[first];
-    return chosen == peers_.self().id ? keepers[(first + 1) % keepers.size()] : chosen;
-}
-
 void stream_origins::send_reports()
 {
     context_.loop.cancel(report_timer_);
@@ -561,8 +552,9 @@
         return;
     }
     const std::vector<host_id> chosen = keepers();
-    const host_id& keeper = choose_keeper(chosen);
+    const host_id& self = peers_.self().id;
     std::map<host_id, streams_by_origin> by_keeper;
+    std::map<host_id, streams_by_origin> copies;
     for (const stream_key stream : std::exchange(unreported_, {}))
     {
         const auto own = own_streams_.find(stream);
@@ -577,24 +569,30 @@
             unreported_.push_back(stream);
             continue;
         }
-        own->second.keeper = keeper;
+        const host_id& keeper = chosen[stream.get() % chosen.size()];
+        const host_id& second = chosen[(stream.get() + 1) % chosen.size()];
+        own->second.keeper = keeper == self ? second : keeper;
         by_keeper[keeper][origin].push_back(stream);
-        if (!is_unlisted)
+        if (is_unlisted)
         {
-            continue;
-        }
-        // hosts may differ in who the keepers are
-        for (const host_id& each : chosen)
-        {
-            if (each != keeper)
+            // hosts may differ in who the keepers are
+            for (const host_id& each : chosen)
             {
-                by_keeper[each][origin].push_back(stream);
+                if (each != keeper)
+                {
+                    by_keeper[each][origin].push_back(stream);
+                }
             }
         }
+        else if (keeper == self && second != self)
+        {
+            // what this host alone knows is lost with it
+            copies[second][origin].push_back(stream);
+        }
     }
     for (const auto& each : by_keeper)
     {
-        if (each.first == peers_.self().id)
+        if (each.first == self)
         {
             keep(each.second);
         }
@@ -604,6 +602,13 @@
                         {{"type", "streams_begun"}, {"groups", to_json(each.second)}});
         }
     }
+    for (const auto& each : copies)
+    {
+        peers_.send(each.first,
+                    {{"type", "streams_begun"},
+                     {"groups", to_json(each.second)},
+                     {"copy", true}});
+    }
 }
 
 void stream_origins::keep(const streams_by_origin& streams,
@@ -630,22 +635,22 @@
 
 void stream_origins::save_ambiguous()
 {
-    std::set<pool_id> mixed;
-    for (const pool_id& each : resumable_pools_)
+    std::set<pool_id> ambiguous;
+    for (const pool_id& each : resumable_pools_.all())
     {
-        if (versions_.is_mixed(each, context_.loop.now()))
+        if (is_ambiguous(each))
         {
-            mixed.insert(each);
+            ambiguous.insert(each);
         }
     }
-    if (mixed.empty())
+    if (ambiguous.empty())
     {
         return;
     }
     for (auto& each : streams_)
     {
         remembered_stream& kept = each.second;
-        if (kept.is_unsaved && mixed.count(kept.origin.pool) > 0)
+        if (kept.is_unsaved && ambiguous.count(kept.origin.pool) > 0)
         {
             kept.is_unsaved = false;
             unsaved_.add(each.first, kept.origin);
@@ -774,7 +779,15 @@
     {
         const streams_by_origin streams = read_streams(message.at("groups"));
         record_unlisted(streams);
-        keep(streams);
+        if (message.value("copy", false))
+        {
+            // its sender writes them to the store
+            remember(streams);
+        }
+        else
+        {
+            keep(streams);
+        }
         return true;
     }
     if (type == "origin?")
--- a/src/hosts/stream_origins_search.cpp
+++ b/src/hosts/stream_origins_search.cpp
@@ -219,9 +219,9 @@
 {
     if (found.origin && asked.is_named)
     {
-        const bool is_recorded = found.source == origin_source::memory ||
-                                 found.source == origin_source::record;
-        adopt(asked.stream, *found.origin, asked.told_by, is_recorded);
+        // a keeper that knows it may not have been waited for
+        const bool is_known_elsewhere = found.source != origin_source::single_version;
+        adopt(asked.stream, *found.origin, asked.told_by, is_known_elsewhere);
     }
     found.possible = possible_origins(asked).size();
     found.is_keeper_missing = asked.is_keeper_missing || !asked.waiting_for.empty();
@@ -231,10 +231,10 @@
 
 void stream_origins::adopt(stream_key stream,
                            const stream_origin& origin,
-                           const std::optional<host_id>& told_by,
+                           const std::optional<host_id>& keeper,
                            bool is_known_elsewhere)
 {
-    const own_stream adopted{{origin, context_.loop.now()}, told_by};
+    const own_stream adopted{{origin, context_.loop.now()}, keeper};
     if (own_streams_.try_emplace(stream, adopted).second && !is_known_elsewhere)
     {
         unreported_.push_back(stream);
--- a/test/entry/lost_host_test.cpp
+++ b/test/entry/lost_host_test.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+#include <string>
+#include <vector>
+
 namespace
 {
 
@@ -31,6 +35,33 @@
         }
         return streams;
     }
+
+    /// Divides the route between pools, by their weights.
+    void set_pools_of_route(const std::map<std::string, int>& weights)
+    {
+        nlohmann::json route = route_json("/a/", "stream", "plain");
+        route["timeout_ms"] = 3000;
+        route.erase("service");
+        nlohmann::json& pools = route["backends"] = nlohmann::json::array();
+        for (const auto& each : weights)
+        {
+            pools.push_back({{"service", each.first}, {"weight", each.second}});
+        }
+        nlohmann::json configuration =
+            nlohmann::json::parse(configuration_json(++version_, {route}));
+        configuration["services"].push_back(
+            {{"name", "other"}, {"health_path", "/health"}, {"max_conns", 100}});
+        store.put("op/config", configuration.dump());
+    }
+
+    void start_other_pool()
+    {
+        start_engine("o-1", "v1", 5, "other");
+        start_engine("o-2", "v1", 5, "other");
+    }
+
+  private:
+    int version_ = 3;
 };
 
 class a_stream_whose_host_was_lost : public CppUnit::TestFixture
@@ -134,4 +165,98 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(a_stream_whose_host_was_lost);
 
+class a_stream_of_a_split_route : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(a_stream_of_a_split_route);
+    CPPUNIT_TEST(goes_on_after_its_host_was_lost);
+    CPPUNIT_TEST(goes_on_after_all_hosts_were_killed);
+    CPPUNIT_TEST(goes_on_if_the_route_is_split_after_its_host_was_lost);
+    CPPUNIT_TEST(goes_on_after_all_hosts_were_killed_if_the_route_was_split_meanwhile);
+    CPPUNIT_TEST(goes_on_if_the_other_pool_has_no_weight);
+    CPPUNIT_TEST(is_refused_if_its_pool_has_left_the_route);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    // review/8: streams were reported by the versions of their pool, and looked for by
+    // those of their route
+    void goes_on_after_its_host_was_lost()
+    {
+        lost_host_group it(4);
+        it.start_other_pool();
+        it.set_pools_of_route({{"plain", 90}, {"other", 10}});
+        it.run_for(change_time);
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams_at(0);
+        it.kill_host(0);
+        CPPUNIT_ASSERT_EQUAL(int{stream_count}, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void goes_on_after_all_hosts_were_killed()
+    {
+        lost_host_group it(4);
+        it.start_other_pool();
+        it.set_pools_of_route({{"plain", 50}, {"other", 50}});
+        it.run_for(change_time);
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams_at(0);
+        it.run_for(report_time);
+        it.restart_all_hosts();
+        CPPUNIT_ASSERT_EQUAL(int{stream_count}, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void goes_on_if_the_route_is_split_after_its_host_was_lost()
+    {
+        lost_host_group it(4);
+        it.start_other_pool();
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams_at(0);
+        it.run_for(report_time);
+        it.kill_host(0);
+        it.set_pools_of_route({{"plain", 10}, {"other", 90}});
+        it.run_for(change_time);
+        CPPUNIT_ASSERT_EQUAL(int{stream_count}, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void goes_on_after_all_hosts_were_killed_if_the_route_was_split_meanwhile()
+    {
+        lost_host_group it(4);
+        it.start_other_pool();
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams_at(0);
+        it.run_for(report_time);
+        it.set_pools_of_route({{"plain", 10}, {"other", 90}});
+        it.run_for(millis(2000));
+        it.restart_all_hosts();
+        CPPUNIT_ASSERT_EQUAL(int{stream_count}, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void goes_on_if_the_other_pool_has_no_weight()
+    {
+        lost_host_group it(4);
+        it.start_other_pool();
+        it.set_pools_of_route({{"plain", 100}, {"other", 0}});
+        it.run_for(change_time);
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams_at(0);
+        it.run_for(report_time);
+        it.restart_all_hosts();
+        CPPUNIT_ASSERT_EQUAL(int{stream_count}, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+
+    void is_refused_if_its_pool_has_left_the_route()
+    {
+        lost_host_group it(4);
+        it.start_other_pool();
+        std::vector<versioned_pool::caller_stream> streams = it.begin_streams_at(0);
+        it.run_for(report_time);
+        it.kill_host(0);
+        it.set_pools_of_route({{"other", 100}});
+        it.run_for(change_time);
+        CPPUNIT_ASSERT_EQUAL(0, it.take_up_all(streams));
+        CPPUNIT_ASSERT_EQUAL(0, it.joined);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(a_stream_of_a_split_route);
+
 } // namespace
--- a/test/support/entry/versioned_pool.hpp
+++ b/test/support/entry/versioned_pool.hpp
@@ -51,13 +51,14 @@
 
     void start_engine(const std::string& id,
                       const nlohmann::json& version,
-                      std::int64_t started_ms = 5)
+                      std::int64_t started_ms = 5,
+                      const std::string& pool = "plain")
     {
         const auto self = std::make_shared<const stand_in_target*>();
         auto engine =
             std::make_unique<stand_in_target>(loop,
                                               id,
-                                              "plain",
+                                              pool,
                                               [this, self](const exchange_ptr& exchange)
                                               {
                                                   answer(**self, exchange);
@@ -67,6 +68,7 @@
         engine->started_ms = started_ms;
         store.put(engine->key(), engine->entry());
         engines[id] = std::move(engine);
+        pools_[id] = pool;
     }
 
     /// Ends an engine, and starts one of another id and version at its address.
@@ -81,6 +83,7 @@
         engine->version = version;
         store.put(engine->key(), engine->entry());
         engines[id] = std::move(engine);
+        pools_[id] = pools_.at(from);
     }
 
     /// Ends an engine, and starts it again under its id; its entry is as before.
@@ -294,7 +297,7 @@
     std::map<std::string, std::unique_ptr<stand_in_target>> engines;
     /// the version that began a stream, by the attempt that brought its first event
     std::map<std::string, std::string> began_at;
-    /// streams that another version than that went on with
+    /// streams that went on at another version or pool
     int joined = 0;
     int resumed = 0;
 
@@ -316,6 +319,7 @@
         if (asked.find("Last-Event-Id") == nullptr)
         {
             began_at[attempt] = version;
+            began_in_[attempt] = pools_.at(engine.id());
             exchange->write("id: 1\ndata: x\n\n");
             waiting_.push_back({engine.id(), exchange});
             return;
@@ -324,13 +328,19 @@
                                        ? attempt
                                        : std::string(asked.get("Resumes"));
         const auto began = began_at.find(origin);
-        joined += began == began_at.end() || began->second != version ? 1 : 0;
+        const bool is_joined = began == began_at.end() || began->second != version ||
+                               began_in_.at(origin) != pools_.at(engine.id());
+        joined += is_joined ? 1 : 0;
         ++resumed;
         exchange->write("id: 2\ndata: x\n\n");
         exchange->finish();
     }
 
     std::vector<waiting_stream> waiting_;
+    /// by the id of an engine
+    std::map<std::string, std::string> pools_;
+    /// by the attempt that brought the first event of a stream
+    std::map<std::string, std::string> began_in_;
     int attempts_ = 0;
 };
 
