--- a/include/medlar/detail/entry/piece_service.hpp
+++ b/include/medlar/detail/entry/piece_service.hpp
@@ -13,7 +13,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <vector>
 
--- a/include/medlar/detail/hosts/stream_origins.hpp
+++ b/include/medlar/detail/hosts/stream_origins.hpp
@@ -66,9 +66,10 @@
 
 /// @brief Finds the pool and version that began a stream, on any host.
 ///
-/// Each host reports the streams that it has begun to one of a few hosts, the keepers. It
-/// does so whatever it knows of the versions: another one may appear after the host was
-/// lost and before its callers come back. While all streams of a route have begun at one
+/// Each host reports the streams that it has begun to one of a few hosts, the keepers, by
+/// the hash of the stream; if that is itself, a second keeper gets a copy. It does so
+/// whatever it knows of the versions: another one may appear after the host was lost and
+/// before its callers come back. While all streams of a route have begun at one
 /// pool and version, that is the answer, and reports are sent together and kept in memory
 /// only. Once it has several, a keeper writes the streams that it has got to the store,
 /// several at a time. A host asks the keepers, then the store.
@@ -187,7 +188,7 @@
         bool is_unsaved = false;
     };
 
-    /// A stream that this host has begun
+    /// A stream that this host has begun, or with which it goes on
     struct own_stream
     {
         remembered_stream remembered;
@@ -250,8 +251,7 @@
     void send_reports_after(millis delay);
     /// how long a stream may wait to be reported together with others
     millis report_delay_of(const stream_origin& origin) const;
-    /// keeps streams in memory, and in the store if their origins are ambiguous; not
-    /// those that go on here and have another keeper
+    /// keeps streams in memory, and in the store if their origins are ambiguous
     /// @param on_saved called for each of them once it is in the store
     void keep(const streams_by_origin& streams,
               const std::function<void()>& on_saved = nullptr);
